--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# Targets for developers and CI. Every target stops what it starts.
+GO ?= go
+BIN := bin
+PROGRAMS := $(notdir $(wildcard cmd/*))
+
+.PHONY: build check format lint test models demo process-test clean
+
+build:
+	@mkdir -p $(BIN)
+	@CGO_ENABLED=1 $(GO) build -o $(BIN)/ ./cmd/...
+
+format:
+	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+lint:
+	@$(GO) vet ./...
+	@$(GO) tool staticcheck ./...
+
+test:
+	@$(GO) test -race -count=1 ./...
+
+check: format lint test
+
+clean:
+	@rm -rf $(BIN) out
--- /dev/null
+++ b/internal/process/ops.go
@@ -0,0 +1,80 @@
+package process
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/urfave/negroni/v3"
+
+	"clementinewalk.example/clementinewalk/internal/invariant"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	maxHeaderBytes    = 16 << 10
+)
+
+// Health answers /healthz and /readyz. It is not ready until SetReady(true).
+type Health struct {
+	ready atomic.Bool
+}
+
+// SetReady tells whether the process accepts new work.
+func (h *Health) SetReady(ready bool) { h.ready.Store(ready) }
+
+// Ready reports whether the process accepts new work.
+func (h *Health) Ready() bool { return h.ready.Load() }
+
+// NewRegistry returns a metrics registry with the collectors that every program has.
+func NewRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		invariant.Violations)
+	return r
+}
+
+// HandleOps adds /metrics, /healthz and /readyz to mux.
+func HandleOps(mux *http.ServeMux, h *Health, r *prometheus.Registry) {
+	mux.Handle("GET /metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !h.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+// NewHTTPServer returns a server with the timeouts and limits of every HTTP endpoint. readTimeout bounds the time a
+// caller may take to send a whole request, so that slow senders cannot hold connections.
+func NewHTTPServer(h http.Handler, readTimeout time.Duration) *http.Server {
+	n := negroni.New(negroni.NewRecovery())
+	n.UseHandler(h)
+	return &http.Server{Handler: n, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
+		MaxHeaderBytes: maxHeaderBytes}
+}
+
+// ServeHTTP serves until ctx ends, then lets the requests in progress finish within wait.
+func ServeHTTP(ctx context.Context, s *http.Server, ln net.Listener, wait time.Duration) error {
+	failed := make(chan error, 1)
+	go func() { failed <- s.Serve(ln) }()
+	select {
+	case err := <-failed:
+		return errors.WithStack(err)
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	if err := s.Shutdown(stop); err != nil {
+		return &StopError{Part: "HTTP server", Wait: wait}
+	}
+	return nil
+}
