--- /dev/null
+++ b/internal/link/metrics.go
@@ -0,0 +1,115 @@
+package link
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/quic-go/quic-go"
+
+	"clementinewalk.example/clementinewalk/internal/contract"
+)
+
+const (
+	directionSent     = "sent"
+	directionReceived = "received"
+	kindInvalid       = "invalid"
+)
+
+var kindNames = map[contract.MessageKind]string{
+	contract.KindGrantRequest: "grant-request", contract.KindGrantReply: "grant-reply",
+	contract.KindForward: "forward", contract.KindForwardReply: "forward-reply",
+	contract.KindHeartbeat: "heartbeat", contract.KindHeartbeatReply: "heartbeat-reply",
+	contract.KindJobStatus: "job-status", contract.KindJobStatusReply: "job-status-reply",
+	contract.KindExplain: "explain", contract.KindExplainReply: "explain-reply",
+	contract.KindConfigFetch: "config-fetch", contract.KindConfigFetchReply: "config-fetch-reply",
+	contract.KindShardStatus: "shard-status", contract.KindShardStatusReply: "shard-status-reply",
+	contract.KindFailure: "failure",
+}
+
+// kindName returns the metric label of a message; nil stands for bytes that could not be decoded.
+func kindName(m contract.Message) string {
+	if m == nil {
+		return kindInvalid
+	}
+	if name, ok := kindNames[m.MessageKind()]; ok {
+		return name
+	}
+	return kindInvalid
+}
+
+type metrics struct {
+	bytes *prometheus.CounterVec
+	calls *prometheus.CounterVec
+}
+
+func newMetrics() *metrics {
+	return &metrics{
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "clementine_link_bytes_total",
+			Help: "Bytes of messages between the system's own processes, by kind and direction, without packet overhead.",
+		}, []string{"kind", "direction"}),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "clementine_link_calls_total",
+			Help: "Calls to peers, by outcome: answered, failure (answered with one), not-sent, unanswered.",
+		}, []string{"outcome"}),
+	}
+}
+
+func (m *metrics) count(msg contract.Message, direction string, n int) {
+	m.bytes.WithLabelValues(kindName(msg), direction).Add(float64(n))
+}
+
+var (
+	packetBytes = prometheus.NewDesc("clementine_link_packet_bytes_total",
+		"Bytes of QUIC packets of closed and open connections, by direction. IP and UDP headers are not included.",
+		[]string{"direction"}, nil)
+	connections = prometheus.NewDesc("clementine_link_connections",
+		"Number of open connections, dialled and accepted.", nil, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (t *Transport) Describe(ch chan<- *prometheus.Desc) {
+	t.metrics.bytes.Describe(ch)
+	t.metrics.calls.Describe(ch)
+	ch <- packetBytes
+	ch <- connections
+}
+
+// Collect implements prometheus.Collector.
+func (t *Transport) Collect(ch chan<- prometheus.Metric) {
+	t.metrics.bytes.Collect(ch)
+	t.metrics.calls.Collect(ch)
+	sent, received, open := t.packetBytes()
+	ch <- prometheus.MustNewConstMetric(packetBytes, prometheus.CounterValue, float64(sent), directionSent)
+	ch <- prometheus.MustNewConstMetric(packetBytes, prometheus.CounterValue, float64(received), directionReceived)
+	ch <- prometheus.MustNewConstMetric(connections, prometheus.GaugeValue, float64(open))
+}
+
+// packetBytes returns the bytes sent and received on all connections so far, and the number of open ones.
+func (t *Transport) packetBytes() (sent, received uint64, open int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sent, received = t.closedSent, t.closedReceived
+	for c := range t.open {
+		s := c.ConnectionStats()
+		sent += s.BytesSent
+		received += s.BytesReceived
+	}
+	return sent, received, len(t.open)
+}
+
+// track counts the bytes of a connection until it has ended.
+func (t *Transport) track(c *quic.Conn) {
+	t.mu.Lock()
+	t.open[c] = struct{}{}
+	t.mu.Unlock()
+	t.running.Add(1)
+	go func() {
+		defer t.running.Done()
+		<-c.Context().Done()
+		s := c.ConnectionStats()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.open, c)
+		t.closedSent += s.BytesSent
+		t.closedReceived += s.BytesReceived
+	}()
+}
--- /dev/null
+++ b/internal/link/serve.go
@@ -0,0 +1,163 @@
+package link
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+
+	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/keys"
+	"clementinewalk.example/clementinewalk/internal/process"
+)
+
+const (
+	// requestTimeout bounds how long a peer may take to send a whole call.
+	requestTimeout = 5 * time.Second
+	// receiptTimeout bounds the wait for the peer's sign that it has read the reply.
+	receiptTimeout = 2 * time.Second
+)
+
+// Serve answers calls with h until ctx ends. It then refuses new calls with FailureNotReady, lets the calls in progress in both
+// directions finish, and closes the transport. A process that calls peers during its stop ends ctx after its last call.
+// Serve returns *process.StopError if calls were still in progress when the time for the stop ran out.
+func (t *Transport) Serve(ctx context.Context, h Handler) error {
+	if !t.startAccept(h) {
+		return &StoppedError{}
+	}
+	<-ctx.Done()
+	t.mu.Lock()
+	t.stopping = true
+	t.signalIdle()
+	t.mu.Unlock()
+	var err error
+	limit := time.NewTimer(stopTimeout)
+	defer limit.Stop()
+	select {
+	case <-t.idle:
+	case <-limit.C:
+		err = &process.StopError{Part: "link", Wait: stopTimeout}
+	}
+	_ = t.Close()
+	return err
+}
+
+func (t *Transport) startAccept(h Handler) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.running.Add(1)
+	go t.accept(h)
+	return true
+}
+
+func (t *Transport) accept(h Handler) {
+	defer t.running.Done()
+	for {
+		c, err := t.listener.Accept(t.life)
+		if err != nil {
+			return
+		}
+		t.track(c)
+		t.running.Add(1)
+		go t.serveConn(c, h)
+	}
+}
+
+func (t *Transport) serveConn(c *quic.Conn, h Handler) {
+	defer t.running.Done()
+	id, role, err := keys.Identity(c.ConnectionState().TLS)
+	if err != nil {
+		t.log.Warn("connection without an identity was closed", "error", err)
+		_ = c.CloseWithError(closeSilent, "no identity")
+		return
+	}
+	for {
+		s, err := c.AcceptStream(t.life)
+		if err != nil {
+			return
+		}
+		t.running.Add(1)
+		go t.serveStream(s, Peer{ID: id, Role: role}, h)
+	}
+}
+
+func (t *Transport) serveStream(s *quic.Stream, p Peer, h Handler) {
+	defer t.running.Done()
+	if !t.begin(&t.inCalls) {
+		abandon(s)
+		return
+	}
+	defer t.done(&t.inCalls)
+	_ = s.SetReadDeadline(time.Now().Add(requestTimeout))
+	m, n, err := readFrame(s)
+	t.metrics.count(m, directionReceived, n)
+	if err != nil && !malformed(err) {
+		abandon(s)
+		return
+	}
+	frame, reply := t.reply(s.Context(), p, m, err, h)
+	if _, err := s.Write(frame); err != nil {
+		abandon(s)
+		return
+	}
+	t.metrics.count(reply, directionSent, len(frame))
+	_ = s.Close()
+	// Closing the connection would discard a reply that is still on its way, so the call lasts until the peer has read it.
+	_ = s.SetReadDeadline(time.Now().Add(receiptTimeout))
+	_, _ = io.Copy(io.Discard, io.LimitReader(s, MaxMessageBytes))
+	s.CancelRead(streamAbandoned)
+}
+
+// malformed tells a message that arrived but cannot be understood from one that did not arrive.
+func malformed(err error) bool {
+	var size *SizeError
+	var decode *contract.DecodeError
+	var kind *contract.UnknownKindError
+	return errors.As(err, &size) || errors.As(err, &decode) || errors.As(err, &kind)
+}
+
+func (t *Transport) reply(ctx context.Context, p Peer, m contract.Message, err error, h Handler) ([]byte, contract.Message) {
+	reply := t.answer(ctx, p, m, err, h)
+	frame, err := encodeFrame(reply)
+	if err == nil {
+		return frame, reply
+	}
+	t.log.Error("reply cannot be sent", "kind", kindName(reply), "error", err)
+	reply = &contract.Failure{Code: contract.FailureUnsupported, Detail: "the reply cannot be encoded"}
+	frame, _ = encodeFrame(reply)
+	return frame, reply
+}
+
+func (t *Transport) answer(ctx context.Context, p Peer, m contract.Message, err error, h Handler) contract.Message {
+	if err != nil {
+		var kind *contract.UnknownKindError
+		if errors.As(err, &kind) {
+			return &contract.Failure{Code: contract.FailureUnsupported, Detail: kind.Error()}
+		}
+		return &contract.Failure{Code: contract.FailureMalformed, Detail: "the call cannot be decoded"}
+	}
+	if t.isStopping() {
+		return &contract.Failure{Code: contract.FailureNotReady, Detail: "stopping"}
+	}
+	reply, err := h(ctx, p, m)
+	if err == nil && reply != nil {
+		return reply
+	}
+	var f *contract.Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	t.log.Warn("call was not answered", "kind", kindName(m), "peer", p.ID, "error", err)
+	return &contract.Failure{Code: contract.FailureNotReady}
+}
+
+func (t *Transport) isStopping() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stopping
+}
