--- a/internal/contract/records.go
+++ b/internal/contract/records.go
@@ -80,6 +80,9 @@
 	Config uint64 `cbor:"7,keyasint"`
 	// RunTime is the declared run time of each task; it overrides the manifest if it is positive.
 	RunTime time.Duration `cbor:"8,keyasint,omitempty"`
+	// Service marks a job whose tasks are restarted whenever they end. A later Submit of a service job changes the number
+	// of its tasks.
+	Service bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Cancel ends a job. Pending tasks end at once; running ones are stopped and closed.
@@ -108,6 +111,8 @@
 	Reason     string           `cbor:"8,keyasint,omitempty"`
 	// Cost is the price of the attempt in millionths of the manifest's currency.
 	Cost int64 `cbor:"9,keyasint,omitempty"`
+	// Final tells that the task has used up its attempts and is not placed again.
+	Final bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Transferred describes one pending task that moves between shards.
@@ -124,6 +129,8 @@
 	To    string        `cbor:"2,keyasint"`
 	In    RecordID      `cbor:"3,keyasint"`
 	Tasks []Transferred `cbor:"4,keyasint"`
+	// Done marks a later record with the same In: TransferIn was read in the target's stream and needs no repetition.
+	Done bool `cbor:"5,keyasint,omitempty"`
 }
 
 // TransferIn adds tasks of a job that another shard gave up.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -120,6 +120,8 @@
 	Progress float64 `json:"progress"`
 	// Throttle is the share of processor time that the task may use; 1 is unthrottled.
 	Throttle float64 `json:"throttle"`
+	// Checkpoint names the newest checkpoint of the attempt; empty if there is none.
+	Checkpoint string `json:"checkpoint,omitempty"`
 }
 
 // Outcome tells how an attempt ended.
