--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,10 @@
 test:
 	@$(GO) test -race -count=1 ./...
 
-check: format lint test
+models:
+	@scripts/models.sh
+
+check: format lint test models
 
 clean:
 	@rm -rf $(BIN) out
--- a/internal/contract/records.go
+++ b/internal/contract/records.go
@@ -96,6 +96,8 @@
 	At         time.Time   `cbor:"6,keyasint"`
 	// Reason tells why this worker was chosen, for clementinectl explain.
 	Reason string `cbor:"7,keyasint,omitempty"`
+	// Boot is the worker's incarnation at the time of the decision. The worker refuses to start the attempt under another one.
+	Boot instance.Incarnation `cbor:"8,keyasint"`
 }
 
 // Close ends an attempt. The next attempt may be placed only after it.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -49,6 +49,7 @@
 	RefusalLeaving      Refusal = "leaving"
 	RefusalUnknownTask  Refusal = "unknown-task"
 	RefusalStaleAttempt Refusal = "stale-attempt"
+	RefusalWrongBoot    Refusal = "wrong-boot"
 )
 
 // TaskRef names one attempt of a task.
@@ -65,8 +66,11 @@
 	Owner instance.ID `json:"owner"`
 	// AsOf is a clock reading from an earlier answer of the same worker; zero only fences and grants no lease time.
 	// The lease then ends at AsOf + TTL of the worker's own clock, so that a delayed renewal cannot revive it.
+	// A reading of another Boot is refused.
 	AsOf time.Duration `json:"as_of"`
 	TTL  time.Duration `json:"ttl"`
+	// Boot is the worker's incarnation as the owner knows it; empty if AsOf is zero.
+	Boot instance.Incarnation `json:"boot,omitempty"`
 	// AckEvents is the highest event number that the owner has written to the log; the worker forgets those events.
 	AckEvents uint64 `json:"ack_events,omitempty"`
 	// Envelope is the amount reserved for each slot.
@@ -158,6 +162,9 @@
 type StartRequest struct {
 	Shard string `json:"shard"`
 	Epoch uint64 `json:"epoch"`
+	// Boot is the incarnation that the Place record names. A worker refuses another one: a restart makes it forget its fence, so
+	// the delayed start call of an earlier owner would otherwise run (spec/shard.pml, mutant NO_BOOT).
+	Boot instance.Incarnation `json:"boot"`
 	TaskRef
 	Kind string          `json:"kind"`
 	Size resource.Vector `json:"size"`
