Add attempts, the owner's leases and placement policies

The owner needs pure state for jobs and attempts, a certain bound for lapsed leases and a choice of workers.

--- /dev/null
+++ b/internal/attempt/errors.go
@@ -0,0 +1,35 @@
+package attempt
+
+import (
+	"fmt"
+
+	"clementinewalk.example/clementinewalk/internal/upstream"
+)
+
+// Reason tells why the state ignored a valid record.
+type Reason string
+
+// The reasons. Each arises from records that other writers appended in between, and leaves the state unchanged.
+const (
+	ReasonKnownJob    Reason = "known-job"
+	ReasonUnknownJob  Reason = "unknown-job"
+	ReasonUnknownTask Reason = "unknown-task"
+	ReasonNotPending  Reason = "not-pending"
+	ReasonNotOpen     Reason = "not-open"
+	ReasonAttempt     Reason = "attempt-number"
+	ReasonMalformed   Reason = "malformed"
+)
+
+// IgnoredError reports a record that does not apply.
+type IgnoredError struct {
+	Ref    upstream.TaskRef
+	Reason Reason
+}
+
+// Error implements error.
+func (e *IgnoredError) Error() string {
+	return fmt.Sprintf("record for job %s, task %d, attempt %d does not apply: %s", e.Ref.Job, e.Ref.Index,
+		e.Ref.Attempt, e.Reason)
+}
+
+func ignored(ref upstream.TaskRef, r Reason) error { return &IgnoredError{Ref: ref, Reason: r} }
--- /dev/null
+++ b/internal/placement/errors.go
@@ -0,0 +1,22 @@
+package placement
+
+import "fmt"
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	s := fmt.Sprintf("task %d of job %s is not placed: %s", r.Task.Index, r.Task.Job, r.Reason)
+	for _, c := range []Reason{ReasonNoRoom, ReasonTooLarge, ReasonUnfenced, ReasonLeaving, ReasonDraining, ReasonQuarantined} {
+		if n := r.Counts[c]; n > 0 {
+			s += fmt.Sprintf(", %d workers %s", n, c)
+		}
+	}
+	return s
+}
+
+// PolicyError reports a policy name that does not exist.
+type PolicyError struct{ Name string }
+
+// Error implements error.
+func (e *PolicyError) Error() string {
+	return fmt.Sprintf("placement policy %q does not exist; allowed: best-fit, spread, least-laxity", e.Name)
+}
--- /dev/null
+++ b/internal/placement/policies.go
@@ -0,0 +1,172 @@
+package placement
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/instance"
+	"clementinewalk.example/clementinewalk/internal/resource"
+)
+
+// BestFit is the baseline: tasks in order of submission, each on the worker that it leaves with the least free capacity.
+type BestFit struct{}
+
+// Name implements Policy.
+func (BestFit) Name() string { return "best-fit" }
+
+// Order implements Policy.
+func (BestFit) Order(_ time.Time, tasks []Task) {
+	sort.SliceStable(tasks, func(i, k int) bool { return tasks[i].Submitted.Before(tasks[k].Submitted) })
+}
+
+// Place implements Policy.
+func (BestFit) Place(s *State, t Task) (Decision, error) {
+	return choose(s, t, func(w *Worker) score { return score{load: -used(w, t.Size)} },
+		func(w *Worker) string { return fmt.Sprintf("least free capacity, %.0f%% used", 100*used(w, t.Size)) })
+}
+
+// Spread keeps the tasks of a job apart, first over racks and then over workers, and balances the load otherwise. The loss of a
+// rack then stops few tasks of each job.
+type Spread struct{}
+
+// Name implements Policy.
+func (Spread) Name() string { return "spread" }
+
+// Order implements Policy.
+func (Spread) Order(now time.Time, tasks []Task) { BestFit{}.Order(now, tasks) }
+
+// Place implements Policy.
+func (Spread) Place(s *State, t Task) (Decision, error) {
+	return choose(s, t, func(w *Worker) score {
+		return score{rack: s.spread[spreadKey{job: t.Job, rack: w.Rack}],
+			worker: s.spread[spreadKey{job: t.Job, rack: -1, worker: w.ID}], load: used(w, t.Size)}
+	}, func(w *Worker) string {
+		return fmt.Sprintf("fewest tasks of the job in rack %d, %.0f%% used", w.Rack, 100*used(w, t.Size))
+	})
+}
+
+// LeastLaxity places as Spread does, the tasks with the least time to spare first.
+type LeastLaxity struct{ Spread }
+
+// Name implements Policy.
+func (LeastLaxity) Name() string { return "least-laxity" }
+
+// Order implements Policy. Tasks without a deadline come last, by urgency and then by time of submission.
+func (LeastLaxity) Order(now time.Time, tasks []Task) {
+	sort.SliceStable(tasks, func(i, k int) bool {
+		a, b := tasks[i], tasks[k]
+		if a.Deadline.IsZero() != b.Deadline.IsZero() {
+			return b.Deadline.IsZero()
+		}
+		if !a.Deadline.IsZero() {
+			if la, lb := Laxity(now, a), Laxity(now, b); la != lb {
+				return la < lb
+			}
+		}
+		if a.Rank != b.Rank {
+			return a.Rank < b.Rank
+		}
+		return a.Submitted.Before(b.Submitted)
+	})
+}
+
+// Laxity is the time that a task can still wait and end before its deadline; negative if it is late.
+func Laxity(now time.Time, t Task) time.Duration { return t.Deadline.Sub(now) - t.Remaining }
+
+// score orders candidates, the lowest first.
+type score struct {
+	rack, worker int
+	load         float64
+}
+
+func (a score) less(b score) bool {
+	if a.rack != b.rack {
+		return a.rack < b.rack
+	}
+	if a.worker != b.worker {
+		return a.worker < b.worker
+	}
+	return a.load < b.load
+}
+
+// used returns the largest share of a resource that is occupied on w once it holds size as well.
+func used(w *Worker, size resource.Vector) float64 {
+	after, limit := w.Used.Add(size), w.Limit()
+	share := func(a, l int64) float64 {
+		if l <= 0 {
+			return 0
+		}
+		return float64(a) / float64(l)
+	}
+	return max(share(after.MilliCores, limit.MilliCores), share(after.MemoryMB, limit.MemoryMB),
+		share(after.Accelerators, limit.Accelerators))
+}
+
+func choose(s *State, t Task, rate func(*Worker) score, why func(*Worker) string) (Decision, error) {
+	best, bestScore, candidates, possible := -1, score{}, 0, false
+	var counts map[Reason]int
+	refuse := func(r Reason) {
+		if counts == nil {
+			counts = map[Reason]int{}
+		}
+		counts[r]++
+	}
+	for i := range s.Workers {
+		w := &s.Workers[i]
+		if !t.Size.Fits(w.Limit()) {
+			refuse(ReasonTooLarge)
+			continue
+		}
+		possible = true
+		if r := w.exclusion(); r != "" {
+			refuse(r)
+			continue
+		}
+		if !t.Size.Fits(w.Free()) {
+			refuse(ReasonNoRoom)
+			continue
+		}
+		candidates++
+		if sc := rate(w); best < 0 || sc.less(bestScore) {
+			best, bestScore = i, sc
+		}
+	}
+	if best < 0 {
+		return Decision{}, refusal(t, counts, possible, len(s.Workers))
+	}
+	w := &s.Workers[best]
+	return Decision{Worker: w.ID, Reason: why(w), Candidates: candidates}, nil
+}
+
+func refusal(t Task, counts map[Reason]int, possible bool, workers int) error {
+	r := &Refusal{Task: t, Counts: counts, Reason: ReasonNoRoom}
+	switch {
+	case workers == 0:
+		r.Reason = ReasonNoWorkers
+	case !possible:
+		r.Reason, r.Parked = ReasonTooLarge, true
+	case counts[ReasonNoRoom] == 0:
+		r.Reason = mostCommon(counts)
+	}
+	return r
+}
+
+func mostCommon(counts map[Reason]int) Reason {
+	var best Reason
+	for _, r := range []Reason{ReasonUnfenced, ReasonLeaving, ReasonDraining, ReasonQuarantined} {
+		if counts[r] > counts[best] {
+			best = r
+		}
+	}
+	return best
+}
+
+// Replica selects the shard of one replica of a service, by the function that also selects a shard's scheduler.
+func Replica(kind string, replica int, shards []string, choose func(string, []instance.ID) instance.ID) string {
+	ids := make([]instance.ID, len(shards))
+	for i, s := range shards {
+		ids[i] = instance.ID(s)
+	}
+	return string(choose(fmt.Sprintf("%s#%d", kind, replica), ids))
+}
