--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -18,6 +18,7 @@
 	PathThrottle   = "/v1/tasks/throttle"
 	PathCheckpoint = "/v1/tasks/checkpoint"
 	PathExecute    = "/v1/execute"
+	PathCancel     = "/v1/execute/cancel"
 )
 
 // Headers of an execute call and its answer. HeaderNotRun is set on a refusal, with the reason as its value; a refused
@@ -208,3 +209,10 @@
 	Known      bool   `json:"known,omitempty"`
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
+
+// CancelRequest ends a request that a gateway has given up on. After the answer the request is not in progress and the
+// worker refuses it if it arrives late, so the gateway may use its slot again.
+type CancelRequest struct {
+	Gateway   instance.Incarnation `json:"gateway"`
+	RequestID string               `json:"request_id"`
+}
