Ready: platform clients and the platform stand-in

The other parts need a log service and an instance list to be built and tested against. This adds the HTTP clients with their typed errors, a retrying append, an in-memory log and list with faults, and the program standin-platform.

Tests under the race detector cover offsets, waits, retention, the rate limit, lost answers and the list's lag. A handler that waits longer than the read timeout of process.NewHTTPServer has its context cancelled by net/http, so the stand-in lifts the read deadline once a request has been read.

--- /dev/null
+++ b/cmd/standin-platform/main.go
@@ -0,0 +1,61 @@
+// Command standin-platform stands in for the platform's log service and instance list.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"clementinewalk.example/clementinewalk/internal/process"
+	standin "clementinewalk.example/clementinewalk/internal/standin/platform"
+)
+
+const (
+	readTimeout = 10 * time.Second
+	stopWait    = 10 * time.Second
+)
+
+// program is the wired process.
+type program struct {
+	settings *Settings
+	logger   *slog.Logger
+	log      *standin.Log
+	list     *standin.List
+	health   *process.Health
+	registry *prometheus.Registry
+}
+
+func newProgram(s *Settings, l *slog.Logger, log *standin.Log, list *standin.List, h *process.Health,
+	r *prometheus.Registry) *program {
+	return &program{settings: s, logger: process.Part(l, "platform"), log: log, list: list, health: h, registry: r}
+}
+
+func (p *program) run(ctx context.Context) error {
+	ln, err := process.Listen("--listen", p.settings.Listen)
+	if err != nil {
+		return err
+	}
+	p.registry.MustRegister(p.log)
+	mux := http.NewServeMux()
+	process.HandleOps(mux, p.health, p.registry)
+	mux.Handle("/", standin.NewHandler(ctx, p.log, p.list))
+	p.health.SetReady(true)
+	defer context.AfterFunc(ctx, func() { p.health.SetReady(false) })()
+	p.logger.Info("serving the log service and the instance list", "addr", ln.Addr().String())
+	return process.ServeHTTP(ctx, process.NewHTTPServer(mux, readTimeout), ln, stopWait)
+}
+
+func main() {
+	s := &Settings{}
+	process.Parse(s, "standin-platform", "Stand-in of the platform's log service and instance list.")
+	l := s.NewLogger(os.Stderr)
+	if err := s.Check(); err != nil {
+		l.Error("settings: not allowed", "error", err)
+		os.Exit(2)
+	}
+	os.Exit(process.Run(l, initialize(s, l).run))
+}
--- /dev/null
+++ b/internal/standin/platform/log.go
@@ -0,0 +1,210 @@
+// Package platform is a stand-in of the platform's log service and instance list, with faults that can be switched on.
+// Its types also serve as fakes in the tests of other packages.
+package platform
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	api "clementinewalk.example/clementinewalk/internal/platform"
+)
+
+// Limits are the properties of a healthy log service. A zero field means no limit.
+type Limits struct {
+	// AppendsPerSecond bounds the appends over all streams.
+	AppendsPerSecond float64
+	// MaxRecords and MaxAge bound the records kept in each stream.
+	MaxRecords int
+	MaxAge     time.Duration
+}
+
+// MaxStreams bounds the number of streams, so that a faulty client cannot exhaust memory.
+const MaxStreams = 10000
+
+// Log is an in-memory log service.
+type Log struct {
+	limits  Limits
+	limiter *rate.Limiter
+	now     func() time.Time
+
+	mu      sync.Mutex
+	faults  LogFaults
+	random  *rand.Rand
+	streams map[string]*stream
+	// faultsChanged is closed and replaced whenever the faults change, so that waiting readers notice.
+	faultsChanged chan struct{}
+	stats         LogStats
+}
+
+var _ api.Log = (*Log)(nil)
+
+type entry struct {
+	at   time.Time
+	data []byte
+}
+
+type stream struct {
+	entries []entry
+	oldest  uint64
+	// appended is closed and replaced at each append.
+	appended chan struct{}
+	stats    StreamStats
+}
+
+func (s *stream) end() uint64 { return s.oldest + uint64(len(s.entries)) }
+
+// NewLog returns an empty log service. seed determines the random faults.
+func NewLog(limits Limits, seed uint64) *Log {
+	l := &Log{limits: limits, now: time.Now, random: rand.New(rand.NewPCG(seed, 1)), streams: map[string]*stream{},
+		faultsChanged: make(chan struct{})}
+	if limits.AppendsPerSecond > 0 {
+		burst := max(1, int(limits.AppendsPerSecond/4))
+		l.limiter = rate.NewLimiter(rate.Limit(limits.AppendsPerSecond), burst)
+	}
+	return l
+}
+
+// SetFaults replaces the faults.
+func (l *Log) SetFaults(f LogFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+	close(l.faultsChanged)
+	l.faultsChanged = make(chan struct{})
+}
+
+// Faults returns the faults in force.
+func (l *Log) Faults() LogFaults {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults
+}
+
+// Append implements platform.Log. The payloads are copied.
+func (l *Log) Append(ctx context.Context, name string, records [][]byte) (uint64, error) {
+	if name == "" || len(records) == 0 {
+		return 0, &ArgumentError{Argument: "append", Detail: "stream and records must not be empty"}
+	}
+	before, after, err := l.admit(name)
+	if err != nil {
+		return 0, err
+	}
+	if err := sleep(ctx, before); err != nil {
+		return 0, &api.UnavailableError{Op: "append", MayHaveApplied: true, Err: err}
+	}
+	first, err := l.apply(name, records)
+	if err != nil {
+		return 0, err
+	}
+	if err := sleep(ctx, after); err != nil {
+		return 0, &api.UnavailableError{Op: "append", MayHaveApplied: true, Err: err}
+	}
+	return first, nil
+}
+
+// admit applies the rate limit and divides the delay in force around the effect of an append.
+func (l *Log) admit(name string) (before, after time.Duration, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.downFor(name, false) {
+		l.stats.Failed++
+		return 0, 0, &api.UnavailableError{Op: "append", Err: &DownError{Part: "log"}}
+	}
+	if l.limiter != nil && !l.limiter.Allow() {
+		l.stats.RateLimited++
+		wait := time.Duration(float64(time.Second) / l.limits.AppendsPerSecond)
+		return 0, 0, &api.RateLimitedError{RetryAfter: max(wait, 10*time.Millisecond)}
+	}
+	if l.faults.DelayMS <= 0 || !l.faults.covers(name) {
+		return 0, 0, nil
+	}
+	delay := time.Duration(l.faults.DelayMS) * time.Millisecond
+	before = time.Duration(l.random.Float64() * float64(delay))
+	return before, delay - before, nil
+}
+
+func (l *Log) apply(name string, records [][]byte) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.downFor(name, false) {
+		l.stats.Failed++
+		return 0, &api.UnavailableError{Op: "append", MayHaveApplied: true, Err: &DownError{Part: "log"}}
+	}
+	lossy := l.faults.covers(name)
+	if lossy && l.faults.LoseCalls > 0 && l.random.Float64() < l.faults.LoseCalls {
+		l.stats.LostCalls++
+		return 0, &api.UnavailableError{Op: "append", MayHaveApplied: true, Err: &LostError{}}
+	}
+	s, err := l.stream(name)
+	if err != nil {
+		return 0, err
+	}
+	first := l.add(s, records)
+	if lossy && l.faults.LoseAnswers > 0 && l.random.Float64() < l.faults.LoseAnswers {
+		l.stats.LostAnswers++
+		return 0, &api.UnavailableError{Op: "append", MayHaveApplied: true, Err: &LostError{}}
+	}
+	return first, nil
+}
+
+// stream returns the stream with the given name and creates it if it does not exist.
+func (l *Log) stream(name string) (*stream, error) {
+	if s := l.streams[name]; s != nil {
+		return s, nil
+	}
+	if len(l.streams) >= MaxStreams {
+		return nil, &ArgumentError{Argument: "stream", Detail: "too many streams"}
+	}
+	s := &stream{oldest: 1, appended: make(chan struct{})}
+	l.streams[name] = s
+	return s, nil
+}
+
+func (l *Log) add(s *stream, records [][]byte) uint64 {
+	first, now := s.end(), l.now()
+	for _, r := range records {
+		s.entries = append(s.entries, entry{at: now, data: append([]byte(nil), r...)})
+		s.stats.BytesIn += int64(len(r))
+	}
+	s.stats.Appends++
+	s.stats.Records += int64(len(records))
+	l.stats.Appends++
+	l.expire(s)
+	close(s.appended)
+	s.appended = make(chan struct{})
+	return first
+}
+
+// expire drops the records that retention no longer covers.
+func (l *Log) expire(s *stream) {
+	drop := 0
+	if l.limits.MaxRecords > 0 {
+		drop = max(0, len(s.entries)-l.limits.MaxRecords)
+	}
+	if l.limits.MaxAge > 0 {
+		limit := l.now().Add(-l.limits.MaxAge)
+		for drop < len(s.entries) && s.entries[drop].at.Before(limit) {
+			drop++
+		}
+	}
+	s.drop(drop)
+}
+
+func (s *stream) drop(n int) {
+	clear(s.entries[:n])
+	s.entries = s.entries[n:]
+	s.oldest += uint64(n)
+}
+
+// Truncate drops all records of a stream below an offset, as retention would.
+func (l *Log) Truncate(name string, oldest uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.streams[name]; s != nil && oldest > s.oldest {
+		s.drop(int(min(oldest, s.end()) - s.oldest))
+	}
+}
