Bound start calls by the worker's clock

A start call that is delayed past the lapse of the lease could run an attempt that was closed as lost. The call now carries the reading after which the worker refuses it; the worker's side has to check it.

--- a/internal/lease/owner.go
+++ b/internal/lease/owner.go
@@ -72,6 +72,16 @@
 	return req
 }
 
+// StartBound returns the worker's clock reading until which a start call that is sent now may be executed. Like a renewal
+// it counts for the lapse. It returns zero before the first answer.
+func (o *Owner) StartBound() time.Duration {
+	if !o.heard {
+		return 0
+	}
+	o.extend(o.received.Add(withDrift(o.terms.TTL)))
+	return o.reading + o.terms.TTL
+}
+
 func (o *Owner) extend(to time.Time) {
 	if to.After(o.lapse) {
 		o.lapse = to
--- a/internal/placement/policies.go
+++ b/internal/placement/policies.go
@@ -5,7 +5,6 @@
 	"sort"
 	"time"
 
-	"clementinewalk.example/clementinewalk/internal/instance"
 	"clementinewalk.example/clementinewalk/internal/resource"
 )
 
@@ -161,12 +160,3 @@
 	}
 	return best
 }
-
-// Replica selects the shard of one replica of a service, by the function that also selects a shard's scheduler.
-func Replica(kind string, replica int, shards []string, choose func(string, []instance.ID) instance.ID) string {
-	ids := make([]instance.ID, len(shards))
-	for i, s := range shards {
-		ids[i] = instance.ID(s)
-	}
-	return string(choose(fmt.Sprintf("%s#%d", kind, replica), ids))
-}
--- a/internal/shard/replay.go
+++ b/internal/shard/replay.go
@@ -48,6 +48,8 @@
 	Epoch    uint64
 	Claim    contract.Claim
 	Released bool
+	// AfterRelease tells that the epoch before this one was released, or that there was none.
+	AfterRelease bool
 }
 
 // Replayer consumes the records of one stream in order of offsets.
@@ -66,6 +68,8 @@
 	from    uint64
 	buffer  []buffered
 	hint    uint64
+	// lostStart tells that the state began with the oldest kept record and without a snapshot.
+	lostStart bool
 }
 
 type buffered struct {
@@ -154,7 +158,7 @@
 	if c.After != r.owner.Epoch {
 		return VoidClaim
 	}
-	r.owner = Ownership{Epoch: offset, Claim: c}
+	r.owner = Ownership{Epoch: offset, Claim: c, AfterRelease: r.owner.Released || r.owner.Epoch == 0 && !r.lostStart}
 	return Valid
 }
 
--- a/internal/shard/snapshot.go
+++ b/internal/shard/snapshot.go
@@ -64,6 +64,8 @@
 	Released bool           `cbor:"4,keyasint"`
 	Seen     []byte         `cbor:"5,keyasint"`
 	State    []byte         `cbor:"6,keyasint"`
+	// After is Ownership.AfterRelease.
+	After bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Draft is a snapshot that an owner writes: first the parts, and after they were read back the end.
@@ -80,7 +82,7 @@
 		return nil, errors.WithStack(err)
 	}
 	data, err := cbor.Marshal(content{Covers: r.next - 1, Epoch: r.owner.Epoch, Claim: r.owner.Claim,
-		Released: r.owner.Released, Seen: r.seen.list(), State: state})
+		Released: r.owner.Released, After: r.owner.AfterRelease, Seen: r.seen.list(), State: state})
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
@@ -127,7 +129,7 @@
 		r.state.Reset()
 		return
 	}
-	r.owner = Ownership{Epoch: c.Epoch, Claim: c.Claim, Released: c.Released}
+	r.owner = Ownership{Epoch: c.Epoch, Claim: c.Claim, Released: c.Released, AfterRelease: c.After}
 	r.seen = windowOf(c.Seen)
 	r.flush(e.Covers)
 }
@@ -166,6 +168,7 @@
 		}
 		return from, true
 	}
+	r.lostStart = true
 	r.flush(0)
 	return 0, false
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -168,6 +168,9 @@
 	// Boot is the incarnation that the Place record names. A worker refuses another one: a restart makes it forget its fence, so
 	// the delayed start call of an earlier owner would otherwise run (spec/shard.pml, mutant NO_BOOT).
 	Boot instance.Incarnation `json:"boot"`
+	// NotAfter is the worker's clock reading from which the call must be refused with RefusalNoLease: an echoed reading plus
+	// the TTL. Once the owner counts the lease as lapsed, a start call that was delayed cannot run any more.
+	NotAfter time.Duration `json:"not_after,omitempty"`
 	TaskRef
 	Kind string          `json:"kind"`
 	Size resource.Vector `json:"size"`
