--- /dev/null
+++ b/internal/scheduler/place.go
@@ -0,0 +1,158 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"clementinewalk.example/clementinewalk/internal/attempt"
+	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/instance"
+	"clementinewalk.example/clementinewalk/internal/placement"
+	"clementinewalk.example/clementinewalk/internal/upstream"
+)
+
+const (
+	// maxCandidates bounds the pending tasks that one round considers, maxPlaces those that it places.
+	maxCandidates = 2000
+	maxPlaces     = 250
+	firstPause    = 500 * time.Millisecond
+	maxPause      = time.Minute
+)
+
+type taskKey struct {
+	job   string
+	index int
+}
+
+// place writes Place records for pending tasks.
+func (s *Scheduler) place(sh *shardLoop, now time.Time) {
+	clear(sh.own.refused)
+	if sh.state.PendingCount() == 0 {
+		return
+	}
+	placing := map[taskKey]*contract.Place{}
+	sh.out.each(func(b contract.Body) {
+		if p, ok := b.(*contract.Place); ok {
+			placing[taskKey{p.Job, p.Index}] = p
+		}
+	})
+	tasks := s.candidates(sh, now, placing)
+	if len(tasks) == 0 || len(placing) >= maxPlaces {
+		return
+	}
+	state := s.placementState(sh, now, placing)
+	s.policy.place.Order(now, tasks)
+	s.placeAll(sh, now, state, tasks, maxPlaces-len(placing))
+}
+
+func (s *Scheduler) placeAll(sh *shardLoop, now time.Time, state *placement.State, tasks []placement.Task, limit int) {
+	// Tasks of one kind have one size, so that one refusal speaks for all of them in this round.
+	refused := map[string]error{}
+	for _, t := range tasks {
+		if limit == 0 {
+			return
+		}
+		err := refused[t.Kind]
+		var d placement.Decision
+		if err == nil {
+			d, err = s.policy.place.Place(state, t)
+		}
+		if err != nil {
+			refused[t.Kind] = err
+			s.refuse(sh, t, err)
+			continue
+		}
+		delete(sh.own.parked, t.Job)
+		state.Assign(t, d.Worker)
+		s.putPlace(sh, now, t, d)
+		limit--
+	}
+}
+
+func (s *Scheduler) refuse(sh *shardLoop, t placement.Task, err error) {
+	var r *placement.Refusal
+	if !errors.As(err, &r) {
+		return
+	}
+	sh.own.refused[t.Job] = r.Error()
+	s.metrics.refusals.WithLabelValues(string(r.Reason)).Inc()
+	if r.Parked {
+		sh.own.parked[t.Job] = r.Error()
+	} else {
+		delete(sh.own.parked, t.Job)
+	}
+}
+
+func (s *Scheduler) putPlace(sh *shardLoop, now time.Time, t placement.Task, d placement.Decision) {
+	task := sh.state.Job(t.Job).Task(t.Index)
+	w := sh.own.workers[d.Worker]
+	s.put(sh, sh.own.epoch, &contract.Place{
+		TaskRef: upstream.TaskRef{Job: t.Job, Index: t.Index, Attempt: task.Attempt + 1}, Worker: d.Worker,
+		Boot: w.lease.Boot(), Checkpoint: task.Checkpoint, At: now, Reason: s.policy.place.Name() + ": " + d.Reason})
+}
+
+// candidates returns the pending tasks that may be placed now.
+func (s *Scheduler) candidates(sh *shardLoop, now time.Time, placing map[taskKey]*contract.Place) []placement.Task {
+	var out []placement.Task
+	sh.state.EachPending(func(j *attempt.Job, t *attempt.Task) bool {
+		k, known := s.kinds[j.Submit.Kind]
+		if !known {
+			sh.own.parked[j.Submit.Job] = "kind " + j.Submit.Kind + " is not in the manifest"
+			return true
+		}
+		if placing[taskKey{j.Submit.Job, t.Index}] != nil || now.Before(t.EndedAt.Add(pause(t))) {
+			return true
+		}
+		out = append(out, placementTask(j, t, k))
+		return len(out) < maxCandidates
+	})
+	return out
+}
+
+// pause is how long a task waits after a failure, so that work that fails at once does not occupy the log.
+func pause(t *attempt.Task) time.Duration {
+	if t.Failures == 0 || t.Outcome == upstream.OutcomeEvicted {
+		return 0
+	}
+	return min(firstPause<<min(t.Failures, 10), maxPause)
+}
+
+func placementTask(j *attempt.Job, t *attempt.Task, k kindInfo) placement.Task {
+	runTime := k.RunTime
+	if j.Submit.RunTime > 0 {
+		runTime = j.Submit.RunTime
+	}
+	return placement.Task{Job: j.Submit.Job, Index: t.Index, Kind: k.Name, Team: j.Submit.Team, Size: k.Size,
+		Rank: k.Urgency.Rank(), Deadline: j.Submit.Deadline, Remaining: max(runTime-t.Ran, 0), Submitted: j.Submit.Submitted}
+}
+
+// placementState lists the workers with what they hold, placements on their way included.
+func (s *Scheduler) placementState(sh *shardLoop, now time.Time, placing map[taskKey]*contract.Place) *placement.State {
+	ids := make([]instance.ID, 0, len(sh.own.workers))
+	for id, w := range sh.own.workers {
+		if w.member.ID != "" {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, k int) bool { return ids[i] < ids[k] })
+	workers := make([]placement.Worker, len(ids))
+	for i, id := range ids {
+		w := sh.own.workers[id]
+		workers[i] = placement.Worker{ID: id, Rack: w.member.Rack, Capacity: w.member.Capacity,
+			Reserved: s.policy.envelope.Scale(int64(w.member.Slots)), Used: w.held(func(*run) bool { return true }),
+			Tasks: len(w.tasks), Fenced: w.lease.Fenced() && !w.lease.Lapsed(now) && !w.failing,
+			Leaving: w.leaving, Draining: sh.state.Drained(id), Quarantined: w.health.quarantined(now)}
+	}
+	state := placement.NewState(workers)
+	for _, id := range ids {
+		for ref := range sh.own.workers[id].tasks {
+			state.Note(ref.Job, id)
+		}
+	}
+	for _, p := range placing {
+		state.Assign(placement.Task{Job: p.Job, Size: s.kindOf(sh, p.Job).Size}, p.Worker)
+	}
+	return state
+}
--- a/internal/shard/snapshot.go
+++ b/internal/shard/snapshot.go
@@ -169,10 +169,24 @@
 		return from, true
 	}
 	r.lostStart = true
+	r.owner.Epoch = inferEpoch(r.buffer)
 	r.flush(0)
 	return 0, false
 }
 
+// inferEpoch returns the epoch before the first kept record, whose claim is no longer kept: the one that the first claim
+// follows, or the highest one that an owner has written under before it.
+func inferEpoch(records []buffered) uint64 {
+	var epoch uint64
+	for _, b := range records {
+		if c, ok := b.body.(*contract.Claim); ok {
+			return max(epoch, c.After)
+		}
+		epoch = max(epoch, b.record.Epoch)
+	}
+	return epoch
+}
+
 const minLookback = 1024
 
 // Lookback returns where a reader starts so that it most likely meets a whole snapshot: an owner writes one after every
