--- /dev/null
+++ b/internal/scheduler/fakes_test.go
@@ -0,0 +1,311 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/config"
+	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/datacentre"
+	"clementinewalk.example/clementinewalk/internal/instance"
+	"clementinewalk.example/clementinewalk/internal/link"
+	"clementinewalk.example/clementinewalk/internal/manifest"
+	"clementinewalk.example/clementinewalk/internal/process"
+	"clementinewalk.example/clementinewalk/internal/resource"
+	standin "clementinewalk.example/clementinewalk/internal/standin/platform"
+	"clementinewalk.example/clementinewalk/internal/upstream"
+)
+
+// fakeWorker enforces epochs, leases and idempotent starts as docs/platform.md states them.
+type fakeWorker struct {
+	id      instance.ID
+	boot    instance.Incarnation
+	epoch   uint64
+	began   time.Time
+	expiry  time.Duration
+	down    bool
+	leaving bool
+	tasks   map[upstream.TaskRef]*fakeTask
+	seen    map[string]int
+	events  []upstream.TaskEvent
+	number  uint64
+}
+
+type fakeTask struct {
+	req upstream.StartRequest
+	end time.Time
+}
+
+// fleet is a set of workers behind one lock; it fails the test if a task runs in two places.
+type fleet struct {
+	t       *testing.T
+	mu      sync.Mutex
+	workers map[string]*fakeWorker
+	starts  int
+	resumed []upstream.StartRequest
+}
+
+type downError struct{}
+
+func (downError) Error() string { return "worker is down" }
+
+func (f *fleet) worker(addr string) (*fakeWorker, time.Duration, error) {
+	w := f.workers[addr]
+	if w == nil || w.down {
+		return nil, 0, downError{}
+	}
+	w.run(time.Now())
+	return w, time.Since(w.began) + time.Second, nil
+}
+
+// run ends the tasks that are done by now and those whose lease has lapsed.
+func (w *fakeWorker) run(now time.Time) {
+	lapsed := now.Sub(w.began)+time.Second >= w.expiry
+	for ref, t := range w.tasks {
+		switch {
+		case !t.req.Service && !now.Before(t.end):
+			w.finish(ref, upstream.OutcomeDone, "")
+		case lapsed:
+			w.finish(ref, upstream.OutcomeEvicted, "cp-"+fmt.Sprint(ref))
+		}
+	}
+}
+
+func (w *fakeWorker) finish(ref upstream.TaskRef, o upstream.Outcome, checkpoint string) {
+	w.number++
+	w.events = append(w.events, upstream.TaskEvent{Number: w.number, TaskRef: ref, Outcome: o, Checkpoint: checkpoint,
+		RunTime: time.Second})
+	delete(w.tasks, ref)
+}
+
+func (f *fleet) Lease(_ context.Context, addr string, r upstream.LeaseRequest) (upstream.LeaseReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, clock, err := f.worker(addr)
+	if err != nil {
+		return upstream.LeaseReply{}, err
+	}
+	out := upstream.LeaseReply{Boot: w.boot, Clock: clock}
+	if r.Epoch < w.epoch || r.Boot != "" && r.Boot != w.boot {
+		out.Refusal, out.Epoch = upstream.RefusalStaleEpoch, w.epoch
+		return out, nil
+	}
+	full := r.Full || r.Epoch > w.epoch
+	w.epoch = r.Epoch
+	if r.AsOf > 0 {
+		w.expiry = max(w.expiry, r.AsOf+r.TTL)
+	}
+	for len(w.events) > 0 && w.events[0].Number <= r.AckEvents {
+		w.events = w.events[1:]
+	}
+	out.Epoch, out.Expiry, out.Leaving, out.HasRunning = w.epoch, w.expiry, w.leaving, full
+	out.Events = append(out.Events, w.events...)
+	for ref := range w.tasks {
+		if full {
+			out.Running = append(out.Running, upstream.TaskReport{TaskRef: ref})
+		}
+	}
+	return out, nil
+}
+
+func (f *fleet) Start(_ context.Context, addr string, r upstream.StartRequest) (upstream.TaskReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, clock, err := f.worker(addr)
+	key := fmt.Sprint(r.Job, "/", r.Index)
+	switch {
+	case err != nil:
+		return upstream.TaskReply{}, err
+	case r.Epoch != w.epoch:
+		return upstream.TaskReply{Refusal: upstream.RefusalStaleEpoch}, nil
+	case r.Boot != w.boot:
+		return upstream.TaskReply{Refusal: upstream.RefusalWrongBoot}, nil
+	case clock >= w.expiry || clock >= r.NotAfter:
+		return upstream.TaskReply{Refusal: upstream.RefusalNoLease}, nil
+	case w.seen[key] >= r.Attempt:
+		return upstream.TaskReply{Known: true}, nil
+	}
+	for _, o := range f.workers {
+		o.run(time.Now())
+		for ref := range o.tasks {
+			require.False(f.t, ref.Job == r.Job && ref.Index == r.Index, "task runs twice: %v", r.TaskRef)
+		}
+	}
+	w.seen[key] = r.Attempt
+	w.tasks[r.TaskRef] = &fakeTask{req: r, end: time.Now().Add(r.RunTime)}
+	f.starts++
+	if r.Checkpoint != "" {
+		f.resumed = append(f.resumed, r)
+	}
+	return upstream.TaskReply{}, nil
+}
+
+func (f *fleet) Stop(_ context.Context, addr string, r upstream.StopRequest) (upstream.TaskReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, _, err := f.worker(addr)
+	if err != nil {
+		return upstream.TaskReply{}, err
+	}
+	if w.tasks[r.TaskRef] == nil {
+		return upstream.TaskReply{Refusal: upstream.RefusalUnknownTask}, nil
+	}
+	w.finish(r.TaskRef, r.Outcome, "cp-"+fmt.Sprint(r.TaskRef))
+	return upstream.TaskReply{Known: true}, nil
+}
+
+func (f *fleet) running() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.workers {
+		w.run(time.Now())
+		n += len(w.tasks)
+	}
+	return n
+}
+
+// network carries link messages between schedulers of one test.
+type network struct {
+	mu       sync.Mutex
+	handlers map[string]link.Handler
+}
+
+type caller struct {
+	n    *network
+	self link.Peer
+}
+
+func (c caller) Call(ctx context.Context, addr string, m contract.Message) (contract.Message, error) {
+	c.n.mu.Lock()
+	h := c.n.handlers[addr]
+	c.n.mu.Unlock()
+	if h == nil {
+		return nil, &link.CallError{Addr: addr, Err: downError{}}
+	}
+	return h(ctx, c.self, m)
+}
+
+type fixedConfig struct{ v *config.Version }
+
+func (c fixedConfig) Current() *config.Version { return c.v }
+func (c fixedConfig) Changed() <-chan struct{} { return nil }
+
+// fakeLedger counts the workers it was given.
+type fakeLedger struct{ workers map[instance.ID]int }
+
+func (l *fakeLedger) SetWorker(_ time.Time, id instance.ID, _, _ string, slots int) { l.workers[id] = slots }
+func (l *fakeLedger) RemoveWorker(_ time.Time, id instance.ID)                      { delete(l.workers, id) }
+func (l *fakeLedger) Fences(instance.ID) []upstream.GatewayFence                    { return nil }
+func (l *fakeLedger) Report(time.Time, instance.ID, []upstream.GatewayFence, []upstream.GatewayUse) {
+}
+func (l *fakeLedger) Grant(_ time.Time, r contract.GrantRequest) contract.GrantReply {
+	out := contract.GrantReply{Shard: r.Shard, Generation: 1}
+	for id, n := range l.workers {
+		out.Workers = append(out.Workers, contract.WorkerGrant{Worker: id, Slots: n})
+	}
+	return out
+}
+func (l *fakeLedger) Granted() int { return len(l.workers) }
+
+// world is a deployment inside one synctest bubble.
+type world struct {
+	t     *testing.T
+	log   *standin.Log
+	list  *standin.List
+	fleet *fleet
+	net   *network
+	v     *config.Version
+}
+
+const testShard = "bne-0"
+
+func newWorld(t *testing.T, workers int) *world {
+	w := &world{t: t, log: standin.NewLog(standin.Limits{}, 1), list: standin.NewList(0, 10*time.Second),
+		fleet: &fleet{t: t, workers: map[string]*fakeWorker{}}, net: &network{handlers: map[string]link.Handler{}}}
+	w.v = &config.Version{Offset: 1, Manifest: &manifest.Manifest{RacksPerShard: 4,
+		DataCentres: []manifest.DataCentre{{Name: "bne", Workers: workers}}, Prices: manifest.Prices{CoreHour: 3600000},
+		Worker: manifest.Worker{Slots: 8, PerRack: 8, Capacity: resource.Vector{MilliCores: 8000, MemoryMB: 8000}},
+		Kinds: []manifest.Kind{
+			{Name: "rebid", Team: "office", Class: manifest.ClassBatch, Size: resource.Vector{MilliCores: 1000}, RunTime: 20 * time.Second},
+			{Name: "watch", Team: "office", Class: manifest.ClassService, Size: resource.Vector{MilliCores: 500}, Replicas: 2},
+		}}}
+	for i := range workers {
+		id := instance.ID(fmt.Sprintf("w%d", i))
+		addr := fmt.Sprintf("127.0.0.1:%d", 9000+i)
+		w.fleet.workers[addr] = &fakeWorker{id: id, boot: "boot-1", began: time.Now(),
+			tasks: map[upstream.TaskRef]*fakeTask{}, seen: map[string]int{}}
+		go w.register(instance.Member{ID: id, Incarnation: "boot-1", Role: instance.RoleWorker, State: instance.StateLive,
+			DataCentre: "bne", Addr: addr, Rack: i / 2, Slots: 8, Capacity: w.v.Manifest.Worker.Capacity})
+	}
+	return w
+}
+
+func (w *world) register(m instance.Member) {
+	for range 2000 {
+		if err := w.list.Register(w.t.Context(), m); err != nil {
+			return
+		}
+		select {
+		case <-w.t.Context().Done():
+			return
+		case <-time.After(2 * time.Second):
+		}
+	}
+}
+
+// scheduler starts a process and returns it and the function that stops it as SIGTERM does.
+func (w *world) scheduler(id string) (*Scheduler, func() error) {
+	inc := instance.Incarnation(id + "-1")
+	addr := "link-" + id
+	out := io.Writer(io.Discard)
+	if os.Getenv("CLEMENTINE_TEST_LOG") != "" {
+		out = os.Stderr
+	}
+	s := New(Settings{ID: instance.ID(id), Incarnation: inc, DataCentre: "bne", LinkAddr: addr}, Deps{Log: w.log, List: w.list,
+		Link:    caller{w.net, link.Peer{ID: instance.ID(id), Role: instance.RoleScheduler}},
+		Workers: w.fleet, Config: fixedConfig{w.v}, Logger: slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug})),
+		Registry: prometheus.NewRegistry(), Health: &process.Health{},
+		NewLedger: func(string, uint64, time.Duration) Ledger { return &fakeLedger{workers: map[instance.ID]int{}} }})
+	w.net.mu.Lock()
+	w.net.handlers[addr] = s.Handle
+	w.net.mu.Unlock()
+	ctx, cancel := context.WithCancel(w.t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	return s, func() error {
+		cancel()
+		err := <-done
+		w.net.mu.Lock()
+		delete(w.net.handlers, addr)
+		w.net.mu.Unlock()
+		return err
+	}
+}
+
+func (w *world) submit(job string, tasks int) {
+	data, err := contract.EncodeRecord(contract.NewRecordID(), 0, &contract.Submit{Job: testShard + "~" + job, Kind: "rebid",
+		Team: "office", Tasks: tasks, Submitted: time.Now(), Deadline: time.Now().Add(time.Hour)})
+	require.NoError(w.t, err)
+	_, err = w.log.Append(w.t.Context(), datacentre.ShardStream(testShard), [][]byte{data})
+	require.NoError(w.t, err)
+}
+
+func (w *world) job(s *Scheduler, job string) contract.JobState {
+	m, err := s.Handle(w.t.Context(), link.Peer{}, &contract.JobStatus{Shard: testShard, Job: testShard + "~" + job})
+	require.NoError(w.t, err)
+	jobs := m.(*contract.JobStatusReply).Jobs
+	require.Len(w.t, jobs, 1)
+	return jobs[0]
+}
+
+func inBubble(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
