--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,159 @@
+package budget
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/instance"
+	"clementinewalk.example/clementinewalk/internal/upstream"
+)
+
+var start = time.Unix(5000, 0)
+
+type fleet struct {
+	now      time.Time
+	ledger   *Ledger
+	holdings map[string]*Holding
+}
+
+func newFleet(workers, slots int) *fleet {
+	f := &fleet{now: start, ledger: NewLedger("d-0", 4, 3*time.Second), holdings: map[string]*Holding{}}
+	for i := range workers {
+		id := instance.ID(fmt.Sprintf("w%02d", i))
+		f.ledger.SetWorker(f.now, id, "127.0.0.1:1", "d", slots)
+		f.ledger.Report(f.now, id, nil, nil)
+	}
+	return f
+}
+
+// round lets every gateway ask once, half a second after the last round.
+func (f *fleet) round(demand map[string]int) (moved int) {
+	f.now = f.now.Add(500 * time.Millisecond)
+	for _, name := range sortedKeys(demand) {
+		h := f.holdings[name]
+		if h == nil {
+			h = NewHolding()
+			f.holdings[name] = h
+		}
+		epoch, generation := h.Complying("d-0")
+		reply := f.ledger.Grant(f.now, contract.GrantRequest{Shard: "d-0", Incarnation: instance.Incarnation(name),
+			DataCentre: name[:1], Demand: demand[name], Epoch: epoch, Generation: generation})
+		if h.Apply(f.now, f.now, reply, false) {
+			moved++
+		}
+	}
+	return moved
+}
+
+// Guards against slots that stay unused while a gateway has demand, and against a gateway without any slot.
+func TestLedgerFollowsDemand(t *testing.T) {
+	f := newFleet(16, 8)
+	for range 8 {
+		f.round(map[string]int{"da": 100, "db": 0, "dc": 0})
+	}
+	require.Equal(t, 128, f.ledger.Granted())
+	require.Greater(t, f.holdings["da"].Slots(), 100)
+	require.GreaterOrEqual(t, f.holdings["db"].Slots(), 10)
+	for range 20 {
+		f.round(map[string]int{"da": 0, "db": 100, "dc": 0})
+	}
+	require.Equal(t, 128, f.ledger.Granted())
+	require.Greater(t, f.holdings["db"].Slots(), 100)
+}
+
+// Guards against slots that move back and forth while demand hardly changes, and workers that are split among many gateways.
+func TestLedgerIsStable(t *testing.T) {
+	f := newFleet(16, 8)
+	for range 10 {
+		f.round(map[string]int{"da": 40, "db": 42, "dc": 38, "dd": 41})
+	}
+	moved := 0
+	for i := range 20 {
+		moved += f.round(map[string]int{"da": 40 + i%3, "db": 42 - i%2, "dc": 38, "dd": 41})
+	}
+	require.Zero(t, moved)
+	split := 0
+	for _, w := range f.ledger.workers {
+		for _, h := range w.holds {
+			if h.granted > 0 {
+				split++
+			}
+		}
+	}
+	require.LessOrEqual(t, split, 16+3)
+}
+
+// Guards against a division that ignores where a gateway is.
+func TestLedgerPrefersOwnDataCentre(t *testing.T) {
+	f := newFleet(16, 8)
+	for range 8 {
+		f.round(map[string]int{"da": 20, "eb": 20})
+	}
+	require.Greater(t, f.holdings["da"].Slots(), 2*f.holdings["eb"].Slots())
+}
+
+// Guards against slots of a dead gateway that are granted again while its requests still run, and against slots that never return.
+func TestLedgerTakesBackExpiredGrants(t *testing.T) {
+	f := newFleet(1, 8)
+	f.round(map[string]int{"da": 10})
+	require.Equal(t, 8, f.holdings["da"].Slots())
+	for range 10 {
+		f.round(map[string]int{"db": 10})
+	}
+	require.Zero(t, f.holdings["db"].Slots())
+	fences := f.ledger.Fences("w00")
+	require.Equal(t, []upstream.GatewayFence{{Gateway: "da", MinGeneration: 2}}, fences)
+	f.ledger.Report(f.now, "w00", fences, []upstream.GatewayUse{{Gateway: "da", Slots: 3}})
+	f.round(map[string]int{"db": 10})
+	require.Equal(t, 5, f.holdings["db"].Slots())
+	f.ledger.Report(f.now, "w00", f.ledger.Fences("w00"), nil)
+	f.round(map[string]int{"db": 10})
+	require.Equal(t, 8, f.holdings["db"].Slots())
+	f.round(map[string]int{"da": 10})
+	require.NotNil(t, f.ledger.Fences("w00"), "a worker that restarts must get the fence again")
+}
+
+// Guards against grants on a worker before it refuses the grants of older epochs, and on one that leaves.
+func TestLedgerWaitsForFenceAndWithdraws(t *testing.T) {
+	l := NewLedger("d-0", 9, 3*time.Second)
+	l.SetWorker(start, "w", "127.0.0.1:1", "d", 4)
+	r := contract.GrantRequest{Shard: "d-0", Incarnation: "g", Demand: 9}
+	require.Empty(t, l.Grant(start, r).Workers)
+	l.Report(start, "w", nil, []upstream.GatewayUse{{Gateway: "old", Slots: 3}})
+	reply := l.Grant(start, r)
+	require.Equal(t, 1, reply.Workers[0].Slots)
+	r.Epoch, r.Generation = reply.Epoch, reply.Generation
+	require.True(t, l.Grant(start, r).Unchanged)
+	l.RemoveWorker(start, "w")
+	require.Empty(t, l.Grant(start, r).Workers)
+	require.Zero(t, l.Granted())
+}
+
+// Guards against a late reply that revives an older grant, and against requests after the expiry.
+func TestHoldingIgnoresStaleReplies(t *testing.T) {
+	h := NewHolding()
+	grant := func(epoch, generation uint64, slots int) contract.GrantReply {
+		return contract.GrantReply{Shard: "s", Epoch: epoch, Generation: generation, TTL: time.Second,
+			Workers: []contract.WorkerGrant{{Worker: "w", Slots: slots}}}
+	}
+	require.True(t, h.Apply(start, start, grant(5, 2, 2), false))
+	require.False(t, h.Apply(start, start.Add(time.Hour), grant(5, 1, 8), false))
+	require.False(t, h.Apply(start, start.Add(time.Hour), grant(4, 9, 8), false))
+	p, ok := h.Acquire(start, 0)
+	require.True(t, ok)
+	require.Equal(t, Permit{Worker: "w", Shard: "s", Epoch: 5, Generation: 2}, p)
+	require.True(t, h.Apply(start, start, contract.GrantReply{Shard: "s", Epoch: 5, Generation: 3, TTL: time.Second}, false))
+	_, generation := h.Complying("s")
+	require.Zero(t, generation, "one request still runs on the worker that the grant left out")
+	h.Release(p)
+	_, generation = h.Complying("s")
+	require.Equal(t, uint64(3), generation)
+	require.True(t, h.Apply(start, start, grant(5, 4, 2), false))
+	_, ok = h.Acquire(start.Add(time.Second), 0)
+	require.False(t, ok, "the grant has expired")
+	require.Zero(t, h.Free())
+}
--- /dev/null
+++ b/internal/budget/ledger.go
@@ -0,0 +1,274 @@
+package budget
+
+import (
+	"slices"
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/instance"
+	"clementinewalk.example/clementinewalk/internal/invariant"
+	"clementinewalk.example/clementinewalk/internal/upstream"
+)
+
+const (
+	// driftShare is the part of the TTL by which the owner waits longer than the gateway, for clocks of different speed.
+	driftShare = 50
+	// gatewayMemory is how long an expired gateway is remembered, so that a worker that restarts gets its fence again.
+	gatewayMemory = 10 * time.Minute
+)
+
+// Ledger is the owner's account of one shard in one epoch. It is not safe for concurrent use.
+//
+// What a gateway may still use on a worker is the largest number of any grant from the newest acknowledged to the newest
+// issued one. The gateway counts all of its requests against whichever grant it has, so this is a maximum and not a sum.
+type Ledger struct {
+	shard    string
+	epoch    uint64
+	ttl      time.Duration
+	counter  uint64
+	workers  map[instance.ID]*worker
+	order    []instance.ID
+	gateways map[instance.Incarnation]*gateway
+	targets  map[instance.Incarnation]int
+	divided  int
+}
+
+type worker struct {
+	id    instance.ID
+	addr  string
+	dc    string
+	slots int
+	// fenced tells that the worker has answered a call with this epoch, so that it refuses grants of older ones.
+	fenced bool
+	holds  map[instance.Incarnation]*hold
+}
+
+type gateway struct {
+	id         instance.ID
+	dc         string
+	weight     float64
+	generation uint64
+	acked      uint64
+	// fencedBelow is the lowest generation that workers may still accept, zero if they were never told one.
+	fencedBelow uint64
+	expiry      time.Time
+	expired     bool
+	leaving     bool
+}
+
+// NewLedger returns an account without workers. ttl is how long a grant may be used.
+func NewLedger(shard string, epoch uint64, ttl time.Duration) *Ledger {
+	return &Ledger{shard: shard, epoch: epoch, ttl: ttl, workers: map[instance.ID]*worker{},
+		gateways: map[instance.Incarnation]*gateway{}, targets: map[instance.Incarnation]int{}}
+}
+
+// SetWorker adds a worker or changes its slots. Its slots are granted only after the first Report.
+func (l *Ledger) SetWorker(now time.Time, id instance.ID, addr, dataCentre string, slots int) {
+	l.expire(now)
+	w := l.workers[id]
+	if w == nil {
+		w = &worker{id: id, holds: map[instance.Incarnation]*hold{}}
+		l.workers[id] = w
+		i, _ := slices.BinarySearch(l.order, id)
+		l.order = slices.Insert(l.order, i, id)
+	}
+	w.addr, w.dc, w.slots = addr, dataCentre, slots
+}
+
+// RemoveWorker withdraws the grants on a worker that is leaving or gone. What gateways may still use stays counted in
+// case the worker returns.
+func (l *Ledger) RemoveWorker(now time.Time, id instance.ID) {
+	l.expire(now)
+	if w := l.workers[id]; w != nil {
+		w.slots = 0
+		l.purge(w)
+	}
+}
+
+// Fences returns the gateways whose older grants the worker must refuse. They are repeated in every lease request, because
+// a worker that restarts forgets them.
+func (l *Ledger) Fences(id instance.ID) []upstream.GatewayFence {
+	w := l.workers[id]
+	if w == nil {
+		return nil
+	}
+	var out []upstream.GatewayFence
+	for _, inc := range sortedKeys(w.holds) {
+		g := l.gateways[inc]
+		if g == nil {
+			continue
+		}
+		if g.expired {
+			g.fencedBelow = g.generation + 1
+		}
+		if g.fencedBelow > 0 {
+			out = append(out, upstream.GatewayFence{Gateway: inc, MinGeneration: g.fencedBelow})
+		}
+	}
+	return out
+}
+
+// Report takes up a worker's answer to a lease request that carried fences. inProgress is the worker's count of the requests
+// that occupy slots. The answers of one worker must be passed in the order in which the worker gave them; an answer that was
+// overtaken by a later one must be dropped.
+func (l *Ledger) Report(now time.Time, id instance.ID, fences []upstream.GatewayFence, inProgress []upstream.GatewayUse) {
+	l.expire(now)
+	w := l.workers[id]
+	if w == nil {
+		return
+	}
+	used := make(map[instance.Incarnation]int, len(inProgress))
+	for _, u := range inProgress {
+		used[u.Gateway] += u.Slots
+	}
+	if !w.fenced {
+		w.fenced = true
+		l.takeOver(w, used)
+	}
+	for _, f := range fences {
+		if h, g := w.holds[f.Gateway], l.gateways[f.Gateway]; h != nil && g != nil {
+			h.fence(f.MinGeneration, g.generation, used[f.Gateway])
+		}
+	}
+	for inc, h := range w.holds {
+		h.observe(used[inc])
+		if l.gateways[inc] == nil && h.charge() == 0 {
+			delete(w.holds, inc)
+		}
+	}
+	l.purge(w)
+}
+
+// takeOver counts the requests of older epochs that still occupy slots. A gateway that has acknowledged a grant of this
+// epoch has none left; the report is then older than the acknowledgement.
+func (l *Ledger) takeOver(w *worker, used map[instance.Incarnation]int) {
+	for inc, n := range used {
+		if g := l.gateways[inc]; n > 0 && (g == nil || g.acked == 0) {
+			w.hold(inc).steps = append(w.hold(inc).steps, step{until: 1, slots: n, fenced: true})
+		}
+	}
+}
+
+// Grant answers a gateway's request with its whole grant. Pending and FreeMilliCores of the reply are the caller's.
+func (l *Ledger) Grant(now time.Time, r contract.GrantRequest) contract.GrantReply {
+	l.expire(now)
+	if r.Epoch > l.epoch {
+		return contract.GrantReply{Shard: l.shard, Epoch: l.epoch}
+	}
+	g := l.meet(now, r)
+	l.acknowledge(r, g)
+	plan := l.plan(r.Incarnation, g)
+	changed := l.issue(r.Incarnation, g, plan)
+	reply := contract.GrantReply{Shard: l.shard, Epoch: l.epoch, Generation: g.generation, TTL: l.ttl}
+	if !changed && r.Epoch == l.epoch && r.Generation == g.generation {
+		reply.Unchanged = true
+		return reply
+	}
+	for _, id := range l.order {
+		if h := l.workers[id].holds[r.Incarnation]; h != nil && h.granted > 0 {
+			reply.Workers = append(reply.Workers, contract.WorkerGrant{Worker: id, Addr: l.workers[id].addr, Slots: h.granted})
+		}
+	}
+	return reply
+}
+
+// meet records the gateway's state. Leaving is final for an incarnation, because requests can arrive out of order.
+func (l *Ledger) meet(now time.Time, r contract.GrantRequest) *gateway {
+	g := l.gateways[r.Incarnation]
+	if g == nil {
+		g = &gateway{}
+		l.gateways[r.Incarnation] = g
+	}
+	g.id, g.dc = r.Gateway, r.DataCentre
+	g.leaving = g.leaving || r.Leaving
+	g.weight = smooth(g.weight, float64(max(r.Demand, 0)))
+	g.expired, g.expiry = false, now.Add(l.ttl+l.ttl/driftShare)
+	return g
+}
+
+func (l *Ledger) acknowledge(r contract.GrantRequest, g *gateway) {
+	if r.Epoch != l.epoch || r.Generation <= g.acked || r.Generation > g.generation {
+		return
+	}
+	g.acked = r.Generation
+	for _, id := range slices.Clone(l.order) {
+		if h := l.workers[id].holds[r.Incarnation]; h != nil {
+			h.acknowledge(g.acked)
+			l.purge(l.workers[id])
+		}
+	}
+}
+
+// issue makes plan the gateway's grant and reports whether it differs from the last one. A grant whose generation workers were
+// told to refuse gets a new generation even if it is equal.
+func (l *Ledger) issue(inc instance.Incarnation, g *gateway, plan map[instance.ID]int) bool {
+	changed := g.generation == 0 || g.generation < g.fencedBelow
+	for _, id := range l.order {
+		if h := l.workers[id].holds[inc]; h != nil && h.granted != plan[id] || h == nil && plan[id] > 0 {
+			changed = true
+		}
+	}
+	if !changed {
+		return false
+	}
+	l.counter++
+	g.generation = l.counter
+	for _, id := range slices.Clone(l.order) {
+		w := l.workers[id]
+		if n := plan[id]; n > 0 || w.holds[inc] != nil {
+			grew := n > w.hold(inc).charge()
+			w.hold(inc).set(g.generation, n)
+			invariant.Check(invariant.SlotBudget, !grew || w.charged() <= w.slots, "shard", l.shard, "worker", id,
+				"charged", w.charged(), "slots", w.slots)
+			l.purge(w)
+		}
+	}
+	return true
+}
+
+// Granted returns the number of slots that the newest grants of all gateways give.
+func (l *Ledger) Granted() int {
+	n := 0
+	for _, w := range l.workers {
+		n += w.granted()
+	}
+	return n
+}
+
+// expire marks the gateways that may start no more requests and forgets those that left nothing behind.
+func (l *Ledger) expire(now time.Time) {
+	for inc, g := range l.gateways {
+		if !g.expired && now.After(g.expiry) {
+			g.expired = true
+			g.weight = 0
+		}
+		if g.expired && now.Sub(g.expiry) > gatewayMemory && l.forget(inc) {
+			delete(l.gateways, inc)
+		}
+	}
+}
+
+// forget removes a gateway from all workers unless one of its requests may still occupy a slot.
+func (l *Ledger) forget(inc instance.Incarnation) bool {
+	for _, w := range l.workers {
+		if h := w.holds[inc]; h != nil && h.charge() > 0 {
+			return false
+		}
+	}
+	for _, id := range slices.Clone(l.order) {
+		delete(l.workers[id].holds, inc)
+		l.purge(l.workers[id])
+	}
+	return true
+}
+
+// purge drops a removed worker once nothing can be in progress on it.
+func (l *Ledger) purge(w *worker) {
+	if w.slots > 0 || w.charged() > 0 {
+		return
+	}
+	delete(l.workers, w.id)
+	if i, found := slices.BinarySearch(l.order, w.id); found {
+		l.order = slices.Delete(l.order, i, i+1)
+	}
+}
--- /dev/null
+++ b/internal/budget/model_test.go
@@ -0,0 +1,279 @@
+package budget
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/instance"
+	"clementinewalk.example/clementinewalk/internal/upstream"
+)
+
+const modelTTL = 3 * time.Second
+
+type modelRequest struct {
+	gw     *modelGateway
+	permit Permit
+	ended  bool
+}
+
+type modelWorker struct {
+	id      instance.ID
+	slots   int
+	epoch   uint64
+	minimum map[instance.Incarnation]uint64
+	running []*modelRequest
+}
+
+type modelGateway struct {
+	id      instance.ID
+	inc     instance.Incarnation
+	holding *Holding
+	paused  bool
+	leaving bool
+	waiting []*modelRequest
+}
+
+// message is under way. lost runs if it never arrives.
+type message struct{ arrive, lost func() }
+
+type model struct {
+	now      time.Time
+	ledger   *Ledger
+	epoch    uint64
+	workers  []*modelWorker
+	gateways []*modelGateway
+	started  int
+	refused  int
+	// network holds the effects of messages that are under way; they arrive in any order or never.
+	network []message
+	// calls holds the number of the newest lease call of each worker; answers to older calls are dropped.
+	calls map[instance.ID]int
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{now: time.Unix(1000, 0), calls: map[instance.ID]int{}}
+	for i := range rapid.IntRange(1, 4).Draw(t, "workers") {
+		m.workers = append(m.workers, &modelWorker{id: instance.ID(fmt.Sprintf("w%d", i)),
+			slots: rapid.IntRange(1, 8).Draw(t, "slots"), minimum: map[instance.Incarnation]uint64{}})
+	}
+	for i := range 3 {
+		m.gateways = append(m.gateways, newModelGateway(i, 0))
+	}
+	m.changeOwner(t)
+	return m
+}
+
+func newModelGateway(i, life int) *modelGateway {
+	return &modelGateway{id: instance.ID(fmt.Sprintf("g%d", i)), inc: instance.Incarnation(fmt.Sprintf("g%d.%d", i, life)),
+		holding: NewHolding()}
+}
+
+func (m *model) changeOwner(*rapid.T) {
+	m.epoch++
+	m.ledger = NewLedger("s", m.epoch, modelTTL)
+	for _, w := range m.workers {
+		m.ledger.SetWorker(m.now, w.id, "a", "d", w.slots)
+	}
+}
+
+func (m *model) pickGateway(t *rapid.T) *modelGateway {
+	return rapid.SampledFrom(m.gateways).Draw(t, "gateway")
+}
+
+func (m *model) send(f func()) { m.network = append(m.network, message{arrive: f, lost: func() {}}) }
+
+// settle is a round without faults, so that runs reach states in which slots are given out and in use. Older messages stay under
+// way.
+func (m *model) settle(t *rapid.T) {
+	old := m.network
+	m.network = nil
+	for _, w := range m.workers {
+		m.renewLease(w)
+	}
+	for range 2 {
+		for _, g := range m.gateways {
+			m.askGrant(g, rapid.IntRange(0, 20).Draw(t, "demand"))
+		}
+		for len(m.network) > 0 {
+			f := m.network[0]
+			m.network = m.network[1:]
+			f.arrive()
+		}
+		m.now = m.now.Add(200 * time.Millisecond)
+	}
+	m.network = old
+}
+
+func (m *model) askGrant(g *modelGateway, demand int) {
+	if g.paused {
+		return
+	}
+	epoch, generation := g.holding.Complying("s")
+	r := contract.GrantRequest{Shard: "s", Gateway: g.id, Incarnation: g.inc, DataCentre: "d", Epoch: epoch,
+		Generation: generation, Demand: demand, Leaving: g.leaving}
+	sent, owner := m.now, m.ledger
+	m.send(func() {
+		reply := owner.Grant(m.now, r)
+		m.send(func() {
+			if !g.paused {
+				g.holding.Apply(m.now, sent, reply, false)
+			}
+		})
+	})
+}
+
+func (m *model) renewLease(w *modelWorker) {
+	owner, epoch := m.ledger, m.epoch
+	fences := owner.Fences(w.id)
+	m.calls[w.id]++
+	call := m.calls[w.id]
+	m.send(func() {
+		if epoch < w.epoch {
+			return
+		}
+		w.epoch = epoch
+		for _, f := range fences {
+			w.minimum[f.Gateway] = max(w.minimum[f.Gateway], f.MinGeneration)
+		}
+		used := map[instance.Incarnation]int{}
+		for _, r := range w.running {
+			used[r.gw.inc]++
+		}
+		var report []upstream.GatewayUse
+		for inc, n := range used {
+			report = append(report, upstream.GatewayUse{Gateway: inc, Slots: n})
+		}
+		m.send(func() {
+			if m.calls[w.id] == call {
+				owner.Report(m.now, w.id, fences, report)
+			}
+		})
+	})
+}
+
+func (m *model) startRequest(t *rapid.T) {
+	g := m.pickGateway(t)
+	if g.paused || g.holding.Workers() == 0 {
+		return
+	}
+	p, ok := g.holding.Acquire(m.now, rapid.IntRange(0, g.holding.Workers()-1).Draw(t, "index"))
+	if !ok {
+		return
+	}
+	r := &modelRequest{gw: g, permit: p}
+	g.waiting = append(g.waiting, r)
+	i := slices.IndexFunc(m.workers, func(w *modelWorker) bool { return w.id == p.Worker })
+	w := m.workers[i]
+	m.network = append(m.network, message{lost: func() { r.ended = true }, arrive: func() {
+		if p.Epoch != w.epoch || p.Generation < w.minimum[g.inc] {
+			m.refused++
+			r.ended = true
+			return
+		}
+		m.started++
+		w.running = append(w.running, r)
+		if len(w.running) > w.slots {
+			t.Fatalf("worker %s runs %d requests in %d slots", w.id, len(w.running), w.slots)
+		}
+	}})
+}
+
+func (m *model) finishRequest(t *rapid.T) {
+	w := rapid.SampledFrom(m.workers).Draw(t, "worker")
+	if len(w.running) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.running)-1).Draw(t, "request")
+	w.running[i].ended = true
+	w.running = slices.Delete(w.running, i, i+1)
+}
+
+// collect gives back the slots of requests that have ended. An answer that is lost is settled by the request's own deadline.
+func (m *model) collect(t *rapid.T) {
+	g := m.pickGateway(t)
+	if g.paused {
+		return
+	}
+	g.waiting = slices.DeleteFunc(g.waiting, func(r *modelRequest) bool {
+		if r.ended {
+			g.holding.Release(r.permit)
+		}
+		return r.ended
+	})
+}
+
+func (m *model) deliver(t *rapid.T) {
+	if len(m.network) == 0 {
+		return
+	}
+	i := 0
+	if rapid.IntRange(0, 2).Draw(t, "order") == 0 {
+		i = rapid.IntRange(0, len(m.network)-1).Draw(t, "message")
+	}
+	f := m.network[i]
+	m.network = slices.Delete(m.network, i, i+1)
+	f.arrive()
+}
+
+func (m *model) lose(t *rapid.T) {
+	if len(m.network) > 0 {
+		i := rapid.IntRange(0, len(m.network)-1).Draw(t, "message")
+		f := m.network[i]
+		m.network = slices.Delete(m.network, i, i+1)
+		f.lost()
+	}
+}
+
+func (m *model) restartGateway(t *rapid.T) {
+	i := rapid.IntRange(0, len(m.gateways)-1).Draw(t, "gateway")
+	var life int
+	_, _ = fmt.Sscanf(string(m.gateways[i].inc), fmt.Sprintf("g%d.%%d", i), &life)
+	m.gateways[i] = newModelGateway(i, life+1)
+}
+
+// Guards against a worker that gets more requests than slots after any order, loss or delay of messages, pauses and restarts of
+// gateways, and changes of owner.
+func TestWorkerNeverExceedsSlots(t *testing.T) {
+	started, refused := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		rare := func(f func(*rapid.T)) func(*rapid.T) {
+			return func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "rare") == 0 {
+					f(t)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"grant": func(t *rapid.T) { m.askGrant(m.pickGateway(t), rapid.IntRange(0, 20).Draw(t, "demand")) },
+			"lease": func(t *rapid.T) { m.renewLease(rapid.SampledFrom(m.workers).Draw(t, "worker")) },
+			"start": m.startRequest, "start2": m.startRequest, "start3": m.startRequest, "settle": m.settle,
+			"finish": m.finishRequest, "collect": m.collect, "deliver": m.deliver, "deliver2": m.deliver, "deliver3": m.deliver,
+			"time": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond)
+			},
+			"lose":    rare(m.lose),
+			"owner":   rare(m.changeOwner),
+			"restart": rare(m.restartGateway),
+			"leave":   rare(func(t *rapid.T) { m.pickGateway(t).leaving = true }),
+			"pause":   rare(func(t *rapid.T) { g := m.pickGateway(t); g.paused = !g.paused }),
+			"remove": rare(func(t *rapid.T) {
+				m.ledger.RemoveWorker(m.now, rapid.SampledFrom(m.workers).Draw(t, "worker").id)
+			}),
+			"return": rare(func(t *rapid.T) {
+				w := rapid.SampledFrom(m.workers).Draw(t, "worker")
+				m.ledger.SetWorker(m.now, w.id, "a", "d", w.slots)
+			}),
+		})
+		started, refused = started+m.started, refused+m.refused
+	})
+	t.Logf("%d requests started, %d refused", started, refused)
+	if started < 5000 {
+		t.Fatalf("only %d requests started: the runs show little", started)
+	}
+}
