--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -18,6 +18,7 @@
 	PathThrottle   = "/v1/tasks/throttle"
 	PathCheckpoint = "/v1/tasks/checkpoint"
 	PathExecute    = "/v1/execute"
+	PathCancel     = "/v1/execute/cancel"
 )
 
 // Headers of an execute call and its answer. HeaderNotRun is set on a refusal, with the reason as its value; a refused
@@ -49,6 +50,7 @@
 	RefusalLeaving      Refusal = "leaving"
 	RefusalUnknownTask  Refusal = "unknown-task"
 	RefusalStaleAttempt Refusal = "stale-attempt"
+	RefusalWrongBoot    Refusal = "wrong-boot"
 )
 
 // TaskRef names one attempt of a task.
@@ -65,8 +67,11 @@
 	Owner instance.ID `json:"owner"`
 	// AsOf is a clock reading from an earlier answer of the same worker; zero only fences and grants no lease time.
 	// The lease then ends at AsOf + TTL of the worker's own clock, so that a delayed renewal cannot revive it.
+	// A reading of another Boot is refused.
 	AsOf time.Duration `json:"as_of"`
 	TTL  time.Duration `json:"ttl"`
+	// Boot is the worker's incarnation as the owner knows it; empty if AsOf is zero.
+	Boot instance.Incarnation `json:"boot,omitempty"`
 	// AckEvents is the highest event number that the owner has written to the log; the worker forgets those events.
 	AckEvents uint64 `json:"ack_events,omitempty"`
 	// Envelope is the amount reserved for each slot.
@@ -120,6 +125,8 @@
 	Progress float64 `json:"progress"`
 	// Throttle is the share of processor time that the task may use; 1 is unthrottled.
 	Throttle float64 `json:"throttle"`
+	// Checkpoint names the newest checkpoint of the attempt; empty if there is none.
+	Checkpoint string `json:"checkpoint,omitempty"`
 }
 
 // Outcome tells how an attempt ended.
@@ -158,6 +165,12 @@
 type StartRequest struct {
 	Shard string `json:"shard"`
 	Epoch uint64 `json:"epoch"`
+	// Boot is the incarnation that the Place record names. A worker refuses another one: a restart makes it forget its fence, so
+	// the delayed start call of an earlier owner would otherwise run (spec/shard.pml, mutant NO_BOOT).
+	Boot instance.Incarnation `json:"boot"`
+	// NotAfter is the worker's clock reading from which the call must be refused with RefusalNoLease: an echoed reading plus
+	// the TTL. Once the owner counts the lease as lapsed, a start call that was delayed cannot run any more.
+	NotAfter time.Duration `json:"not_after,omitempty"`
 	TaskRef
 	Kind string          `json:"kind"`
 	Size resource.Vector `json:"size"`
@@ -201,3 +214,10 @@
 	Known      bool   `json:"known,omitempty"`
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
+
+// CancelRequest ends a request that a gateway has given up on. After the answer the request is not in progress and the
+// worker refuses it if it arrives late, so the gateway may use its slot again.
+type CancelRequest struct {
+	Gateway   instance.Incarnation `json:"gateway"`
+	RequestID string               `json:"request_id"`
+}
