--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,119 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/instance"
+	"clementinewalk.example/clementinewalk/internal/resource"
+)
+
+func fleet(n int) []Worker {
+	out := make([]Worker, n)
+	for i := range out {
+		out[i] = Worker{ID: instance.ID(fmt.Sprintf("w%d", i)), Rack: i / 8, Fenced: true,
+			Capacity: resource.Vector{MilliCores: 64000, MemoryMB: 250000}, Reserved: resource.Vector{MilliCores: 16000, MemoryMB: 32000}}
+	}
+	return out
+}
+
+// Guards against work on workers that must not get any, and against a reservation for urgent requests that tasks can use.
+func TestPlace(t *testing.T) {
+	small := Task{Job: "j", Size: resource.Vector{MilliCores: 4000, MemoryMB: 8000}}
+	tests := map[string]struct {
+		change func(ws []Worker)
+		task   Task
+		want   instance.ID
+		reason Reason
+		parked bool
+	}{
+		"fits":        {func([]Worker) {}, small, "w0", "", false},
+		"leaving":     {func(ws []Worker) { ws[0].Leaving = true }, small, "w1", "", false},
+		"draining":    {func(ws []Worker) { ws[0].Draining, ws[1].Draining = true, true }, small, "", ReasonDraining, false},
+		"quarantined": {func(ws []Worker) { ws[0].Quarantined, ws[1].Quarantined = true, true }, small, "", ReasonQuarantined, false},
+		"unfenced":    {func(ws []Worker) { ws[0].Fenced, ws[1].Fenced = false, false }, small, "", ReasonUnfenced, false},
+		"full": {func(ws []Worker) {
+			ws[0].Used.MilliCores, ws[1].Used.MilliCores = 45000, 45000
+		}, small, "", ReasonNoRoom, false},
+		"larger than the unreserved part": {func([]Worker) {}, Task{Size: resource.Vector{MilliCores: 50000}}, "", ReasonTooLarge, true},
+		"accelerator that nobody has":     {func([]Worker) {}, Task{Size: resource.Vector{Accelerators: 1}}, "", ReasonTooLarge, true},
+		"large worker is not fenced": {func(ws []Worker) {
+			ws[1].Capacity.Accelerators, ws[1].Fenced = 1, false
+		}, Task{Size: resource.Vector{Accelerators: 1}}, "", ReasonUnfenced, false},
+	}
+	for what, c := range tests {
+		for _, p := range []Policy{BestFit{}, Spread{}, LeastLaxity{}} {
+			t.Run(p.Name()+" "+what, func(t *testing.T) {
+				ws := fleet(2)
+				c.change(ws)
+				d, err := p.Place(NewState(ws), c.task)
+				require.Equal(t, c.want, d.Worker)
+				if c.reason != "" {
+					var r *Refusal
+					require.ErrorAs(t, err, &r)
+					require.Equal(t, c.reason, r.Reason)
+					require.Equal(t, c.parked, r.Parked)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a job that one rack failure stops as a whole; the baseline packs.
+func TestSpread(t *testing.T) {
+	racks := func(p Policy) map[int]int {
+		s, out := NewState(fleet(32)), map[int]int{}
+		for i := range 8 {
+			task := Task{Job: "j", Index: i, Size: resource.Vector{MilliCores: 4000}}
+			d, err := p.Place(s, task)
+			require.NoError(t, err)
+			s.Assign(task, d.Worker)
+			out[s.Workers[s.index[d.Worker]].Rack]++
+		}
+		return out
+	}
+	require.Equal(t, map[int]int{0: 2, 1: 2, 2: 2, 3: 2}, racks(Spread{}))
+	require.Equal(t, map[int]int{0: 8}, racks(BestFit{}))
+}
+
+// Guards against an order that lets the task with the least time to spare wait.
+func TestLeastLaxityOrder(t *testing.T) {
+	now := time.Unix(0, 0)
+	in := func(d time.Duration) time.Time { return now.Add(d) }
+	tasks := []Task{
+		{Job: "background", Rank: 2}, {Job: "service", Rank: 0},
+		{Job: "long", Deadline: in(10 * time.Hour), Remaining: 9*time.Hour + 50*time.Minute},
+		{Job: "short", Deadline: in(time.Hour), Remaining: time.Minute},
+		{Job: "late", Deadline: in(time.Hour), Remaining: 2 * time.Hour},
+	}
+	LeastLaxity{}.Order(now, tasks)
+	var got []string
+	for _, x := range tasks {
+		got = append(got, x.Job)
+	}
+	require.Equal(t, []string{"late", "long", "short", "service", "background"}, got)
+	_, err := ForName("tetris")
+	var unknown *PolicyError
+	require.ErrorAs(t, err, &unknown)
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{50, 500, 5000} {
+		for _, p := range []Policy{BestFit{}, LeastLaxity{}} {
+			b.Run(fmt.Sprintf("%s/%d", p.Name(), n), func(b *testing.B) {
+				s := NewState(fleet(n))
+				for i := range b.N {
+					t := Task{Job: "j", Index: i, Size: resource.Vector{MilliCores: 1}}
+					d, err := p.Place(s, t)
+					if err != nil {
+						b.Fatal(err)
+					}
+					s.Assign(t, d.Worker)
+				}
+			})
+		}
+	}
+}
--- a/internal/scheduler/fakes_test.go
+++ b/internal/scheduler/fakes_test.go
@@ -203,9 +203,11 @@
 // fakeLedger counts the workers it was given.
 type fakeLedger struct{ workers map[instance.ID]int }
 
-func (l *fakeLedger) SetWorker(_ time.Time, id instance.ID, _, _ string, slots int) { l.workers[id] = slots }
-func (l *fakeLedger) RemoveWorker(_ time.Time, id instance.ID)                      { delete(l.workers, id) }
-func (l *fakeLedger) Fences(instance.ID) []upstream.GatewayFence                    { return nil }
+func (l *fakeLedger) SetWorker(_ time.Time, id instance.ID, _, _ string, slots int) {
+	l.workers[id] = slots
+}
+func (l *fakeLedger) RemoveWorker(_ time.Time, id instance.ID)   { delete(l.workers, id) }
+func (l *fakeLedger) Fences(instance.ID) []upstream.GatewayFence { return nil }
 func (l *fakeLedger) Report(time.Time, instance.ID, []upstream.GatewayFence, []upstream.GatewayUse) {
 }
 func (l *fakeLedger) Grant(_ time.Time, r contract.GrantRequest) contract.GrantReply {
--- /dev/null
+++ b/internal/shard/shard_test.go
@@ -0,0 +1,263 @@
+package shard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/instance"
+	"clementinewalk.example/clementinewalk/internal/upstream"
+)
+
+// listState remembers the offsets that reached it.
+type listState struct{ offsets []uint64 }
+
+func (s *listState) Apply(offset, _ uint64, _ contract.Body) error {
+	s.offsets = append(s.offsets, offset)
+	return nil
+}
+
+func (s *listState) Encode() ([]byte, error) {
+	out := make([]byte, 0, len(s.offsets))
+	for _, o := range s.offsets {
+		out = append(out, byte(o>>8), byte(o))
+	}
+	return out, nil
+}
+
+func (s *listState) Decode(data []byte) error {
+	s.offsets = nil
+	for i := 0; i+1 < len(data); i += 2 {
+		s.offsets = append(s.offsets, uint64(data[i])<<8|uint64(data[i+1]))
+	}
+	return nil
+}
+
+func (s *listState) Reset() { s.offsets = nil }
+
+// stream is a log in memory.
+type stream struct {
+	t       *testing.T
+	records [][]byte
+}
+
+func (s *stream) add(id contract.RecordID, epoch uint64, b contract.Body) uint64 {
+	data, err := contract.EncodeRecord(id, epoch, b)
+	require.NoError(s.t, err)
+	s.records = append(s.records, data)
+	return uint64(len(s.records))
+}
+
+func (s *stream) put(epoch uint64, b contract.Body) uint64 {
+	return s.add(contract.NewRecordID(), epoch, b)
+}
+
+// replay reads the stream from an offset to its end and returns the verdicts.
+func (s *stream) replay(from, oldest uint64) (*Replayer, *listState, []Verdict) {
+	st := &listState{}
+	r := NewReplayer("a", st, from)
+	for {
+		var out []Verdict
+		for o := r.Next(); o <= uint64(len(s.records)); o++ {
+			res, err := r.Apply(o, s.records[o-1])
+			require.NoError(s.t, err)
+			out = append(out, res.Verdict)
+		}
+		at, again := r.Settle(oldest)
+		if !again {
+			return r, st, out
+		}
+		r.Restart(at)
+	}
+}
+
+func place(n int) *contract.Place {
+	return &contract.Place{TaskRef: upstream.TaskRef{Job: "j", Index: n, Attempt: 1}}
+}
+
+// Guards against records of a superseded owner taking effect.
+func TestEpochs(t *testing.T) {
+	s := &stream{t: t}
+	one := s.put(0, &contract.Claim{Owner: "x"})
+	s.put(one, place(1))
+	two := s.put(0, &contract.Claim{Owner: "y", After: one})
+	s.put(one, place(2))
+	s.put(two, place(3))
+	s.put(0, &contract.Submit{Job: "j"})
+	s.put(0, &contract.Claim{Owner: "z", After: one})
+	s.put(one, &contract.Release{})
+	s.put(two, place(4))
+	s.put(two, &contract.Release{})
+	s.put(two, place(5))
+	s.put(two, &contract.Release{})
+	s.put(0, place(6))
+	three := s.put(0, &contract.Claim{Owner: "x", After: two})
+	s.records = append(s.records, []byte("not a record"))
+	r, st, got := s.replay(1, 1)
+	require.Equal(t, []Verdict{Valid, Valid, Valid, Stale, Valid, Valid, VoidClaim, Stale, Valid, Valid, Stale, Stale, Stale, Valid,
+		Malformed}, got)
+	require.Equal(t, []uint64{2, 5, 6, 9}, st.offsets)
+	require.Equal(t, three, r.Owner().Epoch)
+	require.True(t, r.Owner().AfterRelease)
+	require.False(t, r.Owner().Released)
+	_, err := r.Apply(3, nil)
+	var gap *GapError
+	require.ErrorAs(t, err, &gap)
+}
+
+// Guards against a record that takes effect twice after a lost answer, and against unbounded memory for ids.
+func TestDuplicates(t *testing.T) {
+	s := &stream{t: t}
+	id := contract.NewRecordID()
+	s.add(id, 0, &contract.Submit{Job: "j"})
+	s.add(id, 0, &contract.Submit{Job: "j"})
+	for range windowSize - 1 {
+		s.put(0, &contract.Cancel{Job: "k"})
+	}
+	s.add(id, 0, &contract.Submit{Job: "j"})
+	s.put(0, &contract.Cancel{Job: "k"})
+	r, _, got := s.replay(1, 1)
+	require.Equal(t, Duplicate, got[1])
+	require.Equal(t, Duplicate, got[windowSize+1])
+	require.Len(t, r.seen.set, windowSize)
+	require.Len(t, r.seen.ring, windowSize)
+}
+
+func (s *stream) snapshot(r *Replayer, between func()) {
+	d, err := r.Draft(contract.NewRecordID())
+	require.NoError(s.t, err)
+	next := r.Next()
+	for _, p := range d.Parts {
+		s.put(0, p)
+		s.put(0, p)
+		between()
+	}
+	for ; next <= uint64(len(s.records)); next++ {
+		_, err := r.Apply(next, s.records[next-1])
+		require.NoError(s.t, err)
+	}
+	end, ok := r.End(d)
+	require.True(s.t, ok)
+	s.put(0, end)
+}
+
+// Guards against a successor that starts at a snapshot and reaches another state than a reader of the whole stream: records that
+// arrive while the snapshot is written, ids seen before it, and a start in the middle of it.
+func TestSnapshotReplay(t *testing.T) {
+	s := &stream{t: t}
+	one := s.put(0, &contract.Claim{Owner: "x"})
+	id := contract.NewRecordID()
+	s.add(id, 0, &contract.Submit{Job: "before"})
+	for i := range 5000 {
+		s.put(one, place(i))
+	}
+	r, _, _ := s.replay(1, 1)
+	require.Equal(t, 5002, r.Tail())
+	covers := r.Next() - 1
+	s.snapshot(r, func() { s.put(0, &contract.Submit{Job: "between"}) })
+	s.add(id, 0, &contract.Submit{Job: "before"})
+	s.put(one, place(1))
+	whole, all, _ := s.replay(1, 1)
+	require.Less(t, whole.Tail(), 30)
+	for _, from := range []uint64{2, covers + 1} {
+		part, st, _ := s.replay(from, from)
+		require.Equal(t, all.offsets, st.offsets, from)
+		require.Equal(t, whole.Owner(), part.Owner())
+		require.Equal(t, whole.Snapshot(), part.Snapshot())
+		require.Less(t, part.Tail(), 30)
+	}
+	// A start after the snapshot goes back to it, as long as the log keeps it.
+	_, st, _ := s.replay(uint64(len(s.records)), 2)
+	require.Equal(t, all.offsets, st.offsets)
+	// Without any whole snapshot the oldest kept record is the beginning, under the epoch that its records name.
+	late, st, _ := s.replay(uint64(len(s.records)), uint64(len(s.records)))
+	require.Equal(t, []uint64{uint64(len(s.records))}, st.offsets)
+	require.Equal(t, one, late.Owner().Epoch)
+}
+
+// Guards against claims of a shard whose owner lives, claims before the peers are known, and shards that nobody claims.
+func TestClaimant(t *testing.T) {
+	start := time.Unix(1000, 0)
+	mine := func(live ...instance.ID) string {
+		for i := range 100 {
+			name := fmt.Sprintf("shard-%d", i)
+			if Choose(name, append(live, "self")) == "self" {
+				return name
+			}
+		}
+		return ""
+	}
+	name := mine("peer")
+	theirs := func() string {
+		for i := range 100 {
+			n := fmt.Sprintf("shard-%d", i)
+			if Choose(n, []instance.ID{"peer", "self"}) == "peer" {
+				return n
+			}
+		}
+		return ""
+	}()
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	claimBy := func(o instance.ID, inc instance.Incarnation) *Ownership {
+		return &Ownership{Epoch: 7, Claim: contract.Claim{Owner: o, Incarnation: inc}}
+	}
+	live := Peer{ID: "peer", Incarnation: "p1", Listed: true, Heard: at(10 * time.Second)}
+	owns := live
+	owns.Owned = map[string]uint64{name: 7}
+	silent := owns
+	silent.Heard = at(7 * time.Second)
+	tests := map[string]struct {
+		shard string
+		now   time.Duration
+		peer  *Peer
+		read  *Ownership
+		logUp bool
+		want  Step
+	}{
+		"no claim before the peers are known": {now: time.Second, peer: &Peer{ID: "peer", Listed: true}, want: StepNone},
+		"selected without a known owner":      {now: 10 * time.Second, peer: &live, want: StepRead},
+		"another one is selected":             {shard: theirs, now: 10 * time.Second, peer: &live, want: StepNone},
+		"owner reports the shard":             {now: 10 * time.Second, peer: &owns, want: StepNone},
+		"owner is silent":                     {now: 10 * time.Second, peer: &silent, want: StepRead},
+		"no claim yet":                        {now: 10 * time.Second, peer: &live, read: &Ownership{}, logUp: true, want: StepClaim},
+		"log is down":                         {now: 10 * time.Second, peer: &live, read: &Ownership{}, want: StepRead},
+		"released": {now: 10 * time.Second, peer: &live, logUp: true, want: StepClaim,
+			read: &Ownership{Epoch: 7, Released: true, Claim: contract.Claim{Owner: "peer", Incarnation: "p1"}}},
+		"owner has just claimed":   {now: 10 * time.Second, peer: &live, read: claimBy("peer", "p1"), logUp: true, want: StepRead},
+		"owner is silent, read":    {now: 10 * time.Second, peer: &silent, read: claimBy("peer", "p1"), logUp: true, want: StepClaim},
+		"owner restarted":          {now: 10 * time.Second, peer: &live, read: claimBy("peer", "p0"), logUp: true, want: StepClaim},
+		"owner is absent":          {now: 10 * time.Second, peer: &live, read: claimBy("gone", "g1"), logUp: true, want: StepClaim},
+		"own earlier incarnation":  {now: 10 * time.Second, peer: &live, read: claimBy("self", "s0"), logUp: true, want: StepClaim},
+		"own claim":                {now: 10 * time.Second, peer: &live, read: claimBy("self", "s1"), logUp: true, want: StepOwn},
+		"own claim, other selects": {shard: theirs, now: 10 * time.Second, peer: &live, read: claimBy("self", "s1"), logUp: true, want: StepOwn},
+	}
+	for what, c := range tests {
+		t.Run(what, func(t *testing.T) {
+			if c.shard == "" {
+				c.shard = name
+			}
+			v := View{Now: at(c.now), Self: "self", Start: start, OwnerTimeout: 3 * time.Second, ListKnown: true, LogUp: c.logUp,
+				Peers: map[instance.ID]Peer{"peer": *c.peer}}
+			require.Equal(t, c.want, NewClaimant(c.shard, "s1").Next(v, c.read))
+		})
+	}
+	c := NewClaimant(theirs, "s1")
+	v := View{Now: at(10 * time.Second), Self: "self", Start: start, OwnerTimeout: time.Hour, LogUp: true, Peers: map[instance.ID]Peer{"peer": live}}
+	require.Equal(t, StepOwn, c.Next(v, claimBy("self", "s1")))
+	v.Now = v.Now.Add(rebalanceAfter + time.Second)
+	require.Equal(t, StepRelease, c.Next(v, claimBy("self", "s1")), "another scheduler is selected for longer than the limit")
+}
+
+// Guards against a hash that moves shards between schedulers that stay.
+func TestChooseIsStable(t *testing.T) {
+	for i := range 200 {
+		name := fmt.Sprint("shard-", i)
+		before := Choose(name, []instance.ID{"a", "b", "c"})
+		if after := Choose(name, []instance.ID{"a", "b"}); before != "c" {
+			require.Equal(t, before, after)
+		}
+	}
+}
