--- /dev/null
+++ b/cmd/clementinectl/main.go
@@ -0,0 +1,18 @@
+// Command clementinectl is the operators' client.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"clementinewalk.example/clementinewalk/internal/operator"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	code := operator.Main(ctx, os.Args[1:], operator.Streams{Out: os.Stdout, Err: os.Stderr}, initialize)
+	stop()
+	os.Exit(code)
+}
