Ready: add tickets, the admission queue, retry budget and routing policies

Cause: the gateway needs pure decisions for non-idempotent requests, for waiting requests and for the choice of a worker. Change: ticket issues sealed tickets and remembers used ones; admission queues by urgency and deadline, sheds the least urgent and refuses what cannot make its deadline; routing has random, p2c and exact, and ejects outliers for a doubling time.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,147 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(7000, 0)
+
+func load(service time.Duration, slots int) Load {
+	return Load{Slots: slots, Mean: service, Service: func(string) time.Duration { return service }}
+}
+
+func entry(rank int, deadline time.Duration) *Entry[string] {
+	return &Entry[string]{Kind: "k", Rank: rank, Arrived: start, Deadline: start.Add(deadline), Value: fmt.Sprint(rank, deadline)}
+}
+
+// Guards against less urgent requests that go first, and against a more urgent one that is shed for a less urgent one.
+func TestOrderAndShedding(t *testing.T) {
+	q, l := NewQueue[string](3), load(0, 1)
+	late, soon, background := entry(0, 9*time.Second), entry(0, time.Second), entry(2, time.Second)
+	require.Empty(t, q.Push(start, background, l))
+	require.Empty(t, q.Push(start, late, l))
+	require.Empty(t, q.Push(start, soon, l))
+
+	standard := entry(1, time.Second)
+	refused := q.Push(start, standard, l)
+	require.Len(t, refused, 1)
+	require.Same(t, background, refused[0].Entry)
+	require.Equal(t, Refusal{Reason: ReasonShed, RetryAfter: time.Second}, refused[0].Refusal)
+
+	another := entry(2, time.Second)
+	refused = q.Push(start, another, l)
+	require.Same(t, another, refused[0].Entry)
+	require.Equal(t, ReasonQueueFull, refused[0].Reason)
+
+	for _, want := range []*Entry[string]{soon, late, standard} {
+		got, refused := q.Pop(start, l)
+		require.Empty(t, refused)
+		require.Same(t, want, got)
+	}
+}
+
+// Guards against requests that wait although their deadline cannot be met, and against callers that are answered late.
+func TestDeadlines(t *testing.T) {
+	q, l := NewQueue[string](100), load(100*time.Millisecond, 2)
+	for range 20 {
+		require.Empty(t, q.Push(start, entry(0, 2*time.Second), l))
+	}
+	refused := q.Push(start, entry(1, time.Second), l)
+	require.Equal(t, ReasonDeadline, refused[0].Reason, "20 requests before it take a second on 2 slots")
+	require.Empty(t, q.Push(start, entry(0, 1200*time.Millisecond), l))
+	got, refused := q.Pop(start.Add(1900*time.Millisecond), l)
+	require.Len(t, refused, 1)
+	require.Equal(t, ReasonExpired, refused[0].Reason)
+	require.Equal(t, start.Add(2*time.Second), got.Deadline)
+	require.Len(t, q.Expire(start.Add(3*time.Second)), 19)
+	require.Zero(t, q.Len())
+}
+
+// Guards against entries that are lost or returned twice when callers leave and deadlines pass in any order.
+func TestQueueLosesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, l, now := NewQueue[string](10), load(0, 1), start
+		var waiting []*Entry[string]
+		left := map[*Entry[string]]bool{}
+		leave := func(e *Entry[string]) {
+			if left[e] {
+				t.Fatal("an entry left twice")
+			}
+			left[e] = true
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				e := entry(rapid.IntRange(0, 2).Draw(t, "rank"), now.Sub(start)+time.Duration(rapid.IntRange(0, 9).Draw(t, "s"))*time.Second)
+				waiting = append(waiting, e)
+				for _, r := range q.Push(now, e, l) {
+					leave(r.Entry)
+				}
+			},
+			"pop": func(*rapid.T) {
+				e, refused := q.Pop(now, l)
+				for _, r := range refused {
+					leave(r.Entry)
+				}
+				if e != nil {
+					leave(e)
+				}
+			},
+			"remove": func(t *rapid.T) {
+				if len(waiting) > 0 {
+					if e := rapid.SampledFrom(waiting).Draw(t, "entry"); q.Remove(e) {
+						leave(e)
+					}
+				}
+			},
+			"time": func(*rapid.T) {
+				now = now.Add(500 * time.Millisecond)
+				for _, r := range q.Expire(now) {
+					leave(r.Entry)
+				}
+			},
+			"": func(t *rapid.T) {
+				if q.Len()+len(left) != len(waiting) || q.Len() > 10 {
+					t.Fatalf("%d waiting, %d left, %d pushed", q.Len(), len(left), len(waiting))
+				}
+			},
+		})
+	})
+}
+
+// Guards against a retry storm, and against an estimate that refuses a kind for ever.
+func TestRetryBudgetAndEstimates(t *testing.T) {
+	b, retries := NewRetryBudget(10), 0
+	for range 1000 {
+		b.Request()
+		if b.Retry() {
+			retries++
+		}
+	}
+	require.InDelta(t, 100+firstRetries, retries, 1)
+
+	s := NewServices()
+	s.Observe(start, "k", 8*time.Second)
+	require.Equal(t, 8*time.Second, s.Estimate("k"))
+	for i := range 20 {
+		s.Age(start.Add(time.Duration(i) * time.Second))
+	}
+	require.Less(t, s.Estimate("k"), time.Second)
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	q, l := NewQueue[string](1000), load(time.Millisecond, 100)
+	for i := range 900 {
+		q.Push(start, entry(i%3, time.Minute), l)
+	}
+	e := entry(1, time.Minute)
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Push(start, e, l)
+		e, _ = q.Pop(start, l)
+	}
+}
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,205 @@
+// Package admission decides which waiting requests get a slot next and which are refused. It holds no clock, network or
+// goroutine.
+package admission
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Reason tells why a request was refused. A refused request was not run.
+type Reason string
+
+// The reasons.
+const (
+	ReasonQueueFull  Reason = "queue-full"
+	ReasonShed       Reason = "shed-for-more-urgent"
+	ReasonDeadline   Reason = "deadline-cannot-be-met"
+	ReasonExpired    Reason = "deadline-passed-in-queue"
+	ReasonNoCapacity Reason = "no-slots"
+	ReasonStopping   Reason = "stopping"
+)
+
+// Refusal is the decision not to run a request.
+type Refusal struct {
+	Reason Reason
+	// RetryAfter is when a repeat has a chance.
+	RetryAfter time.Duration
+}
+
+// Entry is one waiting request.
+type Entry[T any] struct {
+	Kind string
+	// Rank is the manifest's urgency rank; 0 is the most urgent.
+	Rank     int
+	Arrived  time.Time
+	Deadline time.Time
+	Value    T
+
+	seq   uint64
+	index int
+}
+
+// Refused is an entry that left the queue without a slot.
+type Refused[T any] struct {
+	Entry *Entry[T]
+	Refusal
+}
+
+// Queue holds the waiting requests, by urgency, then by deadline. It is not safe for concurrent use.
+type Queue[T any] struct {
+	first entries[T]
+	seq   uint64
+	limit int
+}
+
+// NewQueue returns an empty queue for at most limit requests.
+func NewQueue[T any](limit int) *Queue[T] { return &Queue[T]{limit: limit} }
+
+// SetLimit changes the bound. Entries beyond it stay until they are served or shed.
+func (q *Queue[T]) SetLimit(limit int) { q.limit = limit }
+
+// Len returns the number of waiting requests.
+func (q *Queue[T]) Len() int { return len(q.first) }
+
+// Load is what admission knows about the service.
+type Load struct {
+	// Slots is the number of slots that serve the queue.
+	Slots int
+	// Mean is the expected service time over all kinds. The wait is estimated with it rather than entry by entry, because a lookup
+	// for each entry would make the cost of a long queue noticeable.
+	Mean time.Duration
+	// Service returns the expected service time of a kind; zero if it is not known.
+	Service func(kind string) time.Duration
+}
+
+// Push adds an entry. It returns the entries that were refused for it, which may be e itself.
+func (q *Queue[T]) Push(now time.Time, e *Entry[T], l Load) []Refused[T] {
+	wait := q.wait(e, l)
+	if now.Add(wait + l.Service(e.Kind)).After(e.Deadline) {
+		return []Refused[T]{{e, Refusal{Reason: ReasonDeadline, RetryAfter: retryAfter(wait)}}}
+	}
+	q.seq++
+	e.seq = q.seq
+	heap.Push(&q.first, e)
+	if len(q.first) <= q.limit {
+		return nil
+	}
+	worst := q.worst()
+	heap.Remove(&q.first, worst.index)
+	reason := ReasonShed
+	if worst == e {
+		reason = ReasonQueueFull
+	}
+	return []Refused[T]{{worst, Refusal{Reason: reason, RetryAfter: retryAfter(q.wait(worst, l))}}}
+}
+
+// wait estimates how long the entries before e keep all slots busy.
+func (q *Queue[T]) wait(e *Entry[T], l Load) time.Duration {
+	ahead := 0
+	for _, o := range q.first {
+		if o != e && before(o, e) {
+			ahead++
+		}
+	}
+	return l.Mean * time.Duration(ahead) / time.Duration(max(l.Slots, 1))
+}
+
+// worst returns the least urgent entry; among equals the one with the latest deadline, which can be repeated soonest.
+func (q *Queue[T]) worst() *Entry[T] {
+	worst := q.first[0]
+	for _, e := range q.first {
+		if before(worst, e) {
+			worst = e
+		}
+	}
+	return worst
+}
+
+// Pop removes the first entry whose deadline can still be met. The entries before it are returned as refused.
+func (q *Queue[T]) Pop(now time.Time, l Load) (*Entry[T], []Refused[T]) {
+	var refused []Refused[T]
+	for len(q.first) > 0 {
+		e := heap.Pop(&q.first).(*Entry[T])
+		if !now.Add(l.Service(e.Kind)).After(e.Deadline) {
+			return e, refused
+		}
+		refused = append(refused, Refused[T]{e, Refusal{Reason: ReasonExpired, RetryAfter: minRetry}})
+	}
+	return nil, refused
+}
+
+// Expire removes the entries whose deadline has passed, so that their callers get an answer in time even when no slot is free.
+func (q *Queue[T]) Expire(now time.Time) []Refused[T] {
+	var refused []Refused[T]
+	for i := len(q.first) - 1; i >= 0; i-- {
+		if e := q.first[i]; now.After(e.Deadline) {
+			refused = append(refused, Refused[T]{e, Refusal{Reason: ReasonExpired, RetryAfter: minRetry}})
+			q.first[i] = q.first[len(q.first)-1]
+			q.first[len(q.first)-1] = nil
+			q.first = q.first[:len(q.first)-1]
+			e.index = -1
+		}
+	}
+	if len(refused) > 0 {
+		for i, e := range q.first {
+			e.index = i
+		}
+		heap.Init(&q.first)
+	}
+	return refused
+}
+
+// Remove takes out an entry whose caller is gone. It reports whether the entry was still waiting.
+func (q *Queue[T]) Remove(e *Entry[T]) bool {
+	if e.index < 0 || e.index >= len(q.first) || q.first[e.index] != e {
+		return false
+	}
+	heap.Remove(&q.first, e.index)
+	return true
+}
+
+const (
+	minRetry = time.Second
+	maxRetry = 30 * time.Second
+)
+
+func retryAfter(wait time.Duration) time.Duration { return min(max(wait, minRetry), maxRetry) }
+
+func before[T any](a, b *Entry[T]) bool {
+	switch {
+	case a.Rank != b.Rank:
+		return a.Rank < b.Rank
+	case !a.Deadline.Equal(b.Deadline):
+		return a.Deadline.Before(b.Deadline)
+	}
+	return a.seq < b.seq
+}
+
+// entries implements heap.Interface.
+type entries[T any] []*Entry[T]
+
+func (s entries[T]) Len() int           { return len(s) }
+func (s entries[T]) Less(i, j int) bool { return before(s[i], s[j]) }
+
+func (s entries[T]) Swap(i, j int) {
+	s[i], s[j] = s[j], s[i]
+	s[i].index, s[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (s *entries[T]) Push(x any) {
+	e := x.(*Entry[T])
+	e.index = len(*s)
+	*s = append(*s, e)
+}
+
+// Pop implements heap.Interface.
+func (s *entries[T]) Pop() any {
+	last := len(*s) - 1
+	e := (*s)[last]
+	(*s)[last] = nil
+	*s = (*s)[:last]
+	e.index = -1
+	return e
+}
--- a/internal/budget/holding.go
+++ b/internal/budget/holding.go
@@ -8,9 +8,15 @@
 	"clementinewalk.example/clementinewalk/internal/invariant"
 )
 
-// Candidate is the part of a worker's state that routing reads. It is 4 bytes, so that a scan over 500 workers stays in
+// nearBonus makes every free slot in the own data centre better than any number of free slots elsewhere.
+const nearBonus = 1 << 16
+
+// Candidate is the part of a worker's state that routing reads. It is 8 bytes, so that a scan over 500 workers stays in
 // the first-level cache.
 type Candidate struct {
+	// Score orders workers: the number of free slots, with a bonus in the own data centre; 0 if the worker cannot be used now. It is
+	// stored because computing it during a scan over 500 workers took more than a microsecond.
+	Score int32
 	// Free is the number of slots that the gateway may occupy now.
 	Free int16
 	// Far tells that the worker is in another data centre.
@@ -19,6 +25,18 @@
 	Ejected bool
 }
 
+// NewCandidate returns a candidate with its score.
+func NewCandidate(free int16, far, ejected bool) Candidate {
+	c := Candidate{Free: free, Far: far, Ejected: ejected}
+	if free > 0 && !ejected {
+		c.Score = int32(free)
+		if !far {
+			c.Score += nearBonus
+		}
+	}
+	return c
+}
+
 // Permit is the right to run one request on a worker. It must be given back with Release.
 type Permit struct {
 	Worker     instance.ID
@@ -154,8 +172,9 @@
 	if !e.refused && !h.shards[e.shard].expired {
 		free = max(0, e.slots-e.inUse)
 	}
-	h.free += free - int(h.candidates[i].Free)
-	h.candidates[i].Free = int16(free)
+	c := h.candidates[i]
+	h.free += free - int(c.Free)
+	h.candidates[i] = NewCandidate(int16(free), c.Far, c.Ejected)
 }
 
 // Expire withdraws the free slots of grants that have expired. It costs one comparison until the next expiry.
@@ -224,6 +243,7 @@
 func (h *Holding) SetEjected(id instance.ID, ejected bool) {
 	if i, known := h.index[id]; known {
 		h.candidates[i].Ejected = ejected
+		h.update(i)
 	}
 }
 
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,99 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/budget"
+	"clementinewalk.example/clementinewalk/internal/instance"
+)
+
+func policies(t testing.TB) map[string]Policy {
+	out := map[string]Policy{}
+	for _, name := range []string{NameRandom, NameP2C, NameExact} {
+		p, err := New(name, rand.New(rand.NewPCG(1, 2)))
+		require.NoError(t, err)
+		out[name] = p
+	}
+	return out
+}
+
+// Guards against a choice without a free slot or of an ejected worker, and against no choice although there is one.
+func TestChoicesAreUsable(t *testing.T) {
+	r := rand.New(rand.NewPCG(3, 4))
+	for name, p := range policies(t) {
+		require.Equal(t, None, p.Choose(nil, None), name)
+		for range 2000 {
+			c := make([]budget.Candidate, 1+r.IntN(12))
+			any := false
+			for i := range c {
+				c[i] = budget.NewCandidate(int16(max(0, r.IntN(12)-8)), r.IntN(2) == 0, r.IntN(4) == 0)
+				any = any || c[i].Free > 0 && !c[i].Ejected
+			}
+			avoid := r.IntN(len(c)+1) - 1
+			i := p.Choose(c, avoid)
+			require.Equal(t, any, i != None, name)
+			if any {
+				require.True(t, c[i].Free > 0 && !c[i].Ejected, name)
+			}
+		}
+	}
+	_, err := New("other", nil)
+	require.ErrorAs(t, err, new(*UnknownPolicyError))
+}
+
+// Guards against an exact policy that misses the freest worker or goes to another data centre without need.
+func TestExactPrefersNearThenFree(t *testing.T) {
+	p := policies(t)[NameExact]
+	c := []budget.Candidate{budget.NewCandidate(8, true, false), budget.NewCandidate(2, false, false),
+		budget.NewCandidate(5, false, false), budget.NewCandidate(6, false, true)}
+	for range 50 {
+		require.Equal(t, 2, p.Choose(c, None))
+		require.Equal(t, 1, p.Choose(c, 2))
+	}
+	c[1], c[2] = budget.NewCandidate(0, false, false), budget.NewCandidate(0, false, false)
+	require.Equal(t, 0, p.Choose(c, None))
+}
+
+// Guards against an ejection that is too short, too long, or takes more than half of the workers.
+func TestOutliers(t *testing.T) {
+	o, now := NewOutliers(), time.Unix(100, 0)
+	fail := func(id instance.ID) (ejected bool) {
+		for range failuresInRow {
+			ejected = o.Failed(now, id, 3) || ejected
+		}
+		return ejected
+	}
+	require.True(t, fail("a"))
+	require.False(t, fail("b"), "at most half of the workers")
+	require.Empty(t, o.Returned(now.Add(firstEjection-1)))
+	now = now.Add(firstEjection)
+	require.Equal(t, []instance.ID{"a"}, o.Returned(now))
+	require.True(t, o.Failed(now, "a", 3), "one failure after the return ejects again")
+	require.Empty(t, o.Returned(now.Add(2*firstEjection-1)))
+	require.Equal(t, []instance.ID{"a"}, o.Returned(now.Add(2*firstEjection)))
+	o.Succeeded("a")
+	require.False(t, o.Failed(now, "a", 3))
+}
+
+// The design allows a microsecond and no allocation for a choice.
+func BenchmarkChoose(b *testing.B) {
+	for _, workers := range []int{8, 65, 500} {
+		c := make([]budget.Candidate, workers)
+		for i := range c {
+			c[i] = budget.NewCandidate(int16(i%9), i%4 != 0, false)
+		}
+		for name, p := range policies(b) {
+			b.Run(fmt.Sprintf("%s/%d", name, workers), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					p.Choose(c, None)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/ticket/issuer.go
@@ -0,0 +1,122 @@
+// Package ticket issues tickets for non-idempotent requests and remembers how each was used, so that a request runs at
+// most once however often its caller repeats it. It holds no clock, network or goroutine.
+package ticket
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"sync/atomic"
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/instance"
+)
+
+const (
+	version    = 1
+	headerSize = 1 + 8 + 8
+	// sealSize is the length of the truncated HMAC in bytes; 16 leave no chance of guessing within a ticket's life.
+	sealSize       = 16
+	maxIncarnation = 64
+	// maxText bounds the text that Parse decodes.
+	maxText = 4 * (headerSize + maxIncarnation + sealSize + 2) / 3
+	// DefaultLife is how long a ticket can be used.
+	DefaultLife = 10 * time.Minute
+)
+
+// Ticket is the content of a ticket. Its seal can be checked only by the incarnation that issued it.
+type Ticket struct {
+	Incarnation instance.Incarnation
+	Serial      uint64
+	Expiry      time.Time
+}
+
+// MalformedError reports a text that is no ticket.
+type MalformedError struct{ Detail string }
+
+// Error implements error.
+func (e *MalformedError) Error() string { return "malformed ticket: " + e.Detail }
+
+// ForeignError reports a ticket of another gateway incarnation.
+type ForeignError struct{ Ticket Ticket }
+
+// Error implements error.
+func (e *ForeignError) Error() string {
+	return "ticket was issued by the incarnation " + string(e.Ticket.Incarnation)
+}
+
+// ForgedError reports a ticket whose seal is wrong.
+type ForgedError struct{ Ticket Ticket }
+
+// Error implements error.
+func (e *ForgedError) Error() string { return "ticket has a wrong seal" }
+
+// ExpiredError reports a ticket that was issued here and can be used no more.
+type ExpiredError struct{ Ticket Ticket }
+
+// Error implements error.
+func (e *ExpiredError) Error() string {
+	return "ticket expired at " + e.Ticket.Expiry.UTC().Format(time.RFC3339)
+}
+
+// Issuer issues and opens the tickets of one gateway incarnation. It is safe for concurrent use.
+type Issuer struct {
+	inc    instance.Incarnation
+	key    []byte
+	life   time.Duration
+	serial atomic.Uint64
+}
+
+// NewIssuer returns an issuer. key must be random and known to nobody else; life is how long a ticket can be used.
+func NewIssuer(inc instance.Incarnation, key []byte, life time.Duration) *Issuer {
+	return &Issuer{inc: inc, key: key, life: life}
+}
+
+// Issue returns a fresh ticket.
+func (i *Issuer) Issue(now time.Time) string {
+	b := make([]byte, headerSize, headerSize+len(i.inc)+sealSize)
+	b[0] = version
+	binary.BigEndian.PutUint64(b[1:], i.serial.Add(1))
+	binary.BigEndian.PutUint64(b[9:], uint64(now.Add(i.life).UnixMilli()))
+	b = append(b, i.inc...)
+	return base64.RawURLEncoding.EncodeToString(append(b, i.seal(b)...))
+}
+
+func (i *Issuer) seal(b []byte) []byte {
+	h := hmac.New(sha256.New, i.key)
+	h.Write(b)
+	return h.Sum(nil)[:sealSize]
+}
+
+// Open checks a ticket. It returns *MalformedError, *ForeignError, *ForgedError or *ExpiredError.
+func (i *Issuer) Open(now time.Time, text string) (Ticket, error) {
+	t, b, seal, err := parse(text)
+	switch {
+	case err != nil:
+		return Ticket{}, err
+	case t.Incarnation != i.inc:
+		return t, &ForeignError{Ticket: t}
+	case !hmac.Equal(seal, i.seal(b)):
+		return t, &ForgedError{Ticket: t}
+	case !now.Before(t.Expiry):
+		return t, &ExpiredError{Ticket: t}
+	}
+	return t, nil
+}
+
+func parse(text string) (t Ticket, content, seal []byte, err error) {
+	if len(text) > maxText {
+		return t, nil, nil, &MalformedError{Detail: "too long"}
+	}
+	b, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil {
+		return t, nil, nil, &MalformedError{Detail: err.Error()}
+	}
+	if len(b) <= headerSize+sealSize || b[0] != version {
+		return t, nil, nil, &MalformedError{Detail: "wrong length or version"}
+	}
+	content, seal = b[:len(b)-sealSize], b[len(b)-sealSize:]
+	return Ticket{Serial: binary.BigEndian.Uint64(b[1:]), Expiry: time.UnixMilli(int64(binary.BigEndian.Uint64(b[9:]))),
+		Incarnation: instance.Incarnation(content[headerSize:])}, content, seal, nil
+}
--- /dev/null
+++ b/internal/ticket/table.go
@@ -0,0 +1,155 @@
+package ticket
+
+import (
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/invariant"
+)
+
+// Verdict tells what to do with a request that carries a valid ticket.
+type Verdict string
+
+// The verdicts of Begin.
+const (
+	// Dispatch: the ticket was unused; the request may run now, and End must follow.
+	Dispatch Verdict = "dispatch"
+	// Wait: the first request with this ticket is still in progress.
+	Wait Verdict = "wait"
+	// Repeat: the stored answer of the first request is the answer.
+	Repeat Verdict = "repeat"
+	// Mismatch: the ticket was used for a different request; this one was not run.
+	Mismatch Verdict = "mismatch"
+	// Full: too many tickets are in use; the request was not run.
+	Full Verdict = "full"
+)
+
+// Fingerprint tells requests apart, so that a ticket cannot give one request the answer to another.
+type Fingerprint [32]byte
+
+// Answer is what a request with a ticket ended with.
+type Answer struct {
+	State  contract.AnswerState
+	Reason string
+	Body   []byte
+}
+
+// Limits bound the memory of a Table.
+type Limits struct {
+	// Tickets bounds the used tickets that are remembered until their expiry.
+	Tickets int
+	// Bytes bounds the stored bodies. The oldest one is dropped first; a repeat then gets the answer unknown.
+	Bytes int
+}
+
+// ReasonDropped is the reason of a repeat whose stored answer was dropped.
+const ReasonDropped = "stored-answer-dropped"
+
+type record struct {
+	print    Fingerprint
+	expiry   time.Time
+	answered bool
+	answer   Answer
+}
+
+// Table remembers the used tickets of one issuer. An unused ticket costs no memory. It is not safe for concurrent use.
+type Table struct {
+	limits  Limits
+	used    map[uint64]*record
+	expiry  map[int64][]uint64
+	swept   int64
+	bodies  []uint64
+	bytes   int
+	dropped int
+}
+
+// NewTable returns an empty table.
+func NewTable(l Limits) *Table {
+	return &Table{limits: l, used: map[uint64]*record{}, expiry: map[int64][]uint64{}}
+}
+
+// Begin takes up a request with a ticket that Issuer.Open accepted at the same now.
+func (t *Table) Begin(now time.Time, k Ticket, print Fingerprint) (Verdict, Answer) {
+	t.sweep(now)
+	r := t.used[k.Serial]
+	switch {
+	case r == nil && len(t.used) >= t.limits.Tickets:
+		return Full, Answer{}
+	case r == nil:
+		second := k.Expiry.Unix()
+		t.used[k.Serial] = &record{print: print, expiry: k.Expiry}
+		t.expiry[second] = append(t.expiry[second], k.Serial)
+		return Dispatch, Answer{}
+	case r.print != print:
+		return Mismatch, Answer{}
+	case !r.answered:
+		return Wait, Answer{}
+	}
+	return Repeat, r.answer
+}
+
+// End stores the answer of a dispatched request. A request that was not run leaves its ticket unused.
+func (t *Table) End(serial uint64, a Answer) {
+	r := t.used[serial]
+	invariant.Check(invariant.TicketDispatchOnce, r != nil && !r.answered, "serial", serial, "answer", a.State)
+	if r == nil || r.answered {
+		return
+	}
+	if a.State == contract.AnswerNotRun {
+		delete(t.used, serial)
+		return
+	}
+	r.answered, r.answer = true, a
+	if len(a.Body) > 0 {
+		t.bodies = append(t.bodies, serial)
+		t.bytes += len(a.Body)
+		t.shrink()
+	}
+}
+
+// shrink drops the oldest bodies beyond the limit.
+func (t *Table) shrink() {
+	for t.bytes > t.limits.Bytes && len(t.bodies) > 0 {
+		serial := t.bodies[0]
+		t.bodies = t.bodies[1:]
+		if r := t.used[serial]; r != nil && len(r.answer.Body) > 0 {
+			t.bytes -= len(r.answer.Body)
+			r.answer = Answer{State: contract.AnswerUnknown, Reason: ReasonDropped}
+			t.dropped++
+		}
+	}
+}
+
+// sweep forgets answered tickets a second after their expiry; Issuer.Open refuses them from then on. A ticket in progress is kept.
+func (t *Table) sweep(now time.Time) {
+	last := now.Unix() - 1
+	if t.swept == 0 {
+		t.swept = last
+	}
+	for ; t.swept < last; t.swept++ {
+		second := t.swept
+		for _, serial := range t.expiry[second] {
+			t.forget(serial, last)
+		}
+		delete(t.expiry, second)
+	}
+	for len(t.bodies) > 0 && t.used[t.bodies[0]] == nil {
+		t.bodies = t.bodies[1:]
+	}
+}
+
+func (t *Table) forget(serial uint64, last int64) {
+	r := t.used[serial]
+	if r == nil || r.expiry.Unix() > last {
+		return
+	}
+	if !r.answered {
+		t.expiry[last+1] = append(t.expiry[last+1], serial)
+		return
+	}
+	t.bytes -= len(r.answer.Body)
+	delete(t.used, serial)
+}
+
+// Size returns the number of used tickets, the bytes of stored bodies and the number of bodies dropped so far.
+func (t *Table) Size() (tickets, bytes, dropped int) { return len(t.used), t.bytes, t.dropped }
