Scan scores without branches in the exact routing policy

Cause: a scan over 500 workers took 1209 ns, above the microsecond that the design allows for a choice. Change: score and masked index form one number, so that the loop has no branches; ties are broken by a random mask instead of a random start.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -103,28 +103,30 @@
 }
 
 // exact takes the worker with the most free slots, in the own data centre first. The slots are exclusive, so no other gateway can
-// make the choice wrong. The scan starts at a random place to spread requests over equal workers.
+// make the choice wrong. Equal workers are taken in random order.
 type exact struct{ r *rand.Rand }
 
 // Choose implements Policy.
 func (p *exact) Choose(c []budget.Candidate, avoid int) int {
-	if len(c) == 0 {
-		return None
+	mask := uint64(p.r.Uint32())
+	var best uint64
+	if avoid >= 0 && avoid < len(c) {
+		best = max(scan(c[:avoid], 0, mask), scan(c[avoid+1:], uint64(avoid)+1, mask))
+	} else {
+		best = scan(c, 0, mask)
 	}
-	start := p.r.IntN(len(c))
-	best, bestScore := scan(c, start, len(c), avoid, None, 0)
-	best, _ = scan(c, 0, start, avoid, best, bestScore)
-	if best == None {
+	if best>>32 == 0 {
 		return fallback(c, avoid)
 	}
-	return best
+	return int(uint32(best) ^ uint32(mask))
 }
 
-func scan(c []budget.Candidate, from, to, avoid, best int, bestScore int32) (int, int32) {
-	for i := from; i < to; i++ {
-		if s := c[i].Score; s > bestScore && i != avoid {
-			best, bestScore = i, s
-		}
+// scan returns the largest score in the upper 32 bits, and the index of its worker, changed by mask, in the lower ones. One
+// number for both lets the loop work without branches, which took 1.2 microseconds at 500 workers.
+func scan(c []budget.Candidate, first, mask uint64) uint64 {
+	var best uint64
+	for i := range c {
+		best = max(best, uint64(c[i].Score)<<32|(first+uint64(i))^mask)
 	}
-	return best, bestScore
+	return best
 }
