--- a/internal/scheduler/outbox.go
+++ b/internal/scheduler/outbox.go
@@ -49,6 +49,7 @@
 	for i := range o.queue {
 		if o.queue[i].id == id {
 			o.queue = append(o.queue[:i:i], o.queue[i+1:]...)
+			o.settled()
 			return
 		}
 	}
@@ -108,8 +109,12 @@
 	}
 	o.done = nil
 	o.queue = append(again, o.queue...)
-	// Everything was read back, so the failed append has taken effect.
-	if len(o.queue) == 0 {
+	o.settled()
+}
+
+// settled clears the failure of an append once all of its records were read back, because it has taken effect after all.
+func (o *outbox) settled() {
+	if len(o.queue) == 0 && len(o.flight) == 0 {
 		o.failures = 0
 	}
 }
--- a/internal/shard/claim.go
+++ b/internal/shard/claim.go
@@ -115,9 +115,11 @@
 	incarnation instance.Incarnation
 	// other is since when another scheduler has been selected.
 	other time.Time
-	// seenOwner is since when the newest claim has been known without its owner reporting the shard.
+	// readSince is since when the stream has been read to its end, seenEpoch the newest epoch seen there. claimAt is when that epoch
+	// began if it began since then; it is a sign of life of its owner.
+	readSince time.Time
 	seenEpoch uint64
-	seenAt    time.Time
+	claimAt   time.Time
 }
 
 // NewClaimant returns the claimant of one shard for a scheduler's incarnation.
@@ -135,6 +137,7 @@
 
 // Next returns the next step. read is nil unless the stream is followed and was read to its end.
 func (c *Claimant) Next(v View, read *Ownership) Step {
+	c.observe(v.Now, read)
 	if read != nil && c.Owns(v.Self, *read) {
 		return c.keep(v)
 	}
@@ -154,6 +157,17 @@
 	return StepRead
 }
 
+func (c *Claimant) observe(now time.Time, read *Ownership) {
+	switch {
+	case read == nil:
+		c.readSince, c.seenEpoch, c.claimAt = time.Time{}, 0, time.Time{}
+	case c.readSince.IsZero():
+		c.readSince, c.seenEpoch = now, read.Epoch
+	case c.seenEpoch != read.Epoch:
+		c.seenEpoch, c.claimAt = read.Epoch, now
+	}
+}
+
 func (c *Claimant) keep(v View) Step {
 	if c.Selected(v) {
 		c.other = time.Time{}
@@ -169,25 +183,25 @@
 }
 
 // gone reports whether the owner of the newest claim no longer acts: it released the shard, is absent from the list or
-// restarted, or was silent for the owner timeout since this scheduler first saw the claim.
+// restarted, or was silent for the owner timeout. A claim that has just arrived is a sign of life; without that rule two
+// schedulers that do not hear each other would claim in turns as fast as they can read.
 func (c *Claimant) gone(v View, o Ownership) bool {
 	if o.Epoch == 0 || o.Released || o.Claim.Owner == v.Self {
 		return true
 	}
-	if c.seenEpoch != o.Epoch {
-		c.seenEpoch, c.seenAt = o.Epoch, v.Now
+	if v.Now.Sub(c.claimAt) < v.OwnerTimeout {
+		return false
 	}
 	p, ok := v.Peers[o.Claim.Owner]
 	if !ok || p.Incarnation != o.Claim.Incarnation {
-		return v.ListKnown || v.Now.Sub(c.seenAt) >= v.OwnerTimeout
+		return v.ListKnown || v.Now.Sub(c.readSince) >= v.OwnerTimeout
 	}
-	since := latest(p.Heard, v.Start)
-	if v.Now.Sub(since) >= v.OwnerTimeout {
+	if v.Now.Sub(latest(p.Heard, v.Start)) >= v.OwnerTimeout {
 		return true
 	}
 	// The owner is alive but has not reported the shard: it has not read its claim back yet, or it gave up. Three timeouts
 	// leave room for a slow log.
-	return v.Now.Sub(c.seenAt) >= 3*v.OwnerTimeout
+	return v.Now.Sub(latest(c.readSince, c.claimAt)) >= 3*v.OwnerTimeout
 }
 
 func latest(a, b time.Time) time.Time {
