--- /dev/null
+++ b/internal/upstream/client_test.go
@@ -0,0 +1,116 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func serve(t *testing.T, h http.HandlerFunc) (*Client, string) {
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return NewClient(srv.Client()), srv.Listener.Addr().String()
+}
+
+// good answers with a whole answer, apart from the given headers.
+func good(w http.ResponseWriter, id, body string, change map[string]string) {
+	h := w.Header()
+	h.Set(HeaderRequestID, id)
+	h.Set(HeaderLength, strconv.Itoa(len(body)))
+	h.Set(HeaderDigest, Digest([]byte(body)))
+	for k, v := range change {
+		h.Set(k, v)
+	}
+	_, _ = w.Write([]byte(body))
+}
+
+// Guards against an answer of another request, a cut or changed body, and an oversized one that reach a caller.
+func TestExecuteVerifiesAnswers(t *testing.T) {
+	for name, change := range map[string]map[string]string{
+		string(CheckRequestID): {HeaderRequestID: "other"}, string(CheckLength): {HeaderLength: "3"}, string(CheckDigest): {HeaderDigest: "0"},
+	} {
+		c, addr := serve(t, func(w http.ResponseWriter, r *http.Request) { good(w, r.Header.Get(HeaderRequestID), "answer", change) })
+		_, err := c.Execute(t.Context(), addr, ExecuteRequest{RequestID: "id"})
+		var corrupt *CorruptAnswerError
+		require.ErrorAs(t, err, &corrupt)
+		require.Equal(t, name, string(corrupt.Check))
+	}
+	c, addr := serve(t, func(w http.ResponseWriter, r *http.Request) { good(w, "id", strings.Repeat("x", MaxAnswer+1), nil) })
+	_, err := c.Execute(t.Context(), addr, ExecuteRequest{RequestID: "id"})
+	var unknown *UnknownError
+	require.ErrorAs(t, err, &unknown)
+	c, addr = serve(t, func(w http.ResponseWriter, r *http.Request) { good(w, "id", "answer", nil) })
+	a, err := c.Execute(t.Context(), addr, ExecuteRequest{RequestID: "id"})
+	require.NoError(t, err)
+	require.Equal(t, "answer", string(a.Body))
+}
+
+// Guards against "not run" for a request that may have been run: a refusal of another request, a status without a reason, a connection
+// that breaks after the request, and a redirect.
+func TestExecuteNeverGuessesNotRun(t *testing.T) {
+	for name, h := range map[string]http.HandlerFunc{
+		"crossed refusal": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(HeaderRequestID, "other")
+			w.Header().Set(HeaderNotRun, "overload")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"bare status": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		"redirect":    func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/", http.StatusTemporaryRedirect) },
+		"broken":      func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"refusal with an answer": func(w http.ResponseWriter, _ *http.Request) {
+			good(w, "id", "answer", map[string]string{HeaderNotRun: "overload", HeaderDigest: "0"})
+		},
+	} {
+		c, addr := serve(t, h)
+		_, err := c.Execute(t.Context(), addr, ExecuteRequest{RequestID: "id"})
+		require.Error(t, err, name)
+		var notRun *NotRunError
+		require.NotErrorAs(t, err, &notRun, name)
+	}
+}
+
+// Guards against an unknown outcome where nothing can have been sent, which would forbid a retry.
+func TestNothingSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := ln.Addr().String()
+	require.NoError(t, ln.Close())
+	c := NewClient(&http.Client{})
+	_, err = c.Execute(t.Context(), addr, ExecuteRequest{RequestID: "id"})
+	var notRun *NotRunError
+	require.ErrorAs(t, err, &notRun)
+	require.Equal(t, RefusalNone, notRun.Reason)
+	_, err = c.Start(t.Context(), addr, StartRequest{})
+	var call *CallError
+	require.ErrorAs(t, err, &call)
+	require.False(t, call.Sent)
+}
+
+// Guards against a control call that claims to be unsent after the worker has received it, or that trusts a malformed answer.
+func TestControlErrors(t *testing.T) {
+	for name, h := range map[string]http.HandlerFunc{
+		"silent": func(_ http.ResponseWriter, r *http.Request) {
+			// The server notices the end of the connection only after the body has been read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		},
+		"status":    func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) },
+		"malformed": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{")) },
+	} {
+		c, addr := serve(t, h)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		_, err := c.Lease(ctx, addr, LeaseRequest{})
+		cancel()
+		var call *CallError
+		require.ErrorAs(t, err, &call, name)
+		require.True(t, call.Sent, name)
+	}
+}
--- /dev/null
+++ b/internal/upstream/errors.go
@@ -0,0 +1,102 @@
+package upstream
+
+import "fmt"
+
+// CallError reports a control call without a usable answer.
+type CallError struct {
+	Addr string
+	Path string
+	// Sent tells that bytes of the call may have reached the worker. A false value is certain.
+	Sent bool
+	Err  error
+}
+
+// Error implements error.
+func (e *CallError) Error() string {
+	sent := "nothing was sent"
+	if e.Sent {
+		sent = "it may have reached the worker"
+	}
+	return fmt.Sprintf("call of %s at worker %s failed, %s: %v", e.Path, e.Addr, sent, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Err }
+
+// NotRunError reports a request that was certainly not run: the worker refused it, or no byte of it was sent.
+type NotRunError struct {
+	Addr string
+	// Reason is the worker's reason; RefusalNone if nothing was sent.
+	Reason Refusal
+	// Err is the cause if nothing was sent.
+	Err error
+}
+
+// Error implements error.
+func (e *NotRunError) Error() string {
+	if e.Reason != RefusalNone {
+		return fmt.Sprintf("worker %s did not run the request: %s", e.Addr, e.Reason)
+	}
+	return fmt.Sprintf("request was not sent to worker %s: %v", e.Addr, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *NotRunError) Unwrap() error { return e.Err }
+
+// UnknownError reports a request that may have been run but has no whole answer.
+type UnknownError struct {
+	Addr string
+	Err  error
+}
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("outcome of the request at worker %s is unknown: %v", e.Addr, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// Check names the property of an answer that a client verifies.
+type Check string
+
+// The verified properties.
+const (
+	CheckRequestID Check = "request id"
+	CheckLength    Check = "length"
+	CheckDigest    Check = "digest"
+)
+
+// CorruptAnswerError reports an answer that belongs to another request or is not whole. The request itself may have been run.
+type CorruptAnswerError struct {
+	Addr  string
+	Check Check
+	Want  string
+	Got   string
+}
+
+// Error implements error.
+func (e *CorruptAnswerError) Error() string {
+	return fmt.Sprintf("answer of worker %s has %s %q in place of %q", e.Addr, e.Check, e.Got, e.Want)
+}
+
+// StatusError reports an unexpected HTTP status.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("unexpected HTTP status %d", e.Status) }
+
+// SizeError reports a body above the limit.
+type SizeError struct{ Limit int }
+
+// Error implements error.
+func (e *SizeError) Error() string { return fmt.Sprintf("body is larger than %d bytes", e.Limit) }
+
+// DecodeError reports an answer that is not valid JSON of the expected type.
+type DecodeError struct{ Err error }
+
+// Error implements error.
+func (e *DecodeError) Error() string { return "cannot decode the answer: " + e.Err.Error() }
+
+// Unwrap returns the codec's own error.
+func (e *DecodeError) Unwrap() error { return e.Err }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -33,6 +33,8 @@
 	HeaderDigest     = "Clementine-Digest"
 	HeaderLength     = "Clementine-Length"
 	HeaderNotRun     = "Clementine-Not-Run"
+	// HeaderNonIdempotent is "1" on a request that must not be executed twice.
+	HeaderNonIdempotent = "Clementine-Non-Idempotent"
 )
 
 // Refusal is the reason of a refused call.
@@ -49,6 +51,8 @@
 	RefusalLeaving      Refusal = "leaving"
 	RefusalUnknownTask  Refusal = "unknown-task"
 	RefusalStaleAttempt Refusal = "stale-attempt"
+	RefusalStaleBoot    Refusal = "stale-boot"
+	RefusalMalformed    Refusal = "malformed"
 )
 
 // TaskRef names one attempt of a task.
@@ -120,6 +124,8 @@
 	Progress float64 `json:"progress"`
 	// Throttle is the share of processor time that the task may use; 1 is unthrottled.
 	Throttle float64 `json:"throttle"`
+	// Checkpoint names the newest checkpoint, where the task resumes if the worker dies; empty if there is none.
+	Checkpoint string `json:"checkpoint,omitempty"`
 }
 
 // Outcome tells how an attempt ended.
@@ -158,6 +164,9 @@
 type StartRequest struct {
 	Shard string `json:"shard"`
 	Epoch uint64 `json:"epoch"`
+	// Boot is the worker incarnation that is meant; another one refuses the start with RefusalStaleBoot. A delayed start can
+	// therefore not take effect after a reboot that the owner has already seen. Empty means any incarnation.
+	Boot instance.Incarnation `json:"boot,omitempty"`
 	TaskRef
 	Kind string          `json:"kind"`
 	Size resource.Vector `json:"size"`
