Check incarnation and bound of start calls and cancel requests in the worker stand-in

Cause: a worker that accepts a start call without its incarnation, or after the bound that the owner counts with, runs attempts that were closed; a slot whose request was given up had no way to be confirmed free. Change: the stand-in requires Boot, refuses after NotAfter, and answers cancel calls; it never interrupts a non-idempotent request. Conclusion: the stand-in now enforces what the models assume.

--- a/internal/standin/worker/control.go
+++ b/internal/standin/worker/control.go
@@ -24,6 +24,10 @@
 func (w *Worker) leaseCall(now time.Time, r upstream.LeaseRequest) upstream.LeaseReply {
 	lf := w.life
 	out := upstream.LeaseReply{Boot: lf.boot, Clock: w.clock(now), Leaving: !w.leaving.IsZero()}
+	if r.AsOf > 0 && r.Boot != lf.boot {
+		// The reading is of another clock. The call still fences.
+		r.AsOf = 0
+	}
 	renewal := lf.lease.Renew(out.Clock, r.Shard, r.Epoch, r.AsOf, r.TTL)
 	out.Refusal, out.Epoch, out.Expiry = renewal.Refusal, lf.lease.Epoch(), lf.lease.Expiry()
 	if renewal.Refusal != upstream.RefusalNone {
@@ -69,9 +73,12 @@
 	if refusal := lf.lease.CheckLease(w.clock(now), r.Shard, r.Epoch); refusal != upstream.RefusalNone {
 		return w.refuse(refusal)
 	}
-	if r.Boot != "" && r.Boot != lf.boot {
+	if r.Boot != lf.boot {
 		return w.refuse(upstream.RefusalWrongBoot)
 	}
+	if r.NotAfter > 0 && w.clock(now) >= r.NotAfter {
+		return w.refuse(upstream.RefusalNoLease)
+	}
 	if t := lf.tasks[r.TaskRef]; t != nil {
 		return upstream.TaskReply{Known: true, Checkpoint: t.checkpointName()}
 	}
--- a/internal/standin/worker/execute.go
+++ b/internal/standin/worker/execute.go
@@ -96,8 +96,12 @@
 	call     call
 	run      time.Duration
 	slowdown float64
+	// cancelled is closed when the gateway cancels the request.
+	cancelled chan struct{}
 }
 
+func (s *slot) key() requestKey { return requestKey{gateway: s.call.gateway, id: s.call.id} }
+
 // occupy checks a call and takes a slot for it.
 func (w *Worker) occupy(c call, conn *connMark) (*slot, upstream.Refusal) {
 	w.mu.Lock()
@@ -114,7 +118,8 @@
 	lf.busy++
 	lf.inProgress[c.gateway]++
 	w.ledger.Execute(w.cfg.ID, c.id, c.kind, c.nonIdempotent)
-	s := &slot{life: lf, call: c, slowdown: w.slowdown(c.kind)}
+	s := &slot{life: lf, call: c, slowdown: w.slowdown(c.kind), cancelled: make(chan struct{})}
+	lf.requests[s.key()] = s
 	s.run = time.Duration(float64(w.cfg.Model.RequestTime(c.kind, c.id)) * s.slowdown)
 	return s, upstream.RefusalNone
 }
@@ -127,6 +132,10 @@
 	if lf.stale(c.gateway, c.generation) {
 		return upstream.RefusalStaleGrant
 	}
+	key := requestKey{gateway: c.gateway, id: c.id}
+	if _, ok := lf.cancelled[key]; ok || lf.requests[key] != nil {
+		return upstream.RefusalCancelled
+	}
 	if w.late(now) {
 		w.ledger.Violate(ViolationLateWork, w.cfg.ID, "request "+c.id)
 		return upstream.RefusalLeaving
@@ -142,7 +151,8 @@
 	return upstream.RefusalNone
 }
 
-// finish runs the request and frees its slot. It returns false if the worker died meanwhile. A caller that goes away does not end the run.
+// finish runs the request and frees its slot. It returns false if the worker died or the request was cancelled meanwhile. A caller that goes away
+// does not end the run.
 func (w *Worker) finish(s *slot) bool {
 	t := time.NewTimer(s.run)
 	defer t.Stop()
@@ -150,16 +160,15 @@
 	case <-t.C:
 	case <-s.life.ended:
 		return false
+	case <-s.cancelled:
+		return false
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.life != s.life {
+	if w.life != s.life || s.life.requests[s.key()] != s {
 		return false
 	}
-	s.life.busy--
-	if s.life.inProgress[s.call.gateway]--; s.life.inProgress[s.call.gateway] == 0 {
-		delete(s.life.inProgress, s.call.gateway)
-	}
+	w.free(s)
 	s.life.usage.observe(s.call.kind, s.slowdown)
 	return true
 }
--- a/internal/standin/worker/http.go
+++ b/internal/standin/worker/http.go
@@ -42,6 +42,8 @@
 		control(w, rw, r, w.checkpointCall)
 	case upstream.PathExecute:
 		w.execute(rw, r)
+	case upstream.PathCancel:
+		control(w, rw, r, w.cancelCall)
 	default:
 		rw.WriteHeader(http.StatusNotFound)
 	}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -75,6 +75,9 @@
 	lastEvent  uint64
 	inProgress map[instance.Incarnation]int
 	busy       int
+	// requests holds the requests in progress, cancelled the time of each cancellation.
+	requests  map[requestKey]*slot
+	cancelled map[requestKey]time.Time
 	// conns counts the open connections that have carried a request.
 	conns   int
 	usage   usageLog
@@ -118,7 +121,7 @@
 	w.ledger.Count(CountBoots)
 	w.life = &life{boot: instance.Incarnation(uuid.NewString()), ended: make(chan struct{}), sampled: now,
 		fences: map[instance.Incarnation]uint64{}, tasks: map[upstream.TaskRef]*task{}, attempts: map[taskKey]attemptSeen{},
-		inProgress: map[instance.Incarnation]int{},
+		inProgress: map[instance.Incarnation]int{}, requests: map[requestKey]*slot{}, cancelled: map[requestKey]time.Time{},
 		// Event numbers grow across boots, so an acknowledgement for an earlier boot cannot remove a later event.
 		lastEvent: uint64(now.UnixMicro())}
 	w.timer = time.AfterFunc(samplePeriod, w.wake)
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -30,6 +30,7 @@
 	ledger *Ledger
 	client *upstream.Client
 	addr   string
+	boot   instance.Incarnation
 }
 
 func newBench(t *testing.T, kinds map[string]Kind) *bench {
@@ -60,11 +61,15 @@
 // hold fences the worker and grants lease time.
 func (b *bench) hold(ttl time.Duration) upstream.LeaseReply {
 	first := b.lease(upstream.LeaseRequest{})
-	return b.lease(upstream.LeaseRequest{AsOf: first.Clock, TTL: ttl})
+	b.boot = first.Boot
+	return b.lease(upstream.LeaseRequest{AsOf: first.Clock, TTL: ttl, Boot: first.Boot})
 }
 
 func (b *bench) start(r upstream.StartRequest) upstream.TaskReply {
 	r.Shard, r.Epoch, r.Job = shard, epoch, "job"
+	if r.Boot == "" {
+		r.Boot = b.boot
+	}
 	out, err := b.client.Start(b.t.Context(), b.addr, r)
 	require.NoError(b.t, err)
 	return out
@@ -102,6 +107,8 @@
 	}
 	require.Equal(t, upstream.RefusalStaleAttempt, b.start(upstream.StartRequest{TaskRef: ref(3)}).Refusal, "a stop comes before a delayed start")
 	require.Equal(t, upstream.RefusalWrongBoot, b.start(upstream.StartRequest{TaskRef: ref(4), Boot: "other"}).Refusal)
+	late := upstream.StartRequest{TaskRef: ref(4), NotAfter: time.Nanosecond}
+	require.Equal(t, upstream.RefusalNoLease, b.start(late).Refusal, "a start call ends with the lease time that it was sent under")
 	require.Equal(t, int64(1), b.counts()[CountStarts])
 	require.Zero(t, b.ledger.Stats().Violated)
 }
@@ -144,7 +151,7 @@
 	time.Sleep(250 * time.Millisecond)
 	tasks, _ := b.worker.Load()
 	require.Zero(t, tasks)
-	late := b.lease(upstream.LeaseRequest{AsOf: held.Clock, TTL: 150 * time.Millisecond, Full: true})
+	late := b.lease(upstream.LeaseRequest{AsOf: held.Clock, TTL: 150 * time.Millisecond, Full: true, Boot: b.boot})
 	require.LessOrEqual(t, late.Expiry, late.Clock)
 	require.Empty(t, late.Running)
 	require.Len(t, late.Events, 1)
@@ -293,7 +300,7 @@
 			// The worker may be dead; only races and panics count here.
 			r := upstream.LeaseRequest{Shard: shard, Epoch: epoch}
 			first, err := b.client.Lease(context.Background(), b.addr, r)
-			if r.AsOf, r.TTL = first.Clock, 20*time.Millisecond; err == nil {
+			if r.AsOf, r.TTL, r.Boot = first.Clock, 20*time.Millisecond, first.Boot; err == nil {
 				_, _ = b.client.Lease(context.Background(), b.addr, r)
 			}
 		},
@@ -336,3 +343,26 @@
 	require.NoError(t, err)
 	require.NoError(t, f.Drain(10*time.Millisecond, time.Second))
 }
+
+// Guards against a slot that is used again while the request that the gateway gave up on still runs or arrives later.
+func TestCancelledRequestDoesNotRun(t *testing.T) {
+	b := newBench(t, map[string]Kind{"quote": {RunTime: time.Hour}})
+	b.hold(time.Minute)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := b.client.Execute(ctx, b.addr, request("r1"))
+		ended <- err
+	}()
+	require.Eventually(t, func() bool { _, busy := b.worker.Load(); return busy == 1 }, 5*time.Second, time.Millisecond)
+	require.NoError(t, b.client.Cancel(t.Context(), b.addr, upstream.CancelRequest{Gateway: "g1", RequestID: "r1"}))
+	_, busy := b.worker.Load()
+	require.Zero(t, busy)
+	require.NoError(t, b.client.Cancel(t.Context(), b.addr, upstream.CancelRequest{Gateway: "g1", RequestID: "r2"}))
+	_, err := b.client.Execute(t.Context(), b.addr, request("r2"))
+	var refused *upstream.NotRunError
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, upstream.RefusalCancelled, refused.Reason)
+	cancel()
+	require.Error(t, <-ended)
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -54,6 +54,19 @@
 	return c.task(ctx, addr, PathCheckpoint, r)
 }
 
+// Cancel ends a request that the gateway has given up on. Without an error the request is not in progress and will not run. The error is a
+// *CallError, or a *RefusedError while a non-idempotent request still runs.
+func (c *Client) Cancel(ctx context.Context, addr string, r CancelRequest) error {
+	var out TaskReply
+	if err := c.control(ctx, addr, PathCancel, r, &out); err != nil {
+		return err
+	}
+	if out.Refusal != RefusalNone {
+		return &RefusedError{Addr: addr, Path: PathCancel, Reason: out.Refusal}
+	}
+	return nil
+}
+
 func (c *Client) task(ctx context.Context, addr, path string, in any) (TaskReply, error) {
 	var out TaskReply
 	err := c.control(ctx, addr, path, in, &out)
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -23,6 +23,18 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.Err }
 
+// RefusedError reports a control call that the worker refused.
+type RefusedError struct {
+	Addr   string
+	Path   string
+	Reason Refusal
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("worker %s refused the call of %s: %s", e.Addr, e.Path, e.Reason)
+}
+
 // NotRunError reports a request that was certainly not run: the worker refused it, or no byte of it was sent.
 type NotRunError struct {
 	Addr string
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -54,6 +54,8 @@
 	RefusalStaleAttempt Refusal = "stale-attempt"
 	RefusalWrongBoot    Refusal = "wrong-boot"
 	RefusalMalformed    Refusal = "malformed"
+	RefusalCancelled    Refusal = "cancelled"
+	RefusalInProgress   Refusal = "in-progress"
 )
 
 // TaskRef names one attempt of a task.
@@ -219,7 +221,8 @@
 }
 
 // CancelRequest ends a request that a gateway has given up on. After the answer the request is not in progress and the
-// worker refuses it if it arrives late, so the gateway may use its slot again.
+// worker refuses it if it arrives late, so the gateway may use its slot again. A non-idempotent request that runs is never
+// interrupted: the call is refused with RefusalInProgress until it has ended.
 type CancelRequest struct {
 	Gateway   instance.Incarnation `json:"gateway"`
 	RequestID string               `json:"request_id"`
