--- a/internal/operator/cli.go
+++ b/internal/operator/cli.go
@@ -49,6 +49,7 @@
 	Explain    ExplainCommand    `cmd:"" help:"Explain the decisions about a job or worker."`
 	Drain      DrainCommand      `cmd:"" help:"Move work off a worker."`
 	Report     ReportCommand     `cmd:"" help:"Report costs and deadlines."`
+	Keys       KeysCommand       `cmd:"" help:"Create the certificates of the system's processes."`
 	Completion CompletionCommand `cmd:"" help:"Print a completion script for a shell."`
 }
 
--- a/internal/operator/gateways.go
+++ b/internal/operator/gateways.go
@@ -21,7 +21,6 @@
 	callTimeout    = 10 * time.Second
 	maxAnswerBytes = 64 << 20
 	maxDetailBytes = 4 << 10
-	conflictStatus = http.StatusConflict
 )
 
 // call is one request to a gateway.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -16,9 +16,14 @@
 
 	"github.com/stretchr/testify/require"
 
+	"clementinewalk.example/clementinewalk/internal/config"
 	"clementinewalk.example/clementinewalk/internal/contract"
 	"clementinewalk.example/clementinewalk/internal/datacentre"
 	"clementinewalk.example/clementinewalk/internal/instance"
+	"clementinewalk.example/clementinewalk/internal/keys"
+	"clementinewalk.example/clementinewalk/internal/manifest"
+	"clementinewalk.example/clementinewalk/internal/platform"
+	"clementinewalk.example/clementinewalk/internal/process"
 	standin "clementinewalk.example/clementinewalk/internal/standin/platform"
 	"clementinewalk.example/clementinewalk/internal/upstream"
 )
@@ -325,10 +330,31 @@
 	require.Contains(t, from, second)
 }
 
+// Guards against certificates that the processes cannot load, and against an authority that is replaced by mistake.
+func TestKeys(t *testing.T) {
+	b := newBench(t)
+	dir := filepath.Join(t.TempDir(), "keys")
+	b.mustRun("keys", "init", "--dir", dir)
+	code, _, notes := b.run("keys", "init", "--dir", dir)
+	require.Equal(t, exitFailure, code)
+	require.Contains(t, notes, "Next: ")
+	b.mustRun("keys", "issue", "g1", "--role", "gateway", "--ip", "127.0.0.1", "--ip", "127.0.0.2", "--dir", dir)
+	_, err := keys.Open(dir, "g1")
+	require.NoError(t, err)
+	for _, args := range [][]string{{"g1", "--role", "worker"}, {"g1", "--role", "gateway", "--ip", "localhost"}} {
+		code, _, _ = b.run(append([]string{"keys", "issue", "--dir", dir}, args...)...)
+		require.Equal(t, exitUsage, code)
+	}
+	code, _, _ = b.run("keys", "issue", "../g1", "--role", "gateway", "--dir", dir)
+	require.Equal(t, exitUsage, code)
+}
+
 // Guards against errors that leave the operator without a next step.
 func TestEveryErrorTellsTheNextStep(t *testing.T) {
 	for _, err := range []error{&NoGatewayError{}, &RefusedError{}, &NotFoundError{}, &SubmitUnknownError{}, &WaitError{}, &KindError{},
-		&NoVersionError{}} {
+		&NoVersionError{}, &ReconcileError{}, &GatewayError{Err: context.Canceled}, &config.ConflictError{}, &config.ExpiredError{},
+		&config.UnknownOutcomeError{}, &manifest.ParseError{}, &manifest.ImmutableError{}, &platform.RateLimitedError{},
+		&platform.UnavailableError{}, &keys.NameError{}, &keys.ExistsError{}, &keys.FileError{}, &process.SettingError{}} {
 		code, next := classify(err)
 		require.NotZero(t, code)
 		require.NotEmpty(t, next, "%T", err)
