--- /dev/null
+++ b/cmd/clementine-load/main.go
@@ -0,0 +1,52 @@
+// Command clementine-load sends an open-loop load to gateways and compares the results of runs.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/load"
+	"clementinewalk.example/clementinewalk/internal/process"
+)
+
+const reportTime = 2 * time.Minute
+
+// CLI holds the flags and commands.
+type CLI struct {
+	process.LogSettings
+	Run     load.Settings `cmd:"" help:"Send requests and jobs, check every answer, and report."`
+	Compare compare       `cmd:"" help:"Print the results of several runs side by side."`
+}
+
+type compare struct {
+	Dirs []string `arg:"" name:"dir" help:"Directories that runs were written to; ratios are to the first one."`
+}
+
+func run(ctx context.Context, s *load.Settings, l *slog.Logger) error {
+	if err := s.Check(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.Duration+s.Timeout+s.BatchSpread+s.BatchWait+reportTime)
+	defer cancel()
+	r, err := initialize(s, l, load.Outputs{Table: os.Stdout, Progress: os.Stderr})
+	if err != nil {
+		return err
+	}
+	return r.Run(ctx)
+}
+
+func main() {
+	cli := &CLI{}
+	k := process.Parse(cli, "clementine-load", "Load generator for gateways on the loopback network.")
+	l := cli.NewLogger(os.Stderr)
+	if k.Selected().Name == "compare" {
+		if err := load.Compare(os.Stdout, cli.Compare.Dirs); err != nil {
+			l.Error("load: results cannot be compared", "error", err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(process.Run(l, func(ctx context.Context) error { return run(ctx, &cli.Run, l) }))
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,183 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"clementinewalk.example/clementinewalk/internal/contract"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fake stands for gateways and workers at once: it answers requests, tickets, jobs and the workers' own counts.
+type fake struct {
+	mu       sync.Mutex
+	mode     string
+	tickets  int
+	answers  map[string][]byte
+	executed map[string]int
+	stall    time.Duration
+}
+
+func (f *fake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tickets++
+	w.Header().Set(headerTicket, fmt.Sprint("t", f.tickets))
+	switch {
+	case r.URL.Path == "/readyz":
+	case r.URL.Path == pathTickets:
+		f.tickets++
+		_, _ = fmt.Fprintf(w, `{"tickets":["t%d"]}`, f.tickets)
+	case strings.HasPrefix(r.URL.Path, pathRequests):
+		f.request(w, r)
+	case r.Method == http.MethodPost && r.URL.Path == pathJobs:
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = io.WriteString(w, `{"job":"s~1"}`)
+	case strings.HasPrefix(r.URL.Path, pathJobs):
+		s := contract.JobState{Tasks: 10, Done: 10, Evicted: 2, Resumed: 2, Submitted: time.Now(), Ended: time.Now(), Deadline: time.Now().Add(time.Hour)}
+		if f.mode == "lost" {
+			s.Done, s.Pending = 9, 1
+		}
+		_ = json.NewEncoder(w).Encode(s)
+	case r.URL.Path == pathExecuted:
+		_ = json.NewEncoder(w).Encode(executedAnswer{Executions: f.executed, TasksDone: map[string]int{"s~1": 10}})
+	default:
+		_, _ = io.WriteString(w, `{"counts":{"executions":5}}`)
+	}
+}
+
+func (f *fake) request(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	time.Sleep(f.stall)
+	f.stall = 0
+	id, ticket, kind := r.Header.Get(headerRequestID), r.Header.Get(headerTicket), r.URL.Path[len(pathRequests):]
+	w.Header().Set(headerRequestID, id)
+	if kind == "send-price" && ticket == "" {
+		w.Header().Set(headerOutcome, outcomeNotRun)
+		w.WriteHeader(http.StatusPreconditionRequired)
+		return
+	}
+	if f.mode == "not-run" || f.mode == "not-run-lie" {
+		if f.mode == "not-run-lie" {
+			f.executed[id]++
+		}
+		w.Header().Set(headerOutcome, outcomeNotRun)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if a, ok := f.answers[id]; ok && f.mode != "doubled" {
+		_, _ = w.Write(a)
+		return
+	}
+	f.executed[id]++
+	if f.mode == "crossed" {
+		id = "other"
+	}
+	a := fmt.Appendf(nil, `{"request_id":%q,"kind":%q,"body_digest":"%016x","n":%d}`, id, kind, xxhash.Sum64(body), f.tickets)
+	if f.mode == "cut" {
+		a = a[:len(a)/2]
+	}
+	f.answers[id] = a
+	_, _ = w.Write(a)
+}
+
+func testRun(t *testing.T, f *fake, change func(*Settings)) (*Result, string, error) {
+	t.Helper()
+	f.answers, f.executed = map[string][]byte{}, map[string]int{}
+	servers := []*httptest.Server{httptest.NewServer(f), httptest.NewServer(f), httptest.NewServer(http.NotFoundHandler())}
+	for _, s := range servers {
+		defer s.Close()
+	}
+	s := &Settings{Gateways: []string{servers[0].URL, servers[1].URL, servers[2].URL, "http://127.0.0.1:1"}, Rate: 500,
+		Manifest: "../../examples/quotes.yaml", Duration: 300 * time.Millisecond, Requests: 1000, PeakFactor: 2,
+		PeakEvery: 100 * time.Millisecond, PeakLength: 50 * time.Millisecond, Repeat: 0.5, BodyBytes: 64, MaxInFlight: 100,
+		Timeout: 5 * time.Second, BatchJobs: 1, TasksPerJob: 10, BatchWait: 400 * time.Millisecond, Seed: 1,
+		Standin: servers[0].URL, Out: filepath.Join(t.TempDir(), "run"), Plots: "svg"}
+	if change != nil {
+		change(s)
+	}
+	require.NoError(t, s.Check())
+	client, err := NewHTTPClient(s, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	defer client.CloseIdleConnections()
+	var table bytes.Buffer
+	runErr := NewRunner(s, client, Outputs{Table: &table, Progress: io.Discard}).Run(context.Background())
+	res, err := readResult(s.Out)
+	require.NoError(t, err)
+	return res, table.String(), runErr
+}
+
+// Guards against a run that reports a fault of the system where there is none, or leaves its files out.
+func TestCleanRun(t *testing.T) {
+	res, table, err := testRun(t, &fake{}, nil)
+	require.NoError(t, err, table)
+	require.Positive(t, res.Repeats)
+	require.Equal(t, 10, res.Batch.Done)
+	require.Equal(t, 1, res.Batch.OnTime)
+	for _, k := range res.Kinds {
+		require.Equal(t, k.Sent, k.Whole, k.Kind)
+		require.Positive(t, k.Latency.Count)
+	}
+	require.Contains(t, table, "cavity-cost")
+}
+
+// Guards against a verdict that passes over a broken promise.
+func TestBrokenPromises(t *testing.T) {
+	for mode, want := range map[string]string{"crossed": "crossed answers", "cut": "cut answers", "doubled": "doubled answers",
+		"lost": "lost tasks", "not-run-lie": "called not run but executed"} {
+		res, _, err := testRun(t, &fake{mode: mode}, nil)
+		var broken *PromiseError
+		require.ErrorAs(t, err, &broken, mode)
+		require.Contains(t, broken.Broken, want)
+		require.Positive(t, res.Violations[want])
+	}
+	_, _, err := testRun(t, &fake{mode: "not-run"}, nil)
+	require.NoError(t, err, "a request that was not run breaks no promise")
+}
+
+// Guards against a stall that only the request in progress shows, while those that arrive meanwhile look fast.
+func TestWaitingCounts(t *testing.T) {
+	res, _, err := testRun(t, &fake{stall: 200 * time.Millisecond}, func(s *Settings) {
+		s.MaxInFlight, s.Weights = 1, map[string]float64{"send-price": 0, "price-history": 0}
+	})
+	require.NoError(t, err)
+	require.Greater(t, res.Kinds[0].Latency.P50, int64(50_000))
+}
+
+// Guards against load on machines other than this one.
+func TestTargets(t *testing.T) {
+	for _, bad := range []string{"http://192.0.2.1:80", "http://localhost:80", "https://127.0.0.1:80", "http://127.0.0.1", "http://[2001:db8::1]:1"} {
+		var target *TargetError
+		require.ErrorAs(t, (&Settings{Gateways: []string{bad}}).Check(), &target, bad)
+	}
+}
+
+// Guards against a comparison that mixes up runs.
+func TestCompare(t *testing.T) {
+	dirs := []string{t.TempDir(), t.TempDir()}
+	for i, d := range dirs {
+		require.NoError(t, writeResult(d, &Result{Kinds: []KindResult{{Kind: "a", Sent: 10 * (i + 1), Latency: Latency{P99: int64(1000 * (i + 1))}}}}))
+	}
+	var out bytes.Buffer
+	require.NoError(t, Compare(&out, dirs))
+	require.Regexp(t, `a sent +10 +20 \(x2.00\)`, out.String())
+	require.Regexp(t, `a p99 +1ms +2ms \(x2.00\)`, out.String())
+	var file *FileError
+	require.ErrorAs(t, Compare(&out, []string{filepath.Join(t.TempDir(), "absent")}), &file)
+}
--- /dev/null
+++ b/internal/load/result.go
@@ -0,0 +1,179 @@
+package load
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+)
+
+const (
+	resultFile     = "result.json"
+	histogramsFile = "histograms.hlog"
+	dirMode        = 0o755
+	fileMode       = 0o644
+)
+
+// Latency holds percentiles in microseconds since the intended send time.
+type Latency struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50_us"`
+	P99   int64 `json:"p99_us"`
+	P999  int64 `json:"p999_us"`
+	Max   int64 `json:"max_us"`
+}
+
+// KindResult is a row of the table of requests.
+type KindResult struct {
+	Class   string  `json:"class"`
+	Kind    string  `json:"kind"`
+	Sent    int     `json:"sent"`
+	Whole   int     `json:"whole"`
+	NotRun  int     `json:"not_run"`
+	Unknown int     `json:"unknown"`
+	Latency Latency `json:"latency"`
+	// Peak covers the requests that arrived during peaks of demand.
+	Peak Latency `json:"peak"`
+}
+
+// Result is the outcome of a run, as it is written to result.json.
+type Result struct {
+	Name     string         `json:"name"`
+	Began    time.Time      `json:"began"`
+	Seconds  float64        `json:"seconds"`
+	Rate     float64        `json:"rate"`
+	Seed     uint64         `json:"seed"`
+	Kinds    []KindResult   `json:"kinds"`
+	Reasons  map[string]int `json:"reasons,omitempty"`
+	Repeats  int            `json:"repeats"`
+	Batch    BatchTotals    `json:"batch"`
+	Refusals []string       `json:"refusals,omitempty"`
+	// Workers holds the workers' own counts during the run.
+	Workers map[string]int64 `json:"workers,omitempty"`
+	// Violations counts broken promises by name, Details describes the first ones.
+	Violations map[string]int `json:"violations"`
+	Details    []string       `json:"details,omitempty"`
+}
+
+func newResult(s *Settings, rec *recorder, jobs *batch, began time.Time, took time.Duration) *Result {
+	res := &Result{Name: filepath.Base(s.Out), Began: began.UTC(), Seconds: took.Seconds(), Rate: s.Rate, Seed: s.Seed,
+		Reasons: rec.reasons, Repeats: rec.repeats, Batch: jobs.totals(), Refusals: jobs.refusals(), Violations: map[string]int{}}
+	for _, name := range rec.order {
+		k := rec.kinds[name]
+		row := KindResult{Class: string(k.kind.Urgency), Kind: name, Whole: k.outcomes[whole], NotRun: k.outcomes[notRun],
+			Unknown: k.outcomes[unknown], Latency: latencyOf(k.latency), Peak: latencyOf(k.peak)}
+		row.Sent = row.Whole + row.NotRun + row.Unknown
+		res.Kinds = append(res.Kinds, row)
+	}
+	res.violate("crossed answers", rec.faults[faultCrossed], rec.details...)
+	res.violate("cut answers", rec.faults[faultCut])
+	res.violate("doubled answers", rec.faults[faultDoubled])
+	res.violate("lost tasks", res.Batch.Lost)
+	return res
+}
+
+func latencyOf(h *hdrhistogram.Histogram) Latency {
+	return Latency{Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P99: h.ValueAtQuantile(99), P999: h.ValueAtQuantile(99.9),
+		Max: h.Max()}
+}
+
+// violate counts a broken promise; a count of zero shows in the table that it was checked.
+func (r *Result) violate(name string, n int, details ...string) {
+	r.Violations[name] += n
+	for _, d := range details {
+		if len(r.Details) < maxDetails {
+			r.Details = append(r.Details, name+": "+d)
+		}
+	}
+}
+
+// Err returns *PromiseError if a promise was broken.
+func (r *Result) Err() error {
+	var broken []string
+	for name, n := range r.Violations {
+		if n > 0 {
+			broken = append(broken, name)
+		}
+	}
+	if len(broken) == 0 {
+		return nil
+	}
+	slices.Sort(broken)
+	return &PromiseError{Broken: broken}
+}
+
+// report writes the files, prints the table and returns the verdict.
+func (r *Runner) report(res *Result, rec *recorder) error {
+	dir := r.settings.Out
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return &FileError{Path: dir, Err: err}
+	}
+	if err := writeResult(dir, res); err != nil {
+		return err
+	}
+	if err := writeHistograms(dir, rec, res); err != nil {
+		return err
+	}
+	if r.settings.Plots != "none" && len(rec.order) > 0 {
+		if err := writePlots(dir, r.settings.Plots, rec); err != nil {
+			return err
+		}
+	}
+	printResult(r.out, res)
+	return res.Err()
+}
+
+func writeResult(dir string, res *Result) error {
+	data, err := json.MarshalIndent(res, "", "  ")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	path := filepath.Join(dir, resultFile)
+	if err := os.WriteFile(path, append(data, '\n'), fileMode); err != nil {
+		return &FileError{Path: path, Err: err}
+	}
+	return nil
+}
+
+// writeHistograms writes the histogram of each kind in the HdrHistogram log format, in microseconds.
+func writeHistograms(dir string, rec *recorder, res *Result) error {
+	path := filepath.Join(dir, histogramsFile)
+	f, err := os.Create(path)
+	if err != nil {
+		return &FileError{Path: path, Err: err}
+	}
+	defer func() { _ = f.Close() }()
+	w := hdrhistogram.NewHistogramLogWriter(f)
+	start := res.Began.UnixMilli()
+	steps := []func() error{w.OutputLogFormatVersion, func() error { return w.OutputStartTime(start) }, w.OutputLegend}
+	for _, name := range rec.order {
+		h := rec.kinds[name].latency
+		h.SetTag(name)
+		h.SetStartTimeMs(start)
+		h.SetEndTimeMs(start + int64(res.Seconds*1000))
+		steps = append(steps, func() error { return w.OutputIntervalHistogram(h) })
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return &FileError{Path: path, Err: err}
+		}
+	}
+	return nil
+}
+
+func readResult(dir string) (*Result, error) {
+	path := filepath.Join(dir, resultFile)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &FileError{Path: path, Err: err}
+	}
+	var res Result
+	if err := json.Unmarshal(data, &res); err != nil {
+		return nil, &FileError{Path: path, Err: err}
+	}
+	return &res, nil
+}
--- /dev/null
+++ b/internal/load/table.go
@@ -0,0 +1,185 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+const tabPadding = 2
+
+func micros(us int64) string {
+	d := time.Duration(us) * time.Microsecond
+	if d < 10*time.Millisecond {
+		return d.Round(10 * time.Microsecond).String()
+	}
+	return d.Round(100 * time.Microsecond).String()
+}
+
+// grid prints aligned columns; the first line is the heading.
+func grid(w io.Writer, rows [][]string) {
+	t := tabwriter.NewWriter(w, 0, 0, tabPadding, ' ', 0)
+	for _, r := range rows {
+		_, _ = fmt.Fprintln(t, strings.Join(r, "\t"))
+	}
+	_ = t.Flush()
+}
+
+func printResult(w io.Writer, r *Result) {
+	_, _ = fmt.Fprintf(w, "\nRequests (%.1f s, %d non-idempotent ones repeated with the same ticket):\n", r.Seconds, r.Repeats)
+	rows := [][]string{{"CLASS", "KIND", "SENT", "WHOLE", "NOT RUN", "UNKNOWN", "P50", "P99", "P99.9", "MAX"}}
+	total := KindResult{Class: "all"}
+	for _, k := range r.Kinds {
+		rows = append(rows, append(counts(k), micros(k.Latency.P50), micros(k.Latency.P99), micros(k.Latency.P999), micros(k.Latency.Max)))
+		if k.Peak.Count > 0 {
+			rows = append(rows, []string{"", "  at peak", fmt.Sprint(k.Peak.Count), "", "", "", micros(k.Peak.P50),
+				micros(k.Peak.P99), micros(k.Peak.P999), micros(k.Peak.Max)})
+		}
+		total.Sent, total.Whole, total.NotRun, total.Unknown = total.Sent+k.Sent, total.Whole+k.Whole, total.NotRun+k.NotRun, total.Unknown+k.Unknown
+	}
+	grid(w, append(rows, counts(total)))
+	printReasons(w, r.Reasons)
+	printBatch(w, r)
+	if r.Workers != nil {
+		_, _ = fmt.Fprintln(w, "\nCounts of the workers themselves:")
+		rows := [][]string{}
+		for _, name := range slices.Sorted(maps.Keys(r.Workers)) {
+			rows = append(rows, []string{"  " + name, fmt.Sprint(r.Workers[name])})
+		}
+		grid(w, rows)
+	}
+	printViolations(w, r)
+}
+
+func counts(k KindResult) []string {
+	return []string{k.Class, k.Kind, fmt.Sprint(k.Sent), fmt.Sprint(k.Whole), fmt.Sprint(k.NotRun), fmt.Sprint(k.Unknown)}
+}
+
+func printReasons(w io.Writer, reasons map[string]int) {
+	for _, reason := range slices.Sorted(maps.Keys(reasons)) {
+		_, _ = fmt.Fprintf(w, "  %d x %s\n", reasons[reason], reason)
+	}
+}
+
+func printBatch(w io.Writer, r *Result) {
+	b := r.Batch
+	if b.Jobs == 0 {
+		return
+	}
+	_, _ = fmt.Fprintf(w, "\nBatch (%.1f s):\n", b.Seconds)
+	rows := [][]string{{"JOBS", "ON TIME", "NOT ACCEPTED", "TASKS", "DONE", "FAILED", "EVICTED", "RESUMED", "ATTEMPTS", "LOST", "COST"}}
+	row := []string{}
+	for _, n := range []int{b.Jobs, b.OnTime, b.Refused, b.Tasks, b.Done, b.Failed, b.Evicted, b.Resumed, b.Attempts, b.Lost} {
+		row = append(row, fmt.Sprint(n))
+	}
+	const microsPerUnit = 1e6
+	grid(w, append(rows, append(row, fmt.Sprintf("%.4f", float64(b.CostMicros)/microsPerUnit))))
+	for _, text := range r.Refusals {
+		_, _ = fmt.Fprintln(w, "  "+text)
+	}
+}
+
+func printViolations(w io.Writer, r *Result) {
+	_, _ = fmt.Fprintln(w, "\nPromises:")
+	rows := [][]string{}
+	for _, name := range slices.Sorted(maps.Keys(r.Violations)) {
+		rows = append(rows, []string{"  " + name, fmt.Sprint(r.Violations[name])})
+	}
+	grid(w, rows)
+	for _, d := range r.Details {
+		_, _ = fmt.Fprintln(w, "  "+d)
+	}
+}
+
+// Compare prints the results in the given directories side by side. Ratios are to the first one.
+func Compare(w io.Writer, dirs []string) error {
+	var all []*Result
+	for _, d := range dirs {
+		r, err := readResult(d)
+		if err != nil {
+			return err
+		}
+		all = append(all, r)
+	}
+	rows := [][]string{append([]string{"MEASURE"}, dirs...)}
+	for _, m := range measures(all) {
+		rows = append(rows, compareRow(m, all))
+	}
+	grid(w, rows)
+	return nil
+}
+
+// measure is one line of a comparison.
+type measure struct {
+	name string
+	// value returns false if the result does not have the measure.
+	value  func(*Result) (float64, bool)
+	format func(float64) string
+}
+
+func compareRow(m measure, all []*Result) []string {
+	row := []string{m.name}
+	base, hasBase := m.value(all[0])
+	for i, r := range all {
+		v, ok := m.value(r)
+		switch {
+		case !ok:
+			row = append(row, "-")
+		case i == 0 || !hasBase || base == 0:
+			row = append(row, m.format(v))
+		default:
+			row = append(row, fmt.Sprintf("%s (x%.2f)", m.format(v), v/base))
+		}
+	}
+	return row
+}
+
+func measures(all []*Result) []measure {
+	var names []string
+	for _, r := range all {
+		for _, k := range r.Kinds {
+			if !slices.Contains(names, k.Kind) {
+				names = append(names, k.Kind)
+			}
+		}
+	}
+	number := func(v float64) string { return fmt.Sprintf("%.0f", v) }
+	latency := func(v float64) string { return micros(int64(v)) }
+	var out []measure
+	for _, name := range names {
+		field := func(what string, f func(KindResult) float64, format func(float64) string) {
+			out = append(out, measure{name + " " + what, func(r *Result) (float64, bool) { return kindField(r, name, f) }, format})
+		}
+		field("sent", func(k KindResult) float64 { return float64(k.Sent) }, number)
+		field("whole", func(k KindResult) float64 { return float64(k.Whole) }, number)
+		field("not run", func(k KindResult) float64 { return float64(k.NotRun) }, number)
+		field("unknown", func(k KindResult) float64 { return float64(k.Unknown) }, number)
+		field("p50", func(k KindResult) float64 { return float64(k.Latency.P50) }, latency)
+		field("p99", func(k KindResult) float64 { return float64(k.Latency.P99) }, latency)
+		field("p99.9", func(k KindResult) float64 { return float64(k.Latency.P999) }, latency)
+		field("p99 at peak", func(k KindResult) float64 { return float64(k.Peak.P99) }, latency)
+	}
+	total := func(name string, f func(BatchTotals) float64) {
+		out = append(out, measure{"batch " + name, func(r *Result) (float64, bool) { return f(r.Batch), r.Batch.Jobs > 0 }, number})
+	}
+	total("tasks done", func(b BatchTotals) float64 { return float64(b.Done) })
+	total("jobs on time", func(b BatchTotals) float64 { return float64(b.OnTime) })
+	total("tasks per minute", func(b BatchTotals) float64 { return float64(b.Done) / max(b.Seconds, 1) * 60 })
+	total("evicted", func(b BatchTotals) float64 { return float64(b.Evicted) })
+	total("resumed", func(b BatchTotals) float64 { return float64(b.Resumed) })
+	total("lost", func(b BatchTotals) float64 { return float64(b.Lost) })
+	return out
+}
+
+func kindField(r *Result, kind string, f func(KindResult) float64) (float64, bool) {
+	for _, k := range r.Kinds {
+		if k.Kind == kind {
+			return f(k), true
+		}
+	}
+	return 0, false
+}
