Add the gateway daemon: requests, tickets, jobs, grants and the planned stop

Cause: callers need one process that admits, routes and answers their requests and appends their jobs to the log. Change: one control goroutine owns holdings, queue, tickets and retry budget; HTTP handlers post to it and call workers themselves.

--- a/internal/budget/holding.go
+++ b/internal/budget/holding.go
@@ -273,3 +273,9 @@
 
 // Workers returns the number of workers with a grant or a request in progress.
 func (h *Holding) Workers() int { return len(h.entries) }
+
+// Index returns the index of a worker among Candidates.
+func (h *Holding) Index(id instance.ID) (int, bool) {
+	i, known := h.index[id]
+	return i, known
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,320 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/manifest"
+	"clementinewalk.example/clementinewalk/internal/platform"
+	"clementinewalk.example/clementinewalk/internal/upstream"
+)
+
+func refuseWith(r upstream.Refusal) func(context.Context, upstream.ExecuteRequest) (upstream.Answer, error) {
+	return func(context.Context, upstream.ExecuteRequest) (upstream.Answer, error) {
+		return upstream.Answer{}, &upstream.NotRunError{Addr: "w", Reason: r}
+	}
+}
+
+func loseAnswer(context.Context, upstream.ExecuteRequest) (upstream.Answer, error) {
+	return upstream.Answer{}, &upstream.UnknownError{Addr: "w", Err: net.ErrClosed}
+}
+
+// Guards against answers that are not whole, lack an identity, or call a request "not run" that may have run.
+func TestThreeAnswers(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("g")
+	r := g.post(t, "/v1/requests/quote", "tool 7", headerRequestID, "abc")
+	require.Equal(t, http.StatusOK, r.status)
+	require.Equal(t, "answer to tool 7", r.body)
+	require.Equal(t, "abc", r.header.Get(headerRequestID))
+	require.Equal(t, upstream.Digest([]byte(r.body)), r.header.Get(headerDigest))
+	require.Equal(t, fmt.Sprint(len(r.body)), r.header.Get("Content-Length"))
+	require.NotEmpty(t, r.header.Get(headerTicket))
+
+	w.set(refuseWith(upstream.RefusalOverload))
+	r = g.post(t, "/v1/requests/quote", "x")
+	require.Equal(t, http.StatusServiceUnavailable, r.status)
+	require.Equal(t, "not-run", r.header.Get(headerOutcome))
+	require.NotEmpty(t, r.header.Get("Retry-After"))
+	require.Contains(t, r.body, `"reason":"overload"`)
+
+	calls, lost := w.callCount(), 0
+	w.set(func(ctx context.Context, r upstream.ExecuteRequest) (upstream.Answer, error) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if lost++; lost == 1 {
+			return loseAnswer(ctx, r)
+		}
+		return refuseWith(upstream.RefusalOverload)(ctx, r)
+	})
+	r = g.post(t, "/v1/requests/quote", "x")
+	require.Equal(t, http.StatusBadGateway, r.status)
+	require.Equal(t, "unknown", r.header.Get(headerOutcome), "the first attempt may have run")
+	require.Greater(t, w.callCount(), calls+1, "an idempotent request is retried")
+	require.Eventually(t, func() bool {
+		inUse, _ := ask(g.Gateway, func(time.Time) int { return g.control.holding.InUse() })
+		return inUse == 0
+	}, 2*time.Second, 10*time.Millisecond, "the slot of the lost request comes back after its cancellation")
+	require.Positive(t, w.cancelled)
+}
+
+// Guards against requests that reach an upstream although their identity, kind or size is wrong.
+func TestRefusedBeforeAdmission(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("g")
+	require.Equal(t, http.StatusNotFound, g.post(t, "/v1/requests/other", "").status)
+	require.Equal(t, http.StatusBadRequest, g.post(t, "/v1/requests/rebid", "").status)
+	require.Equal(t, http.StatusBadRequest, g.post(t, "/v1/requests/quote", "", headerTeam, "nobody").status)
+	require.Equal(t, http.StatusBadRequest, g.post(t, "/v1/requests/quote", "", headerTimeout, "-3").status)
+	require.Equal(t, http.StatusBadRequest, g.post(t, "/v1/requests/quote", "", headerRequestID, "a b").status)
+	for _, h := range []string{headerRequestID, headerTeam, headerTimeout, headerTicket} {
+		r := g.post(t, "/v1/requests/quote", "", h, "1", h, "1")
+		require.Equal(t, http.StatusBadRequest, r.status, h)
+		require.Contains(t, r.body, reasonDuplicateHeader)
+	}
+	r := g.post(t, "/v1/requests/quote", strings.Repeat("x", maxBody+1))
+	require.Equal(t, http.StatusRequestEntityTooLarge, r.status)
+	require.Equal(t, "not-run", r.header.Get(headerOutcome))
+	require.Equal(t, http.StatusOK, g.post(t, "/v1/requests/quote", strings.Repeat("x", maxBody)).status)
+	require.Equal(t, 1, w.callCount())
+}
+
+// Guards against a slow sender that occupies a slot, or a half body that is run.
+func TestSlowSenderHoldsNoSlot(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("g")
+	conn, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
+	require.NoError(t, err)
+	_, err = fmt.Fprintf(conn, "POST /v1/requests/quote HTTP/1.1\r\nHost: g\r\nContent-Length: 100\r\n\r\nhalf")
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	require.Zero(t, w.callCount())
+	require.NoError(t, conn.Close())
+	require.Equal(t, http.StatusOK, g.post(t, "/v1/requests/quote", "x").status)
+	require.Equal(t, 1, w.callCount())
+}
+
+// Guards against a second run of a non-idempotent request that is repeated through the same or another gateway.
+func TestTicketRunsOnce(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.start("a"), w.start("b")
+	require.Eventually(t, func() bool { return b.directory.Load().gateways["a-1"].Addr != "" }, 3*time.Second, 10*time.Millisecond)
+	r := a.post(t, "/v1/requests/send", "price")
+	require.Equal(t, http.StatusPreconditionRequired, r.status)
+	require.Zero(t, w.callCount())
+	ticket := r.header.Get(headerTicket)
+
+	gate := make(chan struct{})
+	w.set(func(_ context.Context, r upstream.ExecuteRequest) (upstream.Answer, error) {
+		<-gate
+		return echo(r), nil
+	})
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			n := []*node{a, b}[i%2]
+			r := n.post(t, "/v1/requests/send", "price", headerTicket, ticket)
+			if r.status != http.StatusOK || r.body != "answer to price" {
+				t.Errorf("repeat %d: %d %s", i, r.status, r.body)
+			}
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	close(gate)
+	wg.Wait()
+	require.Equal(t, "answer to price", b.post(t, "/v1/requests/send", "price", headerTicket, ticket).body)
+	require.Equal(t, 1, w.callCount())
+
+	r = a.post(t, "/v1/requests/send", "another price", headerTicket, ticket)
+	require.Equal(t, http.StatusBadRequest, r.status)
+	require.Contains(t, r.body, reasonTicketReused)
+	require.Equal(t, http.StatusBadRequest, a.post(t, "/v1/requests/send", "p", headerTicket, "nonsense").status)
+
+	w.set(loseAnswer)
+	ticket = a.post(t, "/v1/tickets?n=2", "").header.Get(headerTicket)
+	for range 2 {
+		r = b.post(t, "/v1/requests/send", "p", headerTicket, ticket)
+		require.Equal(t, http.StatusBadGateway, r.status)
+		require.Equal(t, "unknown", r.header.Get(headerOutcome))
+	}
+	require.Equal(t, 2, w.callCount(), "an unknown outcome is never retried")
+
+	w.set(refuseWith(upstream.RefusalOverload))
+	require.Equal(t, http.StatusServiceUnavailable, a.post(t, "/v1/requests/send", "p", headerTicket, r.header.Get(headerTicket)).status)
+	w.set(func(_ context.Context, r upstream.ExecuteRequest) (upstream.Answer, error) { return echo(r), nil })
+	require.Equal(t, http.StatusOK, a.post(t, "/v1/requests/send", "p", headerTicket, r.header.Get(headerTicket)).status,
+		"a request that was not run leaves its ticket unused")
+}
+
+// Guards against "not run" or a second run when the gateway that issued the ticket is gone.
+func TestTicketOfLostIssuer(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.start("a"), w.start("b")
+	ticket := a.post(t, "/v1/tickets", "").header.Get(headerTicket)
+	w.mu.Lock()
+	delete(w.peers, "link-a")
+	w.mu.Unlock()
+	require.Eventually(t, func() bool { return b.directory.Load().gateways["a-1"].Addr != "" }, 3*time.Second, 10*time.Millisecond)
+	r := b.post(t, "/v1/requests/send", "p", headerTicket, ticket, headerTimeout, "300")
+	require.Equal(t, "unknown", r.header.Get(headerOutcome))
+	a.stop()
+	require.NoError(t, <-a.done)
+	require.Eventually(t, func() bool { return b.directory.Load().gateways["a-1"].Addr == "" }, 3*time.Second, 10*time.Millisecond)
+	r = b.post(t, "/v1/requests/send", "p", headerTicket, ticket)
+	require.Equal(t, http.StatusBadGateway, r.status)
+	require.Contains(t, r.body, reasonIssuerGone)
+	require.Zero(t, w.callCount())
+}
+
+// Guards against a worker with more requests than slots and against requests that are lost under load.
+func TestLoadStaysWithinSlots(t *testing.T) {
+	w := newWorld(t)
+	nodes := []*node{w.start("a"), w.start("b")}
+	w.set(func(_ context.Context, r upstream.ExecuteRequest) (upstream.Answer, error) {
+		time.Sleep(2 * time.Millisecond)
+		return echo(r), nil
+	})
+	var wg sync.WaitGroup
+	for c := range 20 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range 25 {
+				body := fmt.Sprintf("%d-%d", c, i)
+				if r := nodes[c%2].post(t, "/v1/requests/quote", body); r.status != http.StatusOK || r.body != "answer to "+body {
+					t.Errorf("%s: %d %s", body, r.status, r.body)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	for addr, n := range w.most {
+		require.LessOrEqual(t, n, workerSlot, addr)
+	}
+}
+
+// Guards against a planned stop that cuts off a request, keeps slots, or stays in the instance list.
+func TestGracefulStop(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("g")
+	w.set(func(_ context.Context, r upstream.ExecuteRequest) (upstream.Answer, error) {
+		time.Sleep(20 * time.Millisecond)
+		return echo(r), nil
+	})
+	client := &http.Client{}
+	var wg sync.WaitGroup
+	stopped := make(chan struct{})
+	for range 6 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for g.deps.Health.Ready() {
+				resp, err := client.Post(g.url+"/v1/requests/quote", "", strings.NewReader("x"))
+				if err != nil {
+					t.Errorf("cut off: %v", err)
+					return
+				}
+				if resp.StatusCode != http.StatusOK {
+					t.Errorf("status %d", resp.StatusCode)
+				}
+				_ = resp.Body.Close()
+			}
+		}()
+	}
+	time.Sleep(200 * time.Millisecond)
+	go func() {
+		defer close(stopped)
+		g.stop()
+		if err := <-g.done; err != nil {
+			t.Errorf("stop: %v", err)
+		}
+	}()
+	wg.Wait()
+	<-stopped
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	require.NotContains(t, w.members, g.ID)
+	require.Zero(t, w.ledger.Granted())
+}
+
+// Guards against a submission that is acknowledged without a record, written twice under different ids, or called "not run"
+// although its record may be in the log.
+func TestSubmissions(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("g")
+	r := g.post(t, "/v1/jobs", `{"kind":"rebid","tasks":3,"key":"k"}`)
+	require.Equal(t, http.StatusAccepted, r.status, r.body)
+	require.Equal(t, r.body, g.post(t, "/v1/jobs", `{"kind":"rebid","tasks":3,"key":"k"}`).body)
+	_, body, err := contract.DecodeRecord(w.records[0])
+	require.NoError(t, err)
+	s := body.(*contract.Submit)
+	require.Equal(t, []any{"rebid", "sales", 3, uint64(3)}, []any{s.Kind, s.Team, s.Tasks, s.Config})
+	require.True(t, strings.HasPrefix(s.Job, testShard+jobSeparator))
+
+	for body, reason := range map[string]string{
+		`{"kind":"none"}`:                             reasonUnknownKind,
+		`{"kind":"quote"}`:                            reasonNotAJob,
+		`{"kind":"huge"}`:                             reasonTooLarge,
+		`{"kind":"rebid","team":"x"}`:                 reasonUnknownTeam,
+		`{"kind":"rebid","tasks":10001}`:              reasonTooManyTasks,
+		`{"kind":"rebid","run_time_ms":3600000}`:      reasonSpending,
+		`{"kind":"rebid","tasks":2000}`:               reasonSpending,
+		`{"kind":"rebid","id":"mars-0~a"}`:            reasonUnknownShard,
+		`{"kind":"rebid","id":"a"}`:                   reasonMalformed,
+		`{"kind":"rebid","nonsense":1}`:               reasonMalformed,
+		`{"kind":"rebid","tasks":-1}`:                 reasonMalformed,
+		`{"kind":"rebid","tasks":1,"deadline_ms":-5}`: reasonMalformed,
+	} {
+		r := g.post(t, "/v1/jobs", body)
+		require.Contains(t, r.body, `"reason":"`+reason+`"`, body)
+		require.Equal(t, "not-run", r.header.Get(headerOutcome), body)
+	}
+	require.Len(t, w.records, 2)
+
+	w.mu.Lock()
+	w.appendErr, w.stored = &platform.UnavailableError{MayHaveApplied: true, Err: net.ErrClosed}, true
+	w.mu.Unlock()
+	time.AfterFunc(300*time.Millisecond, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.appendErr = nil
+	})
+	require.Equal(t, http.StatusAccepted, g.post(t, "/v1/jobs", `{"kind":"rebid","id":"bne-0~x"}`).status)
+	require.Greater(t, len(w.records), 3)
+	for _, again := range w.records[3:] {
+		require.Equal(t, w.records[2], again, "a repeat after a lost answer has the same bytes")
+	}
+	w.mu.Lock()
+	w.appendErr, w.stored = &platform.UnavailableError{Err: net.ErrClosed}, false
+	w.mu.Unlock()
+	r = g.post(t, "/v1/jobs", `{"kind":"rebid"}`)
+	require.Equal(t, http.StatusServiceUnavailable, r.status)
+	require.Equal(t, "not-run", r.header.Get(headerOutcome))
+	require.Equal(t, http.StatusOK, g.do(t, http.MethodGet, "/v1/jobs/bne-0~x", "").status)
+	require.Equal(t, http.StatusNotFound, g.do(t, http.MethodDelete, "/v1/jobs/mars-0~x", "").status)
+}
+
+// Guards against job ids that land on other shards at other gateways, and against one shard that gets most keys.
+func TestRendezvousSpreads(t *testing.T) {
+	m := testManifest()
+	m.DataCentres = []manifest.DataCentre{{Name: "a", Workers: 64}, {Name: "b", Workers: 64}}
+	shards, count := manifest.Shards(m), map[string]int{}
+	for i := range 8000 {
+		count[rendezvous(shards, fmt.Sprint(i))]++
+	}
+	require.Len(t, count, 8)
+	for s, n := range count {
+		require.InDelta(t, 1000, n, 200, s)
+	}
+}
--- /dev/null
+++ b/internal/gateway/members.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/datacentre"
+	"clementinewalk.example/clementinewalk/internal/instance"
+)
+
+// directory is an immutable reading of the instance list.
+type directory struct {
+	gateways   map[instance.Incarnation]instance.Member
+	schedulers []instance.Member
+	workers    map[instance.ID]instance.Member
+	// shards maps each shard with a worker to its data centre.
+	shards map[string]string
+}
+
+func (g *Gateway) self() instance.Member {
+	state := instance.StateLive
+	if g.stopping.Load() {
+		state = instance.StateLeaving
+	}
+	return instance.Member{ID: g.ID, Incarnation: g.Incarnation, Role: instance.RoleGateway, State: state,
+		DataCentre: g.DataCentre, Addr: g.LinkAddr, HTTPAddr: g.HTTPAddr}
+}
+
+// readList renews the own entry and reads the instance list.
+func (g *Gateway) readList() {
+	c := &g.control
+	if c.leaving {
+		return
+	}
+	c.listing = true
+	g.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, ioTimeout)
+		defer cancel()
+		if err := g.deps.List.Register(ctx, g.self()); err != nil {
+			g.log.Debug("registration failed", "error", err)
+		}
+		members, err := g.deps.List.Members(ctx)
+		g.post(func(time.Time) {
+			c.listing = false
+			if err != nil {
+				g.log.Debug("instance list is not readable", "error", err)
+				return
+			}
+			g.takeList(members)
+		})
+	})
+}
+
+func (g *Gateway) takeList(members []instance.Member) {
+	c := &g.control
+	if c.version == nil {
+		// Shards cannot be named without a manifest; the next reading is soon.
+		return
+	}
+	d := &directory{gateways: map[instance.Incarnation]instance.Member{}, workers: map[instance.ID]instance.Member{},
+		shards: map[string]string{}}
+	for _, m := range members {
+		switch m.Role {
+		case instance.RoleGateway:
+			d.gateways[m.Incarnation] = m
+		case instance.RoleScheduler:
+			d.schedulers = append(d.schedulers, m)
+		case instance.RoleWorker:
+			d.workers[m.ID] = m
+			d.shards[datacentre.Shard(m.DataCentre, m.Rack, max(c.version.Manifest.RacksPerShard, 1))] = m.DataCentre
+		}
+	}
+	g.directory.Store(d)
+	for name, dc := range d.shards {
+		if c.shards[name] == nil {
+			c.shards[name] = &shardCalls{dataCentre: dc, soon: true}
+		}
+	}
+}
+
+// owners remembers the address of each shard's owner. Requests of callers do not use it, only grants and questions about jobs.
+type owners struct {
+	mu   sync.Mutex
+	addr map[string]string
+	next int
+}
+
+func (o *owners) get(shard string) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.addr[shard]
+}
+
+func (o *owners) set(shard, addr string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.addr == nil {
+		o.addr = map[string]string{}
+	}
+	o.addr[shard] = addr
+}
+
+// any returns the schedulers in turn, so that a dead one does not hold up every question.
+func (o *owners) any(d *directory) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(d.schedulers) == 0 {
+		return ""
+	}
+	o.next++
+	return d.schedulers[o.next%len(d.schedulers)].Addr
+}
+
+// ownerCalls bounds the calls of one question: a stale owner, a scheduler that names the owner, the owner, and one more.
+const ownerCalls = 4
+
+// askOwner sends a message to the owner of a shard. If the owner is not known, any scheduler names it. It returns the time at which
+// the answered call was sent, and *NoSchedulerError if no owner answered.
+func (g *Gateway) askOwner(ctx context.Context, shard string, m contract.Message) (contract.Message, time.Time, error) {
+	var last error = &EmptyListError{}
+	for range ownerCalls {
+		addr := g.owners.get(shard)
+		if addr == "" {
+			addr = g.owners.any(g.directory.Load())
+		}
+		if addr == "" || ctx.Err() != nil {
+			break
+		}
+		sent := time.Now()
+		limited, cancel := context.WithTimeout(ctx, peerTimeout)
+		reply, err := g.deps.Link.Call(limited, addr, m)
+		cancel()
+		if err == nil {
+			g.owners.set(shard, addr)
+			return reply, sent, nil
+		}
+		last = err
+		var failure *contract.Failure
+		hint := ""
+		if errors.As(err, &failure) && failure.Code == contract.FailureNotOwner && failure.Owner != addr {
+			hint = failure.Owner
+		}
+		g.owners.set(shard, hint)
+	}
+	return nil, time.Time{}, &NoSchedulerError{Shard: shard, Err: last}
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,221 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"clementinewalk.example/clementinewalk/internal/admission"
+	"clementinewalk.example/clementinewalk/internal/budget"
+	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/invariant"
+	"clementinewalk.example/clementinewalk/internal/manifest"
+	"clementinewalk.example/clementinewalk/internal/upstream"
+)
+
+// request is one checked request of a caller.
+type request struct {
+	id       string
+	kind     manifest.Kind
+	team     string
+	ticket   string
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+}
+
+// answer is one of the three answers.
+type answer struct {
+	state      contract.AnswerState
+	reason     string
+	detail     string
+	retryAfter time.Duration
+	body       []byte
+	digest     string
+}
+
+// Reasons of answers beyond those of admission and upstream.
+const (
+	reasonNotSent      = "upstream-not-reached"
+	reasonNoAnswer     = "no-whole-answer"
+	reasonTimeout      = "timeout"
+	reasonCallerGone   = "caller-gone"
+	reasonRetryBudget  = "retry-budget-spent"
+	reasonNoConfig     = "no-manifest-yet"
+	reasonTicketNeeded = "ticket-required"
+)
+
+// attempt is the result of one call to a worker.
+type attempt struct {
+	answer answer
+	// mayHaveRun tells that the worker may have run the request.
+	mayHaveRun bool
+	// free tells that the refusal concerns the grant rather than the load, so that a retry draws nothing from the budget: each such
+	// refusal takes the worker out of use until the next grant, which bounds the retries.
+	free bool
+}
+
+// run runs a request on workers. ctx is that of the caller; it ends the wait for a slot but no call to a worker, because the
+// worker may have begun.
+func (g *Gateway) run(ctx context.Context, r request) answer {
+	c := &call{slot: make(chan slot, 1)}
+	c.entry = admission.Entry[*call]{Kind: r.kind.Name, Rank: r.kind.Urgency.Rank(), Arrived: r.arrived, Deadline: r.deadline, Value: c}
+	mayHaveRun := false
+	for n := 1; ; n++ {
+		a, again := g.try(ctx, r, c, n)
+		mayHaveRun = mayHaveRun || a.mayHaveRun
+		if a.answer.state == contract.AnswerWhole {
+			return a.answer
+		}
+		if !again || mayHaveRun && !r.kind.Idempotent || !g.mayRetry(a.free) {
+			return conclude(a.answer, mayHaveRun)
+		}
+		g.metrics.retries.Inc()
+	}
+}
+
+// conclude turns the last attempt's answer into the request's: once an attempt may have run, the answer is never "not run".
+func conclude(a answer, mayHaveRun bool) answer {
+	if mayHaveRun && a.state == contract.AnswerNotRun {
+		a.state = contract.AnswerUnknown
+	}
+	invariant.Check(invariant.NotRunWasNotSent, a.state != contract.AnswerNotRun || !mayHaveRun, "reason", a.reason)
+	return a
+}
+
+func (g *Gateway) mayRetry(free bool) bool {
+	if free {
+		return true
+	}
+	permitted, _ := ask(g, func(time.Time) bool { return g.control.retries.Retry() })
+	return permitted
+}
+
+// try makes one attempt and reports whether another one makes sense.
+func (g *Gateway) try(ctx context.Context, r request, c *call, n int) (attempt, bool) {
+	queued := time.Now()
+	s, ok := g.await(ctx, c, n > 1)
+	g.metrics.queued(r.kind.Name, time.Since(queued))
+	switch {
+	case !ok:
+		return attempt{answer: answer{state: contract.AnswerNotRun, reason: reasonCallerGone}}, false
+	case s.refusal != nil:
+		return attempt{answer: answer{state: contract.AnswerNotRun, reason: string(s.refusal.Reason), retryAfter: s.refusal.RetryAfter}}, false
+	}
+	a := g.execute(ctx, r, s.permit)
+	c.avoid = s.permit.Worker
+	return a, n < maxAttempts && time.Now().Before(r.deadline)
+}
+
+// execute calls the worker of a permit and gives the slot back as soon as the request cannot occupy it any more.
+func (g *Gateway) execute(ctx context.Context, r request, p budget.Permit) attempt {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.deadline)
+	defer cancel()
+	began := time.Now()
+	// Each call to a worker has an id of its own: a worker that was told to cancel one refuses it for a while.
+	id := r.id + "." + strconv.FormatUint(g.serial.Add(1), 36)
+	got, err := g.deps.Workers.Execute(ctx, p.Addr, upstream.ExecuteRequest{RequestID: id, Kind: r.kind.Name, Shard: p.Shard,
+		Epoch: p.Epoch, Gateway: g.Incarnation, Generation: p.Generation, Timeout: max(time.Until(r.deadline), time.Millisecond),
+		NonIdempotent: !r.kind.Idempotent, Body: r.body})
+	took := time.Since(began)
+	if err == nil {
+		digest := upstream.Digest(got.Body)
+		invariant.Check(invariant.AnswerIdentity, got.RequestID == id && got.Digest == digest, "want", id, "got", got.RequestID)
+		g.post(func(now time.Time) { g.succeeded(now, r.kind.Name, p, took) })
+		return attempt{answer: answer{state: contract.AnswerWhole, body: got.Body, digest: digest}}
+	}
+	var notRun *upstream.NotRunError
+	if errors.As(err, &notRun) {
+		g.post(func(now time.Time) { g.refused(now, p, notRun.Reason) })
+		return refusedAttempt(notRun)
+	}
+	g.post(func(now time.Time) { g.unanswered(now, p) })
+	g.spawn(func(ctx context.Context) { g.settle(ctx, p, id, r.deadline) })
+	a := answer{state: contract.AnswerUnknown, reason: reasonNoAnswer, detail: err.Error()}
+	if ctx.Err() != nil {
+		a.reason = reasonTimeout
+	}
+	return attempt{answer: a, mayHaveRun: true}
+}
+
+func refusedAttempt(e *upstream.NotRunError) attempt {
+	a := answer{state: contract.AnswerNotRun, reason: string(e.Reason), detail: e.Error(), retryAfter: time.Second}
+	if e.Reason == upstream.RefusalNone {
+		a.reason = reasonNotSent
+	}
+	return attempt{answer: a, free: grantRefusal(e.Reason)}
+}
+
+// grantRefusal reports whether a refusal concerns the grant and not the worker's state.
+func grantRefusal(r upstream.Refusal) bool {
+	switch r {
+	case upstream.RefusalStaleEpoch, upstream.RefusalStaleGrant, upstream.RefusalWrongShard, upstream.RefusalLeaving,
+		upstream.RefusalNoLease:
+		return true
+	}
+	return false
+}
+
+func (g *Gateway) succeeded(now time.Time, kind string, p budget.Permit, took time.Duration) {
+	g.deps.Limit.Observe(now, took, false)
+	g.control.services.Observe(now, kind, took)
+	g.control.outliers.Succeeded(p.Worker)
+	g.release(now, p)
+}
+
+func (g *Gateway) refused(now time.Time, p budget.Permit, reason upstream.Refusal) {
+	if grantRefusal(reason) {
+		g.control.holding.Refused(p)
+		g.grantSoon(p.Shard)
+	} else {
+		g.failed(now, p)
+	}
+	g.release(now, p)
+}
+
+func (g *Gateway) failed(now time.Time, p budget.Permit) {
+	c := &g.control
+	g.deps.Limit.Observe(now, 0, true)
+	if c.outliers.Failed(now, p.Worker, c.holding.Workers()) {
+		c.holding.SetEjected(p.Worker, true)
+		g.metrics.ejections.Inc()
+		g.log.Warn("worker is ejected after repeated failures", "worker", p.Worker)
+	}
+}
+
+// unanswered keeps the slot of a request that may still run; settle gives it back.
+func (g *Gateway) unanswered(now time.Time, p budget.Permit) {
+	g.control.settling++
+	g.failed(now, p)
+}
+
+// settle cancels a request without an answer and then gives its slot back.
+func (g *Gateway) settle(ctx context.Context, p budget.Permit, id string, deadline time.Time) {
+	limit := deadline.Add(settleLimit)
+	for time.Now().Before(limit) && ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, peerTimeout)
+		err := g.deps.Workers.Cancel(call, p.Addr, upstream.CancelRequest{Gateway: g.Incarnation, RequestID: id})
+		cancel()
+		// Nobody listens there, so the process that had the request is gone.
+		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+			break
+		}
+		pause(ctx, settleEvery)
+	}
+	g.post(func(now time.Time) {
+		g.control.settling--
+		g.release(now, p)
+	})
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,93 @@
+// Package gateway is the daemon between callers and upstreams: it admits requests, routes them to workers, and appends job
+// submissions to the log.
+//
+// One goroutine, the control loop, owns the holdings of slots, the queue, the tickets and the retry budget. A traffic goroutine
+// posts two short functions to it for each request, one to wait for a slot and one to give it back, and takes no lock. A freed
+// slot and the queue's head must be matched in one step; with a lock around both, every traffic goroutine would hold it for the
+// whole decision, while the loop decides for all of them without waking any but the one that gets the slot.
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"clementinewalk.example/clementinewalk/internal/admission"
+	"clementinewalk.example/clementinewalk/internal/config"
+	"clementinewalk.example/clementinewalk/internal/instance"
+	"clementinewalk.example/clementinewalk/internal/link"
+	"clementinewalk.example/clementinewalk/internal/platform"
+	"clementinewalk.example/clementinewalk/internal/process"
+	"clementinewalk.example/clementinewalk/internal/upstream"
+)
+
+// Settings are what an operator chooses for one process.
+type Settings struct {
+	ID          instance.ID
+	Incarnation instance.Incarnation
+	DataCentre  string
+	// LinkAddr and HTTPAddr are the addresses that other processes and callers use.
+	LinkAddr, HTTPAddr string
+	// DrainDelay is how long a stopping gateway keeps serving after it has become not ready, so that the balancer notices.
+	DrainDelay time.Duration
+}
+
+// Workers runs requests; *upstream.Client implements it.
+type Workers interface {
+	// Execute returns *upstream.NotRunError, *upstream.UnknownError or *upstream.CorruptAnswerError.
+	Execute(ctx context.Context, addr string, r upstream.ExecuteRequest) (upstream.Answer, error)
+	// Cancel ends a request. After an answer without error the request occupies no slot and never will.
+	Cancel(ctx context.Context, addr string, r upstream.CancelRequest) error
+}
+
+// Deps are the parts that the gateway uses.
+type Deps struct {
+	Log      platform.Log
+	List     platform.List
+	Link     link.Caller
+	Workers  Workers
+	Config   config.Source
+	Logger   *slog.Logger
+	Registry *prometheus.Registry
+	Health   *process.Health
+	// Limit bounds the requests in progress below the slots of the grants; nil uses every slot.
+	Limit admission.Limit
+}
+
+const (
+	// maxBody bounds the body of a request in bytes.
+	maxBody = 1 << 20
+	// readTimeout is how long a caller may take to send a whole request.
+	readTimeout = 10 * time.Second
+	// defaultTimeout applies to a request whose caller and kind give no time.
+	defaultTimeout = 30 * time.Second
+	maxTimeout     = 5 * time.Minute
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 4
+	// tickEvery is the pace of the control loop.
+	tickEvery = 50 * time.Millisecond
+	// grantEvery is the time between two grant requests to a shard, grantSooner the least time when demand or grants change.
+	grantEvery  = time.Second
+	grantSooner = 200 * time.Millisecond
+	// peerTimeout bounds one call to another process, ioTimeout one call to the platform.
+	peerTimeout = time.Second
+	ioTimeout   = 5 * time.Second
+	// listEvery is the time between two reads of the instance list, which also renew the own entry.
+	listEvery = time.Second
+	// appendTimeout is how long a submission waits for the log.
+	appendTimeout = 5 * time.Second
+	// settleLimit is how long after its deadline a request that cannot be cancelled may occupy its slot. A worker ends a request at
+	// its deadline, and no message is delayed longer than two minutes (docs/platform.md).
+	settleLimit = 2 * time.Minute
+	settleEvery = 500 * time.Millisecond
+	// stopLimit bounds the time for requests in progress at a planned stop.
+	stopLimit = 60 * time.Second
+	// ticketMemory bounds the bytes of stored answers, maxTickets the used tickets that are remembered.
+	ticketMemory = 64 << 20
+	maxTickets   = 200000
+	// defaultQueue and defaultRetryShare apply until a manifest is in force.
+	defaultQueue      = 1000
+	defaultRetryShare = 10
+)
--- /dev/null
+++ b/internal/gateway/tickets.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/instance"
+	"clementinewalk.example/clementinewalk/internal/ticket"
+)
+
+// Reasons of answers that concern tickets.
+const (
+	reasonTicketMalformed = "ticket-malformed"
+	reasonTicketExpired   = "ticket-expired"
+	reasonTicketReused    = "ticket-used-for-another-request"
+	reasonTicketsFull     = "too-many-tickets-in-use"
+	reasonIssuerGone      = "ticket-issuer-gone"
+	reasonIssuerSilent    = "ticket-issuer-does-not-answer"
+	reasonInProgress      = "first-request-still-in-progress"
+)
+
+// forwardPause is the time between two calls to an issuer that does not answer.
+const forwardPause = 100 * time.Millisecond
+
+// serve answers a checked request of a caller or of another gateway.
+func (g *Gateway) serve(ctx context.Context, r request, forwarded bool) answer {
+	if r.kind.Idempotent {
+		return g.run(ctx, r)
+	}
+	if r.ticket == "" {
+		return answer{state: contract.AnswerNotRun, reason: reasonTicketNeeded, detail: "requests of kind " + r.kind.Name +
+			" run at most once and need a ticket; repeat with the one in the header " + headerTicket}
+	}
+	now := time.Now()
+	t, err := g.issuer.Open(now, r.ticket)
+	var foreign *ticket.ForeignError
+	var expired *ticket.ExpiredError
+	switch {
+	case err == nil:
+		return g.once(ctx, now, r, t)
+	case errors.As(err, &foreign) && forwarded:
+		// The list of another gateway was stale, or the issuer's address was taken over.
+		return answer{state: contract.AnswerUnknown, reason: reasonIssuerGone, detail: err.Error()}
+	case errors.As(err, &foreign):
+		return g.forward(ctx, r, t.Incarnation)
+	case errors.As(err, &expired):
+		return answer{state: contract.AnswerUnknown, reason: reasonTicketExpired, detail: err.Error()}
+	}
+	return answer{state: contract.AnswerNotRun, reason: reasonTicketMalformed, detail: err.Error()}
+}
+
+// begun is what the control loop decided about a ticket.
+type begun struct {
+	verdict ticket.Verdict
+	answer  ticket.Answer
+	wait    chan ticket.Answer
+}
+
+// once runs a request at most once for its ticket. The run goes on when the caller leaves, so that a repeat gets its answer.
+func (g *Gateway) once(ctx context.Context, now time.Time, r request, t ticket.Ticket) answer {
+	print := fingerprint(r)
+	b, ok := ask(g, func(time.Time) begun { return g.control.begin(now, t, print) })
+	if !ok {
+		return answer{state: contract.AnswerUnknown, reason: reasonIssuerGone}
+	}
+	switch b.verdict {
+	case ticket.Repeat:
+		return repeated(b.answer)
+	case ticket.Mismatch:
+		return answer{state: contract.AnswerNotRun, reason: reasonTicketReused}
+	case ticket.Full:
+		return answer{state: contract.AnswerNotRun, reason: reasonTicketsFull, retryAfter: time.Second}
+	case ticket.Dispatch:
+		a := g.run(context.WithoutCancel(ctx), r)
+		g.post(func(time.Time) {
+			g.control.end(t.Serial, ticket.Answer{State: a.state, Reason: a.reason, Body: a.body})
+		})
+		return a
+	}
+	timer := time.NewTimer(time.Until(r.deadline))
+	defer timer.Stop()
+	select {
+	case a := <-b.wait:
+		return repeated(a)
+	case <-timer.C:
+		return answer{state: contract.AnswerUnknown, reason: reasonInProgress, retryAfter: time.Second}
+	case <-ctx.Done():
+		return answer{state: contract.AnswerUnknown, reason: reasonCallerGone}
+	}
+}
+
+func (c *control) begin(now time.Time, t ticket.Ticket, print ticket.Fingerprint) begun {
+	v, a := c.tickets.Begin(now, t, print)
+	b := begun{verdict: v, answer: a}
+	if v == ticket.Wait {
+		b.wait = make(chan ticket.Answer, 1)
+		c.waiters[t.Serial] = append(c.waiters[t.Serial], b.wait)
+	}
+	return b
+}
+
+func (c *control) end(serial uint64, a ticket.Answer) {
+	c.tickets.End(serial, a)
+	for _, w := range c.waiters[serial] {
+		w <- a
+	}
+	delete(c.waiters, serial)
+}
+
+func repeated(a ticket.Answer) answer {
+	return answer{state: a.State, reason: a.Reason, body: a.Body, retryAfter: time.Second}
+}
+
+// fingerprint covers what makes a request the same as an earlier one. The request id is not part of it, because a caller
+// may use a new one for the repeat.
+func fingerprint(r request) ticket.Fingerprint {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(r.kind.Name), {0}, []byte(r.team), {0}, r.body} {
+		h.Write(part)
+	}
+	return ticket.Fingerprint(h.Sum(nil))
+}
+
+// forward sends a request to the gateway that issued its ticket. The ticket makes repeated calls harmless. If the issuer does not
+// answer, the outcome is unknown even if nothing was sent: an earlier repeat of the caller may have run.
+func (g *Gateway) forward(ctx context.Context, r request, issuer instance.Incarnation) answer {
+	m, known := g.directory.Load().gateways[issuer]
+	if !known {
+		return answer{state: contract.AnswerUnknown, reason: reasonIssuerGone,
+			detail: "no gateway of the instance list has the incarnation " + string(issuer)}
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	g.metrics.forwards.Inc()
+	for {
+		reply, err := g.deps.Link.Call(ctx, m.Addr, &contract.Forward{RequestID: r.id, Kind: r.kind.Name, Team: r.team,
+			Ticket: r.ticket, Timeout: time.Until(r.deadline), Body: r.body})
+		if f, ok := reply.(*contract.ForwardReply); err == nil && ok && f.RequestID == r.id {
+			return answer{state: f.State, reason: f.Reason, retryAfter: f.RetryAfter, body: f.Body}
+		}
+		if err == nil {
+			err = &ReplyError{Got: messageName(reply)}
+		}
+		if _, still := g.directory.Load().gateways[issuer]; !still || ctx.Err() != nil {
+			return answer{state: contract.AnswerUnknown, reason: reasonIssuerSilent, detail: err.Error()}
+		}
+		pause(ctx, forwardPause)
+	}
+}
