--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -190,6 +190,11 @@
 	return nil
 }
 
+func (w *world) deps() Deps {
+	return Deps{Log: w, List: w, Link: w, Workers: w, Config: fixedConfig{&config.Version{Offset: 3, Manifest: testManifest()}},
+		Logger: slog.New(slog.DiscardHandler), Registry: process.NewRegistry(), Health: &process.Health{}}
+}
+
 // node is one running gateway.
 type node struct {
 	*Gateway
@@ -204,8 +209,7 @@
 	addr := "link-" + name
 	g := New(Settings{ID: instance.ID(name), Incarnation: instance.Incarnation(name + "-1"), DataCentre: "bne", LinkAddr: addr,
 		HTTPAddr: ln.Addr().String(), DrainDelay: 100 * time.Millisecond},
-		Deps{Log: w, List: w, Link: w, Workers: w, Config: fixedConfig{&config.Version{Offset: 3, Manifest: testManifest()}},
-			Logger: slog.New(slog.DiscardHandler), Registry: process.NewRegistry(), Health: &process.Health{}})
+		w.deps())
 	w.mu.Lock()
 	w.peers[addr] = g.Handle
 	w.mu.Unlock()
