Bound bodies in memory and the time for reading answers at the gateway

Cause: many connections with large bodies could use up the memory of a small instance, and a slow reader could hold up the planned stop. Conclusion: further requests are refused as not run with a retry time instead of ending the process.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,7 @@
 	directory atomic.Pointer[directory]
 	owners    owners
 	stopping  atomic.Bool
+	bounds    bounds
 
 	// control belongs to the control loop.
 	control control
@@ -65,9 +66,9 @@
 	serve, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	served := make(chan error, 1)
-	go func() {
-		served <- process.ServeHTTP(serve, process.NewHTTPServer(g.handler(), readTimeout), ln, stopLimit)
-	}()
+	server := process.NewHTTPServer(g.handler(), readTimeout)
+	server.IdleTimeout = idleTimeout
+	go func() { served <- process.ServeHTTP(serve, server, ln, stopLimit) }()
 	loop := make(chan struct{})
 	go func() {
 		defer close(loop)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -318,3 +318,26 @@
 		require.InDelta(t, 1000, n, 200, s)
 	}
 }
+
+// Guards against bodies that use up the memory of a small instance, and against room that is not given back.
+func TestBoundsOfBodies(t *testing.T) {
+	var b bounds
+	var leave []func()
+	for {
+		l := b.enter(-1)
+		if l == nil {
+			break
+		}
+		leave = append(leave, l)
+	}
+	require.Len(t, leave, maxBodyMemory/maxBody)
+	for _, l := range leave {
+		l()
+	}
+	for range maxInProgress {
+		require.NotNil(t, b.enter(0))
+	}
+	require.Nil(t, b.enter(0))
+	require.Equal(t, int64(maxInProgress), b.requests.Load())
+	require.Zero(t, b.bytes.Load())
+}
--- a/internal/gateway/http.go
+++ b/internal/gateway/http.go
@@ -64,6 +64,7 @@
 	mux.HandleFunc("GET /v1/shards", g.handleShards)
 	mux.HandleFunc("POST /v1/drain", g.handleDrain)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeWithin(w, 0)
 		w.Header().Set(headerTicket, g.issuer.Issue(time.Now()))
 		if g.stopping.Load() {
 			// Callers open their next connection to another gateway, so that no request meets a connection that is being closed.
@@ -74,6 +75,14 @@
 }
 
 func (g *Gateway) handleRequest(w http.ResponseWriter, hr *http.Request) {
+	leave := g.bounds.enter(hr.ContentLength)
+	if leave == nil {
+		a := answer{state: contract.AnswerNotRun, reason: reasonTooMany, retryAfter: time.Second}
+		g.metrics.counted(a)
+		writeRefusal(w, http.StatusServiceUnavailable, a)
+		return
+	}
+	defer leave()
 	r, refusal, status := g.check(w, hr)
 	if refusal != nil {
 		g.metrics.counted(*refusal)
@@ -95,6 +104,7 @@
 	w.Header().Set(headerOutcome, outcomeName(a.state))
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	writeWithin(w, writeTimeout)
 	_, _ = w.Write(a.body)
 }
 
@@ -223,6 +233,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	writeWithin(w, writeTimeout)
 	w.WriteHeader(status)
 	_, _ = w.Write(data)
 }
