--- a/cmd/standin-worker/settings.go
+++ b/cmd/standin-worker/settings.go
@@ -8,7 +8,6 @@
 
 	"clementinewalk.example/clementinewalk/internal/platform"
 	"clementinewalk.example/clementinewalk/internal/process"
-	"clementinewalk.example/clementinewalk/internal/resource"
 	standin "clementinewalk.example/clementinewalk/internal/standin/worker"
 )
 
@@ -20,6 +19,10 @@
 	Fleet    []string `env:"CLEMENTINE_WORKER_FLEET" placeholder:"NAME=COUNT@IP:PORT" help:"Workers of a data centre on consecutive ports; can be repeated."`
 	Kinds    []string `env:"CLEMENTINE_WORKER_KINDS" placeholder:"NAME=DURATION[/BYTES]" help:"True run time of a kind and the least length of its answers; can be repeated."`
 
+	Manifest  string   `env:"CLEMENTINE_WORKER_MANIFEST" type:"path" help:"Manifest that gives the worker's size, the kinds' run times and, without --fleet, the data centres. It replaces the flags of the worker's size."`
+	Sites     []string `env:"CLEMENTINE_WORKER_SITES" placeholder:"NAME" help:"Data centres of the manifest whose workers this process carries; all if empty."`
+	FirstPort int      `env:"CLEMENTINE_WORKER_FIRST_PORT" default:"9000" help:"First port of each data centre of the manifest. The first one listens on 127.10.0.1, the next on 127.11.0.1, and so on."`
+
 	Slots        int   `env:"CLEMENTINE_WORKER_SLOTS" default:"8" help:"Requests that a worker executes at the same time."`
 	Connections  int   `env:"CLEMENTINE_WORKER_CONNECTIONS" default:"64" help:"Connections that may carry requests to a worker."`
 	MilliCores   int64 `env:"CLEMENTINE_WORKER_MILLI_CORES" default:"64000" help:"Processors of a worker in thousandths of a core."`
@@ -35,6 +38,7 @@
 	Variation       float64 `env:"CLEMENTINE_WORKER_VARIATION" default:"0.3" help:"Standard deviation of the logarithm of run times."`
 	StragglerShare  float64 `env:"CLEMENTINE_WORKER_STRAGGLER_SHARE" default:"0" help:"Share of the batch tasks that run many times longer."`
 	StragglerFactor float64 `env:"CLEMENTINE_WORKER_STRAGGLER_FACTOR" default:"10" help:"How many times longer those tasks run."`
+	Misdeclaration  float64 `env:"CLEMENTINE_WORKER_MISDECLARATION" default:"0" help:"How far true run times and processor use are from declared ones: 0 not at all, 1 by factors between 0.1 and 20."`
 	Interference    float64 `env:"CLEMENTINE_WORKER_INTERFERENCE" default:"1" help:"Scale of the slowdown between work on the same worker; 0 for none."`
 }
 
@@ -61,6 +65,8 @@
 		process.CheckRange("--variation", s.Variation, 0, 3),
 		process.CheckRange("--straggler-share", s.StragglerShare, 0, 1),
 		process.CheckRange("--straggler-factor", s.StragglerFactor, 1, 1000),
+		process.CheckRange("--misdeclaration", s.Misdeclaration, 0, 1),
+		process.CheckRange("--first-port", s.FirstPort, 1, 1<<16-1),
 		process.CheckRange("--interference", s.Interference, 0, 100),
 	}
 	for _, err := range checks {
@@ -68,9 +74,6 @@
 			return err
 		}
 	}
-	if len(s.Fleet) == 0 {
-		return &process.SettingError{Setting: "--fleet", Allowed: "at least one NAME=COUNT@IP:PORT"}
-	}
 	_, err := s.configs()
 	return err
 }
@@ -86,38 +89,6 @@
 	return process.CheckAddr("--platform", u.Host)
 }
 
-func (s *Settings) model() (*standin.Model, error) {
-	m := &standin.Model{Seed: s.Seed, Kinds: map[string]standin.Kind{}, Variation: s.Variation, StragglerShare: s.StragglerShare,
-		StragglerFactor: s.StragglerFactor, Interference: s.Interference}
-	for _, text := range s.Kinds {
-		name, k, err := standin.ParseKind(text)
-		if err != nil {
-			return nil, err
-		}
-		m.Kinds[name] = k
-	}
-	return m, nil
-}
-
-// configs returns the configuration of every worker.
-func (s *Settings) configs() ([]standin.Config, error) {
-	m, err := s.model()
-	if err != nil {
-		return nil, err
-	}
-	base := standin.Config{Slots: s.Slots, Connections: s.Connections, Model: m, UsageLag: s.UsageLag, LateAfter: s.LateAfter,
-		Capacity: resource.Vector{MilliCores: s.MilliCores, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators}}
-	var out []standin.Config
-	for _, text := range s.Fleet {
-		site, err := standin.ParseSite(text)
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, site.Configs(base, s.PerRack)...)
-	}
-	return out, nil
-}
-
 func newLedger(l *slog.Logger) *standin.Ledger { return standin.NewLedger(process.Part(l, "ledger")) }
 
 // newList returns nil if no platform is set.
--- a/internal/standin/worker/admin.go
+++ b/internal/standin/worker/admin.go
@@ -69,9 +69,16 @@
 	mux.HandleFunc("POST /admin/executed", f.handleExecuted)
 	mux.HandleFunc("GET /admin/stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, f.Stats()) })
 	mux.HandleFunc("GET /admin/workers", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, f.states()) })
+	mux.HandleFunc("GET /admin/interference", f.handleInterference)
 	return mux
 }
 
+// handleInterference gives the true factor of a pair of kinds, against which estimates are measured.
+func (f *Fleet) handleInterference(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	writeJSON(w, f.members[0].worker.cfg.Model.Pair(q.Get("request"), q.Get("task")))
+}
+
 // Apply replaces the faults of the selected workers.
 func (f *Fleet) Apply(s Selection, faults Faults) FaultsReply {
 	var out FaultsReply
--- a/internal/standin/worker/control.go
+++ b/internal/standin/worker/control.go
@@ -121,7 +121,7 @@
 	// The request's strings are kept for as long as the task runs and must not hold on to its whole body.
 	r.Job, r.Kind = strings.Clone(r.Job), strings.Clone(r.Kind)
 	t := &task{req: r, work: w.cfg.Model.TaskTime(r.Kind, r.TaskRef, r.RunTime), done: from.Done, throttle: 1, started: now,
-		settled: now, newest: from, checkpoints: now}
+		usage: w.cfg.Model.UsageFactor(r.Job), settled: now, newest: from, checkpoints: now}
 	if w.faults.FailTasks || slices.Contains(w.faults.FailKinds, r.Kind) {
 		t.failAt = now.Add(failAfter)
 	}
--- a/internal/standin/worker/model.go
+++ b/internal/standin/worker/model.go
@@ -29,6 +29,9 @@
 	// StragglerShare of the batch tasks runs StragglerFactor times longer.
 	StragglerShare  float64
 	StragglerFactor float64
+	// Misdeclaration is how far the true run times and processor use of a job's tasks are from the declared ones: 0 not at all, 1 by
+	// factors between 0.1 and 20. The factors differ between jobs.
+	Misdeclaration float64
 	// Interference scales how much work on the same worker slows down; zero switches it off.
 	Interference float64
 }
@@ -44,6 +47,9 @@
 	requestPressure = 0.3
 	// idlePressure is the part of the interference that does not depend on the load.
 	idlePressure = 0.5
+
+	misdeclaredLow  = 0.1
+	misdeclaredHigh = 20.0
 )
 
 // random returns a source that depends on the model's seed and the given words only.
@@ -79,13 +85,21 @@
 		median = defaultRunTime
 	}
 	r := m.random("task", kind, ref.Job, strconv.Itoa(ref.Index))
-	t := m.vary(r, median)
+	t := m.vary(r, time.Duration(float64(median)*m.misdeclared("run time", ref.Job)))
 	if r.Float64() < m.StragglerShare {
 		t = time.Duration(float64(t) * max(1, m.StragglerFactor))
 	}
 	return t
 }
 
+// UsageFactor returns the processor use of a job's tasks over their declared size.
+func (m *Model) UsageFactor(job string) float64 { return m.misdeclared("usage", job) }
+
+func (m *Model) misdeclared(what, job string) float64 {
+	low, high := math.Log(misdeclaredLow), math.Log(misdeclaredHigh)
+	return math.Exp(m.Misdeclaration * (low + m.random("misdeclared", what, job).Float64()*(high-low)))
+}
+
 // Pair returns how much a task that occupies the whole worker slows requests of a kind down: 0 is not at all, 1 doubles the run time.
 func (m *Model) Pair(request, task string) float64 {
 	if m.Interference <= 0 {
--- a/internal/standin/worker/task.go
+++ b/internal/standin/worker/task.go
@@ -13,7 +13,9 @@
 	work time.Duration
 	done time.Duration
 	// rate is the work that is done per unit of time, until settled is set again.
-	rate     float64
+	rate float64
+	// usage is the true processor use over the declared size.
+	usage    float64
 	throttle float64
 	started  time.Time
 	settled  time.Time
--- a/internal/standin/worker/usage.go
+++ b/internal/standin/worker/usage.go
@@ -54,7 +54,7 @@
 	lf.sampled = now
 	r := upstream.UsageReport{Slowdown: map[string]float64{}}
 	for _, t := range lf.tasks {
-		r.MilliCores += int64(float64(t.req.Size.MilliCores) * t.throttle)
+		r.MilliCores += int64(float64(t.req.Size.MilliCores) * t.throttle * t.usage)
 		r.MemoryMB += t.req.Size.MemoryMB
 	}
 	perSlot := lf.envelope.MilliCores
@@ -63,7 +63,8 @@
 	}
 	r.MilliCores += perSlot * int64(lf.busy)
 	r.MemoryMB += lf.envelope.MemoryMB * int64(lf.busy)
-	r.MilliCores = int64(float64(r.MilliCores) * w.noise())
+	// A worker cannot use more processors than it has, however much its tasks ask for.
+	r.MilliCores = min(w.cfg.Capacity.MilliCores, int64(float64(r.MilliCores)*w.noise()))
 	for kind, sum := range lf.usage.sums {
 		r.Slowdown[kind] = sum / float64(lf.usage.counts[kind]) * w.noise()
 	}
@@ -83,7 +84,7 @@
 	factor, used := 0.0, 0.0
 	if capacity > 0 {
 		for _, t := range w.life.tasks {
-			part := float64(t.req.Size.MilliCores) * t.throttle / capacity
+			part := min(1, float64(t.req.Size.MilliCores)*t.throttle*t.usage/capacity)
 			used += part
 			factor += part * w.cfg.Model.Pair(kind, t.req.Kind)
 		}
