--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -34,6 +34,8 @@
 	HeaderDigest     = "Clementine-Digest"
 	HeaderLength     = "Clementine-Length"
 	HeaderNotRun     = "Clementine-Not-Run"
+	// HeaderNonIdempotent is "1" on a request that must not be executed twice.
+	HeaderNonIdempotent = "Clementine-Non-Idempotent"
 )
 
 // Refusal is the reason of a refused call.
@@ -51,6 +53,7 @@
 	RefusalUnknownTask  Refusal = "unknown-task"
 	RefusalStaleAttempt Refusal = "stale-attempt"
 	RefusalWrongBoot    Refusal = "wrong-boot"
+	RefusalMalformed    Refusal = "malformed"
 )
 
 // TaskRef names one attempt of a task.
