Add the demo script and the layout of a deployment on the loopback network

The demo needs the addresses, ports, fleet and link delays of a manifest, which a shell script cannot parse safely, so clementine-load layout prints them as shell assignments and writes the conditions file. scripts/lib.sh starts and stops processes by id.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,10 @@
 models:
 	@scripts/models.sh
 
+# A whole deployment on the loopback network for about 45 s; scripts/demo.sh lists its settings.
+demo:
+	@scripts/demo.sh
+
 check: format lint test models
 
 clean:
--- a/cmd/clementine-load/main.go
+++ b/cmd/clementine-load/main.go
@@ -18,6 +18,7 @@
 	process.LogSettings
 	Run     load.Settings `cmd:"" help:"Send requests and jobs, check every answer, and report."`
 	Compare compare       `cmd:"" help:"Print the results of several runs side by side."`
+	Layout  load.Layout   `cmd:"" help:"Print the settings of a deployment of a manifest on the loopback network, for scripts."`
 }
 
 type compare struct {
@@ -41,12 +42,19 @@
 	cli := &CLI{}
 	k := process.Parse(cli, "clementine-load", "Load generator for gateways on the loopback network.")
 	l := cli.NewLogger(os.Stderr)
-	if k.Selected().Name == "compare" {
-		if err := load.Compare(os.Stdout, cli.Compare.Dirs); err != nil {
-			l.Error("load: results cannot be compared", "error", err)
-			os.Exit(1)
-		}
-		return
+	switch k.Selected().Name {
+	case "compare":
+		exit(l, load.Compare(os.Stdout, cli.Compare.Dirs))
+	case "layout":
+		exit(l, cli.Layout.Run(os.Stdout))
+	default:
+		os.Exit(process.Run(l, func(ctx context.Context) error { return run(ctx, &cli.Run, l) }))
+	}
+}
+
+func exit(l *slog.Logger, err error) {
+	if err != nil {
+		l.Error("load: the command failed", "error", err)
+		os.Exit(1)
 	}
-	os.Exit(process.Run(l, func(ctx context.Context) error { return run(ctx, &cli.Run, l) }))
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -20,6 +21,8 @@
 	"go.uber.org/goleak"
 
 	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/link"
+	"clementinewalk.example/clementinewalk/internal/process"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -181,3 +184,20 @@
 	var file *FileError
 	require.ErrorAs(t, Compare(&out, []string{filepath.Join(t.TempDir(), "absent")}), &file)
 }
+
+// Guards against a layout whose conditions file the processes cannot read or whose delays have no effect.
+func TestLayout(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "links.yaml")
+	var out bytes.Buffer
+	l := &Layout{Manifest: "../../examples/quotes.yaml", Port: 17000, Conditions: path, Jitter: 0.2, Loss: 0.001}
+	require.NoError(t, l.Run(&out))
+	require.Contains(t, out.String(), "CLEMENTINE_WORKER_FLEET=brisbane=17@127.10.0.1:17100,")
+	c, err := link.OpenConditions(path, 1, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	brisbane, ipswich, caller := netip.MustParseAddr("127.10.0.1"), netip.MustParseAddr("127.11.1.1"), netip.MustParseAddr("127.9.0.1")
+	require.Equal(t, link.Effect{Delay: 5 * time.Millisecond, Jitter: time.Millisecond, Loss: 0.001}, c.Effect(brisbane, ipswich))
+	require.Equal(t, time.Millisecond, c.Effect(ipswich, caller).Delay)
+	l.Port = 65000
+	var setting *process.SettingError
+	require.ErrorAs(t, l.Run(&out), &setting)
+}
