Ready: add the scheduler's program and the parts that gateway and scheduler share

Cause: the scheduler had no main program, and gateway and scheduler would each have built the same clients, keys and links. Change: internal/entry with the shared settings and providers (link conditions and byte counters on TCP included), cmd/clementine-scheduler, and a typed error when the platform does not answer at startup.

--- a/cmd/clementine-gateway/main.go
+++ b/cmd/clementine-gateway/main.go
@@ -9,8 +9,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"clementinewalk.example/clementinewalk/internal/config"
+	"clementinewalk.example/clementinewalk/internal/entry"
 	"clementinewalk.example/clementinewalk/internal/gateway"
 	"clementinewalk.example/clementinewalk/internal/link"
+	"clementinewalk.example/clementinewalk/internal/platform"
 	"clementinewalk.example/clementinewalk/internal/process"
 )
 
@@ -20,10 +22,11 @@
 	gateway   *gateway.Gateway
 	follower  *config.Follower
 	transport *link.Transport
+	list      platform.List
 }
 
-func newProgram(s *Settings, g *gateway.Gateway, f *config.Follower, t *link.Transport) *program {
-	return &program{settings: s, gateway: g, follower: f, transport: t}
+func newProgram(s *Settings, g *gateway.Gateway, f *config.Follower, t *link.Transport, l platform.List) *program {
+	return &program{settings: s, gateway: g, follower: f, transport: t, list: l}
 }
 
 // run serves until ctx ends. Link and configuration outlive the gateway's planned stop, which returns grants over the link.
@@ -32,6 +35,9 @@
 	if err != nil {
 		return err
 	}
+	if err := entry.AwaitPlatform(ctx, &p.settings.Settings, p.list); err != nil {
+		return err
+	}
 	support, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	// A failed part ends the others.
--- a/cmd/clementine-gateway/wire.go
+++ b/cmd/clementine-gateway/wire.go
@@ -7,10 +7,9 @@
 
 	"github.com/google/wire"
 
-	"clementinewalk.example/clementinewalk/internal/process"
+	"clementinewalk.example/clementinewalk/internal/entry"
 )
 
 func initialize(s *Settings, l *slog.Logger) (*program, error) {
-	panic(wire.Build(newProgram, newHealth, process.NewRegistry, newPlatformHTTP, newLog, newList, newWorkers, newKeys, newConditions,
-		newTransport, newFollower, newGateway))
+	panic(wire.Build(entry.Parts, newProgram, newEntrySettings, newLinkListen, newGateway))
 }
--- a/cmd/clementine-gateway/wire_gen.go
+++ b/cmd/clementine-gateway/wire_gen.go
@@ -7,6 +7,7 @@
 package main
 
 import (
+	"clementinewalk.example/clementinewalk/internal/entry"
 	"clementinewalk.example/clementinewalk/internal/process"
 	"log/slog"
 )
@@ -14,29 +15,33 @@
 // Injectors from wire.go:
 
 func initialize(s *Settings, l *slog.Logger) (*program, error) {
-	client := newPlatformHTTP()
-	httpLog := newLog(s, client)
-	httpList := newList(s, client)
-	registry := process.NewRegistry()
-	store, err := newKeys(s, l, registry)
+	incarnation := entry.NewIncarnation()
+	settings := newEntrySettings(s)
+	linkListen := newLinkListen(s)
+	conditions, err := entry.NewConditions(settings, l)
 	if err != nil {
 		return nil, err
 	}
-	conditions, err := newConditions(s, l)
+	registry := process.NewRegistry()
+	traffic := entry.NewTraffic(registry)
+	platformHTTP := entry.NewPlatformHTTP(linkListen, conditions, traffic)
+	log := entry.NewLog(settings, platformHTTP)
+	list := entry.NewList(settings, platformHTTP)
+	store, err := entry.NewKeys(settings, l, registry)
 	if err != nil {
 		return nil, err
 	}
-	transport, err := newTransport(s, l, store, conditions, registry)
+	transport, err := entry.NewTransport(linkListen, l, store, conditions, registry)
 	if err != nil {
 		return nil, err
 	}
-	upstreamClient := newWorkers()
-	follower, err := newFollower(s, l, httpLog, httpList, transport, registry)
+	client := entry.NewWorkers(linkListen, conditions, traffic)
+	follower, err := entry.NewFollower(settings, l, log, list, transport, registry)
 	if err != nil {
 		return nil, err
 	}
-	health := newHealth()
-	gateway := newGateway(s, l, httpLog, httpList, transport, upstreamClient, follower, registry, health)
-	mainProgram := newProgram(s, gateway, follower, transport)
+	health := entry.NewHealth()
+	gateway := newGateway(s, incarnation, l, log, list, transport, client, follower, registry, health)
+	mainProgram := newProgram(s, gateway, follower, transport, list)
 	return mainProgram, nil
 }
--- /dev/null
+++ b/cmd/clementine-scheduler/wire.go
@@ -0,0 +1,15 @@
+//go:build wireinject
+
+package main
+
+import (
+	"log/slog"
+
+	"github.com/google/wire"
+
+	"clementinewalk.example/clementinewalk/internal/entry"
+)
+
+func initialize(s *Settings, l *slog.Logger) (*program, error) {
+	panic(wire.Build(entry.Parts, newProgram, newEntrySettings, newLinkListen, newScheduler))
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -48,29 +48,3 @@
 	a := g.serve(ctx, r, true)
 	return &contract.ForwardReply{RequestID: m.RequestID, State: a.state, Reason: a.reason, RetryAfter: a.retryAfter, Body: a.body}, nil
 }
-
-// FetchConfig returns a function that asks the gateways and schedulers of the instance list for their manifest, for a process
-// that starts while the log is down.
-func FetchConfig(list interface {
-	Members(ctx context.Context, roles ...instance.Role) ([]instance.Member, error)
-}, caller link.Caller, self instance.ID) func(ctx context.Context) (contract.ConfigFetchReply, error) {
-	return func(ctx context.Context) (contract.ConfigFetchReply, error) {
-		members, err := list.Members(ctx, instance.RoleGateway, instance.RoleScheduler)
-		if err != nil {
-			return contract.ConfigFetchReply{}, err
-		}
-		var best contract.ConfigFetchReply
-		for _, m := range members {
-			if m.ID == self {
-				continue
-			}
-			limited, cancel := context.WithTimeout(ctx, peerTimeout)
-			reply, err := caller.Call(limited, m.Addr, &contract.ConfigFetch{})
-			cancel()
-			if r, ok := reply.(*contract.ConfigFetchReply); err == nil && ok && r.Version > best.Version {
-				best = *r
-			}
-		}
-		return best, nil
-	}
-}
