--- a/cmd/standin-worker/fleet.go
+++ b/cmd/standin-worker/fleet.go
@@ -44,6 +44,9 @@
 	for _, site := range sites {
 		out = append(out, site.Configs(base, perRack)...)
 	}
+	for i, c := range out {
+		out[i].Drift = model.Drift(string(c.ID), s.Drift)
+	}
 	return out, nil
 }
 
--- a/cmd/standin-worker/settings.go
+++ b/cmd/standin-worker/settings.go
@@ -32,6 +32,7 @@
 
 	UsageLag  time.Duration `env:"CLEMENTINE_WORKER_USAGE_LAG" default:"3s" help:"Least age of reported usage."`
 	LateAfter time.Duration `env:"CLEMENTINE_WORKER_LATE_AFTER" default:"8s" help:"Time after a worker is marked leaving from which new work counts as late and is refused."`
+	Drift     float64       `env:"CLEMENTINE_WORKER_DRIFT" default:"0.005" help:"Greatest share by which a worker's clock runs too fast or too slow."`
 	StopWait  time.Duration `env:"CLEMENTINE_WORKER_STOP_WAIT" default:"60s" help:"Time for tasks and requests to end at a planned stop."`
 
 	Seed            uint64  `env:"CLEMENTINE_WORKER_SEED" default:"1" help:"Seed of run times, interference and random faults."`
@@ -46,6 +47,8 @@
 	maxCount    = 1024
 	maxCapacity = int64(1) << 40
 	maxTime     = time.Hour
+	// maxDrift is the drift that the platform promises at most, for which owners allow.
+	maxDrift = 0.01
 )
 
 // Check returns a *process.SettingError for the first setting that is not allowed.
@@ -61,6 +64,7 @@
 		process.CheckRange("--per-rack", s.PerRack, 1, maxCount),
 		process.CheckRange("--usage-lag", s.UsageLag.Seconds(), 0, maxTime.Seconds()),
 		process.CheckRange("--late-after", s.LateAfter.Seconds(), 0, maxTime.Seconds()),
+		process.CheckRange("--drift", s.Drift, 0, maxDrift),
 		process.CheckRange("--stop-wait", s.StopWait.Seconds(), 0, maxTime.Seconds()),
 		process.CheckRange("--variation", s.Variation, 0, 3),
 		process.CheckRange("--straggler-share", s.StragglerShare, 0, 1),
--- a/internal/standin/worker/model.go
+++ b/internal/standin/worker/model.go
@@ -100,6 +100,11 @@
 	return math.Exp(m.Misdeclaration * (low + m.random("misdeclared", what, job).Float64()*(high-low)))
 }
 
+// Drift returns the drift of a worker's clock, between -limit and limit.
+func (m *Model) Drift(worker string, limit float64) float64 {
+	return limit * (2*m.random("drift", worker).Float64() - 1)
+}
+
 // Pair returns how much a task that occupies the whole worker slows requests of a kind down: 0 is not at all, 1 doubles the run time.
 func (m *Model) Pair(request, task string) float64 {
 	if m.Interference <= 0 {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -28,6 +28,8 @@
 	Connections int
 	Capacity    resource.Vector
 	Model       *Model
+	// Drift is how much faster the worker's clock runs than real time; the platform promises less than 1%.
+	Drift float64
 	// UsageLag is the least age of the usage that a lease reply reports.
 	UsageLag time.Duration
 	// LateAfter is the time after the worker is marked leaving from which new work is refused and counted as late.
@@ -192,10 +194,15 @@
 }
 
 // clock returns the worker's clock reading.
-func (w *Worker) clock(now time.Time) time.Duration { return now.Sub(w.start) + w.offset }
+func (w *Worker) clock(now time.Time) time.Duration {
+	elapsed := now.Sub(w.start)
+	return elapsed + time.Duration(float64(elapsed)*w.cfg.Drift) + w.offset
+}
 
 // wall is the inverse of clock.
-func (w *Worker) wall(reading time.Duration) time.Time { return w.start.Add(reading - w.offset) }
+func (w *Worker) wall(reading time.Duration) time.Time {
+	return w.start.Add(time.Duration(float64(reading-w.offset) / (1 + w.cfg.Drift)))
+}
 
 // wake brings the state up to date when something is due.
 func (w *Worker) wake() {
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -344,6 +344,18 @@
 	require.NoError(t, f.Drain(10*time.Millisecond, time.Second))
 }
 
+// Guards against a lease that ends at another time than the worker's own clock says, when that clock drifts.
+func TestDriftingClock(t *testing.T) {
+	for _, drift := range []float64{-0.01, 0, 0.01} {
+		w := New(Config{ID: "w", Drift: drift}, NewLedger(slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
+		now := w.start.Add(20 * 24 * time.Hour)
+		reading := w.clock(now)
+		require.InDelta(t, now.UnixNano(), w.wall(reading).UnixNano(), float64(10*time.Microsecond))
+		require.InEpsilon(t, 10.0*(1+drift), (w.clock(now.Add(10*time.Second)) - reading).Seconds(), 1e-6)
+		w.Close()
+	}
+}
+
 // Guards against a slot that is used again while the request that the gateway gave up on still runs or arrives later.
 func TestCancelledRequestDoesNotRun(t *testing.T) {
 	b := newBench(t, map[string]Kind{"quote": {RunTime: time.Hour}})
