--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -51,7 +51,6 @@
 		answerError(w, err)
 		return
 	}
-	liftReadDeadline(w)
 	first, err := h.log.Append(r.Context(), stream, in.Records)
 	answer(w, api.AppendReply{First: first}, err)
 }
@@ -67,7 +66,6 @@
 		answerError(w, err)
 		return
 	}
-	liftReadDeadline(w)
 	wait := q.wait
 	if h.stopping.Err() != nil {
 		wait = 0
@@ -79,13 +77,6 @@
 	answer(w, p, err)
 }
 
-// liftReadDeadline ends the server's read timeout for a request that has been read. The server's background read would
-// otherwise fail when it expires and cancel the context of a call that lasts longer.
-func liftReadDeadline(w http.ResponseWriter) {
-	// A writer without deadlines, as in a test, needs nothing.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-}
-
 type readQuery struct {
 	from  uint64
 	limit int
