Ready: Keep connections that a short call gave up, and end those with expired certificates

A call with a deadline below one round trip closed the connection that other calls shared, because no packet had come in since its start; and a connection in steady use outlived the certificates it was made with. A connection is now replaced only after 500 ms without a packet while in use, the dialler renews it when one of the certificates has expired, and the accepting side closes it a minute after that.

--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -29,6 +29,11 @@
 	err     error
 	calls   int
 	lastUse time.Time
+	// until is when the first of the two certificates expires; set with conn.
+	until time.Time
+	// seen is the number of packets received when a call last looked, seenAt the time since when it has not changed.
+	seen   uint64
+	seenAt time.Time
 }
 
 // Call implements Caller. Without a deadline in ctx it takes at most DefaultCallTimeout. The reply can come from another
@@ -66,15 +71,27 @@
 		return nil, false, err
 	}
 	defer t.release(p)
-	before := p.conn.ConnectionStats().PacketsReceived
+	t.silent(p, time.Now())
 	reply, err := t.exchange(ctx, s, m, frame)
-	if err != nil && p.conn.ConnectionStats().PacketsReceived == before {
-		// A connection that brought no packet during a whole call is replaced, as the peer may have forgotten it.
+	if err != nil && t.silent(p, time.Now()) {
 		t.drop(p, closeSilent, "silent")
 	}
 	return reply, true, err
 }
 
+// silent tells that a connection in use has brought no packet for silentTimeout. Such a connection is replaced after a
+// failed call, as the peer may have forgotten it. A shorter silence proves nothing: a call can be given up before the first
+// acknowledgement is due, and other calls share the connection.
+func (t *Transport) silent(p *peerConn, now time.Time) bool {
+	received := p.conn.ConnectionStats().PacketsReceived
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if received != p.seen {
+		p.seen, p.seenAt = received, now
+	}
+	return now.Sub(p.seenAt) >= silentTimeout
+}
+
 // exchange writes one frame and reads the reply. The write side is closed only after the reply was read, which tells the
 // peer that it arrived.
 func (t *Transport) exchange(ctx context.Context, s *quic.Stream, m contract.Message, frame []byte) (contract.Message, error) {
@@ -157,8 +174,9 @@
 	if t.closed {
 		return nil, &StoppedError{}
 	}
+	now := time.Now()
 	p := t.peers[addr]
-	if p == nil || p.ended() {
+	if p == nil || p.ended(now) {
 		target, err := netip.ParseAddrPort(addr)
 		if err != nil {
 			return nil, errors.WithStack(err)
@@ -168,8 +186,12 @@
 		t.running.Add(1)
 		go t.dial(p, target)
 	}
+	if now.Sub(p.lastUse) >= silentTimeout {
+		// No packets are expected on a connection without calls.
+		p.seenAt = now
+	}
 	p.calls++
-	p.lastUse = time.Now()
+	p.lastUse = now
 	return p, nil
 }
 
@@ -183,17 +205,22 @@
 	}
 }
 
-// ended tells that the connection was made and is closed.
-func (p *peerConn) ended() bool {
+// ended tells that the connection was made and is closed, or rests on a certificate that has expired since.
+func (p *peerConn) ended(now time.Time) bool {
 	c := p.established()
-	return c != nil && c.Context().Err() != nil
+	return c != nil && (c.Context().Err() != nil || now.After(p.until))
 }
 
+// release ends a call. The last call on a connection that has been replaced closes it.
 func (t *Transport) release(p *peerConn) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	p.calls--
 	p.lastUse = time.Now()
+	replaced := p.calls == 0 && t.peers[p.addr] != p
+	t.mu.Unlock()
+	if replaced {
+		t.drop(p, closeUnused, "replaced")
+	}
 }
 
 // drop forgets a connection and closes it.
@@ -217,7 +244,10 @@
 	tlsConfig := t.settings.Keys.ClientTLS(target.Addr(), t.settings.Roles...)
 	conn, err := t.quic.Dial(ctx, net.UDPAddrFromAddrPort(target), tlsConfig, quicConfig(true))
 	if err == nil {
-		p.conn = conn
+		p.conn, p.until = conn, t.settings.Keys.Expires()
+		if peer := conn.ConnectionState().TLS.PeerCertificates[0]; peer.NotAfter.Before(p.until) {
+			p.until = peer.NotAfter
+		}
 		t.track(conn)
 		return
 	}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -44,13 +44,13 @@
 	return err
 }
 
-func keyDir(t *testing.T) string {
+func keyDir(t testing.TB) string {
 	dir := t.TempDir()
 	require.NoError(t, keys.CreateAuthority(dir))
 	return dir
 }
 
-func start(t *testing.T, dir string, id instance.ID, role instance.Role, listen string, c *Conditions, h Handler) *node {
+func start(t testing.TB, dir string, id instance.ID, role instance.Role, listen string, c *Conditions, h Handler) *node {
 	t.Helper()
 	ip := netip.MustParseAddrPort(listen).Addr()
 	require.NoError(t, keys.Issue(dir, id, role, []netip.Addr{ip}, time.Hour))
@@ -154,6 +154,38 @@
 	}, 3*time.Second, 10*time.Millisecond)
 }
 
+// Guards against a connection that a call with a short deadline takes from the other calls, and against one that stays in use
+// after a certificate has expired.
+func TestConnectionIsKeptAndRenewed(t *testing.T) {
+	dir := keyDir(t)
+	s := start(t, dir, "s1", instance.RoleScheduler, "127.0.0.1:0", nil,
+		func(ctx context.Context, p Peer, m contract.Message) (contract.Message, error) {
+			if _, slow := m.(*contract.ShardStatus); slow {
+				<-ctx.Done()
+			}
+			return &contract.HeartbeatReply{}, nil
+		})
+	g := start(t, dir, "g1", instance.RoleGateway, "127.0.0.1:0", nil, echo)
+	_, err := call(g, s.Addr(), time.Second)
+	require.NoError(t, err)
+	first := g.peers[s.Addr()]
+	for range 5 {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		_, err := g.Call(ctx, s.Addr(), &contract.ShardStatus{})
+		cancel()
+		require.Error(t, err)
+	}
+	_, err = call(g, s.Addr(), time.Second)
+	require.NoError(t, err)
+	require.Same(t, first, g.peers[s.Addr()])
+	g.mu.Lock()
+	first.until = time.Now().Add(-time.Second)
+	g.mu.Unlock()
+	_, err = call(g, s.Addr(), time.Second)
+	require.NoError(t, err)
+	require.NotSame(t, first, g.peers[s.Addr()])
+}
+
 // Guards against calls that a peer of a role without permission can make.
 func TestWrongRoleIsRefused(t *testing.T) {
 	dir := keyDir(t)
@@ -341,3 +373,15 @@
 	require.Zero(t, c.Effect(b, netip.MustParseAddr("127.10.9.9")))
 	require.Zero(t, c.Effect(b, netip.MustParseAddr("127.0.0.1")))
 }
+
+// BenchmarkCall measures a heartbeat with its reply, both ends in one process.
+func BenchmarkCall(b *testing.B) {
+	dir := keyDir(b)
+	s := start(b, dir, "s1", instance.RoleScheduler, "127.0.0.1:0", nil, echo)
+	g := start(b, dir, "g1", instance.RoleGateway, "127.0.0.1:0", nil, echo)
+	for b.Loop() {
+		if _, err := call(g, s.Addr(), time.Second); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/link/serve.go
+++ b/internal/link/serve.go
@@ -76,11 +76,17 @@
 		_ = c.CloseWithError(closeSilent, "no identity")
 		return
 	}
+	until := c.ConnectionState().TLS.PeerCertificates[0].NotAfter.Add(certificateGrace)
 	for {
 		s, err := c.AcceptStream(t.life)
 		if err != nil {
 			return
 		}
+		if time.Now().After(until) {
+			t.log.Warn("connection was closed because the peer's certificate has expired", "peer", id)
+			_ = c.CloseWithError(closeExpired, "certificate expired")
+			return
+		}
 		t.running.Add(1)
 		go t.serveStream(s, Peer{ID: id, Role: role}, h)
 	}
--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -27,7 +27,13 @@
 	unusedTimeout   = time.Minute
 	janitorInterval = 10 * time.Second
 
+	// silentTimeout is many round trips between data centres, and short enough that a peer whose process was replaced under
+	// another key is reached again within two calls.
+	silentTimeout = 500 * time.Millisecond
+
 	handshakeTimeout = 2 * time.Second
+	// certificateGrace is how long calls are still answered after the caller's certificate has expired, for clocks that differ.
+	certificateGrace = time.Minute
 	// stopTimeout bounds how long a planned stop waits for calls in progress.
 	stopTimeout = 10 * time.Second
 	// maxStreams bounds the calls of one peer that are in progress at the same time.
@@ -44,6 +50,7 @@
 	closeStopped quic.ApplicationErrorCode = iota
 	closeUnused
 	closeSilent
+	closeExpired
 )
 
 // Settings configure a Transport.
