Keep renewing workers that a new owner has not fenced

A test of an owner that is cut off from the log showed that it gave up every worker as soon as one had seen a higher epoch, so tasks on workers that only it could reach ended 10 s later. It now renews those until the isolation limit.

--- a/internal/scheduler/chaos_test.go
+++ b/internal/scheduler/chaos_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"clementinewalk.example/clementinewalk/internal/contract"
 	"clementinewalk.example/clementinewalk/internal/instance"
 	"clementinewalk.example/clementinewalk/internal/link"
@@ -16,9 +19,10 @@
 	"clementinewalk.example/clementinewalk/internal/upstream"
 )
 
-// cut separates one scheduler from everything else, as a crash or a partition does.
+// cut separates one scheduler from everything else, as a crash does, from everything but the workers, or from some workers.
 type cut struct {
-	down atomic.Bool
+	down, isolated atomic.Bool
+	blind          sync.Map
 	platform.Log
 	list platform.List
 	Workers
@@ -26,12 +30,25 @@
 }
 
 func (c *cut) err(op string) error {
-	if c.down.Load() {
+	if c.down.Load() || c.isolated.Load() {
 		return &platform.UnavailableError{Op: op, MayHaveApplied: true, Err: downError{}}
 	}
 	return nil
 }
 
+func (c *cut) workerErr(addr string) error {
+	if blind, _ := c.blind.Load(addr); blind == true || c.down.Load() {
+		return downError{}
+	}
+	return nil
+}
+
+func (c *cut) heal() {
+	c.down.Store(false)
+	c.isolated.Store(false)
+	c.blind.Clear()
+}
+
 func (c *cut) Append(ctx context.Context, stream string, records [][]byte) (uint64, error) {
 	if err := c.err("append"); err != nil {
 		return 0, err
@@ -69,21 +86,21 @@
 }
 
 func (c *cut) Lease(ctx context.Context, addr string, r upstream.LeaseRequest) (upstream.LeaseReply, error) {
-	if err := c.err("lease"); err != nil {
+	if err := c.workerErr(addr); err != nil {
 		return upstream.LeaseReply{}, err
 	}
 	return c.Workers.Lease(ctx, addr, r)
 }
 
 func (c *cut) Start(ctx context.Context, addr string, r upstream.StartRequest) (upstream.TaskReply, error) {
-	if err := c.err("start"); err != nil {
+	if err := c.workerErr(addr); err != nil {
 		return upstream.TaskReply{}, err
 	}
 	return c.Workers.Start(ctx, addr, r)
 }
 
 func (c *cut) Call(ctx context.Context, addr string, m contract.Message) (contract.Message, error) {
-	if c.down.Load() {
+	if c.down.Load() || c.isolated.Load() {
 		return nil, &link.CallError{Addr: addr, Err: downError{}}
 	}
 	return c.calls.Call(ctx, addr, m)
@@ -118,7 +135,7 @@
 	for step := range 60 {
 		time.Sleep(time.Duration(r.IntN(8000)) * time.Millisecond)
 		id := fmt.Sprint("s", r.IntN(3))
-		switch r.IntN(7) {
+		switch r.IntN(9) {
 		case 0:
 			current[id].down.Store(true)
 			spawn(id, step+1)
@@ -130,6 +147,10 @@
 			}
 		case 4:
 			w.fleet.disturb(r)
+		case 5:
+			current[id].isolated.Store(!current[id].isolated.Load())
+		case 6:
+			current[id].blind.Store(fmt.Sprintf("127.0.0.1:%d", 9000+r.IntN(6)), r.IntN(3) > 0)
 		default:
 			w.log.SetFaults(standin.LogFaults{Down: r.IntN(4) == 0, LoseAnswers: 0.3 * r.Float64(), LoseCalls: 0.3 * r.Float64()})
 		}
@@ -137,7 +158,7 @@
 	w.log.SetFaults(standin.LogFaults{})
 	w.fleet.heal()
 	for _, c := range current {
-		c.down.Store(false)
+		c.heal()
 	}
 	time.Sleep(4 * time.Minute)
 	w.checkEnded(jobs)
@@ -146,3 +167,42 @@
 		_ = stop()
 	}
 }
+
+// Guards against a new owner that closes attempts while the old one, which is cut off from the log, still renews their worker, and
+// against an old owner that renews beyond the isolation limit.
+func TestIsolatedOwner(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.v.Manifest.Policies.IsolationLimit = time.Minute
+		w.v.Manifest.Kinds[0].RunTime = 5 * time.Minute
+		s1, c1, stop1 := w.cutScheduler("s1", 0)
+		s2, c2, stop2 := w.cutScheduler("s2", 0)
+		time.Sleep(6 * time.Second)
+		w.submit("a", 4)
+		time.Sleep(2 * time.Second)
+		old, next, cutOld, cutNext := s1, s2, c1, c2
+		if _, err := s1.Handle(t.Context(), link.Peer{}, &contract.JobStatus{Shard: testShard}); err != nil {
+			old, next, cutOld, cutNext = s2, s1, c2, c1
+		}
+		require.Equal(t, 4, w.job(old, "a").Running)
+		lonely := "127.0.0.1:9000"
+		cutOld.isolated.Store(true)
+		cutNext.blind.Store(lonely, true)
+		held := func() int {
+			w.fleet.running()
+			w.fleet.mu.Lock()
+			defer w.fleet.mu.Unlock()
+			return len(w.fleet.workers[lonely].tasks)
+		}
+		before := held()
+		require.Positive(t, before)
+		time.Sleep(50 * time.Second)
+		require.Equal(t, 4, w.job(next, "a").Attempts, "the new owner closes nothing on the worker that it cannot reach")
+		require.Equal(t, before, held(), "the old owner renews")
+		time.Sleep(25 * time.Second)
+		require.Zero(t, held(), "the old owner has stopped to renew")
+		time.Sleep(20 * time.Second)
+		require.Greater(t, w.job(next, "a").Attempts, 4)
+		_, _ = stop1(), stop2()
+	})
+}
--- a/internal/scheduler/fakes_test.go
+++ b/internal/scheduler/fakes_test.go
@@ -288,7 +288,7 @@
 		NewLedger: func(string, uint64, time.Duration) Ledger { return &fakeLedger{workers: map[instance.ID]int{}} }})
 	w.net.mu.Lock()
 	w.net.handlers[addr] = func(ctx context.Context, p link.Peer, m contract.Message) (contract.Message, error) {
-		if c.down.Load() {
+		if c.down.Load() || c.isolated.Load() {
 			return nil, &link.CallError{Addr: addr, Err: downError{}}
 		}
 		return s.Handle(ctx, p, m)
--- a/internal/scheduler/own.go
+++ b/internal/scheduler/own.go
@@ -20,7 +20,8 @@
 	terms   lease.Terms
 	ledger  Ledger
 	workers map[instance.ID]*worker
-	// superseded is set when a worker has seen a higher epoch. The owner then only waits for the claim to arrive by the log.
+	// superseded is set when a worker has seen a higher epoch. The owner then waits for the claim to arrive by the log and only
+	// renews the workers that the new owner has not fenced, so that their tasks run on until it reaches them.
 	superseded bool
 	// releasing is set from the decision to hand the shard over, released once the Release was put into the outbox.
 	releasing  bool
@@ -47,6 +48,8 @@
 	next    time.Time
 	calls   int
 	failing bool
+	// lost is set when this worker has seen a higher epoch.
+	lost    bool
 	ack     uint64
 	events  []upstream.TaskEvent
 	tasks   map[upstream.TaskRef]*run
--- a/internal/scheduler/renew.go
+++ b/internal/scheduler/renew.go
@@ -13,11 +13,11 @@
 
 // renew calls the workers whose renewal is due.
 func (s *Scheduler) renew(sh *shardLoop, now time.Time) {
-	if sh.own.released || sh.own.superseded || !sh.own.terms.MayRenew(now, sh.lastRead) {
+	if sh.own.released || !sh.own.terms.MayRenew(now, sh.lastRead) {
 		return
 	}
 	for _, w := range sh.own.workers {
-		if !w.calling && w.member.Addr != "" && !now.Before(w.next) {
+		if !w.calling && !w.lost && w.member.Addr != "" && !now.Before(w.next) {
 			s.callLease(sh, w, now)
 		}
 	}
@@ -70,7 +70,7 @@
 		if !sh.own.superseded {
 			s.log.Warn("worker has seen a higher epoch", "shard", sh.name, "worker", w.id, "epoch", r.Epoch)
 		}
-		sh.own.superseded = true
+		sh.own.superseded, w.lost = true, true
 		return
 	case lease.Refused:
 		s.log.Warn("worker refused the lease", "shard", sh.name, "worker", w.id, "reason", r.Refusal)
