--- /dev/null
+++ b/cmd/clementine-scheduler/providers.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"clementinewalk.example/clementinewalk/internal/budget"
+	"clementinewalk.example/clementinewalk/internal/config"
+	"clementinewalk.example/clementinewalk/internal/instance"
+	"clementinewalk.example/clementinewalk/internal/keys"
+	"clementinewalk.example/clementinewalk/internal/link"
+	"clementinewalk.example/clementinewalk/internal/platform"
+	"clementinewalk.example/clementinewalk/internal/process"
+	"clementinewalk.example/clementinewalk/internal/scheduler"
+	"clementinewalk.example/clementinewalk/internal/upstream"
+)
+
+const (
+	// workerIdle is the number of idle connections kept for each worker: one for renewals and one for task calls.
+	workerIdle     = 2
+	workerIdleTime = 90 * time.Second
+	// platformIdle covers the long polls of the shards that one scheduler owns at the target size.
+	platformIdle = 32
+)
+
+func newHealth() *process.Health { return &process.Health{} }
+
+func newPlatformHTTP() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformIdle}}
+}
+
+func newLog(s *Settings, c *http.Client) *platform.HTTPLog { return platform.NewHTTPLog(s.Platform, c) }
+
+func newList(s *Settings, c *http.Client) *platform.HTTPList {
+	return platform.NewHTTPList(s.Platform, c)
+}
+
+// newWorkers has a transport of its own, so that calls to the platform and to workers do not share limits.
+func newWorkers() *upstream.Client {
+	return upstream.NewClient(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workerIdle, IdleConnTimeout: workerIdleTime}})
+}
+
+func newKeys(s *Settings, l *slog.Logger, r *prometheus.Registry) (*keys.Store, error) {
+	return keys.Open(s.Keys, instance.ID(s.ID), keys.WithLogger(l), keys.WithRegisterer(r))
+}
+
+func newConditions(s *Settings, l *slog.Logger) (*link.Conditions, error) {
+	if s.Conditions == "" {
+		return nil, nil
+	}
+	return link.OpenConditions(s.Conditions, s.LinkSeed, l)
+}
+
+func newTransport(s *Settings, l *slog.Logger, k *keys.Store, c *link.Conditions, r *prometheus.Registry) (*link.Transport, error) {
+	return link.NewTransport(link.Settings{Listen: s.LinkListen, Keys: k, Conditions: c, Logger: l, Registerer: r})
+}
+
+func newFollower(s *Settings, l *slog.Logger, log *platform.HTTPLog, list *platform.HTTPList, t *link.Transport,
+	r *prometheus.Registry) (*config.Follower, error) {
+	f := config.NewFollower(log, scheduler.FetchConfig(list, t, instance.ID(s.ID)), l)
+	return f, errors.WithStack(f.Register(r))
+}
+
+func newLedger(shard string, epoch uint64, ttl time.Duration) scheduler.Ledger {
+	return budget.NewLedger(shard, epoch, ttl)
+}
+
+func newScheduler(s *Settings, l *slog.Logger, log *platform.HTTPLog, list *platform.HTTPList, t *link.Transport, w *upstream.Client,
+	f *config.Follower, r *prometheus.Registry, h *process.Health) *scheduler.Scheduler {
+	return scheduler.New(scheduler.Settings{ID: instance.ID(s.ID), Incarnation: instance.Incarnation(uuid.NewString()),
+		DataCentre: s.DataCentre, LinkAddr: s.LinkListen, HTTPAddr: s.HTTPListen, LeaseInterval: s.LeaseInterval},
+		scheduler.Deps{Log: log, List: list, Link: t, Workers: w, Config: f, NewLedger: newLedger, Logger: l, Registry: r, Health: h})
+}
--- /dev/null
+++ b/cmd/clementine-scheduler/wire.go
@@ -0,0 +1,16 @@
+//go:build wireinject
+
+package main
+
+import (
+	"log/slog"
+
+	"github.com/google/wire"
+
+	"clementinewalk.example/clementinewalk/internal/process"
+)
+
+func initialize(s *Settings, l *slog.Logger) (*program, error) {
+	panic(wire.Build(newProgram, newHealth, process.NewRegistry, newPlatformHTTP, newLog, newList, newWorkers, newKeys, newConditions,
+		newTransport, newFollower, newScheduler))
+}
--- a/internal/scheduler/handlers.go
+++ b/internal/scheduler/handlers.go
@@ -59,12 +59,8 @@
 		return nil, &contract.Failure{Code: contract.FailureForbidden, Detail: "heartbeats come from other schedulers"}
 	}
 	s.heard(now, m.From, m.Incarnation, "", m.Leaving, m.Owned)
-	r := &contract.HeartbeatReply{From: s.ID, Incarnation: s.Incarnation, LogReachable: s.logUp(now), Owned: s.owned(),
-		Leaving: s.leaving}
-	if s.version != nil {
-		r.Config = s.version.Offset
-	}
-	return r, nil
+	return &contract.HeartbeatReply{From: s.ID, Incarnation: s.Incarnation, LogReachable: s.logUp(now), Owned: s.owned(),
+		Leaving: s.leaving, Config: s.configOffset()}, nil
 }
 
 // owner returns the shard if this process owns it, and the failure to answer otherwise.
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -11,9 +11,6 @@
 	s.leaving = true
 	s.deps.Health.SetReady(false)
 	s.log.Info("hands its shards over and stops")
-	if s.version == nil {
-		return
-	}
 	for _, name := range s.names {
 		s.beginRelease(s.shards[name], now, "the scheduler stops")
 	}
--- a/internal/scheduler/membership.go
+++ b/internal/scheduler/membership.go
@@ -78,7 +78,7 @@
 
 // heartbeat calls every other scheduler.
 func (s *Scheduler) heartbeat() {
-	m := &contract.Heartbeat{From: s.ID, Incarnation: s.Incarnation, Config: s.version.Offset, Leaving: s.leaving,
+	m := &contract.Heartbeat{From: s.ID, Incarnation: s.Incarnation, Config: s.configOffset(), Leaving: s.leaving,
 		LogReachable: s.logUp(time.Now()), Owned: s.owned()}
 	for id, p := range s.members.peers {
 		if s.members.beating[id] || p.Addr == "" {
@@ -117,6 +117,14 @@
 	s.members.peers[id] = p
 }
 
+// configOffset returns the version in force, zero before the first one.
+func (s *Scheduler) configOffset() uint64 {
+	if s.version == nil {
+		return 0
+	}
+	return s.version.Offset
+}
+
 func (s *Scheduler) owned() []contract.OwnedShard {
 	var out []contract.OwnedShard
 	for _, name := range s.names {
--- a/internal/scheduler/policies.go
+++ b/internal/scheduler/policies.go
@@ -57,10 +57,3 @@
 	slices.Sort(out)
 	return out
 }
-
-// price returns the cost in millionths of the currency of holding an amount for a time.
-func price(p manifest.Prices, v resource.Vector, d time.Duration) int64 {
-	perHour := float64(v.MilliCores)/1000*float64(p.CoreHour) + float64(v.MemoryMB)/1024*float64(p.MemoryGBHour) +
-		float64(v.Accelerators)*float64(p.AcceleratorHour)
-	return int64(perHour * d.Hours())
-}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -111,9 +111,6 @@
 
 func (s *Scheduler) tick(now time.Time) {
 	s.follow()
-	if s.version == nil {
-		return
-	}
 	if !now.Before(s.nextSec) {
 		s.nextSec = now.Add(secondly)
 		s.everySecond(now)
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -73,7 +73,7 @@
 		runTime = now.Sub(t.started)
 	}
 	c := &contract.Close{TaskRef: t.ref, Outcome: e.Outcome, Checkpoint: e.Checkpoint, RunTime: runTime, At: now,
-		Reason: e.Reason, Final: s.final(sh, t, e.Outcome), Cost: price(s.version.Manifest.Prices, t.size, runTime)}
+		Reason: e.Reason, Final: s.final(sh, t, e.Outcome), Cost: s.version.Manifest.Prices.Of(t.size, runTime)}
 	if c.Checkpoint == "" {
 		c.Checkpoint = t.checkpoint
 	}
