Fence silent gateways by time without contact instead of by the expiry of their grants

Cause: in a trial with real processes, killing the only scheduler under load gave 2884 refusals, because grants of 3 s ran out before the next epoch; a longer TTL alone would hold back the slots of dead gateways just as long. Change: the ledger fences a gateway after 3 s without a request, whatever the TTL; the fence frees the slots, so this is as safe as before. Refusals because of a grant no longer count towards a request's four attempts.

--- a/internal/budget/divide.go
+++ b/internal/budget/divide.go
@@ -78,7 +78,7 @@
 	}
 	var shares []share
 	for _, inc := range sortedKeys(l.gateways) {
-		if g := l.gateways[inc]; !g.expired && !g.leaving {
+		if g := l.gateways[inc]; !g.silent && !g.leaving {
 			shares = append(shares, share{inc, l.weight(g)})
 		}
 	}
--- a/internal/budget/ledger.go
+++ b/internal/budget/ledger.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// driftShare is the part of the TTL by which the owner waits longer than the gateway, for clocks of different speed.
-	driftShare = 50
-	// gatewayMemory is how long an expired gateway is remembered, so that a worker that restarts gets its fence again.
+	// silenceLimit is how long after its last request a gateway counts as gone and its grants are fenced off. It is shorter than the
+	// TTL can be: the fence and not the expiry frees slots, so a long TTL lets gateways keep working without an owner and does not
+	// hold back the slots of a dead gateway.
+	silenceLimit = 3 * time.Second
+	// gatewayMemory is how long a silent gateway is remembered, so that a worker that restarts gets its fence again.
 	gatewayMemory = 10 * time.Minute
 )
 
@@ -51,12 +53,13 @@
 	acked      uint64
 	// fencedBelow is the lowest generation that workers may still accept, zero if they were never told one.
 	fencedBelow uint64
-	expiry      time.Time
-	expired     bool
-	leaving     bool
+	// silentAt is when the gateway counts as gone unless it asks again.
+	silentAt time.Time
+	silent   bool
+	leaving  bool
 }
 
-// NewLedger returns an account without workers. ttl is how long a grant may be used.
+// NewLedger returns an account without workers. ttl is how long a grant may be used without being renewed.
 func NewLedger(shard string, epoch uint64, ttl time.Duration) *Ledger {
 	return &Ledger{shard: shard, epoch: epoch, ttl: ttl, workers: map[instance.ID]*worker{},
 		gateways: map[instance.Incarnation]*gateway{}, targets: map[instance.Incarnation]int{}}
@@ -98,7 +101,7 @@
 		if g == nil {
 			continue
 		}
-		if g.expired {
+		if g.silent {
 			g.fencedBelow = g.generation + 1
 		}
 		if g.fencedBelow > 0 {
@@ -182,7 +185,7 @@
 	g.id, g.dc = r.Gateway, r.DataCentre
 	g.leaving = g.leaving || r.Leaving
 	g.weight = smooth(g.weight, float64(max(r.Demand, 0)))
-	g.expired, g.expiry = false, now.Add(l.ttl+l.ttl/driftShare)
+	g.silent, g.silentAt = false, now.Add(silenceLimit)
 	return g
 }
 
@@ -235,14 +238,14 @@
 	return n
 }
 
-// expire marks the gateways that may start no more requests and forgets those that left nothing behind.
+// expire marks the gateways that are silent and forgets those that left nothing behind.
 func (l *Ledger) expire(now time.Time) {
 	for inc, g := range l.gateways {
-		if !g.expired && now.After(g.expiry) {
-			g.expired = true
+		if !g.silent && now.After(g.silentAt) {
+			g.silent = true
 			g.weight = 0
 		}
-		if g.expired && now.Sub(g.expiry) > gatewayMemory && l.forget(inc) {
+		if g.silent && now.Sub(g.silentAt) > gatewayMemory && l.forget(inc) {
 			delete(l.gateways, inc)
 		}
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -63,13 +63,17 @@
 func (g *Gateway) run(ctx context.Context, r request) answer {
 	c := &call{slot: make(chan slot, 1)}
 	c.entry = admission.Entry[*call]{Kind: r.kind.Name, Rank: r.kind.Urgency.Rank(), Arrived: r.arrived, Deadline: r.deadline, Value: c}
-	mayHaveRun := false
+	mayHaveRun, free := false, 0
 	for n := 1; ; n++ {
-		a, again := g.try(ctx, r, c, n)
+		a, again := g.try(ctx, r, c, n > 1)
 		mayHaveRun = mayHaveRun || a.mayHaveRun
 		if a.answer.state == contract.AnswerWhole {
 			return a.answer
 		}
+		if a.free {
+			free++
+		}
+		again = again && n-free < maxAttempts && free < maxFreeAttempts
 		if !again || mayHaveRun && !r.kind.Idempotent || !g.mayRetry(a.free) {
 			return conclude(a.answer, mayHaveRun)
 		}
@@ -94,10 +98,10 @@
 	return permitted
 }
 
-// try makes one attempt and reports whether another one makes sense.
-func (g *Gateway) try(ctx context.Context, r request, c *call, n int) (attempt, bool) {
+// try makes one attempt and reports whether the worker's part failed, so that another attempt makes sense.
+func (g *Gateway) try(ctx context.Context, r request, c *call, retry bool) (attempt, bool) {
 	queued := time.Now()
-	s, ok := g.await(ctx, c, n > 1)
+	s, ok := g.await(ctx, c, retry)
 	g.metrics.queued(r.kind.Name, time.Since(queued))
 	switch {
 	case !ok:
@@ -107,7 +111,7 @@
 	}
 	a := g.execute(ctx, r, s.permit)
 	c.avoid = s.permit.Worker
-	return a, n < maxAttempts && time.Now().Before(r.deadline)
+	return a, time.Now().Before(r.deadline)
 }
 
 // execute calls the worker of a permit and gives the slot back as soon as the request cannot occupy it any more.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -64,8 +64,10 @@
 	// defaultTimeout applies to a request whose caller and kind give no time.
 	defaultTimeout = 30 * time.Second
 	maxTimeout     = 5 * time.Minute
-	// maxAttempts bounds the attempts of one request.
-	maxAttempts = 4
+	// maxAttempts bounds the attempts of one request that failed because of a worker. maxFreeAttempts bounds those that were
+	// refused because of the grant: after a change of owner every worker of a shard refuses once.
+	maxAttempts     = 4
+	maxFreeAttempts = 50
 	// tickEvery is the pace of the control loop.
 	tickEvery = 50 * time.Millisecond
 	// grantEvery is the time between two grant requests to a shard, grantSooner the least time when demand or grants change.
