Add fault scenarios against the real programs

The design's promises had been checked in each package and by the demo, but not while processes die, freeze or lose the log. The package test/faults starts the programs on the loopback network, sends load, applies a failure and compares what callers were told with what the workers counted.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := bin
 PROGRAMS := $(notdir $(wildcard cmd/*))
 
-.PHONY: build check format lint test models demo process-test clean
+.PHONY: build check format lint test models demo faults process-test clean
 
 build:
 	@mkdir -p $(BIN)
@@ -26,6 +26,14 @@
 demo:
 	@scripts/demo.sh
 
+# Failures of the real programs under load, one scenario after the other: SCENARIO=name runs one, LIST=1 lists them, KEEP=1 keeps the logs.
+faults:
+	@FAULTS=1 SCENARIO="$(SCENARIO)" LIST="$(LIST)" KEEP="$(KEEP)" $(GO) test -count=1 -timeout 30m -run TestFaults ./test/faults
+
+# Three short scenarios of the same table.
+process-test:
+	@PROCESSES=1 KEEP="$(KEEP)" $(GO) test -count=1 -timeout 5m -run TestProcesses ./test/faults
+
 check: format lint test models
 
 clean:
