--- a/Makefile
+++ b/Makefile
@@ -28,11 +28,15 @@
 
 # Failures of the real programs under load, one scenario after the other: SCENARIO=name runs one, LIST=1 lists them, KEEP=1 keeps the logs.
 faults:
-	@FAULTS=1 SCENARIO="$(SCENARIO)" LIST="$(LIST)" KEEP="$(KEEP)" $(GO) test -count=1 -timeout 30m -run TestFaults ./test/faults
+	@mkdir -p $(BIN)
+	@$(GO) test -c -o $(BIN)/faults.test ./test/faults
+	@cd test/faults && FAULTS=1 SCENARIO="$(SCENARIO)" LIST="$(LIST)" KEEP="$(KEEP)" ../../$(BIN)/faults.test -test.timeout 30m -test.run TestFaults
 
 # Three short scenarios of the same table.
 process-test:
-	@PROCESSES=1 KEEP="$(KEEP)" $(GO) test -count=1 -timeout 5m -run TestProcesses ./test/faults
+	@mkdir -p $(BIN)
+	@$(GO) test -c -o $(BIN)/faults.test ./test/faults
+	@cd test/faults && PROCESSES=1 KEEP="$(KEEP)" ../../$(BIN)/faults.test -test.timeout 5m -test.run TestProcesses
 
 check: format lint test models
 
