--- a/internal/scheduler/membership.go
+++ b/internal/scheduler/membership.go
@@ -44,7 +44,6 @@
 }
 
 func (s *Scheduler) takeList(now time.Time, list []instance.Member) {
-	s.members.listAt = now
 	clear(s.members.workers)
 	for id, p := range s.members.peers {
 		p.Listed = false
@@ -66,6 +65,9 @@
 			}
 			p = shard.Peer{ID: m.ID, Incarnation: m.Incarnation}
 		}
+		if p.ListedAt.IsZero() {
+			p.ListedAt = now
+		}
 		p.Addr, p.Listed, p.Leaving = m.Addr, true, p.Leaving || m.State == instance.StateLeaving
 		s.members.peers[m.ID] = p
 	}
@@ -137,7 +139,7 @@
 
 func (s *Scheduler) view(now time.Time) shard.View {
 	return shard.View{Now: now, Self: s.ID, Start: s.start, OwnerTimeout: s.policy.ownerTimeout,
-		ListKnown: now.Sub(s.members.listAt) < listFresh, LogUp: s.logUp(now), Peers: s.members.peers}
+		LogUp: s.logUp(now), Peers: s.members.peers}
 }
 
 // logUp reports whether some stream was read lately. A process that reads none does not know and assumes it.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -41,7 +41,6 @@
 type membership struct {
 	peers   map[instance.ID]shard.Peer
 	workers map[instance.ID]instance.Member
-	listAt  time.Time
 	polling bool
 	beating map[instance.ID]bool
 }
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -77,8 +77,6 @@
 	peerTimeout = time.Second
 	// logFresh is how recent a read must be for the log to count as reachable.
 	logFresh = readWait + 3*time.Second
-	// listFresh is how recent the instance list must be for an absence to count.
-	listFresh = 5 * time.Second
 	// snapshotEvery is the number of records after which an owner writes a snapshot, snapshotAge the time. The time bounds how
 	// long the platform must keep records of an idle shard.
 	snapshotEvery = 2000
--- a/internal/shard/claim.go
+++ b/internal/shard/claim.go
@@ -29,9 +29,10 @@
 	Addr        string
 	// Heard is the time of its last heartbeat, zero if there was none.
 	Heard time.Time
-	// Listed tells whether the instance list names this incarnation.
-	Listed  bool
-	Leaving bool
+	// Listed tells whether the instance list names this incarnation, and ListedAt since when.
+	Listed   bool
+	ListedAt time.Time
+	Leaving  bool
 	// Owned holds the epochs of the shards that it reported to own.
 	Owned map[string]uint64
 }
@@ -43,14 +44,13 @@
 	Start time.Time
 	// OwnerTimeout is how long an owner may be silent.
 	OwnerTimeout time.Duration
-	// ListKnown tells whether the instance list was read recently enough for an absence to count.
-	ListKnown bool
 	// LogUp tells whether the log can be used.
 	LogUp bool
 	Peers map[instance.ID]Peer
 }
 
-// Live returns the schedulers that may own shards: this one and the peers heard within the owner timeout.
+// Live returns the schedulers that may own shards: this one, the peers heard within the owner timeout, and those that have
+// appeared in the list within it and had no time to be heard.
 func (v View) Live() []instance.ID {
 	live := []instance.ID{v.Self}
 	for id, p := range v.Peers {
@@ -61,25 +61,11 @@
 	return live
 }
 
-// silent also holds for peers that were not heard since the start, once the start is an owner timeout ago.
-func (v View) silent(p Peer) bool { return v.Now.Sub(p.Heard) >= v.OwnerTimeout }
+func (v View) silent(p Peer) bool { return v.Now.Sub(latest(p.Heard, p.ListedAt)) >= v.OwnerTimeout }
 
-// Settled reports whether the live set is known: every listed peer was heard, or the owner timeout has passed since the
-// start. Claims before that would be taken back at once.
-func (v View) Settled() bool {
-	if v.Now.Sub(v.Start) >= v.OwnerTimeout {
-		return true
-	}
-	if !v.ListKnown {
-		return false
-	}
-	for _, p := range v.Peers {
-		if p.Listed && p.Heard.IsZero() {
-			return false
-		}
-	}
-	return true
-}
+// Settled reports whether the live set is known: the owner timeout has passed since the start. Claims before that would be taken
+// back at once, because the instance list lags and no peer may have been heard.
+func (v View) Settled() bool { return v.Now.Sub(v.Start) >= v.OwnerTimeout }
 
 // KnownOwner returns the live peer that reports to own the shard.
 func (v View) KnownOwner(name string) (Peer, bool) {
@@ -193,8 +179,12 @@
 		return false
 	}
 	p, ok := v.Peers[o.Claim.Owner]
+	if ok && !p.Heard.IsZero() && p.Incarnation != o.Claim.Incarnation {
+		return true
+	}
 	if !ok || p.Incarnation != o.Claim.Incarnation {
-		return v.ListKnown || v.Now.Sub(c.readSince) >= v.OwnerTimeout
+		// The list lags, so an absence counts only if it lasts.
+		return v.Now.Sub(c.readSince) >= v.OwnerTimeout
 	}
 	if v.Now.Sub(latest(p.Heard, v.Start)) >= v.OwnerTimeout {
 		return true
