Ready: Count executions by the caller's request and complete the demo

The gateway gives each call to a worker an id of its own, so the workers' check for a request executed twice could not see two attempts of one request, and the load generator took every answer for a crossed one. upstream.AttemptID and CallerID now define the form of the ids for the gateway, the workers' ledger and the load generator. The demo waits until all workers are fenced and slots are granted before it sends load, and requires all tasks done and every eviction resumed.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -115,8 +114,7 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.deadline)
 	defer cancel()
 	began := time.Now()
-	// Each call to a worker has an id of its own: a worker that was told to cancel one refuses it for a while.
-	id := r.id + "." + strconv.FormatUint(g.serial.Add(1), 36)
+	id := upstream.AttemptID(r.id, g.serial.Add(1))
 	got, err := g.deps.Workers.Execute(ctx, p.Addr, upstream.ExecuteRequest{RequestID: id, Kind: r.kind.Name, Shard: p.Shard,
 		Epoch: p.Epoch, Gateway: g.Incarnation, Generation: p.Generation, Timeout: max(time.Until(r.deadline), time.Millisecond),
 		NonIdempotent: !r.kind.Idempotent, Body: r.body})
--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -14,6 +14,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+
+	"clementinewalk.example/clementinewalk/internal/upstream"
 )
 
 // outcome is one of the three outcomes of a request.
@@ -179,7 +181,8 @@
 	if got := h.Get(headerRequestID); got != r.id {
 		return faultCrossed, fmt.Sprintf("request %s: header names request %q", r.id, got)
 	}
-	if e.RequestID != r.id || e.Kind != r.kind.Name || !strings.EqualFold(digest, want) {
+	// The worker names the attempt that it answers.
+	if e.RequestID != r.id && upstream.CallerID(e.RequestID) != r.id || e.Kind != r.kind.Name || !strings.EqualFold(digest, want) {
 		return faultCrossed, fmt.Sprintf("request %s: answer is for request %q of kind %q", r.id, e.RequestID, e.Kind)
 	}
 	return faultNone, ""
--- a/internal/load/standin.go
+++ b/internal/load/standin.go
@@ -16,6 +16,10 @@
 	pathExecuted = "/admin/executed"
 	// executedBatch bounds the ids of one question to the workers.
 	executedBatch = 20_000
+
+	notRunButExecuted   = "called not run but executed"
+	answeredNotExecuted = "answered but not executed"
+	executedTwice       = "non-idempotent request executed more than once"
 )
 
 // standin asks the workers' stand-in what really happened. Without a url it answers nothing.
@@ -91,6 +95,9 @@
 	for id := range rec.final {
 		ids = append(ids, id)
 	}
+	for _, name := range []string{notRunButExecuted, answeredNotExecuted, executedTwice} {
+		res.violate(name, 0)
+	}
 	for len(ids) > 0 {
 		n := min(len(ids), executedBatch)
 		out, err := w.executed(ctx, executedQuestion{RequestIDs: ids[:n]})
@@ -108,11 +115,11 @@
 func judgeExecutions(id string, f final, executions int, res *Result) {
 	switch {
 	case f.outcome == notRun && executions > 0:
-		res.violate("called not run but executed", 1, fmt.Sprintf("request %s: %d executions", id, executions))
+		res.violate(notRunButExecuted, 1, fmt.Sprintf("request %s: %d executions", id, executions))
 	case f.outcome == whole && executions == 0:
-		res.violate("answered but not executed", 1, "request "+id)
+		res.violate(answeredNotExecuted, 1, "request "+id)
 	case !f.idempotent && executions > 1:
-		res.violate("non-idempotent request executed more than once", 1, fmt.Sprintf("request %s: %d executions", id, executions))
+		res.violate(executedTwice, 1, fmt.Sprintf("request %s: %d executions", id, executions))
 	}
 }
 
--- a/internal/standin/worker/ledger.go
+++ b/internal/standin/worker/ledger.go
@@ -202,8 +202,9 @@
 	}
 }
 
-// Execute records that a worker begins to execute a request.
-func (l *Ledger) Execute(w instance.ID, id, kind string, nonIdempotent bool) {
+// Execute records that a worker begins to execute a request. All calls for one request of a caller count together.
+func (l *Ledger) Execute(w instance.ID, attempt, kind string, nonIdempotent bool) {
+	id := upstream.CallerID(attempt)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counts[CountExecutions]++
--- /dev/null
+++ b/internal/upstream/attempt_test.go
@@ -0,0 +1,16 @@
+package upstream
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against two executions of one request that look like those of two requests.
+func TestAttemptID(t *testing.T) {
+	for _, id := range []string{"a", "a.b", "a.1", ""} {
+		require.Equal(t, id, CallerID(AttemptID(id, 123456)))
+		require.NotEqual(t, AttemptID(id, 1), AttemptID(id, 2))
+	}
+	require.Equal(t, "a", CallerID("a"))
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -60,19 +60,41 @@
   gateways+=("http://$host:$((gateway_http + shift_by))")
 done
 
-# The list of instances lags 2 s behind; publish --wait asks the instances in it.
-instances=0
-for ((n = 0; n < 100 && instances < 2 * entries; n++)); do
-  sleep 0.2
-  instances=$(bin/clementinectl instances -o json 2>/dev/null | grep -c '"id"' || true)
-done
+# await_count PATTERN COUNT SECONDS COMMAND...: waits until the output of clementinectl COMMAND has COUNT lines with PATTERN.
+await_count() {
+  local pattern=$1 count=$2 deadline=$((SECONDS + $3)) found=0
+  shift 3
+  while ((SECONDS < deadline)); do
+    found=$(bin/clementinectl "$@" -o json 2>/dev/null | grep -c "$pattern" || true)
+    ((found >= count)) && return 0
+    sleep 0.2
+  done
+  fail "clementinectl $* shows $found of $count lines with $pattern"
+  return 1
+}
+
+# A process is listed about 2 s after its start; schedulers are listed once they have a manifest.
+await_count '"role": "gateway"' "$entries" 15 instances
 say "publishing $manifest"
 bin/clementinectl publish "$manifest" --wait --operator demo >&2
+await_count '"ready": true' $((2 * entries)) 15 instances
 
-for ((i = 0; i < entries; i++)); do
-  host=${ENTRY_HOSTS[i % count]}
-  await_ready "gateway-$i" "$host" $((gateway_http + i / count * 100)) 15
+# Workers take work once the owner of their shard has fenced them, and gateways have slots with the next grant.
+workers=0
+for site in ${CLEMENTINE_WORKER_FLEET//,/ }; do
+  size=${site#*=}
+  workers=$((workers + ${size%%@*}))
+done
+sum_of() { bin/clementinectl shards -o json 2>/dev/null | awk -F: -v key="\"$1\"" '$1 ~ key { sum += $2 } END { print sum + 0 }'; }
+deadline=$((SECONDS + 15))
+until [[ $(sum_of fenced) == "$workers" && $(sum_of slots_granted) -gt 0 ]]; do
+  if ((SECONDS >= deadline)); then
+    fail "owners have not fenced all $workers workers after 15 s"
+    exit 1
+  fi
+  sleep 0.2
 done
+bin/clementinectl shards >&2
 
 # busiest prints the worker with the most running tasks.
 busiest() {
@@ -99,6 +121,13 @@
 cat "$WORK/table.txt"
 ((rc == 0)) || fail "the load generator ended with exit code $rc"
 
+# figure NAME: prints a number of the batch part of the result.
+figure() { sed -n "s/^ *\"$1\": \([0-9]*\),*$/\1/p" "$out/result.json" | tail -n 1; }
+done=$(figure done) evicted=$(figure evicted) resumed=$(figure resumed)
+((done == jobs * tasks)) || fail "$done of $((jobs * tasks)) tasks were done"
+((resumed == evicted)) || fail "$resumed of $evicted evicted tasks were resumed"
+((evicted > 0)) || say "note: the drained worker had no task left to evict"
+
 say "stopping gateways, schedulers, workers and the platform"
 for ((i = 0; i < entries; i++)); do fronts+=("gateway-$i") owners+=("scheduler-$i"); done
 stop "${fronts[@]}"
