--- a/cmd/clementine-gateway/providers.go
+++ b/cmd/clementine-gateway/providers.go
@@ -1,11 +1,11 @@
 package main
 
 import (
+	"crypto/rand"
 	"log/slog"
 	"net/http"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -25,6 +25,8 @@
 	// workerIdleTime is how long an unused connection to a worker is kept.
 	workerIdleTime = 90 * time.Second
 	platformIdle   = 4
+	// incarnationLength gives 80 random bits. The incarnation is part of every grant request and ticket, so it is kept short.
+	incarnationLength = 16
 )
 
 func newHealth() *process.Health { return &process.Health{} }
@@ -67,7 +69,7 @@
 
 func newGateway(s *Settings, l *slog.Logger, log *platform.HTTPLog, list *platform.HTTPList, t *link.Transport, w *upstream.Client,
 	f *config.Follower, r *prometheus.Registry, h *process.Health) *gateway.Gateway {
-	return gateway.New(gateway.Settings{ID: instance.ID(s.ID), Incarnation: instance.Incarnation(uuid.NewString()),
+	return gateway.New(gateway.Settings{ID: instance.ID(s.ID), Incarnation: instance.Incarnation(rand.Text()[:incarnationLength]),
 		DataCentre: s.DataCentre, LinkAddr: s.LinkListen, HTTPAddr: s.HTTPListen, DrainDelay: s.DrainDelay},
 		gateway.Deps{Log: log, List: list, Link: t, Workers: w, Config: f, Logger: l, Registry: r, Health: h})
 }
