Send a slow idempotent request to a second worker

Cause: a request on a worker that hangs used up its caller's time, and a retry after the timeout came too late. Change: after ten times the expected service time, or half of the time left, an idempotent request is also sent to another worker, drawing on the retry budget; the first whole answer counts and the slow worker counts as failed. The package's tests pass with the race detector in 13 s; the new one shows an answer within a second of a deadline of two while the first worker hangs. Conclusion: a hanging worker costs callers about 0.1 s until it is ejected; non-idempotent requests are still sent once.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -49,8 +49,10 @@
 
 // slot is the answer to a call.
 type slot struct {
-	permit  budget.Permit
-	refusal *admission.Refusal
+	permit budget.Permit
+	// expected is the expected service time, zero if it is not known.
+	expected time.Duration
+	refusal  *admission.Refusal
 }
 
 func newControl() control {
@@ -154,7 +156,7 @@
 				Refusal: admission.Refusal{Reason: admission.ReasonNoCapacity, RetryAfter: time.Second}}})
 			continue
 		}
-		entry.Value.slot <- slot{permit: permit}
+		entry.Value.slot <- slot{permit: permit, expected: k.services.Estimate(entry.Kind)}
 	}
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -319,6 +319,42 @@
 	}
 }
 
+// Guards against callers that wait for a worker that hangs, and against a non-idempotent request that is sent twice.
+func TestHangingWorker(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("g")
+	for range 5 {
+		require.Equal(t, http.StatusOK, g.post(t, "/v1/requests/quote", "x").status)
+	}
+	hanging := ""
+	w.set(func(ctx context.Context, r upstream.ExecuteRequest) (upstream.Answer, error) {
+		w.mu.Lock()
+		first := hanging == ""
+		if first {
+			hanging = r.RequestID
+		}
+		w.mu.Unlock()
+		if first {
+			<-ctx.Done()
+			return loseAnswer(ctx, r)
+		}
+		return echo(r), nil
+	})
+	began := time.Now()
+	require.Equal(t, http.StatusOK, g.post(t, "/v1/requests/quote", "x", headerTimeout, "2000").status)
+	require.Less(t, time.Since(began), time.Second)
+
+	w.mu.Lock()
+	hanging = ""
+	w.mu.Unlock()
+	calls := w.callCount()
+	ticket := g.post(t, "/v1/tickets", "").header.Get(headerTicket)
+	r := g.post(t, "/v1/requests/send", "p", headerTicket, ticket, headerTimeout, "400")
+	require.Equal(t, http.StatusGatewayTimeout, r.status)
+	require.Equal(t, "unknown", r.header.Get(headerOutcome))
+	require.Equal(t, calls+1, w.callCount())
+}
+
 // Guards against bodies that use up the memory of a small instance, and against room that is not given back.
 func TestBoundsOfBodies(t *testing.T) {
 	var b bounds
--- /dev/null
+++ b/internal/gateway/hedge.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/admission"
+	"clementinewalk.example/clementinewalk/internal/contract"
+)
+
+const (
+	// hedgeFactor is how many times the expected service time an idempotent request may take before it is sent to a second worker.
+	// Interference on a shared worker slows requests by small factors; ten times the mean points at a worker that hangs.
+	hedgeFactor = 10
+	// minHedge keeps short requests from being doubled because of one slow packet.
+	minHedge = 100 * time.Millisecond
+)
+
+// patience returns how long to wait for a worker before a second one is asked. At least half of the time is left for that one.
+func patience(expected, left time.Duration) time.Duration {
+	if expected <= 0 {
+		return left / 2
+	}
+	return min(left/2, max(hedgeFactor*expected, minHedge))
+}
+
+// hedged runs an idempotent request on a second worker if the first one is slow and the retry budget permits it. The first whole
+// answer counts. The other call goes on until it ends, because its slot stays occupied anyway.
+func (g *Gateway) hedged(ctx context.Context, r request, s slot) attempt {
+	out := make(chan attempt, 2)
+	go func() { out <- g.execute(ctx, r, s.permit) }()
+	timer := time.NewTimer(patience(s.expected, time.Until(r.deadline)))
+	defer timer.Stop()
+	select {
+	case a := <-out:
+		return a
+	case <-timer.C:
+	}
+	g.post(func(now time.Time) { g.failed(now, s.permit) })
+	if !g.mayRetry(false) {
+		return <-out
+	}
+	g.metrics.hedges.Inc()
+	waiting, leaveQueue := context.WithCancel(ctx)
+	defer leaveQueue()
+	go func() { out <- g.second(waiting, r, s) }()
+	a := <-out
+	if a.answer.state == contract.AnswerWhole {
+		return a
+	}
+	b := <-out
+	if b.answer.state == contract.AnswerWhole || !a.mayHaveRun {
+		a, b = b, a
+	}
+	a.mayHaveRun = a.mayHaveRun || b.mayHaveRun
+	a.free = a.free && b.free
+	return a
+}
+
+// second waits for a slot on another worker and runs the request there.
+func (g *Gateway) second(ctx context.Context, r request, first slot) attempt {
+	c := newCall(r)
+	c.avoid = first.permit.Worker
+	s, ok := g.await(ctx, c, true)
+	switch {
+	case !ok:
+		return attempt{answer: answer{state: contract.AnswerNotRun, reason: reasonCallerGone}}
+	case s.refusal != nil:
+		return attempt{answer: refusedAnswer(s.refusal)}
+	}
+	return g.execute(ctx, r, s.permit)
+}
+
+func refusedAnswer(r *admission.Refusal) answer {
+	return answer{state: contract.AnswerNotRun, reason: string(r.Reason), retryAfter: r.RetryAfter}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -46,7 +46,7 @@
 	latency, teamLatency, queueTime *prometheus.HistogramVec
 	answers, refusals               *prometheus.CounterVec
 	retries, forwards, ejections    prometheus.Counter
-	grantFailures                   prometheus.Counter
+	grantFailures, hedges           prometheus.Counter
 	slots                           *prometheus.GaugeVec
 	waiting, retryBudget, ejected   prometheus.Gauge
 	tickets, ticketBytes            prometheus.Gauge
@@ -76,6 +76,7 @@
 		retries:       counter("clementine_gateway_retries_total", "Attempts beyond the first one of a request."),
 		forwards:      counter("clementine_gateway_forwards_total", "Requests forwarded to the issuer of their ticket."),
 		ejections:     counter("clementine_gateway_ejections_total", "Workers ejected after repeated failures."),
+		hedges:        counter("clementine_gateway_hedges_total", "Slow requests that were also sent to a second worker."),
 		grantFailures: counter("clementine_gateway_grant_failures_total", "Grant requests without an answer."),
 		slots: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_gateway_slots",
 			Help: "Slots by state: granted, in_use, and settling, which is the part of in_use whose request has no answer."}, []string{"state"}),
@@ -89,7 +90,7 @@
 		reasons:     &bounded{seen: map[string]bool{}, limit: maxReasons, other: otherReason},
 	}
 	r.MustRegister(m.latency, m.teamLatency, m.queueTime, m.answers, m.refusals, m.retries, m.forwards, m.ejections,
-		m.grantFailures, m.slots, m.waiting, m.retryBudget, m.ejected, m.tickets, m.ticketBytes)
+		m.grantFailures, m.hedges, m.slots, m.waiting, m.retryBudget, m.ejected, m.tickets, m.ticketBytes)
 	return m
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -58,11 +58,16 @@
 	free bool
 }
 
+func newCall(r request) *call {
+	c := &call{slot: make(chan slot, 1)}
+	c.entry = admission.Entry[*call]{Kind: r.kind.Name, Rank: r.kind.Urgency.Rank(), Arrived: r.arrived, Deadline: r.deadline, Value: c}
+	return c
+}
+
 // run runs a request on workers. ctx is that of the caller; it ends the wait for a slot but no call to a worker, because the
 // worker may have begun.
 func (g *Gateway) run(ctx context.Context, r request) answer {
-	c := &call{slot: make(chan slot, 1)}
-	c.entry = admission.Entry[*call]{Kind: r.kind.Name, Rank: r.kind.Urgency.Rank(), Arrived: r.arrived, Deadline: r.deadline, Value: c}
+	c := newCall(r)
 	mayHaveRun, free := false, 0
 	for n := 1; ; n++ {
 		a, again := g.try(ctx, r, c, n > 1)
@@ -107,10 +112,14 @@
 	case !ok:
 		return attempt{answer: answer{state: contract.AnswerNotRun, reason: reasonCallerGone}}, false
 	case s.refusal != nil:
-		return attempt{answer: answer{state: contract.AnswerNotRun, reason: string(s.refusal.Reason), retryAfter: s.refusal.RetryAfter}}, false
+		return attempt{answer: refusedAnswer(s.refusal)}, false
 	}
-	a := g.execute(ctx, r, s.permit)
 	c.avoid = s.permit.Worker
+	run := g.hedged
+	if !r.kind.Idempotent {
+		run = func(ctx context.Context, r request, s slot) attempt { return g.execute(ctx, r, s.permit) }
+	}
+	a := run(ctx, r, s)
 	return a, time.Now().Before(r.deadline)
 }
 
