Ready: send the caller's request id to the worker unchanged

Cause: the load generator asks the workers how often a request id was executed, and the gateway had added a number to it. Change: every attempt carries the caller's id. A worker that was told to cancel it refuses it, and the next attempt avoids that worker; such a refusal does not count against the worker.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,8 +29,6 @@
 	wg      sync.WaitGroup
 	io      context.Context
 	issuer  *ticket.Issuer
-	// serial numbers the calls to workers, so that a retried request is told from its first attempt.
-	serial atomic.Uint64
 	// directory is what the control loop last read from the instance list.
 	directory atomic.Pointer[directory]
 	owners    owners
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -128,15 +127,13 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.deadline)
 	defer cancel()
 	began := time.Now()
-	// Each call to a worker has an id of its own: a worker that was told to cancel one refuses it for a while.
-	id := r.id + "." + strconv.FormatUint(g.serial.Add(1), 36)
-	got, err := g.deps.Workers.Execute(ctx, p.Addr, upstream.ExecuteRequest{RequestID: id, Kind: r.kind.Name, Shard: p.Shard,
+	got, err := g.deps.Workers.Execute(ctx, p.Addr, upstream.ExecuteRequest{RequestID: r.id, Kind: r.kind.Name, Shard: p.Shard,
 		Epoch: p.Epoch, Gateway: g.Incarnation, Generation: p.Generation, Timeout: max(time.Until(r.deadline), time.Millisecond),
 		NonIdempotent: !r.kind.Idempotent, Body: r.body})
 	took := time.Since(began)
 	if err == nil {
 		digest := upstream.Digest(got.Body)
-		invariant.Check(invariant.AnswerIdentity, got.RequestID == id && got.Digest == digest, "want", id, "got", got.RequestID)
+		invariant.Check(invariant.AnswerIdentity, got.RequestID == r.id && got.Digest == digest, "want", r.id, "got", got.RequestID)
 		g.post(func(now time.Time) { g.succeeded(now, r.kind.Name, p, took) })
 		return attempt{answer: answer{state: contract.AnswerWhole, body: got.Body, digest: digest}}
 	}
@@ -146,7 +143,7 @@
 		return refusedAttempt(notRun)
 	}
 	g.post(func(now time.Time) { g.unanswered(now, p) })
-	g.spawn(func(ctx context.Context) { g.settle(ctx, p, id, r.deadline) })
+	g.spawn(func(ctx context.Context) { g.settle(ctx, p, r.id, r.deadline) })
 	a := answer{state: contract.AnswerUnknown, reason: reasonNoAnswer, detail: err.Error()}
 	if ctx.Err() != nil {
 		a.reason = reasonTimeout
@@ -180,10 +177,13 @@
 }
 
 func (g *Gateway) refused(now time.Time, p budget.Permit, reason upstream.Refusal) {
-	if grantRefusal(reason) {
+	switch {
+	case grantRefusal(reason):
 		g.control.holding.Refused(p)
 		g.grantSoon(p.Shard)
-	} else {
+	case reason == upstream.RefusalCancelled:
+		// The worker has or had this very request; the next attempt goes to another one.
+	default:
 		g.failed(now, p)
 	}
 	g.release(now, p)
