--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -58,11 +57,16 @@
 	free bool
 }
 
+func newCall(r request) *call {
+	c := &call{slot: make(chan slot, 1)}
+	c.entry = admission.Entry[*call]{Kind: r.kind.Name, Rank: r.kind.Urgency.Rank(), Arrived: r.arrived, Deadline: r.deadline, Value: c}
+	return c
+}
+
 // run runs a request on workers. ctx is that of the caller; it ends the wait for a slot but no call to a worker, because the
 // worker may have begun.
 func (g *Gateway) run(ctx context.Context, r request) answer {
-	c := &call{slot: make(chan slot, 1)}
-	c.entry = admission.Entry[*call]{Kind: r.kind.Name, Rank: r.kind.Urgency.Rank(), Arrived: r.arrived, Deadline: r.deadline, Value: c}
+	c := newCall(r)
 	mayHaveRun, free := false, 0
 	for n := 1; ; n++ {
 		a, again := g.try(ctx, r, c, n > 1)
@@ -107,10 +111,14 @@
 	case !ok:
 		return attempt{answer: answer{state: contract.AnswerNotRun, reason: reasonCallerGone}}, false
 	case s.refusal != nil:
-		return attempt{answer: answer{state: contract.AnswerNotRun, reason: string(s.refusal.Reason), retryAfter: s.refusal.RetryAfter}}, false
+		return attempt{answer: refusedAnswer(s.refusal)}, false
 	}
-	a := g.execute(ctx, r, s.permit)
 	c.avoid = s.permit.Worker
+	run := g.hedged
+	if !r.kind.Idempotent {
+		run = func(ctx context.Context, r request, s slot) attempt { return g.execute(ctx, r, s.permit) }
+	}
+	a := run(ctx, r, s)
 	return a, time.Now().Before(r.deadline)
 }
 
@@ -119,8 +127,7 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.deadline)
 	defer cancel()
 	began := time.Now()
-	// Each call to a worker has an id of its own: a worker that was told to cancel one refuses it for a while.
-	id := r.id + "." + strconv.FormatUint(g.serial.Add(1), 36)
+	id := upstream.AttemptID(r.id, g.serial.Add(1))
 	got, err := g.deps.Workers.Execute(ctx, p.Addr, upstream.ExecuteRequest{RequestID: id, Kind: r.kind.Name, Shard: p.Shard,
 		Epoch: p.Epoch, Gateway: g.Incarnation, Generation: p.Generation, Timeout: max(time.Until(r.deadline), time.Millisecond),
 		NonIdempotent: !r.kind.Idempotent, Body: r.body})
