Keep two runs of the fault scenarios apart

A second run on the same machine shared the ports of the first: its processes could not listen, its load reached the other run's gateways, and both runs showed wrong counts (162 starts for 96 tasks). A run now holds a lock address, checks that its processes live, and its processes end with it.

--- a/test/faults/actions_test.go
+++ b/test/faults/actions_test.go
@@ -20,6 +20,18 @@
 // pause is how long a failure lasts. It is part of a scenario and waits for nothing.
 func (c *cluster) pause(d time.Duration) { time.Sleep(d) }
 
+// freezeFor freezes a process for a time, within which the others must recover, and thaws it.
+func (c *cluster) freezeFor(d time.Duration, name string) {
+	thaw := time.After(d)
+	c.mark()
+	c.freeze(name)
+	c.recovered()
+	<-thaw
+	c.mark()
+	c.thaw(name)
+	c.recovered()
+}
+
 // busiest selects the worker with the most running tasks.
 func (c *cluster) busiest() worker.Selection {
 	var best worker.WorkerState
--- a/test/faults/cluster_test.go
+++ b/test/faults/cluster_test.go
@@ -53,8 +53,9 @@
 	mu         sync.Mutex
 	programs   map[string]*program
 	violations []string
-	// marked is the time from which the recovery counts.
-	marked time.Time
+	// marked is the time from which a recovery counts, recovery the longest one so far.
+	marked   time.Time
+	recovery time.Duration
 }
 
 func (c *cluster) violate(format string, args ...any) {
@@ -115,14 +116,14 @@
 
 func schedulerName(i int) string { return fmt.Sprintf("scheduler-%d", i) }
 
-func (c *cluster) startEntry(binary, name string, i, base int) *program {
+func (c *cluster) startEntry(binary, name string, i, base int, more ...string) *program {
 	http, link := fmt.Sprintf("%s:%d", entryHost(i), entryPort(i, base)), fmt.Sprintf("%s:%d", entryHost(i), entryPort(i, base+1))
-	return c.start(name, "http://"+http, binary, "--id", name, "--data-centre", sites[i%entries], "--platform", c.platform,
-		"--keys", keysDir, "--conditions", c.links.path, "--link-seed", fmt.Sprint(i+1), "--http-listen", http, "--link-listen", link)
+	return c.start(name, "http://"+http, binary, append(more, "--id", name, "--data-centre", sites[i%entries], "--platform", c.platform,
+		"--keys", keysDir, "--conditions", c.links.path, "--link-seed", fmt.Sprint(i+1), "--http-listen", http, "--link-listen", link)...)
 }
 
 func (c *cluster) startGateway(i int) *program {
-	return c.startEntry("clementine-gateway", gatewayName(i), i, 10)
+	return c.startEntry("clementine-gateway", gatewayName(i), i, 10, "--drain-delay", "1s")
 }
 
 func (c *cluster) startScheduler(i int) *program {
@@ -156,6 +157,9 @@
 		c.startGateway(i)
 	}
 	c.await("all shards and gateways", startLimit, c.whole)
+	for _, p := range c.all() {
+		require.True(t, p.running(), "%s ended at its start, see %s", p.name, p.log)
+	}
 	return c
 }
 
--- a/test/faults/faults_test.go
+++ b/test/faults/faults_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -63,6 +64,7 @@
 		return
 	}
 	prepare(t)
+	lock(t)
 	only, ran := os.Getenv("SCENARIO"), 0
 	for _, s := range scenarios {
 		if only == "" || only == s.name {
@@ -73,6 +75,26 @@
 	require.Positive(t, ran, "no scenario has the name %q; LIST=1 lists them", only)
 }
 
+const (
+	// lockAddr is held for the whole run, because two runs would use the same ports and disturb each other.
+	lockAddr = "127.8.0.1:18999"
+	lockWait = 15 * time.Minute
+)
+
+// lock waits until no other run is in progress on this machine.
+func lock(t *testing.T) {
+	deadline := time.Now().Add(lockWait)
+	for {
+		ln, err := net.Listen("tcp", lockAddr)
+		if err == nil {
+			t.Cleanup(func() { _ = ln.Close() })
+			return
+		}
+		require.True(t, time.Now().Before(deadline), "another run holds %s: %v", lockAddr, err)
+		time.Sleep(time.Second)
+	}
+}
+
 // prepare builds the programs and creates the keys of all instances.
 func prepare(t *testing.T) {
 	dir := t.TempDir()
@@ -113,7 +135,7 @@
 	if c.marked.IsZero() {
 		c.mark()
 	}
-	recovery := c.recover()
+	c.recovered()
 	res := <-result
 	if res == nil {
 		c.violate("the load left no result")
@@ -127,7 +149,7 @@
 	<-watched
 	c.stopAll()
 	c.readLogs()
-	c.print(s, res, recovery, time.Since(began))
+	c.print(s, res, time.Since(began))
 	for _, v := range c.violations {
 		t.Error(v)
 	}
@@ -163,8 +185,8 @@
 	return &res
 }
 
-// recover waits until everything works and returns the time since the mark.
-func (c *cluster) recover() time.Duration {
+// recovered waits until everything works and notes the time since the mark. The longest time of a scenario counts.
+func (c *cluster) recovered() {
 	deadline := time.Now().Add(recoveryLimit)
 	for !c.whole() {
 		if time.Now().After(deadline) {
@@ -173,27 +195,24 @@
 		}
 		time.Sleep(poll)
 	}
-	return time.Since(c.marked)
+	c.recovery = max(c.recovery, time.Since(c.marked))
 }
 
-// stopAll makes a planned stop in the order of an operator: gateways, schedulers, workers, platform.
+// stopAll makes a planned stop of all entry instances at once. The stand-ins are not part of the system and are ended.
 func (c *cluster) stopAll() {
 	c.died()
 	c.stopping.Store(true)
-	for _, role := range []string{"gateway", "scheduler", "workers", "platform"} {
-		var names []string
-		for _, p := range c.all() {
-			if strings.HasPrefix(p.name, role) && p.running() {
-				names = append(names, p.name)
-			}
-		}
-		c.stop(names...)
+	var names []string
+	for _, p := range append(c.live("gateway"), c.live("scheduler")...) {
+		names = append(names, p.name)
 	}
+	c.stop(names...)
+	c.endAll()
 }
 
 var headed bool
 
-func (c *cluster) print(s scenario, r *load.Result, recovery, took time.Duration) {
+func (c *cluster) print(s scenario, r *load.Result, took time.Duration) {
 	if !headed {
 		fmt.Printf("%-28s %9s %22s %11s %8s %8s %6s %6s  %s\n", "SCENARIO", "RECOVERY", "WHOLE/NOT RUN/UNKNOWN", "TASKS/DONE",
 			"EVICTED", "RESUMED", "BROKEN", "TOOK", "HIT")
@@ -203,6 +222,6 @@
 	for _, k := range r.Kinds {
 		whole, notRun, unknown = whole+k.Whole, notRun+k.NotRun, unknown+k.Unknown
 	}
-	fmt.Printf("%-28s %8.1fs %22s %11s %8d %8d %6d %5.0fs  %s\n", s.name, recovery.Seconds(), fmt.Sprintf("%d/%d/%d", whole, notRun, unknown),
+	fmt.Printf("%-28s %8.1fs %22s %11s %8d %8d %6d %5.0fs  %s\n", s.name, c.recovery.Seconds(), fmt.Sprintf("%d/%d/%d", whole, notRun, unknown),
 		fmt.Sprintf("%d/%d", r.Batch.Tasks, r.Batch.Done), r.Batch.Evicted, r.Batch.Resumed, len(c.violations), took.Seconds(), s.hit)
 }
--- a/test/faults/scenarios_test.go
+++ b/test/faults/scenarios_test.go
@@ -34,14 +34,10 @@
 		{name: "gateway-killed", hit: "a gateway dies and comes back", action: killGateway},
 		{name: "scheduler-killed", hit: "an owner of shards dies and comes back", action: killScheduler},
 		{name: "scheduler-frozen", hit: "an owner is frozen for longer than every lease", length: 13 * time.Second, action: func(c *cluster) {
-			c.freeze(schedulerName(0))
-			c.pause(3 * leaseTTL)
-			c.thaw(schedulerName(0))
+			c.freezeFor(3*leaseTTL, schedulerName(0))
 		}},
 		{name: "gateway-frozen", hit: "a gateway is frozen for longer than its grants", length: 13 * time.Second, action: func(c *cluster) {
-			c.freeze(gatewayName(1))
-			c.pause(3 * leaseTTL)
-			c.thaw(gatewayName(1))
+			c.freezeFor(3*leaseTTL, gatewayName(1))
 		}},
 	}
 }
@@ -205,16 +201,14 @@
 		}},
 		{name: "scheduler-killed-twice", hit: "an owner dies, its successor dies as soon as it has taken over", length: 14 * time.Second, action: func(c *cluster) {
 			c.kill(schedulerName(0))
-			c.await("successor", recoveryLimit, c.whole)
+			c.mark()
+			c.recovered()
 			c.kill(schedulerName(1))
 			c.mark()
 		}},
 		{name: "frozen-twice", hit: "an owner is frozen, thawed and frozen again", length: 16 * time.Second, action: func(c *cluster) {
 			for range 2 {
-				c.freeze(schedulerName(1))
-				c.pause(leaseTTL + time.Second)
-				c.thaw(schedulerName(1))
-				c.pause(time.Second)
+				c.freezeFor(2*leaseTTL, schedulerName(1))
 			}
 		}},
 	}
