--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := bin
 PROGRAMS := $(notdir $(wildcard cmd/*))
 
-.PHONY: build check format lint test models demo process-test clean
+.PHONY: build check format lint test models demo up clean
 
 build:
 	@mkdir -p $(BIN)
@@ -26,6 +26,10 @@
 demo:
 	@scripts/demo.sh
 
+# The same deployment without load, until it is interrupted.
+up:
+	@DEMO_HOLD=1 scripts/demo.sh
+
 check: format lint test models
 
 clean:
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # Runs a whole deployment on the loopback network for about 45 s and checks that nothing is lost, doubled or crossed.
 #
+# DEMO_HOLD=1 sends no load and keeps the deployment running until it is interrupted.
+#
 # Settings (environment): DEMO_MANIFEST (examples/quotes.yaml), DEMO_PORT (first of 1000 ports; choose another one for a second
 # run at the same time), DEMO_RATE and DEMO_SECONDS (urgent requests), DEMO_JOBS and DEMO_TASKS (batch), DEMO_OUT (results), KEEP
 # (keep the logs).
@@ -96,6 +98,14 @@
 done
 bin/clementinectl shards >&2
 
+if [[ -n ${DEMO_HOLD:-} ]]; then
+  say "running until interrupted; export CLEMENTINE_PLATFORM=$CLEMENTINE_PLATFORM and use bin/clementinectl"
+  say "gateways: ${gateways[*]}"
+  while alive platform; do sleep 0.5; done
+  fail "the platform ended"
+  exit 1
+fi
+
 # busiest prints the worker with the most running tasks.
 busiest() {
   http_get 127.0.0.1 "$admin_port" /admin/workers | grep -o '"id":"[^"]*"[^{}]*"tasks":[0-9]*' |
