--- a/cmd/clementine-scheduler/main.go
+++ b/cmd/clementine-scheduler/main.go
@@ -1,4 +1,4 @@
-// Command clementine-scheduler competes for shards of workers, places their tasks and grants their slots.
+// Command clementine-scheduler competes for shards of workers, places, resumes and evicts tasks, and grants slots to gateways.
 package main
 
 import (
@@ -11,15 +11,16 @@
 	"golang.org/x/sync/errgroup"
 
 	"clementinewalk.example/clementinewalk/internal/config"
+	"clementinewalk.example/clementinewalk/internal/entry"
 	"clementinewalk.example/clementinewalk/internal/link"
+	"clementinewalk.example/clementinewalk/internal/platform"
 	"clementinewalk.example/clementinewalk/internal/process"
 	"clementinewalk.example/clementinewalk/internal/scheduler"
 )
 
 const (
-	// readTimeout bounds the time an operator may take to send a request, stopTimeout the answers in progress at a stop.
-	readTimeout = 10 * time.Second
-	stopTimeout = 2 * time.Second
+	opsReadTimeout = 10 * time.Second
+	opsStopWait    = 2 * time.Second
 )
 
 // program is the wired process.
@@ -28,20 +29,23 @@
 	scheduler *scheduler.Scheduler
 	follower  *config.Follower
 	transport *link.Transport
+	list      platform.List
 	registry  *prometheus.Registry
 }
 
-func newProgram(s *Settings, sc *scheduler.Scheduler, f *config.Follower, t *link.Transport, r *prometheus.Registry) *program {
-	return &program{settings: s, scheduler: sc, follower: f, transport: t, registry: r}
+func newProgram(s *Settings, sch *scheduler.Scheduler, f *config.Follower, t *link.Transport, l platform.List, r *prometheus.Registry) *program {
+	return &program{settings: s, scheduler: sch, follower: f, transport: t, list: l, registry: r}
 }
 
-// run serves until ctx ends. Link, configuration and the operators' endpoint outlive the planned stop, because the handover needs
-// heartbeats and can be watched.
+// run works until ctx ends. Link, configuration and the operators' endpoint outlive the handover of the shards.
 func (p *program) run(ctx context.Context) error {
 	ln, err := process.Listen("--http-listen", p.settings.HTTPListen)
 	if err != nil {
 		return err
 	}
+	if err := entry.AwaitPlatform(ctx, &p.settings.Settings, p.list); err != nil {
+		return err
+	}
 	support, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	// A failed part ends the others.
@@ -58,7 +62,7 @@
 	})
 	group.Go(func() error {
 		defer fail()
-		return process.ServeHTTP(support, process.NewHTTPServer(p.scheduler.Ops(p.registry), readTimeout), ln, stopTimeout)
+		return process.ServeHTTP(support, process.NewHTTPServer(p.scheduler.Ops(p.registry), opsReadTimeout), ln, opsStopWait)
 	})
 	group.Go(func() error {
 		defer stop()
@@ -69,7 +73,7 @@
 
 func main() {
 	s := &Settings{}
-	process.Parse(s, "clementine-scheduler", "Competes for shards of workers, places their tasks and grants their slots.")
+	process.Parse(s, "clementine-scheduler", "Competes for shards of workers, places their tasks and grants their slots to gateways.")
 	l := s.NewLogger(os.Stderr)
 	if err := s.Check(); err != nil {
 		l.Error("settings: not allowed", "error", err)
