--- a/internal/scheduler/fakes_test.go
+++ b/internal/scheduler/fakes_test.go
@@ -62,6 +62,10 @@
 
 func (downError) Error() string { return "worker is down" }
 
+func (f *fleet) add(addr string, id instance.ID) {
+	f.workers[addr] = &fakeWorker{id: id, boot: "boot-1", began: time.Now(), tasks: map[upstream.TaskRef]*fakeTask{}, seen: map[string]int{}}
+}
+
 func (f *fleet) worker(addr string) (*fakeWorker, time.Duration, error) {
 	w := f.workers[addr]
 	if w == nil || w.down {
@@ -198,10 +202,24 @@
 	return h(ctx, c.self, m)
 }
 
-type fixedConfig struct{ v *config.Version }
+type changingConfig struct {
+	mu sync.Mutex
+	v  *config.Version
+}
+
+func (c *changingConfig) Current() *config.Version {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.v
+}
+
+func (c *changingConfig) set(v *config.Version) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.v = v
+}
 
-func (c fixedConfig) Current() *config.Version { return c.v }
-func (c fixedConfig) Changed() <-chan struct{} { return nil }
+func (c *changingConfig) Changed() <-chan struct{} { return nil }
 
 // fakeLedger counts the workers it was given.
 type fakeLedger struct{ workers map[instance.ID]int }
@@ -230,6 +248,8 @@
 	fleet *fleet
 	net   *network
 	v     *config.Version
+	// source is what schedulers that start from now on follow.
+	source config.Source
 }
 
 const testShard = "bne-0"
@@ -244,11 +264,11 @@
 			{Name: "rebid", Team: "office", Class: manifest.ClassBatch, Size: resource.Vector{MilliCores: 1000}, RunTime: 20 * time.Second},
 			{Name: "watch", Team: "office", Class: manifest.ClassService, Size: resource.Vector{MilliCores: 500}, Replicas: 2},
 		}}}
+	w.source = &changingConfig{v: w.v}
 	for i := range workers {
 		id := instance.ID(fmt.Sprintf("w%d", i))
 		addr := fmt.Sprintf("127.0.0.1:%d", 9000+i)
-		w.fleet.workers[addr] = &fakeWorker{id: id, boot: "boot-1", began: time.Now(),
-			tasks: map[upstream.TaskRef]*fakeTask{}, seen: map[string]int{}}
+		w.fleet.add(addr, id)
 		go w.register(instance.Member{ID: id, Incarnation: "boot-1", Role: instance.RoleWorker, State: instance.StateLive,
 			DataCentre: "bne", Addr: addr, Rack: i / 2, Slots: 8, Capacity: w.v.Manifest.Worker.Capacity})
 	}
@@ -284,7 +304,7 @@
 	c := &cut{Log: w.log, list: w.list, Workers: w.fleet, calls: caller{w.net, link.Peer{ID: instance.ID(id), Role: instance.RoleScheduler}}}
 	l := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug})).With("on", inc)
 	s := New(Settings{ID: instance.ID(id), Incarnation: inc, DataCentre: "bne", LinkAddr: addr}, Deps{Log: c, List: c, Link: c,
-		Workers: c, Config: fixedConfig{w.v}, Logger: l, Registry: prometheus.NewRegistry(), Health: &process.Health{},
+		Workers: c, Config: w.source, Logger: l, Registry: prometheus.NewRegistry(), Health: &process.Health{},
 		NewLedger: func(string, uint64, time.Duration) Ledger { return &fakeLedger{workers: map[instance.ID]int{}} }})
 	w.net.mu.Lock()
 	w.net.handlers[addr] = func(ctx context.Context, p link.Peer, m contract.Message) (contract.Message, error) {
