Ready: make the gateway ready once it has slots and other gateways can find it

Cause: in the demo the first requests waited for the first grants (p99 of cavity-cost 677 ms), and 3 of 2254 requests were unknown because the issuer of their ticket had just started and was missing in the list. Change: readiness waits up to 10 s for slots and the own entry in the instance list; a forward looks for an unknown issuer for 1.5 s.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -33,6 +33,9 @@
 	nextList    time.Time
 	nextAge     time.Time
 	listing     bool
+	// since is the time of the first manifest, listed tells that the instance list has shown the own entry.
+	since         time.Time
+	listed, ready bool
 	// closing refuses new requests, leaving returns the grants.
 	closing, leaving bool
 	// settling counts slots that wait for the end of a request without an answer.
@@ -87,6 +90,7 @@
 	}
 	g.pump(now)
 	g.grantRounds(now)
+	g.beReady(now)
 }
 
 // follow takes up a new version of the manifest.
@@ -96,6 +100,9 @@
 	if v == nil || v == c.version {
 		return
 	}
+	if c.version == nil {
+		c.since = time.Now()
+	}
 	c.version = v
 	p := v.Manifest.Policies
 	if p.QueueLimit > 0 {
@@ -107,10 +114,21 @@
 	} else {
 		c.policy = policy
 	}
-	if !g.stopping.Load() {
+	g.log.Info("manifest is in force", "version", v.Offset)
+}
+
+// beReady makes the gateway ready once it has slots and its entry is in the list, so that the first requests do not wait for grants and
+// other gateways find the issuer of its tickets. After readyLimit it is ready anyway: submissions and status need neither.
+func (g *Gateway) beReady(now time.Time) {
+	c := &g.control
+	if c.ready || c.version == nil || g.stopping.Load() {
+		return
+	}
+	if c.listed && c.holding.Slots() > 0 || now.Sub(c.since) > readyLimit {
+		c.ready = true
 		g.deps.Health.SetReady(true)
+		g.log.Info("ready", "slots", c.holding.Slots(), "listed", c.listed)
 	}
-	g.log.Info("manifest is in force", "version", v.Offset)
 }
 
 func (c *control) load() admission.Load {
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -219,7 +219,7 @@
 	w.t.Cleanup(cancel)
 	require.Eventually(w.t, func() bool {
 		free, _ := ask(g, func(time.Time) int { return g.control.holding.Free() })
-		return free > 0
+		return free > 0 && g.deps.Health.Ready()
 	}, 5*time.Second, 10*time.Millisecond)
 	return n
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -75,6 +75,7 @@
 		}
 	}
 	g.directory.Store(d)
+	_, c.listed = d.gateways[g.Incarnation]
 	for name, dc := range d.shards {
 		if c.shards[name] == nil {
 			c.shards[name] = &shardCalls{dataCentre: dc, soon: true}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -78,6 +78,8 @@
 	ioTimeout   = 5 * time.Second
 	// listEvery is the time between two reads of the instance list, which also renew the own entry.
 	listEvery = time.Second
+	// readyLimit is how long a gateway with a manifest waits for slots and its entry in the list before it is ready without them.
+	readyLimit = 10 * time.Second
 	// appendTimeout is how long a submission waits for the log.
 	appendTimeout = 5 * time.Second
 	// settleLimit is how long after its deadline a request that cannot be cancelled may occupy its slot. A worker ends a request at
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -125,16 +125,28 @@
 	return ticket.Fingerprint(h.Sum(nil))
 }
 
+// find looks an incarnation up in the instance list. One that has just started can be missing until the next reading.
+func (g *Gateway) find(ctx context.Context, inc instance.Incarnation) (instance.Member, bool) {
+	limit := time.Now().Add(listEvery + listEvery/2)
+	for {
+		m, known := g.directory.Load().gateways[inc]
+		if known || ctx.Err() != nil || time.Now().After(limit) {
+			return m, known
+		}
+		pause(ctx, forwardPause)
+	}
+}
+
 // forward sends a request to the gateway that issued its ticket. The ticket makes repeated calls harmless. If the issuer does not
 // answer, the outcome is unknown even if nothing was sent: an earlier repeat of the caller may have run.
 func (g *Gateway) forward(ctx context.Context, r request, issuer instance.Incarnation) answer {
-	m, known := g.directory.Load().gateways[issuer]
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	m, known := g.find(ctx, issuer)
 	if !known {
 		return answer{state: contract.AnswerUnknown, reason: reasonIssuerGone,
 			detail: "no gateway of the instance list has the incarnation " + string(issuer)}
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.deadline)
-	defer cancel()
 	g.metrics.forwards.Inc()
 	for {
 		reply, err := g.deps.Link.Call(ctx, m.Addr, &contract.Forward{RequestID: r.id, Kind: r.kind.Name, Team: r.team,
