--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -127,13 +127,14 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.deadline)
 	defer cancel()
 	began := time.Now()
-	got, err := g.deps.Workers.Execute(ctx, p.Addr, upstream.ExecuteRequest{RequestID: r.id, Kind: r.kind.Name, Shard: p.Shard,
+	id := upstream.AttemptID(r.id, g.serial.Add(1))
+	got, err := g.deps.Workers.Execute(ctx, p.Addr, upstream.ExecuteRequest{RequestID: id, Kind: r.kind.Name, Shard: p.Shard,
 		Epoch: p.Epoch, Gateway: g.Incarnation, Generation: p.Generation, Timeout: max(time.Until(r.deadline), time.Millisecond),
 		NonIdempotent: !r.kind.Idempotent, Body: r.body})
 	took := time.Since(began)
 	if err == nil {
 		digest := upstream.Digest(got.Body)
-		invariant.Check(invariant.AnswerIdentity, got.RequestID == r.id && got.Digest == digest, "want", r.id, "got", got.RequestID)
+		invariant.Check(invariant.AnswerIdentity, got.RequestID == id && got.Digest == digest, "want", id, "got", got.RequestID)
 		g.post(func(now time.Time) { g.succeeded(now, r.kind.Name, p, took) })
 		return attempt{answer: answer{state: contract.AnswerWhole, body: got.Body, digest: digest}}
 	}
@@ -143,7 +144,7 @@
 		return refusedAttempt(notRun)
 	}
 	g.post(func(now time.Time) { g.unanswered(now, p) })
-	g.spawn(func(ctx context.Context) { g.settle(ctx, p, r.id, r.deadline) })
+	g.spawn(func(ctx context.Context) { g.settle(ctx, p, id, r.deadline) })
 	a := answer{state: contract.AnswerUnknown, reason: reasonNoAnswer, detail: err.Error()}
 	if ctx.Err() != nil {
 		a.reason = reasonTimeout
@@ -177,13 +178,10 @@
 }
 
 func (g *Gateway) refused(now time.Time, p budget.Permit, reason upstream.Refusal) {
-	switch {
-	case grantRefusal(reason):
+	if grantRefusal(reason) {
 		g.control.holding.Refused(p)
 		g.grantSoon(p.Shard)
-	case reason == upstream.RefusalCancelled:
-		// The worker has or had this very request; the next attempt goes to another one.
-	default:
+	} else {
 		g.failed(now, p)
 	}
 	g.release(now, p)
