Leave out percentiles at peak for runs without peaks

A comparison showed 0s as the latency at peak of runs that had no peak, which reads like a measurement.

--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -152,7 +152,10 @@
 	var out []measure
 	for _, name := range names {
 		field := func(what string, f func(KindResult) float64, format func(float64) string) {
-			out = append(out, measure{name + " " + what, func(r *Result) (float64, bool) { return kindField(r, name, f) }, format})
+			out = append(out, measure{name + " " + what, func(r *Result) (float64, bool) {
+				k, ok := kindOf(r, name)
+				return f(k), ok
+			}, format})
 		}
 		field("sent", func(k KindResult) float64 { return float64(k.Sent) }, number)
 		field("whole", func(k KindResult) float64 { return float64(k.Whole) }, number)
@@ -161,7 +164,10 @@
 		field("p50", func(k KindResult) float64 { return float64(k.Latency.P50) }, latency)
 		field("p99", func(k KindResult) float64 { return float64(k.Latency.P99) }, latency)
 		field("p99.9", func(k KindResult) float64 { return float64(k.Latency.P999) }, latency)
-		field("p99 at peak", func(k KindResult) float64 { return float64(k.Peak.P99) }, latency)
+		out = append(out, measure{name + " p99 at peak", func(r *Result) (float64, bool) {
+			k, _ := kindOf(r, name)
+			return float64(k.Peak.P99), k.Peak.Count > 0
+		}, latency})
 	}
 	total := func(name string, f func(BatchTotals) float64) {
 		out = append(out, measure{"batch " + name, func(r *Result) (float64, bool) { return f(r.Batch), r.Batch.Jobs > 0 }, number})
@@ -175,11 +181,11 @@
 	return out
 }
 
-func kindField(r *Result, kind string, f func(KindResult) float64) (float64, bool) {
+func kindOf(r *Result, kind string) (KindResult, bool) {
 	for _, k := range r.Kinds {
 		if k.Kind == kind {
-			return f(k), true
+			return k, true
 		}
 	}
-	return 0, false
+	return KindResult{}, false
 }
