--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,8 @@
 # Targets for developers and CI. Every target stops what it starts.
 GO ?= go
 BIN := bin
-PROGRAMS := $(notdir $(wildcard cmd/*))
 
-.PHONY: build check format lint test models demo up clean
+.PHONY: build check format lint test models demo up faults process-test clean
 
 build:
 	@mkdir -p $(BIN)
@@ -30,6 +29,18 @@
 up:
 	@DEMO_HOLD=1 scripts/demo.sh
 
+# Failures of the real programs under load, one scenario after the other: SCENARIO=name runs one, LIST=1 lists them, KEEP=1 keeps the logs.
+faults:
+	@mkdir -p $(BIN)
+	@$(GO) test -c -o $(BIN)/faults.test ./test/faults
+	@cd test/faults && FAULTS=1 SCENARIO="$(SCENARIO)" LIST="$(LIST)" KEEP="$(KEEP)" ../../$(BIN)/faults.test -test.timeout 30m -test.run TestFaults
+
+# Three short scenarios of the same table.
+process-test:
+	@mkdir -p $(BIN)
+	@$(GO) test -c -o $(BIN)/faults.test ./test/faults
+	@cd test/faults && PROCESSES=1 KEEP="$(KEEP)" ../../$(BIN)/faults.test -test.timeout 5m -test.run TestProcesses
+
 check: format lint test models
 
 clean:
