--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,8 @@
 # Targets for developers and CI. Every target stops what it starts.
 GO ?= go
 BIN := bin
-PROGRAMS := $(notdir $(wildcard cmd/*))
 
-.PHONY: build check format lint test models demo faults process-test clean
+.PHONY: build check format lint test models demo up faults process-test clean
 
 build:
 	@mkdir -p $(BIN)
@@ -26,6 +25,10 @@
 demo:
 	@scripts/demo.sh
 
+# The same deployment without load, until it is interrupted.
+up:
+	@DEMO_HOLD=1 scripts/demo.sh
+
 # Failures of the real programs under load, one scenario after the other: SCENARIO=name runs one, LIST=1 lists them, KEEP=1 keeps the logs.
 faults:
 	@mkdir -p $(BIN)
