Count tasks on their way to another shard as pending

Cause: the state of a job whose pending tasks move was the sum of the parts that exist. Between TransferOut in one shard and the arrival in the other the tasks were in no part, so GET /v1/jobs/{id} showed the job as ended with 4 of 6 tasks done. Change: the gateway counts tasks that no part holds, and those of a shard that does not answer, as pending.

--- a/internal/gateway/questions.go
+++ b/internal/gateway/questions.go
@@ -69,24 +69,33 @@
 		return j
 	}
 	var mu sync.Mutex
+	var parts []contract.JobState
 	g.eachShard(ctx, func(shard string) error {
 		if shard == j.Shard {
 			return nil
 		}
-		parts, err := g.jobs(ctx, shard, j.Job)
+		found, err := g.jobs(ctx, shard, j.Job)
 		mu.Lock()
 		defer mu.Unlock()
-		for _, p := range parts {
-			j.Pending, j.Running, j.Done = j.Pending+p.Pending, j.Running+p.Running, j.Done+p.Done
-			j.Failed, j.Cancelled = j.Failed+p.Failed, j.Cancelled+p.Cancelled
-			j.Attempts, j.Evicted, j.Resumed = j.Attempts+p.Attempts, j.Evicted+p.Evicted, j.Resumed+p.Resumed
-			j.Cost += p.Cost
-			if p.Ended.After(j.Ended) {
-				j.Ended = p.Ended
-			}
-		}
+		parts = append(parts, found...)
 		return err
 	})
+	return sumParts(j, parts)
+}
+
+// sumParts adds the parts of a job in other shards to the one in the shard that it was submitted to.
+func sumParts(j contract.JobState, parts []contract.JobState) contract.JobState {
+	for _, p := range parts {
+		j.Pending, j.Running, j.Done = j.Pending+p.Pending, j.Running+p.Running, j.Done+p.Done
+		j.Failed, j.Cancelled = j.Failed+p.Failed, j.Cancelled+p.Cancelled
+		j.Attempts, j.Evicted, j.Resumed = j.Attempts+p.Attempts, j.Evicted+p.Evicted, j.Resumed+p.Resumed
+		j.Cost += p.Cost
+		if p.Ended.After(j.Ended) {
+			j.Ended = p.Ended
+		}
+	}
+	// Tasks that left one shard and have not arrived in the other one, and those of a shard that does not answer, have not ended.
+	j.Pending += max(0, j.Tasks-j.Pending-j.Running-j.Done-j.Failed-j.Cancelled)
 	if j.Pending+j.Running > 0 {
 		j.Ended = time.Time{}
 	}
