Allow several fault scenarios in one run and a choice of ports

The scenarios with failing tasks and wrong answers named a worker that does not exist; they now name ipswich-w001.

--- a/test/faults/cluster_test.go
+++ b/test/faults/cluster_test.go
@@ -25,7 +25,6 @@
 )
 
 const (
-	port         = 18000
 	manifestFile = "testdata/small.yaml"
 	// platformHost has a network of its own, so that the links to the log can be cut as well.
 	platformHost = "127.8.0.1"
@@ -36,6 +35,9 @@
 	recoveryLimit = 40 * time.Second
 )
 
+// port is the first of the 1000 ports of a run.
+var port = 18000
+
 var sites = []string{"brisbane", "ipswich", "toowoomba", "gladstone"}
 
 // cluster is one deployment on the loopback network.
--- a/test/faults/faults_test.go
+++ b/test/faults/faults_test.go
@@ -12,6 +12,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -65,24 +67,27 @@
 	}
 	prepare(t)
 	lock(t)
-	only, ran := os.Getenv("SCENARIO"), 0
+	only, ran := strings.FieldsFunc(os.Getenv("SCENARIO"), func(r rune) bool { return r == ',' }), 0
 	for _, s := range scenarios {
-		if only == "" || only == s.name {
+		if len(only) == 0 || slices.Contains(only, s.name) {
 			ran++
 			t.Run(s.name, func(t *testing.T) { run(t, s) })
 		}
 	}
-	require.Positive(t, ran, "no scenario has the name %q; LIST=1 lists them", only)
+	require.Positive(t, ran, "no scenario has a name in %q; LIST=1 lists them", only)
 }
 
-const (
-	// lockAddr is held for the whole run, because two runs would use the same ports and disturb each other.
-	lockAddr = "127.8.0.1:18999"
-	lockWait = 15 * time.Minute
-)
+const lockWait = 15 * time.Minute
 
-// lock waits until no other run is in progress on this machine.
+// lock takes the ports of the run, from FAULTS_PORT on, and waits until no other run uses them. Its address is held for the whole run,
+// because two runs on the same ports would disturb each other.
 func lock(t *testing.T) {
+	if text := os.Getenv("FAULTS_PORT"); text != "" {
+		var err error
+		port, err = strconv.Atoi(text)
+		require.NoError(t, err)
+	}
+	lockAddr := fmt.Sprintf("%s:%d", platformHost, port+999)
 	deadline := time.Now().Add(lockWait)
 	for {
 		ln, err := net.Listen("tcp", lockAddr)
@@ -145,6 +150,7 @@
 	if s.afterwards != nil {
 		s.afterwards(c)
 	}
+	c.saveState()
 	cancel()
 	<-watched
 	c.stopAll()
@@ -210,6 +216,16 @@
 	c.endAll()
 }
 
+// saveState keeps the state of jobs and shards beside the logs, for the search after a broken promise.
+func (c *cluster) saveState() {
+	for _, name := range []string{"jobs", "shards"} {
+		var state json.RawMessage
+		if gateways := c.live("gateway"); len(gateways) > 0 && c.get(gateways[0].url+"/v1/"+name, &state) == nil {
+			_ = os.WriteFile(filepath.Join(c.dir, name+".json"), state, 0o644)
+		}
+	}
+}
+
 var headed bool
 
 func (c *cluster) print(s scenario, r *load.Result, took time.Duration) {
--- a/test/faults/scenarios_test.go
+++ b/test/faults/scenarios_test.go
@@ -59,7 +59,7 @@
 var rack = 1
 
 func workerFailures() []scenario {
-	one := worker.Selection{Workers: []instance.ID{"ipswich-1"}}
+	one := worker.Selection{Workers: []instance.ID{"ipswich-w001"}}
 	return []scenario{
 		{name: "worker-dead", hit: "the busiest worker dies", action: func(c *cluster) {
 			c.workerFaults(c.busiest(), worker.Faults{Dead: true})
