Ready: place one attempt ahead on each full worker

Each worker without room now holds at most one waiting attempt, which starts as soon as its room is free, moves when another worker has room, and yields to a task with 10 s less time to spare; evictions count only attempts that ran, and ended attempts no longer occupy room until their Close is read back.

--- a/internal/attempt/apply.go
+++ b/internal/attempt/apply.go
@@ -155,7 +155,10 @@
 	}
 	switch c.Outcome {
 	case upstream.OutcomeEvicted:
-		j.State.Evicted++
+		// An attempt that was given up before it started is no eviction.
+		if c.RunTime > 0 {
+			j.State.Evicted++
+		}
 	case upstream.OutcomeFailed, upstream.OutcomeLost:
 		t.Failures++
 	}
--- a/internal/scheduler/fakes_test.go
+++ b/internal/scheduler/fakes_test.go
@@ -171,6 +171,12 @@
 	return upstream.TaskReply{Known: true}, nil
 }
 
+func (f *fleet) started() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts
+}
+
 func (f *fleet) running() (n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -29,7 +29,7 @@
 // place writes Place records for pending tasks.
 func (s *Scheduler) place(sh *shardLoop, now time.Time) {
 	clear(sh.own.refused)
-	if sh.state.PendingCount() == 0 {
+	if sh.state.PendingCount() == 0 && sh.state.PlacedCount() == 0 {
 		return
 	}
 	placing := map[taskKey]*contract.Place{}
@@ -39,20 +39,24 @@
 		}
 	})
 	tasks := s.candidates(sh, now, placing)
-	if len(tasks) == 0 || len(placing) >= maxPlaces {
+	waiting := s.waiting(sh, now)
+	if len(placing) >= maxPlaces || len(tasks)+len(waiting) == 0 {
 		return
 	}
 	state := s.placementState(sh, now, placing)
 	s.policy.place.Order(now, tasks)
-	s.placeAll(sh, now, state, tasks, maxPlaces-len(placing))
+	waiting = s.freeAhead(sh, state, waiting)
+	left := s.placeAll(sh, now, state, tasks, maxPlaces-len(placing))
+	s.placeAhead(sh, now, left, waiting, placing)
 }
 
-func (s *Scheduler) placeAll(sh *shardLoop, now time.Time, state *placement.State, tasks []placement.Task, limit int) {
+// placeAll places tasks on workers that have room and returns those for which none has.
+func (s *Scheduler) placeAll(sh *shardLoop, now time.Time, state *placement.State, tasks []placement.Task, limit int) (left []placement.Task) {
 	// Tasks of one kind have one size, so that one refusal speaks for all of them in this round.
 	refused := map[string]error{}
 	for _, t := range tasks {
 		if limit == 0 {
-			return
+			return nil
 		}
 		err := refused[t.Kind]
 		var d placement.Decision
@@ -61,7 +65,9 @@
 		}
 		if err != nil {
 			refused[t.Kind] = err
-			s.refuse(sh, t, err)
+			if s.refuse(sh, t, err) == placement.ReasonNoRoom {
+				left = append(left, t)
+			}
 			continue
 		}
 		delete(sh.own.parked, t.Job)
@@ -69,12 +75,13 @@
 		s.putPlace(sh, now, t, d)
 		limit--
 	}
+	return left
 }
 
-func (s *Scheduler) refuse(sh *shardLoop, t placement.Task, err error) {
+func (s *Scheduler) refuse(sh *shardLoop, t placement.Task, err error) placement.Reason {
 	var r *placement.Refusal
 	if !errors.As(err, &r) {
-		return
+		return ""
 	}
 	sh.own.refused[t.Job] = r.Error()
 	s.metrics.refusals.WithLabelValues(string(r.Reason)).Inc()
@@ -83,6 +90,7 @@
 	} else {
 		delete(sh.own.parked, t.Job)
 	}
+	return r.Reason
 }
 
 func (s *Scheduler) putPlace(sh *shardLoop, now time.Time, t placement.Task, d placement.Decision) {
@@ -120,12 +128,8 @@
 }
 
 func placementTask(j *attempt.Job, t *attempt.Task, k kindInfo) placement.Task {
-	runTime := k.RunTime
-	if j.Submit.RunTime > 0 {
-		runTime = j.Submit.RunTime
-	}
 	return placement.Task{Job: j.Submit.Job, Index: t.Index, Kind: k.Name, Team: j.Submit.Team, Size: k.Size,
-		Rank: k.Urgency.Rank(), Deadline: j.Submit.Deadline, Remaining: max(runTime-t.Ran, 0), Submitted: j.Submit.Submitted}
+		Rank: k.Urgency.Rank(), Deadline: j.Submit.Deadline, Remaining: remaining(j, t, k), Submitted: j.Submit.Submitted}
 }
 
 // placementState lists the workers with what they hold, placements on their way included.
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -141,10 +141,10 @@
 	return w.held(func(o *run) bool { return o.sent && o != t }).Add(t.size).Fits(s.limit(w))
 }
 
-// held adds up the sizes of the attempts for which f holds.
+// held adds up the sizes of the attempts that have not ended and for which f holds.
 func (w *worker) held(f func(*run) bool) (v resource.Vector) {
 	for _, t := range w.tasks {
-		if f(t) {
+		if t.end == nil && f(t) {
 			v = v.Add(t.size)
 		}
 	}
