--- a/internal/placement/errors.go
+++ b/internal/placement/errors.go
@@ -4,7 +4,7 @@
 
 // Error implements error.
 func (r *Refusal) Error() string {
-	s := fmt.Sprintf("task %d of job %s is not placed: %s", r.Task.Index, r.Task.Job, r.Reason)
+	s := fmt.Sprintf("tasks of kind %s are not placed: %s", r.Task.Kind, r.Reason)
 	for _, c := range []Reason{ReasonNoRoom, ReasonTooLarge, ReasonUnfenced, ReasonLeaving, ReasonDraining, ReasonQuarantined} {
 		if n := r.Counts[c]; n > 0 {
 			s += fmt.Sprintf(", %d workers %s", n, c)
--- a/internal/scheduler/follow.go
+++ b/internal/scheduler/follow.go
@@ -31,10 +31,12 @@
 	// atEnd is set while everything that the log holds has been read.
 	atEnd       bool
 	oldest, end uint64
-	lastRead    time.Time
+	// lastRead is when the newest answered read was sent, which bounds the isolation of this owner; readAt is when it was answered.
+	lastRead, readAt time.Time
 	// claiming is set from the decision to claim until the claim was read back.
 	claiming bool
-	dirty    bool
+	// dirty asks for a comparison of attempts and reports, changed for a round of placements as well.
+	dirty, changed bool
 }
 
 func newShardLoop(name string, inc instance.Incarnation) *shardLoop {
@@ -47,7 +49,7 @@
 	s.read(sh, now)
 	if sh.own != nil {
 		s.renew(sh, now)
-		if sh.dirty {
+		if sh.dirty || sh.changed && s.canWrite(sh, now) {
 			sh.dirty = false
 			s.reconcile(sh, now)
 		}
@@ -105,7 +107,7 @@
 	if sh.cancel != nil {
 		sh.cancel()
 	}
-	sh.replay, sh.state, sh.out, sh.lastRead = nil, nil, outbox{}, time.Time{}
+	sh.replay, sh.state, sh.out, sh.lastRead, sh.readAt = nil, nil, outbox{}, time.Time{}, time.Time{}
 }
 
 // read starts the next read unless one is in progress.
@@ -141,7 +143,7 @@
 				s.readFailed(sh, now, err)
 				return
 			}
-			s.lastRead, sh.lastRead = now, sent
+			s.lastRead, sh.lastRead, sh.readAt = now, sent, now
 			s.takePage(sh, now, page)
 			s.read(sh, now)
 		})
@@ -193,7 +195,7 @@
 // applied reacts to one record that was read back.
 func (s *Scheduler) applied(sh *shardLoop, res shard.Result) {
 	sh.out.readBack(res.Record.ID)
-	sh.dirty = true
+	sh.dirty, sh.changed = true, true
 	s.metrics.record(res)
 	switch res.Body.(type) {
 	case *contract.Claim:
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -81,6 +81,9 @@
 		if end, ok := sh.replay.End(own.draft); ok {
 			s.put(sh, own.epoch, end)
 			own.draft = nil
+		} else if sh.out.idle() {
+			// A late part of an earlier owner's snapshot came between the parts.
+			own.draft = nil
 		}
 		return
 	}
--- a/internal/scheduler/own.go
+++ b/internal/scheduler/own.go
@@ -48,6 +48,10 @@
 	next    time.Time
 	calls   int
 	failing bool
+	// leased tells that the worker counted a lease as in force in its newest answer; before, it refuses to start anything.
+	leased bool
+	// last tells that the last renewal before a release was sent.
+	last bool
 	// lost is set when this worker has seen a higher epoch.
 	lost    bool
 	ack     uint64
@@ -93,7 +97,7 @@
 			w.tasks[ref] = s.newRun(sh, ref, t)
 		}
 	}
-	sh.dirty = true
+	sh.changed = true
 }
 
 func (s *Scheduler) newRun(sh *shardLoop, ref upstream.TaskRef, t *attempt.Task) *run {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// maxCandidates bounds the pending tasks that one round considers, maxPlaces those that it places.
-	maxCandidates = 2000
+	// maxPlaces bounds the tasks that one round places, and the tasks of one job that it considers: they have the same deadline, so
+	// that more of them would not change the order. maxCandidates bounds the tasks of all jobs.
 	maxPlaces     = 250
+	maxCandidates = 10000
 	firstPause    = 500 * time.Millisecond
 	maxPause      = time.Minute
 )
@@ -53,44 +54,56 @@
 // placeAll places tasks on workers that have room and returns those for which none has.
 func (s *Scheduler) placeAll(sh *shardLoop, now time.Time, state *placement.State, tasks []placement.Task, limit int) (left []placement.Task) {
 	// Tasks of one kind have one size, so that one refusal speaks for all of them in this round.
-	refused := map[string]error{}
+	refused := map[string]*refusal{}
 	for _, t := range tasks {
 		if limit == 0 {
 			return nil
 		}
-		err := refused[t.Kind]
-		var d placement.Decision
-		if err == nil {
-			d, err = s.policy.place.Place(state, t)
-		}
-		if err != nil {
-			refused[t.Kind] = err
-			if s.refuse(sh, t, err) == placement.ReasonNoRoom {
-				left = append(left, t)
+		r := refused[t.Kind]
+		if r == nil {
+			d, err := s.policy.place.Place(state, t)
+			if err == nil {
+				delete(sh.own.parked, t.Job)
+				state.Assign(t, d.Worker)
+				s.putPlace(sh, now, t, d)
+				limit--
+				continue
 			}
-			continue
+			r = s.refusalOf(err)
+			refused[t.Kind] = r
+		}
+		sh.own.refuse(t.Job, r)
+		if r.reason == placement.ReasonNoRoom {
+			left = append(left, t)
 		}
-		delete(sh.own.parked, t.Job)
-		state.Assign(t, d.Worker)
-		s.putPlace(sh, now, t, d)
-		limit--
 	}
 	return left
 }
 
-func (s *Scheduler) refuse(sh *shardLoop, t placement.Task, err error) placement.Reason {
+// refusal is why the tasks of one kind were not placed in a round.
+type refusal struct {
+	reason placement.Reason
+	parked bool
+	text   string
+}
+
+func (s *Scheduler) refusalOf(err error) *refusal {
 	var r *placement.Refusal
 	if !errors.As(err, &r) {
-		return ""
+		return &refusal{text: err.Error()}
 	}
-	sh.own.refused[t.Job] = r.Error()
 	s.metrics.refusals.WithLabelValues(string(r.Reason)).Inc()
-	if r.Parked {
-		sh.own.parked[t.Job] = r.Error()
+	return &refusal{reason: r.Reason, parked: r.Parked, text: r.Error()}
+}
+
+// refuse notes the reason for explanations and job states.
+func (o *ownership) refuse(job string, r *refusal) {
+	o.refused[job] = r.text
+	if r.parked {
+		o.parked[job] = r.text
 	} else {
-		delete(sh.own.parked, t.Job)
+		delete(o.parked, job)
 	}
-	return r.Reason
 }
 
 func (s *Scheduler) putPlace(sh *shardLoop, now time.Time, t placement.Task, d placement.Decision) {
@@ -104,7 +117,15 @@
 // candidates returns the pending tasks that may be placed now.
 func (s *Scheduler) candidates(sh *shardLoop, now time.Time, placing map[taskKey]*contract.Place) []placement.Task {
 	var out []placement.Task
+	var job *attempt.Job
+	ofJob := 0
 	sh.state.EachPending(func(j *attempt.Job, t *attempt.Task) bool {
+		if j != job {
+			job, ofJob = j, 0
+		}
+		if ofJob >= maxPlaces {
+			return true
+		}
 		k, known := s.kinds[j.Submit.Kind]
 		if !known {
 			sh.own.parked[j.Submit.Job] = "kind " + j.Submit.Kind + " is not in the manifest"
@@ -113,6 +134,7 @@
 		if placing[taskKey{j.Submit.Job, t.Index}] != nil || now.Before(t.EndedAt.Add(pause(t))) {
 			return true
 		}
+		ofJob++
 		out = append(out, placementTask(j, t, k))
 		return len(out) < maxCandidates
 	})
--- a/internal/scheduler/renew.go
+++ b/internal/scheduler/renew.go
@@ -17,9 +17,11 @@
 		return
 	}
 	for _, w := range sh.own.workers {
-		if !w.calling && !w.lost && w.member.Addr != "" && !now.Before(w.next) {
-			s.callLease(sh, w, now)
+		if w.calling || w.lost || w.member.Addr == "" || now.Before(w.next) || w.last {
+			continue
 		}
+		w.last = sh.own.releasing
+		s.callLease(sh, w, now)
 	}
 }
 
@@ -80,7 +82,8 @@
 		return
 	case lease.Rebooted:
 		s.log.Info("worker has restarted", "shard", sh.name, "worker", w.id)
-		w.events, w.ack, w.leaving = nil, 0, false
+		w.events, w.ack, w.leaving, w.leased = nil, 0, false, false
+		sh.dirty = true
 		w.next = now
 		sh.own.ledger.RemoveWorker(now, w.id)
 		w.granted = false
@@ -89,17 +92,23 @@
 		return
 	}
 	if !fenced {
+		sh.changed = true
 		// The lease starts with the second call, which echoes the first reading.
 		w.next = now
 	}
 	if r.Leaving && !w.leaving {
-		w.leaving = true
+		w.leaving, sh.dirty = true, true
 		s.log.Info("worker is leaving", "shard", sh.name, "worker", w.id)
 	}
+	// A plain renewal changes nothing for the attempts.
+	leased := r.Expiry > r.Clock
+	if !fenced || leased != w.leased || len(r.Events) > 0 || r.HasRunning {
+		sh.dirty = true
+	}
+	w.leased = leased
 	s.takeReport(sh, w, sent, now, r)
 	s.syncGrants(sh, w, now)
 	sh.own.ledger.Report(now, w.id, req.Revoked, r.InProgress)
-	sh.dirty = true
 }
 
 // takeReport compares a worker's own report with the open attempts.
@@ -112,6 +121,7 @@
 		e := &r.Events[i]
 		if t := w.tasks[e.TaskRef]; t != nil && t.end == nil {
 			t.end = e
+			sh.changed = true
 			w.health.ended(now, e)
 			s.metrics.observeEnd(t, e)
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -124,7 +124,7 @@
 	s.heartbeat()
 	for _, name := range s.names {
 		if sh := s.shards[name]; sh.own != nil {
-			sh.dirty = true
+			sh.changed = true
 			s.syncWorkers(sh, now)
 			s.syncServices(sh, now)
 			s.syncTransfers(sh, now)
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -22,7 +22,7 @@
 
 // canWrite reports whether new records may be written for a shard.
 func (s *Scheduler) canWrite(sh *shardLoop, now time.Time) bool {
-	return !sh.out.failing() && !sh.own.released && !sh.own.superseded && now.Sub(sh.lastRead) < logFresh
+	return !sh.out.failing() && !sh.own.released && !sh.own.superseded && now.Sub(sh.readAt) < logFresh
 }
 
 // reconcile compares the open attempts with what the workers report, and starts, stops, closes and places accordingly.
@@ -44,7 +44,8 @@
 		return
 	}
 	s.snapshot(sh, now)
-	if !s.leaving && !sh.own.releasing {
+	if sh.changed && !s.leaving && !sh.own.releasing {
+		sh.changed = false
 		s.place(sh, now)
 	}
 	s.finishRelease(sh, now)
@@ -119,7 +120,7 @@
 		sh.dirty = true
 	case stop:
 		s.stop(sh, w, t, now, outcome)
-	case t.started.IsZero() && !sh.own.releasing && !s.leaving && s.fitsNow(w, t):
+	case t.started.IsZero() && w.leased && !sh.own.releasing && !s.leaving && s.fitsNow(w, t):
 		s.startTask(sh, w, j, t, now)
 	}
 }
