Ready: keep the queue from serving everything just before its deadline under overload

Cause: with 3000 callers on 24 slots, goodput fell to 231 of about 600 requests a second: entries were served at the edge of their deadline, timed out, were doubled by hedging, and ejected healthy workers. Less urgent requests waited 3 s in vain behind more urgent ones. Change: the estimated wait has a margin and includes how long entries of the same rank waited lately; a request with little time left is not doubled, and its timeout does not count against the worker. Conclusion: overload no longer adds load, and refusals come early with a retry time.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -51,9 +51,11 @@
 	for range 20 {
 		require.Empty(t, q.Push(start, entry(0, 2*time.Second), l))
 	}
-	refused := q.Push(start, entry(1, time.Second), l)
+	refused := q.Push(start, entry(0, 2001*time.Millisecond), load(130*time.Millisecond, 2))
+	require.Equal(t, ReasonDeadline, refused[0].Reason, "1.3 s of work leave too little margin")
+	refused = q.Push(start, entry(1, time.Second), l)
 	require.Equal(t, ReasonDeadline, refused[0].Reason, "20 requests before it take a second on 2 slots")
-	require.Empty(t, q.Push(start, entry(0, 1200*time.Millisecond), l))
+	require.Empty(t, q.Push(start, entry(0, 1200*time.Millisecond), l), "it goes before the others")
 	got, refused := q.Pop(start.Add(1900*time.Millisecond), l)
 	require.Len(t, refused, 1)
 	require.Equal(t, ReasonExpired, refused[0].Reason)
@@ -62,6 +64,36 @@
 	require.Zero(t, q.Len())
 }
 
+// Guards against less urgent requests that are admitted again and again only to wait in vain behind more urgent ones, and against
+// their refusal when the queue is empty.
+func TestRecentWaitsRefuseEarly(t *testing.T) {
+	q, l := NewQueue[string](1000), load(10*time.Millisecond, 1)
+	now, refusals := start, map[Reason]int{}
+	push := func(rank int) {
+		for _, r := range q.Push(now, &Entry[string]{Kind: "k", Rank: rank, Arrived: now, Deadline: now.Add(2 * time.Second)}, l) {
+			refusals[r.Reason]++
+		}
+	}
+	for range 20 {
+		push(0)
+	}
+	for range 800 {
+		push(0)
+		push(1)
+		q.Pop(now, l)
+		now = now.Add(10 * time.Millisecond)
+		for _, r := range q.Expire(now) {
+			refusals[r.Reason]++
+		}
+	}
+	require.Positive(t, refusals[ReasonExpired])
+	require.Greater(t, refusals[ReasonDeadline], 2*refusals[ReasonExpired])
+	for q.Len() > 0 {
+		q.Pop(now, l)
+	}
+	require.Empty(t, q.Push(now, &Entry[string]{Kind: "k", Rank: 1, Arrived: now, Deadline: now.Add(2 * time.Second)}, l))
+}
+
 // Guards against entries that are lost or returned twice when callers leave and deadlines pass in any order.
 func TestQueueLosesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -51,10 +51,14 @@
 	first entries[T]
 	seq   uint64
 	limit int
+	// recent holds the waits of entries that left lately, by rank.
+	recent map[int]*estimate
 }
 
 // NewQueue returns an empty queue for at most limit requests.
-func NewQueue[T any](limit int) *Queue[T] { return &Queue[T]{limit: limit} }
+func NewQueue[T any](limit int) *Queue[T] {
+	return &Queue[T]{limit: limit, recent: map[int]*estimate{}}
+}
 
 // SetLimit changes the bound. Entries beyond it stay until they are served or shed.
 func (q *Queue[T]) SetLimit(limit int) { q.limit = limit }
@@ -73,10 +77,21 @@
 	Service func(kind string) time.Duration
 }
 
+const (
+	// waitMargin is the factor on the estimated wait when an entry is admitted. Without it an overloaded queue fills up to the point
+	// where everything is served just before its deadline, and any variation makes it late.
+	waitMargin = 1.5
+	// serviceMargin is the factor on the expected service time of an entry that has to wait, for the same reason.
+	serviceMargin = 2
+)
+
 // Push adds an entry. It returns the entries that were refused for it, which may be e itself.
 func (q *Queue[T]) Push(now time.Time, e *Entry[T], l Load) []Refused[T] {
-	wait := q.wait(e, l)
-	if now.Add(wait + l.Service(e.Kind)).After(e.Deadline) {
+	wait, service := q.wait(now, e, l), l.Service(e.Kind)
+	if wait > 0 {
+		service *= serviceMargin
+	}
+	if now.Add(time.Duration(waitMargin*float64(wait)) + service).After(e.Deadline) {
 		return []Refused[T]{{e, Refusal{Reason: ReasonDeadline, RetryAfter: retryAfter(wait)}}}
 	}
 	q.seq++
@@ -91,18 +106,33 @@
 	if worst == e {
 		reason = ReasonQueueFull
 	}
-	return []Refused[T]{{worst, Refusal{Reason: reason, RetryAfter: retryAfter(q.wait(worst, l))}}}
+	return []Refused[T]{{worst, Refusal{Reason: reason, RetryAfter: retryAfter(q.wait(now, worst, l))}}}
 }
 
-// wait estimates how long the entries before e keep all slots busy.
-func (q *Queue[T]) wait(e *Entry[T], l Load) time.Duration {
+// wait estimates how long an entry would wait: the time for the entries before it, and at least as long as entries of its rank have waited
+// lately, because more urgent ones keep arriving. An empty queue means no wait.
+func (q *Queue[T]) wait(now time.Time, e *Entry[T], l Load) time.Duration {
 	ahead := 0
 	for _, o := range q.first {
 		if o != e && before(o, e) {
 			ahead++
 		}
 	}
-	return l.Mean * time.Duration(ahead) / time.Duration(max(l.Slots, 1))
+	wait := l.Mean * time.Duration(ahead) / time.Duration(max(l.Slots, 1))
+	if r := q.recent[e.Rank]; r != nil && ahead > 0 {
+		wait = max(wait, r.aged(now))
+	}
+	return wait
+}
+
+// left takes up how long an entry waited.
+func (q *Queue[T]) left(now time.Time, e *Entry[T]) {
+	r := q.recent[e.Rank]
+	if r == nil {
+		r = &estimate{}
+		q.recent[e.Rank] = r
+	}
+	r.observe(now, now.Sub(e.Arrived))
 }
 
 // worst returns the least urgent entry; among equals the one with the latest deadline, which can be repeated soonest.
@@ -121,6 +151,7 @@
 	var refused []Refused[T]
 	for len(q.first) > 0 {
 		e := heap.Pop(&q.first).(*Entry[T])
+		q.left(now, e)
 		if !now.Add(l.Service(e.Kind)).After(e.Deadline) {
 			return e, refused
 		}
@@ -134,6 +165,7 @@
 	var refused []Refused[T]
 	for i := len(q.first) - 1; i >= 0; i-- {
 		if e := q.first[i]; now.After(e.Deadline) {
+			q.left(now, e)
 			refused = append(refused, Refused[T]{e, Refusal{Reason: ReasonExpired, RetryAfter: minRetry}})
 			q.first[i] = q.first[len(q.first)-1]
 			q.first[len(q.first)-1] = nil
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// newShare is the weight of a new observation in the average.
@@ -45,6 +48,11 @@
 	e.seen = now
 }
 
+// aged returns the mean, halved for each staleAfter since the last observation.
+func (e *estimate) aged(now time.Time) time.Duration {
+	return time.Duration(e.mean * math.Exp2(-math.Floor(now.Sub(e.seen).Seconds()/staleAfter.Seconds())))
+}
+
 // Age halves the estimates without a recent observation. It is called about once a second.
 func (s *Services) Age(now time.Time) {
 	for _, e := range s.kinds {
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -14,22 +14,34 @@
 	hedgeFactor = 10
 	// minHedge keeps short requests from being doubled because of one slow packet.
 	minHedge = 100 * time.Millisecond
+	// leastHedge is how many times the expected service time must have passed even if little time is left. A request that came from the
+	// queue shortly before its deadline is not doubled, since overload must not add load.
+	leastHedge = 3
 )
 
-// patience returns how long to wait for a worker before a second one is asked. At least half of the time is left for that one.
-func patience(expected, left time.Duration) time.Duration {
+// patience returns how long to wait for a worker before a second one is asked. Half of the time is left for that one. It reports false
+// if the time is too short for a second worker.
+func patience(expected, left time.Duration) (time.Duration, bool) {
 	if expected <= 0 {
-		return left / 2
+		return left / 2, true
 	}
-	return min(left/2, max(hedgeFactor*expected, minHedge))
+	wait := min(left/2, max(hedgeFactor*expected, minHedge))
+	return wait, wait >= leastHedge*expected
 }
 
+// overdue reports whether a request took so long that its worker is at fault, and not the little time it was given.
+func overdue(expected, took time.Duration) bool { return took >= leastHedge*expected }
+
 // hedged runs an idempotent request on a second worker if the first one is slow and the retry budget permits it. The first whole
 // answer counts. The other call goes on until it ends, because its slot stays occupied anyway.
 func (g *Gateway) hedged(ctx context.Context, r request, s slot) attempt {
+	wait, sensible := patience(s.expected, time.Until(r.deadline))
+	if !sensible {
+		return g.execute(ctx, r, s)
+	}
 	out := make(chan attempt, 2)
-	go func() { out <- g.execute(ctx, r, s.permit) }()
-	timer := time.NewTimer(patience(s.expected, time.Until(r.deadline)))
+	go func() { out <- g.execute(ctx, r, s) }()
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case a := <-out:
@@ -68,7 +80,7 @@
 	case s.refusal != nil:
 		return attempt{answer: refusedAnswer(s.refusal)}
 	}
-	return g.execute(ctx, r, s.permit)
+	return g.execute(ctx, r, s)
 }
 
 func refusedAnswer(r *admission.Refusal) answer {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -116,14 +116,15 @@
 	c.avoid = s.permit.Worker
 	run := g.hedged
 	if !r.kind.Idempotent {
-		run = func(ctx context.Context, r request, s slot) attempt { return g.execute(ctx, r, s.permit) }
+		run = g.execute
 	}
 	a := run(ctx, r, s)
 	return a, time.Now().Before(r.deadline)
 }
 
 // execute calls the worker of a permit and gives the slot back as soon as the request cannot occupy it any more.
-func (g *Gateway) execute(ctx context.Context, r request, p budget.Permit) attempt {
+func (g *Gateway) execute(ctx context.Context, r request, s slot) attempt {
+	p := s.permit
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.deadline)
 	defer cancel()
 	began := time.Now()
@@ -143,7 +144,9 @@
 		g.post(func(now time.Time) { g.refused(now, p, notRun.Reason) })
 		return refusedAttempt(notRun)
 	}
-	g.post(func(now time.Time) { g.unanswered(now, p) })
+	// A break of the connection is the worker's fault at any time.
+	atFault := ctx.Err() == nil || overdue(s.expected, took)
+	g.post(func(now time.Time) { g.unanswered(now, p, atFault) })
 	g.spawn(func(ctx context.Context) { g.settle(ctx, p, id, r.deadline) })
 	a := answer{state: contract.AnswerUnknown, reason: reasonNoAnswer, detail: err.Error()}
 	if ctx.Err() != nil {
@@ -198,9 +201,11 @@
 }
 
 // unanswered keeps the slot of a request that may still run; settle gives it back.
-func (g *Gateway) unanswered(now time.Time, p budget.Permit) {
+func (g *Gateway) unanswered(now time.Time, p budget.Permit, atFault bool) {
 	g.control.settling++
-	g.failed(now, p)
+	if atFault {
+		g.failed(now, p)
+	}
 }
 
 // settle cancels a request without an answer and then gives its slot back.
