Ready: use a worker again after a refusal once its grant is confirmed

Cause: a worker that refused one request because of its grant, for example without a lease for a moment after a restart, was never used again by that gateway as long as its grant did not change. Change: the holding notes the time of the refusal and clears it with the reply to a later grant request; an assertion checks that a non-idempotent request is not attempted again after it may have run.

--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -157,3 +157,19 @@
 	require.False(t, ok, "the grant has expired")
 	require.Zero(t, h.Free())
 }
+
+// Guards against a worker that is never used again after one refusal, and against one that is used again too early.
+func TestHoldingPausesRefusingWorkers(t *testing.T) {
+	h := NewHolding()
+	reply := contract.GrantReply{Shard: "s", Epoch: 1, Generation: 1, TTL: time.Minute, Workers: []contract.WorkerGrant{{Worker: "w", Slots: 2}}}
+	h.Apply(start, start, reply, false)
+	p, _ := h.Acquire(start, 0)
+	h.Refused(start.Add(time.Second), p)
+	h.Release(p)
+	require.Zero(t, h.Free())
+	confirm := contract.GrantReply{Shard: "s", Epoch: 1, Generation: 1, TTL: time.Minute, Unchanged: true}
+	h.Apply(start.Add(2*time.Second), start.Add(time.Second), confirm, false)
+	require.Zero(t, h.Free(), "the request was sent before the refusal")
+	h.Apply(start.Add(2*time.Second), start.Add(2*time.Second), confirm, false)
+	require.Equal(t, 2, h.Free())
+}
--- a/internal/budget/holding.go
+++ b/internal/budget/holding.go
@@ -52,8 +52,8 @@
 	shard string
 	slots int
 	inUse int
-	// refused tells that the worker refused the grant; it is cleared by a newer grant.
-	refused bool
+	// refused is when the worker refused the grant, zero if it did not. It is cleared by the reply to a later request.
+	refused time.Time
 }
 
 type shardGrant struct {
@@ -105,7 +105,9 @@
 	}
 	s.epoch, s.generation, s.expiry = r.Epoch, r.Generation, expiry
 	s.expired = !now.Before(expiry)
-	if !same {
+	if same {
+		h.retry(r.Shard, sent)
+	} else {
 		h.replace(r, far)
 	}
 	h.refresh(r.Shard)
@@ -119,7 +121,7 @@
 func (h *Holding) replace(r contract.GrantReply, far bool) {
 	for i := range h.entries {
 		if h.entries[i].shard == r.Shard {
-			h.entries[i].slots, h.entries[i].refused = 0, false
+			h.entries[i].slots, h.entries[i].refused = 0, time.Time{}
 		}
 	}
 	for _, g := range r.Workers {
@@ -131,7 +133,7 @@
 			h.candidates = append(h.candidates, Candidate{})
 		}
 		e := &h.entries[i]
-		e.addr, e.shard, e.slots, e.refused = g.Addr, r.Shard, g.Slots, false
+		e.addr, e.shard, e.slots, e.refused = g.Addr, r.Shard, g.Slots, time.Time{}
 		h.candidates[i].Far = far
 	}
 	for i := len(h.entries) - 1; i >= 0; i-- {
@@ -139,6 +141,15 @@
 	}
 }
 
+// retry lets workers be used again that refused the grant before it was confirmed, for example because they had no lease for a moment.
+func (h *Holding) retry(shard string, confirmed time.Time) {
+	for i := range h.entries {
+		if e := &h.entries[i]; e.shard == shard && e.refused.Before(confirmed) {
+			e.refused = time.Time{}
+		}
+	}
+}
+
 // drop removes an entry without slots and requests. The last entry takes its place.
 func (h *Holding) drop(i int) {
 	if h.entries[i].slots > 0 || h.entries[i].inUse > 0 {
@@ -169,7 +180,7 @@
 
 func (h *Holding) update(i int) {
 	e, free := &h.entries[i], 0
-	if !e.refused && !h.shards[e.shard].expired {
+	if e.refused.IsZero() && !h.shards[e.shard].expired {
 		free = max(0, e.slots-e.inUse)
 	}
 	c := h.candidates[i]
@@ -227,14 +238,15 @@
 	h.drop(i)
 }
 
-// Refused takes up that a worker refused a request because of its grant. The worker is not used until a newer grant names it.
-func (h *Holding) Refused(p Permit) {
+// Refused takes up that a worker refused a request because of its grant. The worker is not used until the owner has answered a
+// request that is sent later.
+func (h *Holding) Refused(now time.Time, p Permit) {
 	i, known := h.index[p.Worker]
 	if !known {
 		return
 	}
 	if s := h.shards[p.Shard]; s.epoch == p.Epoch && s.generation == p.Generation {
-		h.entries[i].refused = true
+		h.entries[i].refused = now
 		h.update(i)
 	}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -69,6 +69,7 @@
 	c := newCall(r)
 	mayHaveRun, free := false, 0
 	for n := 1; ; n++ {
+		invariant.Check(invariant.TicketDispatchOnce, r.kind.Idempotent || !mayHaveRun, "request", r.id, "attempt", n)
 		a, again := g.try(ctx, r, c, n > 1)
 		mayHaveRun = mayHaveRun || a.mayHaveRun
 		if a.answer.state == contract.AnswerWhole {
@@ -182,7 +183,7 @@
 
 func (g *Gateway) refused(now time.Time, p budget.Permit, reason upstream.Refusal) {
 	if grantRefusal(reason) {
-		g.control.holding.Refused(p)
+		g.control.holding.Refused(now, p)
 		g.grantSoon(p.Shard)
 	} else {
 		g.failed(now, p)
