Ready: refuse submissions at once while the log is known to be down

Cause: in a trial with the log switched off, each submission waited 5 s and was answered as unknown, because the platform's client cannot exclude that an append took effect; the design wants submissions refused as not run with a retry time. Change: after a failed append, others are refused as not run without touching the log; after 2 s one of them tries again. Conclusion: the first submission of an outage still gets an unknown outcome with its job id, all others a refusal; tests pass with the race detector.

--- /dev/null
+++ b/internal/gateway/breaker.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+)
+
+// breakerPause is how long after a failed append no other append is tried.
+const breakerPause = 2 * time.Second
+
+// breaker refuses appends while the log is known to be down, so that callers hear at once that nothing was written in place of
+// waiting for an append with an unknown outcome. One append at a time finds out whether the log is back.
+type breaker struct {
+	mu      sync.Mutex
+	down    bool
+	until   time.Time
+	probing bool
+}
+
+// allow reports whether an append may be tried.
+func (b *breaker) allow(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.down {
+		return true
+	}
+	if b.probing || now.Before(b.until) {
+		return false
+	}
+	b.probing = true
+	return true
+}
+
+// ended takes up the result of an append that was allowed.
+func (b *breaker) ended(now time.Time, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.down, b.probing, b.until = !ok, false, now.Add(breakerPause)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,7 @@
 	owners    owners
 	stopping  atomic.Bool
 	bounds    bounds
+	breaker   breaker
 
 	// control belongs to the control loop.
 	control control
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -301,6 +301,15 @@
 	r = g.post(t, "/v1/jobs", `{"kind":"rebid"}`)
 	require.Equal(t, http.StatusServiceUnavailable, r.status)
 	require.Equal(t, "not-run", r.header.Get(headerOutcome))
+	began := time.Now()
+	r = g.post(t, "/v1/jobs", `{"kind":"rebid"}`)
+	require.Contains(t, r.body, reasonLogDown)
+	require.Less(t, time.Since(began), time.Second, "the log is known to be down")
+	w.mu.Lock()
+	w.appendErr = nil
+	w.mu.Unlock()
+	require.Eventually(t, func() bool { return g.post(t, "/v1/jobs", `{"kind":"rebid"}`).status == http.StatusAccepted },
+		2*breakerPause, 100*time.Millisecond)
 	require.Equal(t, http.StatusOK, g.do(t, http.MethodGet, "/v1/jobs/bne-0~x", "").status)
 	require.Equal(t, http.StatusNotFound, g.do(t, http.MethodDelete, "/v1/jobs/mars-0~x", "").status)
 }
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -234,11 +234,16 @@
 	if err != nil {
 		return answer{state: contract.AnswerNotRun, reason: reasonMalformed, detail: err.Error()}, http.StatusBadRequest
 	}
+	if !g.breaker.allow(time.Now()) {
+		return answer{state: contract.AnswerNotRun, reason: reasonLogDown, detail: "an append failed a moment ago; nothing was written",
+			retryAfter: appendTimeout}, http.StatusServiceUnavailable
+	}
 	// A caller that leaves must not stop the repeats: the record may be half way.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), appendTimeout)
 	defer cancel()
 	_, err = platform.AppendUntil(ctx, g.deps.Log, datacentre.ShardStream(shard), [][]byte{data})
 	var unavailable *platform.UnavailableError
+	g.breaker.ended(time.Now(), !errors.As(err, &unavailable))
 	switch {
 	case err == nil:
 		return answer{}, http.StatusOK
