Ready: count requests on a worker that returns to the ledger

Cause: a worker that was out of reach can still run a request that its gateway gave up on and then acknowledged as ended; the ledger ignored the worker's report of it, because the gateway had acknowledged a grant of the epoch. Change: such requests occupy slots until the worker's own reports show that they have ended. Conclusion: a report is never dropped in favour of an older acknowledgement.

--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -173,3 +173,23 @@
 	h.Apply(start.Add(2*time.Second), start.Add(2*time.Second), confirm, false)
 	require.Equal(t, 2, h.Free())
 }
+
+// Guards against slots that are granted again although a request that its gateway gave up on still runs on a worker that was out of
+// reach.
+func TestLedgerCountsRequestsOfReturningWorker(t *testing.T) {
+	f := newFleet(1, 8)
+	f.round(map[string]int{"da": 10})
+	f.round(map[string]int{"da": 10})
+	f.ledger.RemoveWorker(f.now, "w00")
+	f.round(map[string]int{"da": 10})
+	f.round(map[string]int{"da": 10})
+	f.ledger.SetWorker(f.now, "w00", "127.0.0.1:1", "d", 8)
+	f.ledger.Report(f.now, "w00", nil, []upstream.GatewayUse{{Gateway: "da", Slots: 2}})
+	for range 10 {
+		f.round(map[string]int{"db": 100})
+	}
+	require.Equal(t, 6, f.holdings["db"].Slots())
+	f.ledger.Report(f.now, "w00", f.ledger.Fences("w00"), nil)
+	f.round(map[string]int{"db": 100})
+	require.Equal(t, 8, f.holdings["db"].Slots())
+}
--- a/internal/budget/ledger.go
+++ b/internal/budget/ledger.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -142,12 +143,17 @@
 	l.purge(w)
 }
 
-// takeOver counts the requests of older epochs that still occupy slots. A gateway that has acknowledged a grant of this
-// epoch has none left; the report is then older than the acknowledgement.
+// takeOver counts the requests that occupied slots before this account knew the worker. A gateway's first acknowledgement in this epoch
+// covers them. One that has acknowledged before can have given up on them while the worker was out of reach, so only the worker's
+// own reports lower them then.
 func (l *Ledger) takeOver(w *worker, used map[instance.Incarnation]int) {
 	for inc, n := range used {
-		if g := l.gateways[inc]; n > 0 && (g == nil || g.acked == 0) {
-			w.hold(inc).steps = append(w.hold(inc).steps, step{until: 1, slots: n, fenced: true})
+		until := uint64(1)
+		if g := l.gateways[inc]; g != nil && g.acked > 0 {
+			until = math.MaxUint64
+		}
+		if n > 0 {
+			w.hold(inc).steps = append(w.hold(inc).steps, step{until: until, slots: n, fenced: true})
 		}
 	}
 }
