--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -16,7 +16,9 @@
 
 const (
 	progressInterval = time.Second
-	idlePerGateway   = 1024
+	// checkTimeout bounds the questions to the workers after a run.
+	checkTimeout   = 30 * time.Second
+	idlePerGateway = 1024
 	// repeatDelay lets half of the repeats overtake their first call.
 	repeatDelay = 5 * time.Millisecond
 )
@@ -84,7 +86,10 @@
 	began := time.Now()
 	r.drive(ctx, c, newPlan(r.settings, k), rec, jobs)
 	res := newResult(r.settings, rec, jobs, began, time.Since(began))
-	if err := worker.check(ctx, before, rec, jobs, res); err != nil {
+	// An interrupted run is checked and reported, too.
+	checking, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkTimeout)
+	defer cancel()
+	if err := worker.check(checking, before, rec, jobs, res); err != nil {
 		return err
 	}
 	return r.report(res, rec)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -32,13 +32,21 @@
 	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
 		level = slog.LevelInfo
 	}
-	opts := &slog.HandlerOptions{Level: level}
+	opts := &slog.HandlerOptions{Level: level, ReplaceAttr: shortenError}
 	if s.LogFormat == "json" {
 		return slog.New(slog.NewJSONHandler(w, opts))
 	}
 	return slog.New(slog.NewTextHandler(w, opts))
 }
 
+// shortenError keeps stack traces, which the text handler would print for wrapped errors, out of log lines.
+func shortenError(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
+}
+
 // Part returns a logger that puts the fixed prefix of a part in front of every message.
 func Part(l *slog.Logger, prefix string) *slog.Logger {
 	return slog.New(&prefixHandler{Handler: l.Handler(), prefix: prefix + ": "})
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -89,10 +89,16 @@
 
 # http_get HOST PORT PATH: prints the answer to a GET request with its status line, or fails.
 http_get() {
-  local fd
+  local fd line rc
   { exec {fd}<>"/dev/tcp/$1/$2"; } 2>/dev/null || return 1
   printf 'GET %s HTTP/1.0\r\nHost: %s\r\n\r\n' "$3" "$1" >&"$fd"
-  cat <&"$fd"
+  # A process that took the port but does not speak HTTP must not hold up the script.
+  while :; do
+    rc=0
+    IFS= read -r -t 2 line <&"$fd" || rc=$?
+    [[ $rc != 0 && -z $line ]] || printf '%s\n' "$line"
+    ((rc == 0)) || break
+  done
   exec {fd}>&-
 }
 
