Start nothing on a leaving worker during a log outage

Cause: evictions need the log, so during an outage the branch for a leaving worker was skipped and the next one started the attempt that had been placed ahead. Ruled out: the ledger and placement, which both leave such workers out. Change: starts require a worker that is not leaving, and an assertion guards it. Measured: the new test counts 17 started tasks with the change; without it 18 (with the assertion alone, the assertion fails). A first form of the test passed without the change, because an owner that has nothing to write does not notice the outage.

--- a/internal/scheduler/lifecycle_test.go
+++ b/internal/scheduler/lifecycle_test.go
@@ -216,3 +216,32 @@
 		require.NoError(t, stop())
 	})
 }
+
+// Guards against an attempt that was placed ahead and starts on a leaving worker during an outage of the log, when it cannot be evicted.
+func TestNoStartOnLeavingWorker(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		_, stop := w.scheduler("s1")
+		time.Sleep(5 * time.Second)
+		w.append(contract.NewRecordID(), &contract.Submit{Job: testShard + "~short", Kind: "rebid", Tasks: 1, Submitted: time.Now(),
+			Deadline: time.Now().Add(time.Minute), RunTime: 4 * time.Second})
+		time.Sleep(time.Second)
+		w.submit("a", 30)
+		time.Sleep(time.Second)
+		w.log.SetFaults(standin.LogFaults{Down: true})
+		// The end of the short task cannot be written, so the owner knows that the log is down.
+		time.Sleep(4 * time.Second)
+		w.fleet.mu.Lock()
+		for _, worker := range w.fleet.workers {
+			worker.leaving = true
+		}
+		w.fleet.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		started := w.fleet.started()
+		time.Sleep(20 * time.Second)
+		require.Equal(t, started, w.fleet.started())
+		w.log.SetFaults(standin.LogFaults{})
+		time.Sleep(5 * time.Second)
+		require.NoError(t, stop())
+	})
+}
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -120,7 +120,7 @@
 		sh.dirty = true
 	case stop:
 		s.stop(sh, w, t, now, outcome)
-	case t.started.IsZero() && w.leased && !sh.own.releasing && !s.leaving && s.fitsNow(w, t):
+	case t.started.IsZero() && w.leased && !w.leaving && !sh.own.releasing && !s.leaving && s.fitsNow(w, t):
 		s.startTask(sh, w, j, t, now)
 	}
 }
@@ -172,6 +172,7 @@
 	held := w.held(func(o *run) bool { return o.sent })
 	invariant.Check(invariant.WorkerCapacity, held.Fits(w.member.Capacity), "worker", w.id, "held", held,
 		"capacity", w.member.Capacity)
+	invariant.Check(invariant.NoWorkWhenLeaving, !w.leaving, "worker", w.id, "job", t.ref.Job)
 	own, addr := sh.own, w.member.Addr
 	s.spawn(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, taskTimeout)
