Ready: answer unknown when a worker refuses a request as cancelled

Cause: a worker refuses an id as cancelled when it runs or ran an earlier call with that id, so the answer "not run" could be wrong for the request. Change: such a refusal counts as a request that may have run: idempotent ones are retried on another worker, others are answered as unknown. Conclusion: "not run" is answered only where no worker knows the id.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -47,6 +47,9 @@
 	require.NotEmpty(t, r.header.Get("Retry-After"))
 	require.Contains(t, r.body, `"reason":"overload"`)
 
+	w.set(refuseWith(upstream.RefusalCancelled))
+	require.Equal(t, "unknown", g.post(t, "/v1/requests/quote", "x").header.Get(headerOutcome), "the worker knows the request")
+
 	calls, lost := w.callCount(), 0
 	w.set(func(ctx context.Context, r upstream.ExecuteRequest) (upstream.Answer, error) {
 		w.mu.Lock()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -158,8 +158,13 @@
 
 func refusedAttempt(e *upstream.NotRunError) attempt {
 	a := answer{state: contract.AnswerNotRun, reason: string(e.Reason), detail: e.Error(), retryAfter: time.Second}
-	if e.Reason == upstream.RefusalNone {
+	switch e.Reason {
+	case upstream.RefusalNone:
 		a.reason = reasonNotSent
+	case upstream.RefusalCancelled:
+		// The worker knows the id: an earlier call of the same caller is running there or was cancelled while it ran.
+		a.state = contract.AnswerUnknown
+		return attempt{answer: a, mayHaveRun: true}
 	}
 	return attempt{answer: a, free: grantRefusal(e.Reason)}
 }
