Prove that the checks of each promise can fail

Cause: a check that cannot fail proves nothing. Conclusion: the drain delay and the wait for requests in progress had been unguarded.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build check format lint test models demo up faults process-test clean
+.PHONY: build check format lint test models mutants demo up faults process-test clean
 
 build:
 	@mkdir -p $(BIN)
@@ -21,6 +21,10 @@
 models:
 	@scripts/models.sh
 
+# Takes the mechanisms behind the promises out one at a time and requires that tests fail without them.
+mutants:
+	@scripts/mutants.sh
+
 # A whole deployment on the loopback network for about 45 s; scripts/demo.sh lists its settings.
 demo:
 	@scripts/demo.sh
@@ -41,7 +45,7 @@
 	@$(GO) test -c -o $(BIN)/faults.test ./test/faults
 	@cd test/faults && PROCESSES=1 KEEP="$(KEEP)" ../../$(BIN)/faults.test -test.timeout 5m -test.run TestProcesses
 
-check: format lint test models
+check: format lint test models mutants
 
 clean:
 	@rm -rf $(BIN) out
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -251,6 +252,27 @@
 	require.Zero(t, w.ledger.Granted())
 }
 
+// Guards against a stop that refuses callers before the balancer has noticed it, and against one that cuts off a request which outlasts
+// the drain delay.
+func TestStopServesUntilTheBalancerNotices(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("g")
+	w.set(func(_ context.Context, r upstream.ExecuteRequest) (upstream.Answer, error) {
+		time.Sleep(2 * g.DrainDelay)
+		return echo(r), nil
+	})
+	go g.stop()
+	require.Eventually(t, func() bool { return !g.deps.Health.Ready() }, 5*time.Second, time.Millisecond)
+	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := fresh.Post(g.url+"/v1/requests/quote", "", strings.NewReader("x"))
+	require.NoError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.NoError(t, <-g.done)
+}
+
 // Guards against a submission that is acknowledged without a record, written twice under different ids, or called "not run"
 // although its record may be in the log.
 func TestSubmissions(t *testing.T) {
