Count only attempts that were started

After a scheduler was killed during the demo, the load generator reported 6 resumes of 5 evicted tasks and 638 attempts for 605 starts, because attempts given up before their start were counted.

--- a/internal/attempt/apply.go
+++ b/internal/attempt/apply.go
@@ -148,6 +148,13 @@
 }
 
 func (s *State) end(j *Job, t *Task, c *contract.Close) {
+	if !ran(c) {
+		// An attempt that was given up before it started counts neither as an attempt nor as a resume or eviction.
+		j.State.Attempts--
+		if t.Checkpoint != "" {
+			j.State.Resumed--
+		}
+	}
 	t.Outcome, t.EndedAt, t.Reason = c.Outcome, c.At, c.Reason
 	if c.Checkpoint != "" {
 		t.Checkpoint = c.Checkpoint
@@ -155,8 +162,7 @@
 	}
 	switch c.Outcome {
 	case upstream.OutcomeEvicted:
-		// An attempt that was given up before it started is no eviction.
-		if c.RunTime > 0 {
+		if ran(c) {
 			j.State.Evicted++
 		}
 	case upstream.OutcomeFailed, upstream.OutcomeLost:
@@ -169,6 +175,11 @@
 	j.State.Cost += c.Cost
 }
 
+// ran reports whether the closed attempt was started, as far as its owner knows. The run time of one that was given up is zero.
+func ran(c *contract.Close) bool {
+	return c.RunTime > 0 || c.Outcome != upstream.OutcomeEvicted && c.Outcome != upstream.OutcomeCancelled
+}
+
 func nextPhase(j *Job, t *Task, c *contract.Close) Phase {
 	switch {
 	case c.Outcome == upstream.OutcomeDone && !j.Submit.Service:
