--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -47,6 +47,9 @@
 	require.NotEmpty(t, r.header.Get("Retry-After"))
 	require.Contains(t, r.body, `"reason":"overload"`)
 
+	w.set(refuseWith(upstream.RefusalCancelled))
+	require.Equal(t, "unknown", g.post(t, "/v1/requests/quote", "x").header.Get(headerOutcome), "the worker knows the request")
+
 	calls, lost := w.callCount(), 0
 	w.set(func(ctx context.Context, r upstream.ExecuteRequest) (upstream.Answer, error) {
 		w.mu.Lock()
@@ -301,6 +304,15 @@
 	r = g.post(t, "/v1/jobs", `{"kind":"rebid"}`)
 	require.Equal(t, http.StatusServiceUnavailable, r.status)
 	require.Equal(t, "not-run", r.header.Get(headerOutcome))
+	began := time.Now()
+	r = g.post(t, "/v1/jobs", `{"kind":"rebid"}`)
+	require.Contains(t, r.body, reasonLogDown)
+	require.Less(t, time.Since(began), time.Second, "the log is known to be down")
+	w.mu.Lock()
+	w.appendErr = nil
+	w.mu.Unlock()
+	require.Eventually(t, func() bool { return g.post(t, "/v1/jobs", `{"kind":"rebid"}`).status == http.StatusAccepted },
+		2*breakerPause, 100*time.Millisecond)
 	require.Equal(t, http.StatusOK, g.do(t, http.MethodGet, "/v1/jobs/bne-0~x", "").status)
 	require.Equal(t, http.StatusNotFound, g.do(t, http.MethodDelete, "/v1/jobs/mars-0~x", "").status)
 }
