Ready: wait for earlier owners by the limits of their own claims

A new owner waited by the isolation limit and TTL of its own manifest. If an operator lowered them while an isolated owner still renewed by the older, longer values, an attempt could have been closed while it ran. Claims now carry both values, an epoch keeps those of its claim, and a successor waits for the largest of all owners back to the newest release. Replicas of services forget earlier failures after 10 minutes of running, so that pauses do not grow for ever. Table tests cover the limits; all tests of the packages pass under the race detector.

--- a/internal/attempt/apply.go
+++ b/internal/attempt/apply.go
@@ -12,6 +12,10 @@
 // maxTasks bounds the tasks of one job, so that one record cannot exhaust the memory of every reader.
 const maxTasks = 20000
 
+// serviceStable is how long a replica of a service must have run for its earlier failures to be forgotten; otherwise the pauses before
+// its restarts would grow over months.
+const serviceStable = 10 * time.Minute
+
 // Apply implements shard.State. It returns an *IgnoredError for a record that does not apply.
 func (s *State) Apply(offset, epoch uint64, b contract.Body) error {
 	switch b := b.(type) {
@@ -156,6 +160,9 @@
 		}
 	}
 	t.Outcome, t.EndedAt, t.Reason = c.Outcome, c.At, c.Reason
+	if j.Submit.Service && c.RunTime >= serviceStable {
+		t.Failures = 0
+	}
 	if c.Checkpoint != "" {
 		t.Checkpoint = c.Checkpoint
 		t.Ran += c.RunTime
--- a/internal/contract/records.go
+++ b/internal/contract/records.go
@@ -63,6 +63,10 @@
 	After uint64 `cbor:"4,keyasint"`
 	// Snapshot is the offset of the first part of the newest whole snapshot, zero if there is none.
 	Snapshot uint64 `cbor:"5,keyasint"`
+	// TTL and Isolation are the lease TTL and the isolation limit of this epoch. They stay as they are when the manifest changes, so
+	// that a later owner knows how long this one may renew.
+	TTL       time.Duration `cbor:"6,keyasint,omitempty"`
+	Isolation time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // Release ends an epoch. The owner renews no lease and grants no slot after it.
--- a/internal/lease/owner.go
+++ b/internal/lease/owner.go
@@ -25,6 +25,8 @@
 	// one, ended with a Release.
 	ReadBack     time.Time
 	AfterRelease bool
+	// EarlierTTL and EarlierIsolation are the values of the owners before, which a newer manifest may have lowered.
+	EarlierTTL, EarlierIsolation time.Duration
 }
 
 // Owner is the owner's side of the lease of one worker.
@@ -44,9 +46,9 @@
 // Until the worker answers, the previous owner's renewals count: they ended with its Release, or at the isolation limit
 // after this claim was readable, and the last of them lasts one TTL longer.
 func NewOwner(t Terms) *Owner {
-	wait := withDrift(t.TTL)
+	wait := withDrift(max(t.TTL, t.EarlierTTL))
 	if !t.AfterRelease {
-		wait += withDrift(t.IsolationLimit)
+		wait += withDrift(max(t.IsolationLimit, t.EarlierIsolation))
 	}
 	return &Owner{terms: t, lapse: t.ReadBack.Add(wait)}
 }
--- a/internal/lease/owner_test.go
+++ b/internal/lease/owner_test.go
@@ -25,6 +25,10 @@
 	require.True(t, released.Lapsed(sec(10.1)))
 	require.False(t, crashed.Lapsed(sec(610)))
 	require.True(t, crashed.Lapsed(sec(616.1)))
+	lowered := terms(false)
+	lowered.EarlierTTL, lowered.EarlierIsolation = 20*time.Second, 20*time.Minute
+	require.False(t, NewOwner(lowered).Lapsed(sec(1232)), "the earlier owner works with the longer limits of an older manifest")
+	require.True(t, NewOwner(lowered).Lapsed(sec(1232.2)))
 	released.Next()
 	require.True(t, released.Lapsed(sec(10.1)), "a call that only fences grants no lease time")
 }
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -30,7 +30,7 @@
 	sh := newShardLoop("a", "s-1")
 	sh.state, sh.readAt, sh.lastRead = attempt.New("a"), now, now
 	sh.replay = shard.NewReplayer("a", sh.state, 1)
-	s.acquire(sh, now, shard.Ownership{Epoch: 1})
+	s.acquire(sh, now, shard.Ownership{Epoch: 1, Claim: contract.Claim{TTL: defaultTTL, Isolation: defaultIsolation}})
 	for i := range 100 {
 		_ = sh.state.Apply(uint64(i+2), 1, &contract.Submit{Job: fmt.Sprint("j", i), Kind: "k", Tasks: (workers*each + pending) / 100, Deadline: now.Add(time.Hour)})
 	}
--- a/internal/scheduler/follow.go
+++ b/internal/scheduler/follow.go
@@ -87,7 +87,7 @@
 	sh.claiming = true
 	s.log.Info("claims a shard", "shard", sh.name, "after", sh.replay.Owner().Epoch)
 	s.put(sh, 0, &contract.Claim{Owner: s.ID, Incarnation: s.Incarnation, Addr: s.LinkAddr,
-		After: sh.replay.Owner().Epoch, Snapshot: sh.replay.Snapshot().First})
+		After: sh.replay.Owner().Epoch, Snapshot: sh.replay.Snapshot().First, TTL: s.policy.ttl, Isolation: s.policy.isolation})
 }
 
 func (s *Scheduler) startFollowing(sh *shardLoop) {
--- a/internal/scheduler/own.go
+++ b/internal/scheduler/own.go
@@ -83,8 +83,9 @@
 }
 
 func (s *Scheduler) acquire(sh *shardLoop, now time.Time, o shard.Ownership) {
-	terms := lease.Terms{Shard: sh.name, Epoch: o.Epoch, Owner: s.ID, TTL: s.policy.ttl,
-		IsolationLimit: s.policy.isolation, ReadBack: now, AfterRelease: o.AfterRelease}
+	// The limits are those of the claim, which later owners read, and not those of a newer manifest.
+	terms := lease.Terms{Shard: sh.name, Epoch: o.Epoch, Owner: s.ID, TTL: o.Claim.TTL, IsolationLimit: o.Claim.Isolation,
+		ReadBack: now, AfterRelease: o.AfterRelease, EarlierTTL: o.EarlierTTL, EarlierIsolation: o.EarlierIsolation}
 	sh.own = &ownership{epoch: o.Epoch, terms: terms, ledger: s.deps.NewLedger(sh.name, o.Epoch, grantTTL),
 		workers: map[instance.ID]*worker{}, snapshotAt: now, parked: map[string]string{}, refused: map[string]string{}}
 	s.metrics.epoch.WithLabelValues(sh.name).Set(float64(o.Epoch))
--- a/internal/shard/replay.go
+++ b/internal/shard/replay.go
@@ -3,6 +3,8 @@
 package shard
 
 import (
+	"time"
+
 	"clementinewalk.example/clementinewalk/internal/contract"
 )
 
@@ -50,6 +52,9 @@
 	Released bool
 	// AfterRelease tells that the epoch before this one was released, or that there was none.
 	AfterRelease bool
+	// EarlierTTL and EarlierIsolation are the largest values of the epochs before this one whose owners may still renew: all of them
+	// back to the newest release.
+	EarlierTTL, EarlierIsolation time.Duration
 }
 
 // Replayer consumes the records of one stream in order of offsets.
@@ -158,7 +163,13 @@
 	if c.After != r.owner.Epoch {
 		return VoidClaim
 	}
-	r.owner = Ownership{Epoch: offset, Claim: c, AfterRelease: r.owner.Released || r.owner.Epoch == 0 && !r.lostStart}
+	before := r.owner
+	r.owner = Ownership{Epoch: offset, Claim: c, AfterRelease: before.Released || before.Epoch == 0 && !r.lostStart,
+		EarlierTTL: before.Claim.TTL}
+	if !r.owner.AfterRelease {
+		r.owner.EarlierTTL = max(before.Claim.TTL, before.EarlierTTL)
+		r.owner.EarlierIsolation = max(before.Claim.Isolation, before.EarlierIsolation)
+	}
 	return Valid
 }
 
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -108,6 +108,23 @@
 	require.ErrorAs(t, err, &gap)
 }
 
+// Guards against a new owner that waits by its own manifest while an earlier owner renews by an older one with longer limits.
+func TestEarlierLimits(t *testing.T) {
+	s := &stream{t: t}
+	claim := func(after uint64, ttl, isolation time.Duration) uint64 {
+		return s.put(0, &contract.Claim{Owner: "x", After: after, TTL: ttl, Isolation: isolation})
+	}
+	one := claim(0, 9, 90)
+	two := claim(one, 3, 30)
+	three := claim(two, 4, 40)
+	r, _, _ := s.replay(1, 1)
+	require.Equal(t, [2]time.Duration{9, 90}, [2]time.Duration{r.Owner().EarlierTTL, r.Owner().EarlierIsolation})
+	s.put(three, &contract.Release{})
+	claim(three, 1, 1)
+	r, _, _ = s.replay(1, 1)
+	require.Equal(t, [2]time.Duration{4, 0}, [2]time.Duration{r.Owner().EarlierTTL, r.Owner().EarlierIsolation})
+}
+
 // Guards against a record that takes effect twice after a lost answer, and against unbounded memory for ids.
 func TestDuplicates(t *testing.T) {
 	s := &stream{t: t}
--- a/internal/shard/snapshot.go
+++ b/internal/shard/snapshot.go
@@ -58,14 +58,10 @@
 
 // content is the encoded form of a snapshot.
 type content struct {
-	Covers   uint64         `cbor:"1,keyasint"`
-	Epoch    uint64         `cbor:"2,keyasint"`
-	Claim    contract.Claim `cbor:"3,keyasint"`
-	Released bool           `cbor:"4,keyasint"`
-	Seen     []byte         `cbor:"5,keyasint"`
-	State    []byte         `cbor:"6,keyasint"`
-	// After is Ownership.AfterRelease.
-	After bool `cbor:"7,keyasint,omitempty"`
+	Covers uint64    `cbor:"1,keyasint"`
+	Owner  Ownership `cbor:"2,keyasint"`
+	Seen   []byte    `cbor:"3,keyasint"`
+	State  []byte    `cbor:"4,keyasint"`
 }
 
 // Draft is a snapshot that an owner writes: first the parts, and after they were read back the end.
@@ -81,8 +77,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	data, err := cbor.Marshal(content{Covers: r.next - 1, Epoch: r.owner.Epoch, Claim: r.owner.Claim,
-		Released: r.owner.Released, After: r.owner.AfterRelease, Seen: r.seen.list(), State: state})
+	data, err := cbor.Marshal(content{Covers: r.next - 1, Owner: r.owner, Seen: r.seen.list(), State: state})
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
@@ -129,7 +124,7 @@
 		r.state.Reset()
 		return
 	}
-	r.owner = Ownership{Epoch: c.Epoch, Claim: c.Claim, Released: c.Released, AfterRelease: c.After}
+	r.owner = c.Owner
 	r.seen = windowOf(c.Seen)
 	r.flush(e.Covers)
 }
