Keep a platform connection for every shard that is owned

Cause: each owned shard has a read waiting at the log, and 4 idle connections make an owner of more shards dial again and again. Change: 32 idle connections.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,8 +28,9 @@
 	workerIdle = 8
 	// workerIdleTime is how long an unused connection to a worker is kept.
 	workerIdleTime = 90 * time.Second
-	platformIdle   = 4
-	dialTimeout    = 2 * time.Second
+	// platformIdle holds the long polls of an owner of many shards beside its other calls.
+	platformIdle = 32
+	dialTimeout  = 2 * time.Second
 	// maxPlatformWait bounds the setting of how long a starting process waits for the platform.
 	maxPlatformWait = 10 * time.Minute
 	platformRetry   = 200 * time.Millisecond
