--- a/internal/attempt/apply.go
+++ b/internal/attempt/apply.go
@@ -12,6 +12,10 @@
 // maxTasks bounds the tasks of one job, so that one record cannot exhaust the memory of every reader.
 const maxTasks = 20000
 
+// serviceStable is how long a replica of a service must have run for its earlier failures to be forgotten; otherwise the pauses before
+// its restarts would grow over months.
+const serviceStable = 10 * time.Minute
+
 // Apply implements shard.State. It returns an *IgnoredError for a record that does not apply.
 func (s *State) Apply(offset, epoch uint64, b contract.Body) error {
 	switch b := b.(type) {
@@ -148,14 +152,26 @@
 }
 
 func (s *State) end(j *Job, t *Task, c *contract.Close) {
+	if !ran(c) {
+		// An attempt that was given up before it started counts neither as an attempt nor as a resume or eviction.
+		j.State.Attempts--
+		if t.Checkpoint != "" {
+			j.State.Resumed--
+		}
+	}
 	t.Outcome, t.EndedAt, t.Reason = c.Outcome, c.At, c.Reason
+	if j.Submit.Service && c.RunTime >= serviceStable {
+		t.Failures = 0
+	}
 	if c.Checkpoint != "" {
 		t.Checkpoint = c.Checkpoint
 		t.Ran += c.RunTime
 	}
 	switch c.Outcome {
 	case upstream.OutcomeEvicted:
-		j.State.Evicted++
+		if ran(c) {
+			j.State.Evicted++
+		}
 	case upstream.OutcomeFailed, upstream.OutcomeLost:
 		t.Failures++
 	}
@@ -166,6 +182,11 @@
 	j.State.Cost += c.Cost
 }
 
+// ran reports whether the closed attempt was started, as far as its owner knows. The run time of one that was given up is zero.
+func ran(c *contract.Close) bool {
+	return c.RunTime > 0 || c.Outcome != upstream.OutcomeEvicted && c.Outcome != upstream.OutcomeCancelled
+}
+
 func nextPhase(j *Job, t *Task, c *contract.Close) Phase {
 	switch {
 	case c.Outcome == upstream.OutcomeDone && !j.Submit.Service:
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -157,3 +157,39 @@
 	require.False(t, ok, "the grant has expired")
 	require.Zero(t, h.Free())
 }
+
+// Guards against a worker that is never used again after one refusal, and against one that is used again too early.
+func TestHoldingPausesRefusingWorkers(t *testing.T) {
+	h := NewHolding()
+	reply := contract.GrantReply{Shard: "s", Epoch: 1, Generation: 1, TTL: time.Minute, Workers: []contract.WorkerGrant{{Worker: "w", Slots: 2}}}
+	h.Apply(start, start, reply, false)
+	p, _ := h.Acquire(start, 0)
+	h.Refused(start.Add(time.Second), p)
+	h.Release(p)
+	require.Zero(t, h.Free())
+	confirm := contract.GrantReply{Shard: "s", Epoch: 1, Generation: 1, TTL: time.Minute, Unchanged: true}
+	h.Apply(start.Add(2*time.Second), start.Add(time.Second), confirm, false)
+	require.Zero(t, h.Free(), "the request was sent before the refusal")
+	h.Apply(start.Add(2*time.Second), start.Add(2*time.Second), confirm, false)
+	require.Equal(t, 2, h.Free())
+}
+
+// Guards against slots that are granted again although a request that its gateway gave up on still runs on a worker that was out of
+// reach.
+func TestLedgerCountsRequestsOfReturningWorker(t *testing.T) {
+	f := newFleet(1, 8)
+	f.round(map[string]int{"da": 10})
+	f.round(map[string]int{"da": 10})
+	f.ledger.RemoveWorker(f.now, "w00")
+	f.round(map[string]int{"da": 10})
+	f.round(map[string]int{"da": 10})
+	f.ledger.SetWorker(f.now, "w00", "127.0.0.1:1", "d", 8)
+	f.ledger.Report(f.now, "w00", nil, []upstream.GatewayUse{{Gateway: "da", Slots: 2}})
+	for range 10 {
+		f.round(map[string]int{"db": 100})
+	}
+	require.Equal(t, 6, f.holdings["db"].Slots())
+	f.ledger.Report(f.now, "w00", f.ledger.Fences("w00"), nil)
+	f.round(map[string]int{"db": 100})
+	require.Equal(t, 8, f.holdings["db"].Slots())
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// maxCandidates bounds the pending tasks that one round considers, maxPlaces those that it places.
-	maxCandidates = 2000
+	// maxPlaces bounds the tasks that one round places, and the tasks of one job that it considers: they have the same deadline, so
+	// that more of them would not change the order. maxCandidates bounds the tasks of all jobs.
 	maxPlaces     = 250
+	maxCandidates = 10000
 	firstPause    = 500 * time.Millisecond
 	maxPause      = time.Minute
 )
@@ -29,7 +30,7 @@
 // place writes Place records for pending tasks.
 func (s *Scheduler) place(sh *shardLoop, now time.Time) {
 	clear(sh.own.refused)
-	if sh.state.PendingCount() == 0 {
+	if sh.state.PendingCount() == 0 && sh.state.PlacedCount() == 0 {
 		return
 	}
 	placing := map[taskKey]*contract.Place{}
@@ -39,49 +40,69 @@
 		}
 	})
 	tasks := s.candidates(sh, now, placing)
-	if len(tasks) == 0 || len(placing) >= maxPlaces {
+	waiting := s.waiting(sh, now)
+	if len(placing) >= maxPlaces || len(tasks)+len(waiting) == 0 {
 		return
 	}
 	state := s.placementState(sh, now, placing)
 	s.policy.place.Order(now, tasks)
-	s.placeAll(sh, now, state, tasks, maxPlaces-len(placing))
+	waiting = s.freeAhead(sh, state, waiting)
+	left := s.placeAll(sh, now, state, tasks, maxPlaces-len(placing))
+	s.placeAhead(sh, now, left, waiting, placing)
 }
 
-func (s *Scheduler) placeAll(sh *shardLoop, now time.Time, state *placement.State, tasks []placement.Task, limit int) {
+// placeAll places tasks on workers that have room and returns those for which none has.
+func (s *Scheduler) placeAll(sh *shardLoop, now time.Time, state *placement.State, tasks []placement.Task, limit int) (left []placement.Task) {
 	// Tasks of one kind have one size, so that one refusal speaks for all of them in this round.
-	refused := map[string]error{}
+	refused := map[string]*refusal{}
 	for _, t := range tasks {
 		if limit == 0 {
-			return
+			return nil
 		}
-		err := refused[t.Kind]
-		var d placement.Decision
-		if err == nil {
-			d, err = s.policy.place.Place(state, t)
+		r := refused[t.Kind]
+		if r == nil {
+			d, err := s.policy.place.Place(state, t)
+			if err == nil {
+				delete(sh.own.parked, t.Job)
+				state.Assign(t, d.Worker)
+				s.putPlace(sh, now, t, d)
+				limit--
+				continue
+			}
+			r = s.refusalOf(err)
+			refused[t.Kind] = r
 		}
-		if err != nil {
-			refused[t.Kind] = err
-			s.refuse(sh, t, err)
-			continue
+		sh.own.refuse(t.Job, r)
+		if r.reason == placement.ReasonNoRoom {
+			left = append(left, t)
 		}
-		delete(sh.own.parked, t.Job)
-		state.Assign(t, d.Worker)
-		s.putPlace(sh, now, t, d)
-		limit--
 	}
+	return left
 }
 
-func (s *Scheduler) refuse(sh *shardLoop, t placement.Task, err error) {
+// refusal is why the tasks of one kind were not placed in a round.
+type refusal struct {
+	reason placement.Reason
+	parked bool
+	text   string
+}
+
+func (s *Scheduler) refusalOf(err error) *refusal {
 	var r *placement.Refusal
 	if !errors.As(err, &r) {
-		return
+		return &refusal{text: err.Error()}
 	}
-	sh.own.refused[t.Job] = r.Error()
 	s.metrics.refusals.WithLabelValues(string(r.Reason)).Inc()
-	if r.Parked {
-		sh.own.parked[t.Job] = r.Error()
+	return &refusal{reason: r.Reason, parked: r.Parked, text: r.Error()}
+}
+
+// refuse notes the reason for explanations and job states.
+func (o *ownership) refuse(job string, r *refusal) {
+	o.refused[job] = r.text
+	if r.parked {
+		o.parked[job] = r.text
 	} else {
-		delete(sh.own.parked, t.Job)
+		delete(o.parked, job)
 	}
 }
 
@@ -96,7 +117,15 @@
 // candidates returns the pending tasks that may be placed now.
 func (s *Scheduler) candidates(sh *shardLoop, now time.Time, placing map[taskKey]*contract.Place) []placement.Task {
 	var out []placement.Task
+	var job *attempt.Job
+	ofJob := 0
 	sh.state.EachPending(func(j *attempt.Job, t *attempt.Task) bool {
+		if j != job {
+			job, ofJob = j, 0
+		}
+		if ofJob >= maxPlaces {
+			return true
+		}
 		k, known := s.kinds[j.Submit.Kind]
 		if !known {
 			sh.own.parked[j.Submit.Job] = "kind " + j.Submit.Kind + " is not in the manifest"
@@ -105,6 +134,7 @@
 		if placing[taskKey{j.Submit.Job, t.Index}] != nil || now.Before(t.EndedAt.Add(pause(t))) {
 			return true
 		}
+		ofJob++
 		out = append(out, placementTask(j, t, k))
 		return len(out) < maxCandidates
 	})
@@ -120,12 +150,8 @@
 }
 
 func placementTask(j *attempt.Job, t *attempt.Task, k kindInfo) placement.Task {
-	runTime := k.RunTime
-	if j.Submit.RunTime > 0 {
-		runTime = j.Submit.RunTime
-	}
 	return placement.Task{Job: j.Submit.Job, Index: t.Index, Kind: k.Name, Team: j.Submit.Team, Size: k.Size,
-		Rank: k.Urgency.Rank(), Deadline: j.Submit.Deadline, Remaining: max(runTime-t.Ran, 0), Submitted: j.Submit.Submitted}
+		Rank: k.Urgency.Rank(), Deadline: j.Submit.Deadline, Remaining: remaining(j, t, k), Submitted: j.Submit.Submitted}
 }
 
 // placementState lists the workers with what they hold, placements on their way included.
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -22,7 +22,7 @@
 
 // canWrite reports whether new records may be written for a shard.
 func (s *Scheduler) canWrite(sh *shardLoop, now time.Time) bool {
-	return !sh.out.failing() && !sh.own.released && !sh.own.superseded && now.Sub(sh.lastRead) < logFresh
+	return !sh.out.failing() && !sh.own.released && !sh.own.superseded && now.Sub(sh.readAt) < logFresh
 }
 
 // reconcile compares the open attempts with what the workers report, and starts, stops, closes and places accordingly.
@@ -44,7 +44,8 @@
 		return
 	}
 	s.snapshot(sh, now)
-	if !s.leaving && !sh.own.releasing {
+	if sh.changed && !s.leaving && !sh.own.releasing {
+		sh.changed = false
 		s.place(sh, now)
 	}
 	s.finishRelease(sh, now)
@@ -119,7 +120,7 @@
 		sh.dirty = true
 	case stop:
 		s.stop(sh, w, t, now, outcome)
-	case t.started.IsZero() && !sh.own.releasing && !s.leaving && s.fitsNow(w, t):
+	case t.started.IsZero() && w.leased && !w.leaving && !sh.own.releasing && !s.leaving && s.fitsNow(w, t):
 		s.startTask(sh, w, j, t, now)
 	}
 }
@@ -141,10 +142,10 @@
 	return w.held(func(o *run) bool { return o.sent && o != t }).Add(t.size).Fits(s.limit(w))
 }
 
-// held adds up the sizes of the attempts for which f holds.
+// held adds up the sizes of the attempts that have not ended and for which f holds.
 func (w *worker) held(f func(*run) bool) (v resource.Vector) {
 	for _, t := range w.tasks {
-		if f(t) {
+		if t.end == nil && f(t) {
 			v = v.Add(t.size)
 		}
 	}
@@ -171,6 +172,7 @@
 	held := w.held(func(o *run) bool { return o.sent })
 	invariant.Check(invariant.WorkerCapacity, held.Fits(w.member.Capacity), "worker", w.id, "held", held,
 		"capacity", w.member.Capacity)
+	invariant.Check(invariant.NoWorkWhenLeaving, !w.leaving, "worker", w.id, "job", t.ref.Job)
 	own, addr := sh.own, w.member.Addr
 	s.spawn(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, taskTimeout)
