Notice a process whose port another one holds

Cause: a demo on the ports of a running deployment took that one's readiness for its own, used it for its whole run and failed only at the end. Change: a process counts as ready only if it is still alive a moment after the answer.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -111,7 +111,12 @@
       fail "$1 ended before it was ready"
       return 1
     fi
-    [[ $(http_get "$2" "$3" /readyz 2>/dev/null | head -n 1) == *" 200 "* ]] && return 0
+    if [[ $(http_get "$2" "$3" /readyz 2>/dev/null | head -n 1) == *" 200 "* ]]; then
+      # Another process can answer on a port that this one failed to take and is about to give up.
+      sleep 0.2
+      alive "$1" && return 0
+      continue
+    fi
     sleep 0.1
   done
   log_of "$1"
