--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -36,6 +36,10 @@
 	LateAfter time.Duration
 }
 
+// minWake is the least time to the next wake. The conversion between a drifting clock and time rounds by a nanosecond, so what is due can
+// lie just after a wake; without a pause a virtual clock would never reach it.
+const minWake = time.Microsecond
+
 // samplePeriod is the period of usage measurements and of the load that interference sees.
 const samplePeriod = 500 * time.Millisecond
 
@@ -249,7 +253,7 @@
 	for _, t := range w.life.tasks {
 		next = earlier(next, t.due())
 	}
-	w.timer.Reset(max(0, next.Sub(now)))
+	w.timer.Reset(max(minWake, next.Sub(now)))
 }
 
 func earlier(a, b time.Time) time.Time {
