Ready: answer unknown to refused repeats of requests that may have run

Cause: a gateway refuses some requests before it looks at their ticket, for instance while it has no manifest after a restart or when too many requests are in progress. Change: such a refusal of a request with a ticket is unknown, unless the gateway issued the ticket and finds it unused, or the kind is known to be idempotent.

--- a/internal/gateway/http.go
+++ b/internal/gateway/http.go
@@ -77,17 +77,15 @@
 func (g *Gateway) handleRequest(w http.ResponseWriter, hr *http.Request) {
 	leave := g.bounds.enter(hr.ContentLength)
 	if leave == nil {
-		a := answer{state: contract.AnswerNotRun, reason: reasonTooMany, retryAfter: time.Second}
-		g.metrics.counted(a)
-		writeRefusal(w, http.StatusServiceUnavailable, a)
+		g.refuseUnread(w, hr, http.StatusServiceUnavailable,
+			answer{state: contract.AnswerNotRun, reason: reasonTooMany, retryAfter: time.Second})
 		return
 	}
 	defer leave()
 	r, refusal, status := g.check(w, hr)
 	if refusal != nil {
-		g.metrics.counted(*refusal)
 		w.Header().Set(headerRequestID, r.id)
-		writeRefusal(w, status, *refusal)
+		g.refuseUnread(w, hr, status, *refusal)
 		return
 	}
 	w.Header().Set(headerRequestID, r.id)
--- /dev/null
+++ b/internal/gateway/refuse.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/ticket"
+)
+
+// refuseUnread answers a request that was refused before its ticket was looked at. status applies unless the outcome is unknown.
+func (g *Gateway) refuseUnread(w http.ResponseWriter, hr *http.Request, status int, a answer) {
+	if g.mayBeRepeat(hr) {
+		a.state = contract.AnswerUnknown
+		status = statusOf(a)
+		a.retryAfter = max(a.retryAfter, time.Second)
+	}
+	g.metrics.counted(a)
+	writeRefusal(w, status, a)
+}
+
+// mayBeRepeat reports whether an earlier call with the same ticket may have run. A gateway can refuse a repeat that it would have answered a
+// moment earlier, for instance after a restart or under load, and the caller must not take that for a statement on its first call.
+func (g *Gateway) mayBeRepeat(hr *http.Request) bool {
+	if v := g.deps.Config.Current(); v != nil {
+		if k, known := v.Manifest.Kind(hr.PathValue("kind")); known && k.Idempotent {
+			return false
+		}
+	}
+	return slices.ContainsFunc(hr.Header.Values(headerTicket), g.ticketMayBeUsed)
+}
+
+func (g *Gateway) ticketMayBeUsed(text string) bool {
+	t, err := g.issuer.Open(time.Now(), text)
+	var malformed *ticket.MalformedError
+	var forged *ticket.ForgedError
+	switch {
+	case errors.As(err, &malformed), errors.As(err, &forged):
+		return false
+	case err != nil:
+		return true
+	}
+	used, ok := ask(g, func(time.Time) bool { return g.control.tickets.Used(t) })
+	return used || !ok
+}
--- /dev/null
+++ b/internal/gateway/refuse_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/config"
+)
+
+// switchedConfig gives the version that the test has set, or none.
+type switchedConfig struct {
+	config.Source
+	none bool
+}
+
+func (c *switchedConfig) Current() *config.Version {
+	if c.none {
+		return nil
+	}
+	return c.Source.Current()
+}
+
+// Guards against "not run" as the answer to the repeat of a request that ran, from a gateway that refuses the repeat before it looks at the
+// ticket.
+func TestRefusedRepeatIsUnknown(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.start("a"), w.start("b")
+	ticket := a.post(t, "/v1/tickets", "").header.Get(headerTicket)
+	require.Equal(t, http.StatusOK, a.post(t, "/v1/requests/send", "p", headerTicket, ticket).status)
+
+	for _, n := range []*node{a, b} {
+		r := n.post(t, "/v1/requests/send", "p", headerTicket, ticket, headerTimeout, "none")
+		require.Equal(t, "unknown", r.header.Get(headerOutcome))
+		require.Equal(t, http.StatusBadGateway, r.status)
+	}
+	fresh := a.post(t, "/v1/tickets", "").header.Get(headerTicket)
+	require.Equal(t, "not-run", a.post(t, "/v1/requests/send", "p", headerTicket, fresh, headerTimeout, "none").header.Get(headerOutcome),
+		"the issuer knows that the ticket is unused")
+	require.Equal(t, "not-run", a.post(t, "/v1/requests/quote", "p", headerTicket, ticket, headerTimeout, "none").header.Get(headerOutcome),
+		"an idempotent request has no ticket")
+
+	g := New(Settings{ID: "c", Incarnation: "c-1"}, w.deps())
+	g.deps.Config = &switchedConfig{Source: g.deps.Config, none: true}
+	req, err := http.NewRequest(http.MethodPost, "/v1/requests/send", nil)
+	require.NoError(t, err)
+	req.Header.Set(headerTicket, ticket)
+	require.True(t, g.mayBeRepeat(req), "a gateway that has just started")
+}
--- a/internal/ticket/table.go
+++ b/internal/ticket/table.go
@@ -88,6 +88,9 @@
 	return Repeat, r.answer
 }
 
+// Used reports whether a request with the ticket is in progress or may have run.
+func (t *Table) Used(k Ticket) bool { return t.used[k.Serial] != nil }
+
 // End stores the answer of a dispatched request. A request that was not run leaves its ticket unused.
 func (t *Table) End(serial uint64, a Answer) {
 	r := t.used[serial]
