--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -72,6 +72,11 @@
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Log("faults:\n" + strings.Join(f.trace, "\n"))
+			if os.Getenv("CLEMENTINE_TEST_LOG") != "" {
+				c.dump(os.Stderr, "bne-0")
+				c.dump(os.Stderr, "bne-1")
+				c.dump(os.Stderr, "ips-0")
+			}
 		}
 	})
 	time.Sleep(settleBefore)
