Choose admission and ejection in the manifest, and drive load in phases

Cause: experiments compare each decision with its simplest baseline, and the manifest could choose neither the order of admission nor ejection. Change: policies.admission is urgency or fifo, policies.ejection failures or none; both defaults keep today's behaviour. The load generator counts outcomes for each phase of a stepped rate and for each second.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -38,6 +38,8 @@
 
 	seq   uint64
 	index int
+	// fifo is the queue's order; it is kept here because the heap compares entries only.
+	fifo bool
 }
 
 // Refused is an entry that left the queue without a slot.
@@ -46,9 +48,21 @@
 	Refusal
 }
 
-// Queue holds the waiting requests, by urgency, then by deadline. It is not safe for concurrent use.
+// Order names the order in which waiting requests are served; the last one is shed first.
+type Order string
+
+// The orders, as they are named in the manifest.
+const (
+	// OrderUrgency serves the most urgent request first, then the one with the earliest deadline.
+	OrderUrgency Order = "urgency"
+	// OrderFIFO is the simplest baseline: requests are served as they arrived, and a full queue refuses new ones.
+	OrderFIFO Order = "fifo"
+)
+
+// Queue holds the waiting requests, by default by urgency, then by deadline. It is not safe for concurrent use.
 type Queue[T any] struct {
 	first entries[T]
+	fifo  bool
 	seq   uint64
 	limit int
 	// recent holds the waits of entries that left lately, by rank.
@@ -63,6 +77,15 @@
 // SetLimit changes the bound. Entries beyond it stay until they are served or shed.
 func (q *Queue[T]) SetLimit(limit int) { q.limit = limit }
 
+// SetOrder changes the order of the waiting requests. Unknown names mean OrderUrgency.
+func (q *Queue[T]) SetOrder(o Order) {
+	q.fifo = o == OrderFIFO
+	for _, e := range q.first {
+		e.fifo = q.fifo
+	}
+	heap.Init(&q.first)
+}
+
 // Len returns the number of waiting requests.
 func (q *Queue[T]) Len() int { return len(q.first) }
 
@@ -87,6 +110,8 @@
 
 // Push adds an entry. It returns the entries that were refused for it, which may be e itself.
 func (q *Queue[T]) Push(now time.Time, e *Entry[T], l Load) []Refused[T] {
+	q.seq++
+	e.seq, e.fifo = q.seq, q.fifo
 	wait, service := q.wait(now, e, l), l.Service(e.Kind)
 	if wait > 0 {
 		service *= serviceMargin
@@ -94,8 +119,6 @@
 	if now.Add(time.Duration(waitMargin*float64(wait)) + service).After(e.Deadline) {
 		return []Refused[T]{{e, Refusal{Reason: ReasonDeadline, RetryAfter: retryAfter(wait)}}}
 	}
-	q.seq++
-	e.seq = q.seq
 	heap.Push(&q.first, e)
 	if len(q.first) <= q.limit {
 		return nil
@@ -200,6 +223,8 @@
 
 func before[T any](a, b *Entry[T]) bool {
 	switch {
+	case a.fifo:
+		return a.seq < b.seq
 	case a.Rank != b.Rank:
 		return a.Rank < b.Rank
 	case !a.Deadline.Equal(b.Deadline):
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -9,6 +9,7 @@
 	"clementinewalk.example/clementinewalk/internal/budget"
 	"clementinewalk.example/clementinewalk/internal/config"
 	"clementinewalk.example/clementinewalk/internal/instance"
+	"clementinewalk.example/clementinewalk/internal/manifest"
 	"clementinewalk.example/clementinewalk/internal/routing"
 	"clementinewalk.example/clementinewalk/internal/ticket"
 )
@@ -22,6 +23,8 @@
 	retries  *admission.RetryBudget
 	policy   routing.Policy
 	outliers *routing.Outliers
+	// ejecting tells that workers with repeated failures are ejected.
+	ejecting bool
 	tickets  *ticket.Table
 	waiters  map[uint64][]chan ticket.Answer
 	shards   map[string]*shardCalls
@@ -63,7 +66,7 @@
 	policy, _ := routing.New(routing.NameExact, r)
 	return control{holding: budget.NewHolding(), queue: admission.NewQueue[*call](defaultQueue),
 		services: admission.NewServices(), retries: admission.NewRetryBudget(defaultRetryShare), policy: policy,
-		outliers: routing.NewOutliers(), tickets: ticket.NewTable(ticket.Limits{Tickets: maxTickets, Bytes: ticketMemory}),
+		outliers: routing.NewOutliers(), ejecting: true, tickets: ticket.NewTable(ticket.Limits{Tickets: maxTickets, Bytes: ticketMemory}),
 		waiters: map[uint64][]chan ticket.Answer{}, shards: map[string]*shardCalls{}, random: r}
 }
 
@@ -109,6 +112,8 @@
 		c.queue.SetLimit(p.QueueLimit)
 	}
 	c.retries.SetShare(p.RetryShare)
+	c.queue.SetOrder(admission.Order(p.Admission))
+	g.followEjection(p.Ejection)
 	if policy, err := routing.New(p.Routing, c.random); err != nil {
 		g.log.Warn("routing policy is not changed", "error", err)
 	} else {
@@ -117,6 +122,17 @@
 	g.log.Info("manifest is in force", "version", v.Offset)
 }
 
+// followEjection takes up whether workers are ejected. Without ejection all workers are used again.
+func (g *Gateway) followEjection(name string) {
+	c := &g.control
+	c.ejecting = name != manifest.EjectionNone
+	if !c.ejecting {
+		for _, id := range c.outliers.Clear() {
+			c.holding.SetEjected(id, false)
+		}
+	}
+}
+
 // beReady makes the gateway ready once it has slots and its entry is in the list, so that the first requests do not wait for grants and
 // other gateways find the issuer of its tickets. After readyLimit it is ready anyway: submissions and status need neither.
 func (g *Gateway) beReady(now time.Time) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -199,7 +199,7 @@
 func (g *Gateway) failed(now time.Time, p budget.Permit) {
 	c := &g.control
 	g.deps.Limit.Observe(now, 0, true)
-	if c.outliers.Failed(now, p.Worker, c.holding.Workers()) {
+	if c.ejecting && c.outliers.Failed(now, p.Worker, c.holding.Workers()) {
 		c.holding.SetEjected(p.Worker, true)
 		g.metrics.ejections.Inc()
 		g.log.Warn("worker is ejected after repeated failures", "worker", p.Worker)
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -21,6 +21,8 @@
 	repeat bool
 	// peak tells that the request arrives during a peak.
 	peak bool
+	// phase is the index of the phase in which it arrives, noPhase without phases.
+	phase int
 }
 
 // plan draws the requests of a run one after the other. Equal seeds give equal plans, apart from the prefix of the ids, which
@@ -49,11 +51,7 @@
 	if s.Rate <= 0 || p.count >= s.Requests {
 		return request{}, false
 	}
-	peak := p.peak(p.now)
-	rate := s.Rate
-	if peak {
-		rate *= s.PeakFactor
-	}
+	rate := p.rate()
 	if rate > 0 {
 		p.now += time.Duration(p.random.ExpFloat64() / rate * float64(time.Second))
 	} else {
@@ -64,11 +62,24 @@
 	}
 	p.count++
 	k := p.kind()
-	r := request{id: p.prefix + "-" + strconv.Itoa(p.count), kind: k, at: p.now, body: p.body(), peak: p.peak(p.now)}
+	r := request{id: p.prefix + "-" + strconv.Itoa(p.count), kind: k, at: p.now, body: p.body(), peak: p.peak(p.now),
+		phase: phaseAt(s.Phases, p.now)}
 	r.repeat = !k.Idempotent && p.random.Float64() < s.Repeat
 	return r, true
 }
 
+// rate returns the rate in force, in requests per second.
+func (p *plan) rate() float64 {
+	s := p.settings
+	if i := phaseAt(s.Phases, p.now); i != noPhase {
+		return s.Rate * s.Phases[i].Factor
+	}
+	if p.peak(p.now) {
+		return s.Rate * s.PeakFactor
+	}
+	return s.Rate
+}
+
 // peak tells whether a time lies in a peak; an interval begins quiet and ends with its peak.
 func (p *plan) peak(at time.Duration) bool {
 	s := p.settings
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -40,7 +40,9 @@
 	sent     int
 	inFlight int
 	// final holds the outcome of each request id for the check against the workers' own counts.
-	final map[string]final
+	final   map[string]final
+	phases  map[phaseKey]*phaseRecord
+	seconds map[int]*secondRecord
 	// recent is the histogram of the last second, for the progress line.
 	recent *hdrhistogram.Histogram
 }
@@ -56,7 +58,7 @@
 
 func newRecorder(k kinds) *recorder {
 	r := &recorder{kinds: map[string]*kindRecord{}, faults: map[fault]int{}, reasons: map[string]int{},
-		final: map[string]final{}, recent: newHistogram(secondDigits)}
+		phases: map[phaseKey]*phaseRecord{}, seconds: map[int]*secondRecord{}, final: map[string]final{}, recent: newHistogram(secondDigits)}
 	for _, kind := range k.requests {
 		r.order = append(r.order, kind.Name)
 		r.kinds[kind.Name] = &kindRecord{kind: kind, latency: newHistogram(significantDigits),
@@ -81,6 +83,7 @@
 	k := r.kinds[req.kind.Name]
 	k.outcomes[a.outcome]++
 	r.final[req.id] = final{outcome: a.outcome, idempotent: req.kind.Idempotent}
+	r.phase(req, a, latency)
 	if a.outcome != whole {
 		r.reasons[a.outcome.String()+": "+a.reason]++
 		return
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -29,29 +29,35 @@
 
 // KindResult is a row of the table of requests.
 type KindResult struct {
-	Class   string  `json:"class"`
-	Kind    string  `json:"kind"`
-	Sent    int     `json:"sent"`
-	Whole   int     `json:"whole"`
-	NotRun  int     `json:"not_run"`
-	Unknown int     `json:"unknown"`
+	Class   string `json:"class"`
+	Kind    string `json:"kind"`
+	Sent    int    `json:"sent"`
+	Whole   int    `json:"whole"`
+	NotRun  int    `json:"not_run"`
+	Unknown int    `json:"unknown"`
+	// Late counts the whole answers that came after the deadline; only phases count them.
+	Late    int     `json:"late,omitempty"`
 	Latency Latency `json:"latency"`
 	// Peak covers the requests that arrived during peaks of demand.
 	Peak Latency `json:"peak"`
+	// Histogram is set in phases of a run that this process made.
+	Histogram *hdrhistogram.Histogram `json:"-"`
 }
 
 // Result is the outcome of a run, as it is written to result.json.
 type Result struct {
-	Name     string         `json:"name"`
-	Began    time.Time      `json:"began"`
-	Seconds  float64        `json:"seconds"`
-	Rate     float64        `json:"rate"`
-	Seed     uint64         `json:"seed"`
-	Kinds    []KindResult   `json:"kinds"`
-	Reasons  map[string]int `json:"reasons,omitempty"`
-	Repeats  int            `json:"repeats"`
-	Batch    BatchTotals    `json:"batch"`
-	Refusals []string       `json:"refusals,omitempty"`
+	Name      string         `json:"name"`
+	Began     time.Time      `json:"began"`
+	Seconds   float64        `json:"seconds"`
+	Rate      float64        `json:"rate"`
+	Seed      uint64         `json:"seed"`
+	Kinds     []KindResult   `json:"kinds"`
+	Phases    []PhaseResult  `json:"phases,omitempty"`
+	PerSecond []Second       `json:"per_second,omitempty"`
+	Reasons   map[string]int `json:"reasons,omitempty"`
+	Repeats   int            `json:"repeats"`
+	Batch     BatchTotals    `json:"batch"`
+	Refusals  []string       `json:"refusals,omitempty"`
 	// Workers holds the workers' own counts during the run.
 	Workers map[string]int64 `json:"workers,omitempty"`
 	// Violations counts broken promises by name, Details describes the first ones.
@@ -62,6 +68,7 @@
 func newResult(s *Settings, rec *recorder, jobs *batch, began time.Time, took time.Duration) *Result {
 	res := &Result{Name: filepath.Base(s.Out), Began: began.UTC(), Seconds: took.Seconds(), Rate: s.Rate, Seed: s.Seed,
 		Reasons: rec.reasons, Repeats: rec.repeats, Batch: jobs.totals(), Refusals: jobs.refusals(), Violations: map[string]int{}}
+	res.Phases, res.PerSecond = rec.phaseResults(s.Phases)
 	for _, name := range rec.order {
 		k := rec.kinds[name]
 		row := KindResult{Class: string(k.kind.Urgency), Kind: name, Whole: k.outcomes[whole], NotRun: k.outcomes[notRun],
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -63,9 +63,15 @@
 // Run sends the load, waits for the end of all requests and jobs, and reports. It returns *PromiseError if a promise was
 // broken.
 func (r *Runner) Run(ctx context.Context) error {
+	_, err := r.Measure(ctx)
+	return err
+}
+
+// Measure is Run with the result, which is nil if the run could not be made.
+func (r *Runner) Measure(ctx context.Context) (*Result, error) {
 	k, err := r.settings.kinds()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	b := newBalancer(r.settings.Gateways, r.client, r.settings.Seed)
 	watching, stopWatch := context.WithCancel(ctx)
@@ -74,12 +80,12 @@
 	defer watch.Wait()
 	defer stopWatch()
 	if err := b.awaitReady(ctx); err != nil {
-		return err
+		return nil, err
 	}
 	worker := &standin{url: r.settings.Standin, client: r.client}
 	before, err := worker.stats(ctx)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	c := &caller{client: r.client, balancer: b, timeout: r.settings.Timeout}
 	rec, jobs := newRecorder(k), newBatch(r.settings, k.batch, c)
@@ -90,9 +96,9 @@
 	checking, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkTimeout)
 	defer cancel()
 	if err := worker.check(checking, before, rec, jobs, res); err != nil {
-		return err
+		return nil, err
 	}
-	return r.report(res, rec)
+	return res, r.report(res, rec)
 }
 
 // drive runs requests, jobs and the progress line until all have ended.
--- a/internal/load/settings.go
+++ b/internal/load/settings.go
@@ -39,7 +39,9 @@
 	Conditions  string             `env:"CLEMENTINE_LOAD_CONDITIONS" placeholder:"FILE" help:"Conditions of the links from the callers to the gateways."`
 	Local       string             `env:"CLEMENTINE_LOAD_LOCAL" placeholder:"IP" help:"Address from which callers connect."`
 	Out         string             `env:"CLEMENTINE_LOAD_OUT" default:"out/load" help:"Directory for the result, histograms and plots."`
-	Plots       string             `env:"CLEMENTINE_LOAD_PLOTS" default:"svg" enum:"svg,png,none" help:"Format of the plots: svg, png or none."`
+	// Phases replace --duration and the peaks: the rate changes in steps. Experiments set them.
+	Phases []Phase `kong:"-"`
+	Plots  string  `env:"CLEMENTINE_LOAD_PLOTS" default:"svg" enum:"svg,png,none" help:"Format of the plots: svg, png or none."`
 }
 
 // The bounds of one run.
--- a/internal/manifest/diff.go
+++ b/internal/manifest/diff.go
@@ -110,6 +110,8 @@
 
 func (f fields) policies(p Policies) {
 	f.set("policies.routing", p.Routing)
+	f.set("policies.admission", p.Admission)
+	f.set("policies.ejection", p.Ejection)
 	f.set("policies.placement", p.Placement)
 	f.set("policies.isolation_limit", p.IsolationLimit)
 	f.set("policies.lease_ttl", p.LeaseTTL)
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -112,10 +112,15 @@
 	Replicas int
 }
 
+// EjectionNone is the policy that ejects no worker.
+const EjectionNone = "none"
+
 // Policies selects the decisions by name, so that one build runs every baseline.
 type Policies struct {
 	// Routing is random, p2c or exact.
 	Routing string
+	// Admission is urgency or fifo, Ejection failures or none.
+	Admission, Ejection string
 	// Placement is best-fit, spread or least-laxity.
 	Placement string
 	// IsolationLimit is how long an owner renews leases without any sign that the log is reachable.
--- a/internal/manifest/parse.go
+++ b/internal/manifest/parse.go
@@ -36,6 +36,8 @@
 // defaultPolicies hold when the manifest does not name them.
 var defaultPolicies = Policies{
 	Routing:        "exact",
+	Admission:      "urgency",
+	Ejection:       "failures",
 	Placement:      "least-laxity",
 	IsolationLimit: 10 * time.Minute,
 	LeaseTTL:       10 * time.Second,
@@ -171,6 +173,8 @@
 	p := defaultPolicies
 	return Policies{
 		Routing:        o.choice("routing", p.Routing, "random", "p2c", "exact"),
+		Admission:      o.choice("admission", p.Admission, "urgency", "fifo"),
+		Ejection:       o.choice("ejection", p.Ejection, "failures", "none"),
 		Placement:      o.choice("placement", p.Placement, "best-fit", "spread", "least-laxity"),
 		IsolationLimit: o.duration("isolation_limit", p.IsolationLimit),
 		LeaseTTL:       o.duration("lease_ttl", p.LeaseTTL),
--- a/internal/routing/outlier.go
+++ b/internal/routing/outlier.go
@@ -78,6 +78,18 @@
 	return out
 }
 
+// Clear forgets all failures and returns the workers that were ejected.
+func (o *Outliers) Clear() []instance.ID {
+	var out []instance.ID
+	for id, w := range o.workers {
+		if w.ejected {
+			out = append(out, id)
+		}
+	}
+	*o = *NewOutliers()
+	return out
+}
+
 // Ejected reports whether a worker is ejected.
 func (o *Outliers) Ejected(id instance.ID) bool {
 	w := o.workers[id]
