--- a/cmd/clementine-load/main.go
+++ b/cmd/clementine-load/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"clementinewalk.example/clementinewalk/internal/experiment"
 	"clementinewalk.example/clementinewalk/internal/load"
 	"clementinewalk.example/clementinewalk/internal/process"
 )
@@ -16,9 +17,10 @@
 // CLI holds the flags and commands.
 type CLI struct {
 	process.LogSettings
-	Run     load.Settings `cmd:"" help:"Send requests and jobs, check every answer, and report."`
-	Compare compare       `cmd:"" help:"Print the results of several runs side by side."`
-	Layout  load.Layout   `cmd:"" help:"Print the settings of a deployment of a manifest on the loopback network, for scripts."`
+	Run        load.Settings       `cmd:"" help:"Send requests and jobs, check every answer, and report."`
+	Compare    compare             `cmd:"" help:"Print the results of several runs side by side."`
+	Experiment experiment.Settings `cmd:"" help:"Compare policies on a running deployment; docs/experiments.md describes the files."`
+	Layout     load.Layout         `cmd:"" help:"Print the settings of a deployment of a manifest on the loopback network, for scripts."`
 }
 
 type compare struct {
@@ -42,11 +44,13 @@
 	cli := &CLI{}
 	k := process.Parse(cli, "clementine-load", "Load generator for gateways on the loopback network.")
 	l := cli.NewLogger(os.Stderr)
-	switch k.Selected().Name {
-	case "compare":
+	switch k.Command() {
+	case "compare <dir>":
 		exit(l, load.Compare(os.Stdout, cli.Compare.Dirs))
 	case "layout":
 		exit(l, cli.Layout.Run(os.Stdout))
+	case "experiment <file>":
+		os.Exit(process.Run(l, experiment.NewDriver(&cli.Experiment, process.Part(l, "experiment"), os.Stdout).Run))
 	default:
 		os.Exit(process.Run(l, func(ctx context.Context) error { return run(ctx, &cli.Run, l) }))
 	}
