Add make bench for the cost of the decisions

Cause: the targets of routing (below 1 microsecond, no allocation) and placement (70 a second at 500 workers with 2% of a core) were not checked at growing sizes.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build check format lint test models demo up faults process-test clean
+.PHONY: build check format lint test models demo up faults process-test experiment bench clean
 
 build:
 	@mkdir -p $(BIN)
@@ -41,6 +41,14 @@
 	@$(GO) test -c -o $(BIN)/faults.test ./test/faults
 	@cd test/faults && PROCESSES=1 KEEP="$(KEEP)" ../../$(BIN)/faults.test -test.timeout 5m -test.run TestProcesses
 
+# Compares policies on a deployment of the real programs: EXP=name of a file of examples/experiments; scripts/experiment.sh lists the settings.
+experiment:
+	@EXP="$(EXP)" scripts/experiment.sh
+
+# Cost of the decisions at growing sizes, with the targets of docs/measurements.md.
+bench:
+	@scripts/bench.sh
+
 check: format lint test models
 
 clean:
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -104,8 +104,10 @@
 	for _, n := range []int{50, 500, 5000} {
 		for _, p := range []Policy{BestFit{}, LeastLaxity{}} {
 			b.Run(fmt.Sprintf("%s/%d", p.Name(), n), func(b *testing.B) {
-				s := NewState(fleet(n))
-				for i := range b.N {
+				b.ReportAllocs()
+				s, i := NewState(fleet(n)), 0
+				for b.Loop() {
+					i++
 					t := Task{Job: "j", Index: i, Size: resource.Vector{MilliCores: 1}}
 					d, err := p.Place(s, t)
 					if err != nil {
@@ -117,3 +119,30 @@
 		}
 	}
 }
+
+// A second of the target size: 14,200 tasks are ordered and 70 of them placed on 500 workers. The target is 2% of a core, 20 ms.
+func BenchmarkSecond(b *testing.B) {
+	const pending, placements = 14200, 70
+	for _, n := range []int{50, 500, 5000} {
+		b.Run(fmt.Sprintf("%s/%d", LeastLaxity{}.Name(), n), func(b *testing.B) {
+			b.ReportAllocs()
+			now, workers := time.Unix(100, 0), fleet(n)
+			tasks := make([]Task, pending)
+			for b.Loop() {
+				b.StopTimer()
+				for i := range tasks {
+					// A prime stride keeps the tasks out of order.
+					tasks[i] = Task{Job: "j", Index: i, Size: resource.Vector{MilliCores: 1}, Deadline: now.Add(time.Duration(i*7919%pending) * time.Second)}
+				}
+				b.StartTimer()
+				LeastLaxity{}.Order(now, tasks)
+				s := NewState(workers)
+				for _, t := range tasks[:placements] {
+					if _, err := (LeastLaxity{}).Place(s, t); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+		})
+	}
+}
