Sort small keys when pending tasks are ordered

Cause: ordering 14,200 tasks moved large structs through reflection and took most of a second's placements. Change: least-laxity sorts keys of a few words and moves each task once; the order is the same.

--- a/internal/placement/policies.go
+++ b/internal/placement/policies.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -51,23 +53,49 @@
 // Name implements Policy.
 func (LeastLaxity) Name() string { return "least-laxity" }
 
-// Order implements Policy. Tasks without a deadline come last, by urgency and then by time of submission.
+// Order implements Policy. Tasks without a deadline come last, by urgency and then by time of submission. Sorting small keys and moving
+// each task once is several times faster than sorting the tasks, which are large.
 func (LeastLaxity) Order(now time.Time, tasks []Task) {
-	sort.SliceStable(tasks, func(i, k int) bool {
-		a, b := tasks[i], tasks[k]
-		if a.Deadline.IsZero() != b.Deadline.IsZero() {
-			return b.Deadline.IsZero()
+	keys := make([]orderKey, len(tasks))
+	for i := range tasks {
+		t := &tasks[i]
+		keys[i] = orderKey{endless: t.Deadline.IsZero(), rank: t.Rank, submitted: t.Submitted, index: i}
+		if !keys[i].endless {
+			keys[i].laxity = Laxity(now, *t)
 		}
-		if !a.Deadline.IsZero() {
-			if la, lb := Laxity(now, a), Laxity(now, b); la != lb {
-				return la < lb
-			}
-		}
-		if a.Rank != b.Rank {
-			return a.Rank < b.Rank
+	}
+	slices.SortFunc(keys, orderKey.compare)
+	old := slices.Clone(tasks)
+	for i, k := range keys {
+		tasks[i] = old[k.index]
+	}
+}
+
+// orderKey is what the order of a task depends on. The index keeps equal tasks in their order.
+type orderKey struct {
+	laxity    time.Duration
+	submitted time.Time
+	rank      int
+	index     int
+	endless   bool
+}
+
+func (a orderKey) compare(b orderKey) int {
+	switch {
+	case a.endless != b.endless:
+		if a.endless {
+			return 1
 		}
-		return a.Submitted.Before(b.Submitted)
-	})
+		return -1
+	case a.laxity != b.laxity:
+		return cmp.Compare(a.laxity, b.laxity)
+	case a.rank != b.rank:
+		return cmp.Compare(a.rank, b.rank)
+	}
+	if c := a.submitted.Compare(b.submitted); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.index, b.index)
 }
 
 // Laxity is the time that a task can still wait and end before its deadline; negative if it is late.
