--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -25,10 +25,12 @@
 	outliers *routing.Outliers
 	// ejecting tells that workers with repeated failures are ejected.
 	ejecting bool
-	tickets  *ticket.Table
-	waiters  map[uint64][]chan ticket.Answer
-	shards   map[string]*shardCalls
-	random   *rand.Rand
+	// ejectSlow tells that slow workers are ejected, too.
+	ejectSlow bool
+	tickets   *ticket.Table
+	waiters   map[uint64][]chan ticket.Answer
+	shards    map[string]*shardCalls
+	random    *rand.Rand
 	// peak is the largest number of slots that could be used at once since the last grant round, asked the one that was sent then.
 	peak, asked int
 	nextRound   time.Time
@@ -122,14 +124,16 @@
 	g.log.Info("manifest is in force", "version", v.Offset)
 }
 
-// followEjection takes up whether workers are ejected. Without ejection all workers are used again.
+// followEjection takes up whether workers are ejected. A change of the policy ends all ejections.
 func (g *Gateway) followEjection(name string) {
 	c := &g.control
-	c.ejecting = name != manifest.EjectionNone
-	if !c.ejecting {
-		for _, id := range c.outliers.Clear() {
-			c.holding.SetEjected(id, false)
-		}
+	ejecting, slow := name != manifest.EjectionNone, name == manifest.EjectionLatency
+	if ejecting == c.ejecting && slow == c.ejectSlow {
+		return
+	}
+	c.ejecting, c.ejectSlow = ejecting, slow
+	for _, id := range c.outliers.Clear() {
+		c.holding.SetEjected(id, false)
 	}
 }
 
@@ -190,6 +194,10 @@
 				Refusal: admission.Refusal{Reason: admission.ReasonNoCapacity, RetryAfter: time.Second}}})
 			continue
 		}
+		if k.outliers.Probation(permit.Worker) {
+			// release ends this when the request has ended.
+			k.holding.SetEjected(permit.Worker, true)
+		}
 		entry.Value.slot <- slot{permit: permit, expected: k.services.Estimate(entry.Kind)}
 	}
 }
@@ -224,5 +232,8 @@
 
 func (g *Gateway) release(now time.Time, p budget.Permit) {
 	g.control.holding.Release(p)
+	if g.control.outliers.Probation(p.Worker) {
+		g.control.holding.SetEjected(p.Worker, false)
+	}
 	g.pump(now)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -181,11 +181,30 @@
 
 func (g *Gateway) succeeded(now time.Time, kind string, p budget.Permit, took time.Duration) {
 	g.deps.Limit.Observe(now, took, false)
+	g.observeSpeed(now, kind, p, took)
 	g.control.services.Observe(now, kind, took)
 	g.control.outliers.Succeeded(p.Worker)
 	g.release(now, p)
 }
 
+// observeSpeed ejects a worker that answers much more slowly than the others.
+func (g *Gateway) observeSpeed(now time.Time, kind string, p budget.Permit, took time.Duration) {
+	c := &g.control
+	expected := c.services.Estimate(kind)
+	if !c.ejectSlow || expected <= 0 {
+		return
+	}
+	ratio := took.Seconds() / expected.Seconds()
+	if took-expected < leastSlow {
+		ratio = min(ratio, 1)
+	}
+	if c.outliers.Took(now, p.Worker, ratio, c.holding.Workers()) {
+		c.holding.SetEjected(p.Worker, true)
+		g.metrics.ejections.Inc()
+		g.log.Warn("worker is ejected because it is slow", "worker", p.Worker, "kind", kind, "took", took, "expected", expected)
+	}
+}
+
 func (g *Gateway) refused(now time.Time, p budget.Permit, reason upstream.Refusal) {
 	if grantRefusal(reason) {
 		g.control.holding.Refused(now, p)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -82,6 +82,9 @@
 	readyLimit = 10 * time.Second
 	// appendTimeout is how long a submission waits for the log.
 	appendTimeout = 5 * time.Second
+	// leastSlow is the least excess over the expected service time that counts as slow. Short requests to another data centre take several
+	// times as long as near ones because of the link alone.
+	leastSlow = 50 * time.Millisecond
 	// settleLimit is how long after its deadline a request that cannot be cancelled may occupy its slot. A worker ends a request at
 	// its deadline, and no message is delayed longer than two minutes (docs/platform.md).
 	settleLimit = 2 * time.Minute
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -112,14 +112,18 @@
 	Replicas int
 }
 
-// EjectionNone is the policy that ejects no worker.
-const EjectionNone = "none"
+// The policies of ejection: no worker, those with repeated failures, and in addition those that are slow.
+const (
+	EjectionNone     = "none"
+	EjectionFailures = "failures"
+	EjectionLatency  = "latency"
+)
 
 // Policies selects the decisions by name, so that one build runs every baseline.
 type Policies struct {
 	// Routing is random, p2c or exact.
 	Routing string
-	// Admission is urgency or fifo, Ejection failures or none.
+	// Admission is urgency or fifo, Ejection none, failures or latency.
 	Admission, Ejection string
 	// Placement is best-fit, spread or least-laxity.
 	Placement string
--- a/internal/manifest/parse.go
+++ b/internal/manifest/parse.go
@@ -37,7 +37,7 @@
 var defaultPolicies = Policies{
 	Routing:        "exact",
 	Admission:      "urgency",
-	Ejection:       "failures",
+	Ejection:       EjectionFailures,
 	Placement:      "least-laxity",
 	IsolationLimit: 10 * time.Minute,
 	LeaseTTL:       10 * time.Second,
@@ -174,7 +174,7 @@
 	return Policies{
 		Routing:        o.choice("routing", p.Routing, "random", "p2c", "exact"),
 		Admission:      o.choice("admission", p.Admission, "urgency", "fifo"),
-		Ejection:       o.choice("ejection", p.Ejection, "failures", "none"),
+		Ejection:       o.choice("ejection", p.Ejection, EjectionNone, EjectionFailures, EjectionLatency),
 		Placement:      o.choice("placement", p.Placement, "best-fit", "spread", "least-laxity"),
 		IsolationLimit: o.duration("isolation_limit", p.IsolationLimit),
 		LeaseTTL:       o.duration("lease_ttl", p.LeaseTTL),
--- a/internal/routing/outlier.go
+++ b/internal/routing/outlier.go
@@ -14,6 +14,12 @@
 	maxEjection   = 2 * time.Minute
 	// forgiveAfter is the time after an ejection in which one step of doubling is taken back.
 	forgiveAfter = time.Minute
+	// slowRatio is the average service time, as a multiple of the expected one, from which a worker counts as slow. A slot there serves
+	// less than a third of what another one serves. Interference by tasks can reach it, too, and is treated alike.
+	slowRatio = 3
+	// slowWeight is the weight of a new answer in that average, slowAnswers the least number of answers.
+	slowWeight  = 0.2
+	slowAnswers = 5
 )
 
 // Outliers ejects workers with repeated failures, at most half of them at once. It is not safe for concurrent use.
@@ -24,9 +30,16 @@
 
 type outlier struct {
 	failures int
-	times    int
-	ejected  bool
-	until    time.Time
+	// ratio is the average service time as a multiple of the expected one, over answers.
+	ratio   float64
+	answers int
+	// seen is the time of the last answer.
+	seen time.Time
+	// probation permits one request at a time until an answer shows that the worker has recovered.
+	probation bool
+	times     int
+	ejected   bool
+	until     time.Time
 }
 
 // NewOutliers returns a state without failures.
@@ -39,16 +52,47 @@
 	}
 }
 
+// Took takes up the service time of an answer as a multiple of the expected one, and reports whether the worker is ejected from now on
+// because it is slow.
+func (o *Outliers) Took(now time.Time, id instance.ID, ratio float64, total int) bool {
+	w := o.workers[id]
+	if w == nil {
+		w = &outlier{ratio: 1}
+		o.workers[id] = w
+	}
+	w.answers++
+	w.seen = now
+	w.ratio += slowWeight * (ratio - w.ratio)
+	if w.ejected {
+		return false
+	}
+	if w.probation && ratio < slowRatio {
+		w.probation, w.ratio, w.answers = false, 1, 0
+		return false
+	}
+	return (w.probation || w.answers >= slowAnswers && w.ratio >= slowRatio) && o.eject(now, w, total)
+}
+
+// Probation reports whether a worker may have one request at a time only.
+func (o *Outliers) Probation(id instance.ID) bool {
+	w := o.workers[id]
+	return w != nil && w.probation && !w.ejected
+}
+
 // Failed takes up a failure of a worker and reports whether the worker is ejected from now on. total is the number of workers
 // with grants.
 func (o *Outliers) Failed(now time.Time, id instance.ID, total int) bool {
 	w := o.workers[id]
 	if w == nil {
-		w = &outlier{}
+		w = &outlier{ratio: 1}
 		o.workers[id] = w
 	}
 	w.failures++
-	if w.ejected || w.failures < failuresInRow || 2*(o.ejected+1) > total {
+	return !w.ejected && w.failures >= failuresInRow && o.eject(now, w, total)
+}
+
+func (o *Outliers) eject(now time.Time, w *outlier, total int) bool {
+	if 2*(o.ejected+1) > total {
 		return false
 	}
 	w.ejected, w.until = true, now.Add(min(firstEjection<<min(w.times, 10), maxEjection))
@@ -66,12 +110,13 @@
 			w.ejected = false
 			// One more failure is enough to eject the worker again.
 			w.failures = failuresInRow - 1
+			w.probation = w.answers > 0
 			o.ejected--
 			out = append(out, id)
 		case !w.ejected && w.times > 0 && now.Sub(w.until) > forgiveAfter:
 			w.times--
 			w.until = now
-		case !w.ejected && w.times == 0 && w.failures == 0:
+		case !w.ejected && w.times == 0 && w.failures == 0 && now.Sub(w.seen) > forgiveAfter:
 			delete(o.workers, id)
 		}
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -80,6 +80,31 @@
 	require.False(t, o.Failed(now, "a", 3))
 }
 
+// Guards against a slow worker that is not ejected, a single slow answer that ejects one, and a full load on a worker that is still slow
+// when its ejection ends.
+func TestSlowWorkers(t *testing.T) {
+	o, now := NewOutliers(), time.Unix(100, 0)
+	require.False(t, o.Took(now, "b", 20, 4))
+	require.False(t, o.Took(now, "b", 1, 4))
+	ejected := false
+	for range 20 {
+		ejected = o.Took(now, "a", 5, 4) || ejected
+		o.Succeeded("a")
+	}
+	require.True(t, ejected)
+	require.False(t, o.Probation("a"), "ejected workers get nothing")
+	now = now.Add(firstEjection)
+	require.Equal(t, []instance.ID{"a"}, o.Returned(now))
+	require.True(t, o.Probation("a"))
+	require.True(t, o.Took(now, "a", 5, 4), "one slow answer on probation ejects again")
+	now = now.Add(2 * firstEjection)
+	require.Equal(t, []instance.ID{"a"}, o.Returned(now))
+	require.False(t, o.Took(now, "a", 1, 4))
+	require.False(t, o.Probation("a"))
+	require.False(t, o.Took(now, "a", 5, 4), "the average starts again")
+	require.Empty(t, o.Clear())
+}
+
 // The design allows a microsecond and no allocation for a choice.
 func BenchmarkChoose(b *testing.B) {
 	for _, workers := range []int{8, 65, 500} {
