--- a/cmd/clementine-gateway/providers.go
+++ b/cmd/clementine-gateway/providers.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"time"
 
@@ -29,8 +31,15 @@
 
 func newHealth() *process.Health { return &process.Health{} }
 
-func newPlatformHTTP() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformIdle}}
+func newTraffic(r *prometheus.Registry) *process.Traffic { return process.NewTraffic(r) }
+
+func newPlatformHTTP(t *process.Traffic) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: t.Count("platform", dial), MaxIdleConnsPerHost: platformIdle}}
+}
+
+// dial is what http.Transport uses by default.
+func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	return new(net.Dialer).DialContext(ctx, network, addr)
 }
 
 func newLog(s *Settings, c *http.Client) *platform.HTTPLog { return platform.NewHTTPLog(s.Platform, c) }
@@ -40,8 +49,9 @@
 }
 
 // newWorkers has a transport of its own, so that calls to the platform and to workers do not share limits.
-func newWorkers() *upstream.Client {
-	return upstream.NewClient(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workerIdle, IdleConnTimeout: workerIdleTime}})
+func newWorkers(t *process.Traffic) *upstream.Client {
+	return upstream.NewClient(&http.Client{Transport: &http.Transport{DialContext: t.Count("requests", dial),
+		MaxIdleConnsPerHost: workerIdle, IdleConnTimeout: workerIdleTime}})
 }
 
 func newKeys(s *Settings, l *slog.Logger, r *prometheus.Registry) (*keys.Store, error) {
--- a/cmd/clementine-gateway/wire.go
+++ b/cmd/clementine-gateway/wire.go
@@ -11,6 +11,6 @@
 )
 
 func initialize(s *Settings, l *slog.Logger) (*program, error) {
-	panic(wire.Build(newProgram, newHealth, process.NewRegistry, newPlatformHTTP, newLog, newList, newWorkers, newKeys, newConditions,
+	panic(wire.Build(newProgram, newHealth, process.NewRegistry, newTraffic, newPlatformHTTP, newLog, newList, newWorkers, newKeys, newConditions,
 		newTransport, newFollower, newGateway))
 }
--- a/cmd/clementine-gateway/wire_gen.go
+++ b/cmd/clementine-gateway/wire_gen.go
@@ -14,10 +14,11 @@
 // Injectors from wire.go:
 
 func initialize(s *Settings, l *slog.Logger) (*program, error) {
-	client := newPlatformHTTP()
+	registry := process.NewRegistry()
+	traffic := newTraffic(registry)
+	client := newPlatformHTTP(traffic)
 	httpLog := newLog(s, client)
 	httpList := newList(s, client)
-	registry := process.NewRegistry()
 	store, err := newKeys(s, l, registry)
 	if err != nil {
 		return nil, err
@@ -30,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	upstreamClient := newWorkers()
+	upstreamClient := newWorkers(traffic)
 	follower, err := newFollower(s, l, httpLog, httpList, transport, registry)
 	if err != nil {
 		return nil, err
--- a/cmd/clementine-load/main.go
+++ b/cmd/clementine-load/main.go
@@ -19,6 +19,9 @@
 	Run     load.Settings `cmd:"" help:"Send requests and jobs, check every answer, and report."`
 	Compare compare       `cmd:"" help:"Print the results of several runs side by side."`
 	Layout  load.Layout   `cmd:"" help:"Print the settings of a deployment of a manifest on the loopback network, for scripts."`
+	Sample  load.Sample   `cmd:"" help:"Measure what processes cost during an interval of fixed load."`
+
+	CapacityReport load.CapacityReport `cmd:"" help:"Print the tables of a capacity run: slopes, costs at the target size, limits."`
 }
 
 type compare struct {
@@ -47,6 +50,10 @@
 		exit(l, load.Compare(os.Stdout, cli.Compare.Dirs))
 	case "layout":
 		exit(l, cli.Layout.Run(os.Stdout))
+	case "sample":
+		os.Exit(process.Run(l, cli.Sample.Run))
+	case "capacity-report":
+		exit(l, cli.CapacityReport.Run(os.Stdout))
 	default:
 		os.Exit(process.Run(l, func(ctx context.Context) error { return run(ctx, &cli.Run, l) }))
 	}
--- /dev/null
+++ b/internal/load/capacity_report.go
@@ -0,0 +1,88 @@
+package load
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"clementinewalk.example/clementinewalk/internal/capacity"
+)
+
+// CapacityReport prints the tables of a capacity run, and can put them into a page.
+type CapacityReport struct {
+	Dir  string `arg:"" type:"existingdir" help:"Directory with the samples of a run (*.jsonl)."`
+	Page string `type:"existingfile" help:"Page whose text between the marker comments is replaced."`
+}
+
+// The marker comments of the page.
+const (
+	measuredBegin = "<!-- measured:begin -->"
+	measuredEnd   = "<!-- measured:end -->"
+)
+
+// MarkerError reports a page without the marker comments.
+type MarkerError struct{ Path string }
+
+// Error implements error.
+func (e *MarkerError) Error() string {
+	return "page " + e.Path + " lacks the markers " + measuredBegin + " and " + measuredEnd + ", in this order"
+}
+
+// Run prints the tables. It returns a *FileError, a *capacity.DecodeError or a *MarkerError.
+func (c *CapacityReport) Run(w io.Writer) error {
+	samples, err := c.read()
+	if err != nil {
+		return err
+	}
+	var tables bytes.Buffer
+	if err := capacity.Markdown(&tables, samples); err != nil {
+		return err
+	}
+	if _, err := w.Write(tables.Bytes()); err != nil {
+		return errors.WithStack(err)
+	}
+	if c.Page == "" {
+		return nil
+	}
+	return c.replace(tables.Bytes())
+}
+
+func (c *CapacityReport) read() ([]capacity.Sample, error) {
+	paths, err := filepath.Glob(filepath.Join(c.Dir, "*.jsonl"))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	var out []capacity.Sample
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, &FileError{Path: path, Err: err}
+		}
+		samples, err := capacity.Decode(bytes.NewReader(data))
+		if err != nil {
+			return nil, &FileError{Path: path, Err: err}
+		}
+		out = append(out, samples...)
+	}
+	return out, nil
+}
+
+func (c *CapacityReport) replace(tables []byte) error {
+	page, err := os.ReadFile(c.Page)
+	if err != nil {
+		return &FileError{Path: c.Page, Err: err}
+	}
+	before, rest, found := bytes.Cut(page, []byte(measuredBegin))
+	_, after, closed := bytes.Cut(rest, []byte(measuredEnd))
+	if !found || !closed {
+		return &MarkerError{Path: c.Page}
+	}
+	out := bytes.Join([][]byte{before, []byte(measuredBegin), []byte("\n"), tables, []byte("\n"), []byte(measuredEnd), after}, nil)
+	if err := os.WriteFile(c.Page, out, fileMode); err != nil {
+		return &FileError{Path: c.Page, Err: err}
+	}
+	return nil
+}
