--- a/internal/scheduler/membership.go
+++ b/internal/scheduler/membership.go
@@ -44,7 +44,6 @@
 }
 
 func (s *Scheduler) takeList(now time.Time, list []instance.Member) {
-	s.members.listAt = now
 	clear(s.members.workers)
 	for id, p := range s.members.peers {
 		p.Listed = false
@@ -66,6 +65,9 @@
 			}
 			p = shard.Peer{ID: m.ID, Incarnation: m.Incarnation}
 		}
+		if p.ListedAt.IsZero() {
+			p.ListedAt = now
+		}
 		p.Addr, p.Listed, p.Leaving = m.Addr, true, p.Leaving || m.State == instance.StateLeaving
 		s.members.peers[m.ID] = p
 	}
@@ -78,7 +80,7 @@
 
 // heartbeat calls every other scheduler.
 func (s *Scheduler) heartbeat() {
-	m := &contract.Heartbeat{From: s.ID, Incarnation: s.Incarnation, Config: s.version.Offset, Leaving: s.leaving,
+	m := &contract.Heartbeat{From: s.ID, Incarnation: s.Incarnation, Config: s.configOffset(), Leaving: s.leaving,
 		LogReachable: s.logUp(time.Now()), Owned: s.owned()}
 	for id, p := range s.members.peers {
 		if s.members.beating[id] || p.Addr == "" {
@@ -117,6 +119,14 @@
 	s.members.peers[id] = p
 }
 
+// configOffset returns the version in force, zero before the first one.
+func (s *Scheduler) configOffset() uint64 {
+	if s.version == nil {
+		return 0
+	}
+	return s.version.Offset
+}
+
 func (s *Scheduler) owned() []contract.OwnedShard {
 	var out []contract.OwnedShard
 	for _, name := range s.names {
@@ -129,7 +139,7 @@
 
 func (s *Scheduler) view(now time.Time) shard.View {
 	return shard.View{Now: now, Self: s.ID, Start: s.start, OwnerTimeout: s.policy.ownerTimeout,
-		ListKnown: now.Sub(s.members.listAt) < listFresh, LogUp: s.logUp(now), Peers: s.members.peers}
+		LogUp: s.logUp(now), Peers: s.members.peers}
 }
 
 // logUp reports whether some stream was read lately. A process that reads none does not know and assumes it.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -41,7 +41,6 @@
 type membership struct {
 	peers   map[instance.ID]shard.Peer
 	workers map[instance.ID]instance.Member
-	listAt  time.Time
 	polling bool
 	beating map[instance.ID]bool
 }
@@ -111,9 +110,6 @@
 
 func (s *Scheduler) tick(now time.Time) {
 	s.follow()
-	if s.version == nil {
-		return
-	}
 	if !now.Before(s.nextSec) {
 		s.nextSec = now.Add(secondly)
 		s.everySecond(now)
