Add make capacity

The slopes of the capacity page need runs of the real processes at several sizes, so scripts/capacity.sh starts one deployment per size on the loopback network, samples it twice and stops it by id.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := bin
 PROGRAMS := $(notdir $(wildcard cmd/*))
 
-.PHONY: build check format lint test models demo process-test clean
+.PHONY: build check format lint test models demo capacity process-test clean
 
 build:
 	@mkdir -p $(BIN)
@@ -26,6 +26,10 @@
 demo:
 	@scripts/demo.sh
 
+# What each process costs at several sizes, for 12 minutes; scripts/capacity.sh lists its settings.
+capacity:
+	@scripts/capacity.sh
+
 check: format lint test models
 
 clean:
--- a/internal/capacity/estimate.go
+++ b/internal/capacity/estimate.go
@@ -65,7 +65,11 @@
 			e.Missing = append(e.Missing, t.axis)
 			continue
 		}
-		part := Part{Axis: t.axis, Value: f.Slope * t.size, Range: f.Range * math.Abs(t.size), Reach: reach(f, t)}
+		part := Part{Axis: t.axis, Range: f.Range * math.Abs(t.size), Reach: reach(f, t)}
+		// A slope that cannot be told from zero only widens the range. Extrapolating noise would add or hide cost.
+		if f.Significant() {
+			part.Value = f.Slope * t.size
+		}
 		e.Parts = append(e.Parts, part)
 		e.Value += part.Value
 		square += part.Range * part.Range
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -111,8 +111,13 @@
 		var parts []string
 		reach := 0.0
 		for _, p := range e.Parts {
-			parts = append(parts, fmt.Sprintf("%s %s", p.Axis, signed(p.Value)))
-			reach = math.Max(reach, p.Reach)
+			if p.Value != 0 {
+				parts = append(parts, fmt.Sprintf("%s %s", p.Axis, signed(p.Value)))
+				reach = math.Max(reach, p.Reach)
+			}
+		}
+		if e.Value == 0 && e.Base == 0 {
+			continue
 		}
 		writeRow(b, string(e.Role), string(e.Metric)+", "+e.Metric.Unit(), number(e.Base), strings.Join(parts, ", "), number(e.Value),
 			"± "+number(e.Range), "x"+number(reach))
@@ -126,10 +131,19 @@
 	return number(v)
 }
 
+// mainMetrics have a slope in the table even if it cannot be told from zero, detailMetrics have none: they are parts of others.
+var (
+	mainMetrics   = []Metric{MetricCPU, MetricResident, MetricControl}
+	detailMetrics = []Metric{MetricHeap, MetricControlSent, MetricControlReceived}
+)
+
 func writeFits(b *strings.Builder, fits map[Key]Fit) {
 	writeHead(b, "Slopes", "axis", "role", "quantity", "measured (size: mean)", "slope per unit", "standard error", "R²")
 	for _, a := range Axes {
 		for _, f := range sorted(fits, a.Axis) {
+			if !f.Significant() && !slices.Contains(mainMetrics, f.Metric) || slices.Contains(detailMetrics, f.Metric) {
+				continue
+			}
 			var points []string
 			for i, size := range f.Sizes {
 				points = append(points, fmt.Sprintf("%s: %s", number(size), number(f.Means[i])))
@@ -142,7 +156,8 @@
 				number(f.StdErr), fmt.Sprintf("%.2f", f.R2))
 		}
 	}
-	b.WriteString("\nA slope in brackets cannot be told from zero at 95%.\n")
+	b.WriteString("\nA slope in brackets cannot be told from zero at 95%; it adds nothing to the estimate but widens its range. Other quantities without a slope " +
+		"that can be told from zero are left out.\n")
 }
 
 func sorted(fits map[Key]Fit, a Axis) []Fit {
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -49,11 +49,11 @@
 	terms []term
 }
 
-// plans are the estimates. An owner holds an eighth of the workers and follows the streams of the others as a standby does, so
+// plans are the estimates. A gateway accepts an eighth of the jobs. An owner holds an eighth of the workers and follows the streams of the others as a standby does, so
 // it pays the owner's slope for its share and the standby's slope for the rest.
 var plans = []plan{
 	{RoleGateway, []term{beyond(AxisWorkers, RoleGateway, targetWorkers), beyond(AxisTasks, RoleGateway, targetTasks),
-		beyond(AxisStarts, RoleGateway, targetStarts), beyond(AxisTeams, RoleGateway, targetTeams),
+		beyond(AxisStarts, RoleGateway, targetStarts*share), beyond(AxisTeams, RoleGateway, targetTeams),
 		beyond(AxisGateways, RoleGateway, targetEntries), beyond(AxisSchedulers, RoleGateway, targetEntries),
 		beyond(AxisShards, RoleGateway, targetShards), beyond(AxisChanges, RoleGateway, targetChanges)}},
 	{RoleOwner, []term{beyond(AxisWorkers, RoleOwner, targetWorkers*share), {AxisWorkers, RoleStandby, targetWorkers * (1 - share)},
--- a/internal/load/sample.go
+++ b/internal/load/sample.go
@@ -19,7 +19,8 @@
 	Size     float64       `help:"Size on the axis."`
 	Measured bool          `help:"Take the size of the axes starts, tasks and requests from what the processes report."`
 	Process  []string      `required:"" name:"process" placeholder:"ROLE=URL" help:"Processes to measure; roles: gateway, scheduler, workers, platform."`
-	Interval time.Duration `default:"8s" help:"Length of the measurement."`
+	Interval time.Duration `default:"6s" help:"Length of one measurement."`
+	Repeat   int           `default:"2" help:"Number of successive measurements; the spread between them gives the error."`
 	To       string        `required:"" help:"File to which the samples are appended, one JSON object a line."`
 }
 
@@ -30,6 +31,7 @@
 	rolePlatform  = "platform"
 
 	maxInterval   = 5 * time.Minute
+	maxRepeat     = 100
 	scrapeTimeout = 5 * time.Second
 )
 
@@ -50,6 +52,9 @@
 		}
 		out = append(out, target{role: role, url: strings.TrimSuffix(url, "/")})
 	}
+	if err := process.CheckRange("--repeat", s.Repeat, 1, maxRepeat); err != nil {
+		return nil, err
+	}
 	return out, process.CheckRange("--interval", s.Interval.Seconds(), 1, maxInterval.Seconds())
 }
 
@@ -65,16 +70,33 @@
 	if err != nil {
 		return err
 	}
-	select {
-	case <-ctx.Done():
-		return errors.WithStack(ctx.Err())
-	case <-time.After(s.Interval):
+	var out []capacity.Sample
+	for range s.Repeat {
+		select {
+		case <-ctx.Done():
+			return errors.WithStack(ctx.Err())
+		case <-time.After(s.Interval):
+		}
+		after, err := scrapeAll(ctx, client, targets)
+		if err != nil {
+			return err
+		}
+		out = append(out, s.samples(before, after)...)
+		before = after
 	}
-	after, err := scrapeAll(ctx, client, targets)
-	if err != nil {
-		return err
+	return s.write(atMeanSize(out))
+}
+
+// atMeanSize puts the repeated measurements at one size, since a measured size differs a little between them.
+func atMeanSize(samples []capacity.Sample) []capacity.Sample {
+	sum := 0.0
+	for _, v := range samples {
+		sum += v.Size
 	}
-	return s.write(s.samples(before, after))
+	for i := range samples {
+		samples[i].Size = sum / float64(len(samples))
+	}
+	return samples
 }
 
 func (s *Sample) write(samples []capacity.Sample) error {
@@ -111,6 +133,9 @@
 		for _, v := range c.values() {
 			out = append(out, capacity.Sample{Axis: capacity.Axis(s.Axis), Size: size, Role: c.capacityRole(), Metric: v.metric, Value: v.value})
 		}
+		if wait, ok := c.after.quantile("clementine_gateway_queue_seconds", urgentQuantile); ok && s.Axis == string(capacity.AxisRequests) {
+			out = append(out, capacity.Sample{Axis: capacity.AxisRequests, Size: size, Role: capacity.RoleRun, Metric: capacity.MetricQueueWait, Value: wait})
+		}
 	}
 	return out
 }
@@ -158,8 +183,11 @@
 const (
 	bytesPerMB = 1e6
 	percent    = 100
-	linkBytes  = "clementine_link_bytes_total"
-	tcpBytes   = "clementine_tcp_bytes_total"
+	// urgentQuantile is the part of the requests that must have started within the limit.
+	urgentQuantile = 0.999
+	linkBytes      = "clementine_link_bytes_total"
+	linkAll        = "clementine_link_packet_bytes_total"
+	tcpBytes       = "clementine_tcp_bytes_total"
 )
 
 func (c change) values() []reading {
@@ -177,29 +205,36 @@
 	return out
 }
 
-// traffic tells control from requests: forwarded requests on links and requests to workers are not control.
+// traffic tells control from requests: what gateways send to workers, and messages on behalf of callers, are not control.
 func (c change) traffic() []reading {
-	sent, received := c.direction("sent"), c.direction("received")
-	tcp := func(use string) float64 { return c.rate(tcpBytes, label{"use", use}) }
-	forwards := c.forwards("sent") + c.forwards("received")
-	return []reading{
-		{capacity.MetricControl, sent + received}, {capacity.MetricControlSent, sent}, {capacity.MetricControlReceived, received},
-		{capacity.MetricLink, c.rate("clementine_link_packet_bytes_total") - forwards},
-		{capacity.MetricWorkerControl, tcp("worker-control")}, {capacity.MetricPlatform, tcp("platform")},
-		{capacity.MetricRequests, tcp("requests") + forwards},
-	}
+	out := []reading{{capacity.MetricControlSent, c.control("sent")}, {capacity.MetricControlReceived, c.control("received")}}
+	worker, callers := c.rate(tcpBytes, label{"use", "worker"}), c.callers("sent")+c.callers("received")
+	calls, requests := worker, callers
+	if c.role == roleGateway {
+		calls, requests = 0, worker+callers
+	}
+	return append(out, reading{capacity.MetricControl, out[0].value + out[1].value}, reading{capacity.MetricLink, c.rate(linkAll) - callers},
+		reading{capacity.MetricWorkerControl, calls}, reading{capacity.MetricPlatform, c.rate(tcpBytes, label{"use", "platform"})},
+		reading{capacity.MetricRequests, requests})
 }
 
-// direction returns the control bytes of one direction.
-func (c change) direction(d string) float64 {
+// control returns the control bytes of one direction.
+func (c change) control(d string) float64 {
 	dir := label{"direction", d}
-	return c.rate("clementine_link_packet_bytes_total", dir) - c.forwards(d) +
-		c.rate(tcpBytes, dir, label{"use", "worker-control"}) + c.rate(tcpBytes, dir, label{"use", "platform"})
+	sum := c.rate(linkAll, dir) - c.callers(d) + c.rate(tcpBytes, dir, label{"use", "platform"})
+	if c.role == roleScheduler {
+		sum += c.rate(tcpBytes, dir, label{"use", "worker"})
+	}
+	return sum
 }
 
-func (c change) forwards(d string) float64 {
-	dir := label{"direction", d}
-	return c.rate(linkBytes, dir, label{"kind", "forward"}) + c.rate(linkBytes, dir, label{"kind", "forward-reply"})
+// callers returns the bytes of messages on behalf of callers: forwarded requests and questions for the state of a job.
+func (c change) callers(d string) float64 {
+	sum := 0.0
+	for _, kind := range []string{"forward", "forward-reply", "job-status", "job-status-reply"} {
+		sum += c.rate(linkBytes, label{"direction", d}, label{"kind", kind})
+	}
+	return sum
 }
 
 func (c change) log() []reading {
--- a/internal/load/scrape.go
+++ b/internal/load/scrape.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	dto "github.com/prometheus/client_model/go"
@@ -125,3 +128,25 @@
 	}
 	return true
 }
+
+// quantile returns the upper bound of the bucket that holds the quantile q of all values so far, over all series of a histogram. It
+// returns false if there are none.
+func (s scrape) quantile(name string, q float64) (float64, bool) {
+	var count uint64
+	upTo := map[float64]uint64{}
+	for _, m := range s.families[name].GetMetric() {
+		count += m.GetHistogram().GetSampleCount()
+		for _, b := range m.GetHistogram().GetBucket() {
+			upTo[b.GetUpperBound()] += b.GetCumulativeCount()
+		}
+	}
+	if count == 0 {
+		return 0, false
+	}
+	for _, bound := range slices.Sorted(maps.Keys(upTo)) {
+		if float64(upTo[bound]) >= q*float64(count) {
+			return bound, true
+		}
+	}
+	return math.Inf(1), true
+}
