--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -56,6 +56,7 @@
 	require.NoError(t, Markdown(&b, samples))
 	require.Contains(t, b.String(), "**over, by a factor of 1.97**")
 	require.Contains(t, b.String(), "| run | in-force, s | 0.400 | ± 0 | 8.00 | within, 5.00% of it |")
+	require.NotContains(t, b.String(), "worker instance", "an estimate without any slope")
 	for _, title := range []string{"Limits", "What breaks first", "Cost at the target", "Slopes", "Measured directly"} {
 		require.Contains(t, b.String(), "### "+title)
 	}
--- a/internal/capacity/estimate.go
+++ b/internal/capacity/estimate.go
@@ -99,10 +99,15 @@
 				Range: math.Hypot(g.Range, o.Range), Missing: append(append([]Axis(nil), g.Missing...), o.Missing...)})
 		}
 	}
-	for _, m := range []Metric{MetricCPU, MetricResident} {
-		out = append(out, perWorker(RoleWorkers, m, fits))
+	workers := []Estimate{perWorker(RoleWorkers, MetricCPU, fits), perWorker(RoleWorkers, MetricResident, fits),
+		perWorker(RoleOwner, MetricWorkerControl, fits)}
+	for _, e := range workers {
+		// Without any slope there is no estimate; zero would look like a measured one.
+		if len(e.Parts) > 0 {
+			out = append(out, e)
+		}
 	}
-	return append(out, perWorker(RoleOwner, MetricWorkerControl, fits))
+	return out
 }
 
 // perWorker returns the cost to one worker instance with its part of the tasks and starts, from the slopes of the process that
