--- a/internal/capacity/estimate.go
+++ b/internal/capacity/estimate.go
@@ -42,7 +42,8 @@
 	for _, p := range plans {
 		for _, m := range metricOrder {
 			points := base[Key{AxisReference, p.role, m}]
-			if len(points) == 0 {
+			// A standby calls no worker; the owner's slope that stands in for its shards does not apply to those calls.
+			if len(points) == 0 || p.role == RoleStandby && m == MetricWorkerControl {
 				continue
 			}
 			out = append(out, p.estimate(m, points, fits))
