--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,8 @@
 # Targets for developers and CI. Every target stops what it starts.
 GO ?= go
 BIN := bin
-PROGRAMS := $(notdir $(wildcard cmd/*))
 
-.PHONY: build check format lint test models demo capacity process-test clean
+.PHONY: build check format lint test models mutants demo up capacity faults process-test clean
 
 build:
 	@mkdir -p $(BIN)
@@ -22,15 +21,35 @@
 models:
 	@scripts/models.sh
 
+# Takes the mechanisms behind the promises out one at a time and requires that tests fail without them.
+mutants:
+	@scripts/mutants.sh
+
 # A whole deployment on the loopback network for about 45 s; scripts/demo.sh lists its settings.
 demo:
 	@scripts/demo.sh
 
-# What each process costs at several sizes, for 12 minutes; scripts/capacity.sh lists its settings.
+# The same deployment without load, until it is interrupted.
+up:
+	@DEMO_HOLD=1 scripts/demo.sh
+
+# What each process costs at several sizes, for 11 minutes; scripts/capacity.sh lists its settings.
 capacity:
 	@scripts/capacity.sh
 
-check: format lint test models
+# Failures of the real programs under load, one scenario after the other: SCENARIO=name runs one, LIST=1 lists them, KEEP=1 keeps the logs.
+faults:
+	@mkdir -p $(BIN)
+	@$(GO) test -c -o $(BIN)/faults.test ./test/faults
+	@cd test/faults && FAULTS=1 SCENARIO="$(SCENARIO)" LIST="$(LIST)" KEEP="$(KEEP)" ../../$(BIN)/faults.test -test.timeout 30m -test.run TestFaults
+
+# Three short scenarios of the same table.
+process-test:
+	@mkdir -p $(BIN)
+	@$(GO) test -c -o $(BIN)/faults.test ./test/faults
+	@cd test/faults && PROCESSES=1 KEEP="$(KEEP)" ../../$(BIN)/faults.test -test.timeout 5m -test.run TestProcesses
+
+check: format lint test models mutants
 
 clean:
 	@rm -rf $(BIN) out
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -47,6 +48,9 @@
 	require.NotEmpty(t, r.header.Get("Retry-After"))
 	require.Contains(t, r.body, `"reason":"overload"`)
 
+	w.set(refuseWith(upstream.RefusalCancelled))
+	require.Equal(t, "unknown", g.post(t, "/v1/requests/quote", "x").header.Get(headerOutcome), "the worker knows the request")
+
 	calls, lost := w.callCount(), 0
 	w.set(func(ctx context.Context, r upstream.ExecuteRequest) (upstream.Answer, error) {
 		w.mu.Lock()
@@ -248,6 +252,27 @@
 	require.Zero(t, w.ledger.Granted())
 }
 
+// Guards against a stop that refuses callers before the balancer has noticed it, and against one that cuts off a request which outlasts
+// the drain delay.
+func TestStopServesUntilTheBalancerNotices(t *testing.T) {
+	w := newWorld(t)
+	g := w.start("g")
+	w.set(func(_ context.Context, r upstream.ExecuteRequest) (upstream.Answer, error) {
+		time.Sleep(2 * g.DrainDelay)
+		return echo(r), nil
+	})
+	go g.stop()
+	require.Eventually(t, func() bool { return !g.deps.Health.Ready() }, 5*time.Second, time.Millisecond)
+	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := fresh.Post(g.url+"/v1/requests/quote", "", strings.NewReader("x"))
+	require.NoError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.NoError(t, <-g.done)
+}
+
 // Guards against a submission that is acknowledged without a record, written twice under different ids, or called "not run"
 // although its record may be in the log.
 func TestSubmissions(t *testing.T) {
@@ -301,6 +326,15 @@
 	r = g.post(t, "/v1/jobs", `{"kind":"rebid"}`)
 	require.Equal(t, http.StatusServiceUnavailable, r.status)
 	require.Equal(t, "not-run", r.header.Get(headerOutcome))
+	began := time.Now()
+	r = g.post(t, "/v1/jobs", `{"kind":"rebid"}`)
+	require.Contains(t, r.body, reasonLogDown)
+	require.Less(t, time.Since(began), time.Second, "the log is known to be down")
+	w.mu.Lock()
+	w.appendErr = nil
+	w.mu.Unlock()
+	require.Eventually(t, func() bool { return g.post(t, "/v1/jobs", `{"kind":"rebid"}`).status == http.StatusAccepted },
+		2*breakerPause, 100*time.Millisecond)
 	require.Equal(t, http.StatusOK, g.do(t, http.MethodGet, "/v1/jobs/bne-0~x", "").status)
 	require.Equal(t, http.StatusNotFound, g.do(t, http.MethodDelete, "/v1/jobs/mars-0~x", "").status)
 }
--- a/internal/scheduler/own.go
+++ b/internal/scheduler/own.go
@@ -48,6 +48,10 @@
 	next    time.Time
 	calls   int
 	failing bool
+	// leased tells that the worker counted a lease as in force in its newest answer; before, it refuses to start anything.
+	leased bool
+	// last tells that the last renewal before a release was sent.
+	last bool
 	// lost is set when this worker has seen a higher epoch.
 	lost    bool
 	ack     uint64
@@ -79,8 +83,9 @@
 }
 
 func (s *Scheduler) acquire(sh *shardLoop, now time.Time, o shard.Ownership) {
-	terms := lease.Terms{Shard: sh.name, Epoch: o.Epoch, Owner: s.ID, TTL: s.policy.ttl,
-		IsolationLimit: s.policy.isolation, ReadBack: now, AfterRelease: o.AfterRelease}
+	// The limits are those of the claim, which later owners read, and not those of a newer manifest.
+	terms := lease.Terms{Shard: sh.name, Epoch: o.Epoch, Owner: s.ID, TTL: o.Claim.TTL, IsolationLimit: o.Claim.Isolation,
+		ReadBack: now, AfterRelease: o.AfterRelease, EarlierTTL: o.EarlierTTL, EarlierIsolation: o.EarlierIsolation}
 	sh.own = &ownership{epoch: o.Epoch, terms: terms, ledger: s.deps.NewLedger(sh.name, o.Epoch, grantTTL),
 		workers: map[instance.ID]*worker{}, snapshotAt: now, parked: map[string]string{}, refused: map[string]string{}}
 	s.metrics.epoch.WithLabelValues(sh.name).Set(float64(o.Epoch))
@@ -93,7 +98,7 @@
 			w.tasks[ref] = s.newRun(sh, ref, t)
 		}
 	}
-	sh.dirty = true
+	sh.changed = true
 }
 
 func (s *Scheduler) newRun(sh *shardLoop, ref upstream.TaskRef, t *attempt.Task) *run {
