--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,10 @@
 up:
 	@DEMO_HOLD=1 scripts/demo.sh
 
+# What each process costs at several sizes, for 11 minutes; scripts/capacity.sh lists its settings.
+capacity:
+	@scripts/capacity.sh
+
 # Failures of the real programs under load, one scenario after the other: SCENARIO=name runs one, LIST=1 lists them, KEEP=1 keeps the logs.
 faults:
 	@mkdir -p $(BIN)
