Ready: keep attempts of an earlier owner open until their worker has answered

Cause: an attempt counts as placed ahead while this owner has sent no start call and the worker seems to have no room. Change: attempts are given up only on workers that have answered this epoch.

--- a/internal/scheduler/ahead.go
+++ b/internal/scheduler/ahead.go
@@ -32,6 +32,10 @@
 func (s *Scheduler) waiting(sh *shardLoop, now time.Time) []ahead {
 	var out []ahead
 	for _, w := range sh.own.workers {
+		// Before the worker has answered this epoch, an attempt of an earlier owner may run there although this owner has sent nothing.
+		if !w.lease.Fenced() {
+			continue
+		}
 		for _, t := range w.tasks {
 			j := sh.state.Job(t.ref.Job)
 			if t.sent || t.closing || t.end != nil || j == nil || s.fitsNow(w, t) {
