--- a/internal/attempt/encode.go
+++ b/internal/attempt/encode.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/fxamacker/cbor/v2"
@@ -49,6 +50,11 @@
 	if err := cbor.Unmarshal(data, &e); err != nil {
 		return &contract.DecodeError{What: "shard state", Err: err}
 	}
+	for _, j := range e.Jobs {
+		if slices.Contains(j.Tasks, nil) {
+			return &contract.DecodeError{What: "shard state", Err: &EmptyTaskError{Job: j.Submit.Job}}
+		}
+	}
 	s.Reset()
 	s.finished, s.out = e.Finished, e.Out
 	for _, id := range e.Drained {
--- a/internal/attempt/errors.go
+++ b/internal/attempt/errors.go
@@ -33,3 +33,9 @@
 }
 
 func ignored(ref upstream.TaskRef, r Reason) error { return &IgnoredError{Ref: ref, Reason: r} }
+
+// EmptyTaskError reports an encoded state in which a task of a job has no content.
+type EmptyTaskError struct{ Job string }
+
+// Error implements error.
+func (e *EmptyTaskError) Error() string { return "a task of job " + e.Job + " has no content" }
