--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,12 @@
 	@$(GO) test -c -o $(BIN)/faults.test ./test/faults
 	@cd test/faults && PROCESSES=1 KEEP="$(KEEP)" ../../$(BIN)/faults.test -test.timeout 5m -test.run TestProcesses
 
+# Whole deployments in virtual time with faults: SEED=n runs one seed, SEED=n MINUTES=m runs new seeds from n on for m minutes.
+soak:
+	@mkdir -p $(BIN)
+	@$(GO) test -c -o $(BIN)/soak.test ./test/soak
+	@cd test/soak && SEED="$(or $(SEED),$(if $(MINUTES),$(shell date +%s)))" MINUTES="$(MINUTES)" ../../$(BIN)/soak.test -test.v -test.timeout 0 -test.run 'TestSoak$$'
+
 check: format lint test models mutants
 
 clean:
