Measure goodput by the time of the answer

Cause: goodput by time of arrival exceeds the capacity at the start of an overload, because a growing queue is answered in a later phase. Change: each second counts the run times of the answers that came in it and in time; goodput of capacity is their sum divided by slots times seconds.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -169,13 +169,18 @@
 	return worst
 }
 
-// Pop removes the first entry whose deadline can still be met. The entries before it are returned as refused.
+// Pop removes the first entry whose deadline can still be met. An entry that has waited longer than its service takes needs the margin
+// of Push: otherwise the least urgent entries of an overloaded queue start just before their deadline, and their slots are wasted. The entries before it are returned as refused.
 func (q *Queue[T]) Pop(now time.Time, l Load) (*Entry[T], []Refused[T]) {
 	var refused []Refused[T]
 	for len(q.first) > 0 {
 		e := heap.Pop(&q.first).(*Entry[T])
 		q.left(now, e)
-		if !now.Add(l.Service(e.Kind)).After(e.Deadline) {
+		service := l.Service(e.Kind)
+		if now.Sub(e.Arrived) > service {
+			service *= serviceMargin
+		}
+		if !now.Add(service).After(e.Deadline) {
 			return e, refused
 		}
 		refused = append(refused, Refused[T]{e, Refusal{Reason: ReasonExpired, RetryAfter: minRetry}})
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
@@ -48,16 +47,16 @@
 	add := func(out []measured, name, unit string, value float64) []measured {
 		return append(out, measured{p.Name, name, unit, value})
 	}
-	sent, good, useful := 0.0, 0.0, 0.0
+	sent, good, work := 0.0, 0.0, 0.0
 	for _, k := range p.Kinds {
-		kind, _ := s.manifest.Kind(k.Kind)
-		inTime := float64(k.Whole - k.Late)
-		sent, good = sent+float64(k.Sent), good+inTime
-		useful += inTime * s.meanRunTime(kind).Seconds()
+		sent, good = sent+float64(k.Sent), good+float64(k.Whole-k.Late)
+	}
+	for _, x := range seconds {
+		work += x.Work
 	}
 	out := add(nil, "sent", unitRate, sent/p.Seconds)
 	out = add(out, "answered in time", unitRate, good/p.Seconds)
-	out = add(out, "goodput of capacity", unitShare, useful/p.Seconds/float64(s.slots()))
+	out = add(out, "goodput of capacity", unitShare, work*s.meanOfMedian()/p.Seconds/float64(s.slots()))
 	for _, urgency := range []manifest.Urgency{manifest.UrgencyInteractive, manifest.UrgencyStandard, manifest.UrgencyBackground} {
 		n, whole, late, h := ofClass(p, urgency)
 		if n == 0 {
@@ -85,10 +84,8 @@
 	return n
 }
 
-// meanRunTime returns the mean of the log-normal run times of a kind whose median the manifest declares.
-func (s *Spec) meanRunTime(k manifest.Kind) time.Duration {
-	return time.Duration(float64(k.RunTime) * math.Exp(s.Workers.Variation*s.Workers.Variation/2))
-}
+// meanOfMedian returns the mean of the stand-in's log-normal run times as a multiple of the declared run time, which is their median.
+func (s *Spec) meanOfMedian() float64 { return math.Exp(s.Workers.Variation * s.Workers.Variation / 2) }
 
 func ofClass(p load.PhaseResult, u manifest.Urgency) (sent, whole, late int, h *hdrhistogram.Histogram) {
 	for _, k := range p.Kinds {
--- a/internal/load/phase.go
+++ b/internal/load/phase.go
@@ -41,6 +41,8 @@
 	Whole int `json:"whole"`
 	// P99 is in microseconds, over the whole answers of the most urgent kinds.
 	P99 int64 `json:"p99_us"`
+	// Work is the sum of the declared run times, in seconds, of the requests whose answer came in this second and in time.
+	Work float64 `json:"work_s"`
 }
 
 // phaseRecord holds the counts of one kind in one phase.
@@ -58,6 +60,7 @@
 // secondRecord holds the counts of one second.
 type secondRecord struct {
 	sent, whole int
+	work        float64
 	urgent      *hdrhistogram.Histogram
 }
 
@@ -67,15 +70,11 @@
 		return
 	}
 	key := phaseKey{req.phase, req.kind.Name}
-	p, s := r.phases[key], r.seconds[int(req.at/time.Second)]
+	p, s := r.phases[key], r.second(req.at)
 	if p == nil {
 		p = &phaseRecord{latency: newHistogram(significantDigits)}
 		r.phases[key] = p
 	}
-	if s == nil {
-		s = &secondRecord{urgent: newHistogram(secondDigits)}
-		r.seconds[int(req.at/time.Second)] = s
-	}
 	p.outcomes[a.outcome]++
 	s.sent++
 	if a.outcome != whole {
@@ -91,6 +90,15 @@
 		return
 	}
 	s.whole++
+	r.second(req.at + latency).work += req.kind.RunTime.Seconds()
+}
+
+func (r *recorder) second(at time.Duration) *secondRecord {
+	i := int(at / time.Second)
+	if r.seconds[i] == nil {
+		r.seconds[i] = &secondRecord{urgent: newHistogram(secondDigits)}
+	}
+	return r.seconds[i]
 }
 
 // phaseResults returns the results of all phases and seconds.
@@ -110,7 +118,7 @@
 	seconds := make([]Second, int(total/time.Second))
 	for i := range seconds {
 		if s := r.seconds[i]; s != nil {
-			seconds[i] = Second{Sent: s.sent, Whole: s.whole, P99: s.urgent.ValueAtQuantile(99)}
+			seconds[i] = Second{Sent: s.sent, Whole: s.whole, P99: s.urgent.ValueAtQuantile(99), Work: s.work}
 		}
 	}
 	return out, seconds
