--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -16,7 +16,7 @@
 
 // Guards against an example that cannot be run, and against an arm whose policies do not reach the published manifest.
 func TestExamples(t *testing.T) {
-	for name, arms := range map[string]int{"routing-60": 3, "routing-90": 3, "peak": 2, "slow-worker": 3} {
+	for name, arms := range map[string]int{"routing-60": 3, "routing-90": 3, "peak": 2, "slow-worker": 3, "healthy": 2} {
 		s, err := Read(filepath.Join(examples, name+".yaml"))
 		require.NoError(t, err)
 		require.Len(t, s.Arms, arms)
