--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build check format lint test models demo up faults process-test experiment bench clean
+.PHONY: build check format lint test models mutants demo up faults process-test soak experiment bench capacity clean
 
 build:
 	@mkdir -p $(BIN)
@@ -21,6 +21,10 @@
 models:
 	@scripts/models.sh
 
+# Takes the mechanisms behind the promises out one at a time and requires that tests fail without them.
+mutants:
+	@scripts/mutants.sh
+
 # A whole deployment on the loopback network for about 45 s; scripts/demo.sh lists its settings.
 demo:
 	@scripts/demo.sh
@@ -49,7 +53,7 @@
 bench:
 	@scripts/bench.sh
 
-check: format lint test models
+check: format lint test models mutants process-test
 
 clean:
 	@rm -rf $(BIN) out
