Ready: enforce team quotas by a fixed share for each shard

Cause: teams[].quota was checked against the sizes of kinds only; nothing limited what a team's tasks hold at the same time. Pending tasks beyond the share wait with the reason quota, which explain shows, and are left out of a round's candidates, of which one team gets a quarter at most. The assertion p1_quota_share recounts the holdings after each round of placements.

Conclusion: the quota holds without messages between owners, at the price of shares that other shards cannot borrow.

--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -17,6 +17,7 @@
 // The assertions, by the promise of docs/design.md that they guard.
 const (
 	WorkerCapacity     Name = "p1_worker_capacity"
+	QuotaShare         Name = "p1_quota_share"
 	SlotBudget         Name = "p1_slot_budget"
 	SingleAttempt      Name = "p2_single_attempt"
 	ResumeOnce         Name = "p3_resume_once"
--- a/internal/placement/errors.go
+++ b/internal/placement/errors.go
@@ -1,10 +1,17 @@
 package placement
 
-import "fmt"
+import (
+	"fmt"
+
+	"clementinewalk.example/clementinewalk/internal/resource"
+)
 
 // Error implements error.
 func (r *Refusal) Error() string {
 	s := fmt.Sprintf("tasks of kind %s are not placed: %s", r.Task.Kind, r.Reason)
+	if r.Reason == ReasonQuota {
+		s += fmt.Sprintf(", team %s holds %s of its share %s in this shard", r.Task.Team, describe(r.Held), describe(r.Share))
+	}
 	for _, c := range []Reason{ReasonNoRoom, ReasonTooLarge, ReasonUnfenced, ReasonLeaving, ReasonDraining, ReasonQuarantined} {
 		if n := r.Counts[c]; n > 0 {
 			s += fmt.Sprintf(", %d workers %s", n, c)
@@ -13,6 +20,10 @@
 	return s
 }
 
+func describe(v resource.Vector) string {
+	return fmt.Sprintf("%d millicores, %d MB, %d accelerators", v.MilliCores, v.MemoryMB, v.Accelerators)
+}
+
 // PolicyError reports a policy name that does not exist.
 type PolicyError struct{ Name string }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -60,7 +60,9 @@
 // State is what a decision is taken from. Assign keeps it current within one round of placements.
 type State struct {
 	Workers []Worker
-	index   map[instance.ID]int
+	// Usage holds the shares of teams; nil stands for no limits.
+	Usage *Usage
+	index map[instance.ID]int
 	// spread counts the open attempts of a job by rack and by worker.
 	spread map[spreadKey]int
 }
@@ -93,6 +95,7 @@
 	if i, ok := s.index[worker]; ok {
 		s.Workers[i].Used = s.Workers[i].Used.Add(t.Size)
 		s.Workers[i].Tasks++
+		s.Usage.Add(t.Team, t.Size)
 		s.Note(t.Job, worker)
 	}
 }
@@ -125,6 +128,8 @@
 	ReasonQuarantined Reason = "quarantined"
 	ReasonUnfenced    Reason = "unfenced"
 	ReasonNoRoom      Reason = "no-room"
+	// ReasonQuota: the team would hold more than its share of its quota in this shard.
+	ReasonQuota Reason = "quota"
 	// ReasonTooLarge parks a task: no worker could hold it even if it held nothing else.
 	ReasonTooLarge Reason = "too-large"
 )
@@ -136,6 +141,8 @@
 	Parked bool
 	// Counts holds the number of workers refused for each reason.
 	Counts map[Reason]int
+	// Held is what the team holds, Share what it may hold in this shard; set for ReasonQuota.
+	Held, Share resource.Vector
 }
 
 // ForName returns the policy with the given name, or a *PolicyError.
--- a/internal/placement/policies.go
+++ b/internal/placement/policies.go
@@ -103,6 +103,9 @@
 }
 
 func choose(s *State, t Task, rate func(*Worker) score, why func(*Worker) string) (Decision, error) {
+	if err := s.Usage.Check(t); err != nil {
+		return Decision{}, err
+	}
 	best, bestScore, candidates, possible := -1, score{}, 0, false
 	var counts map[Reason]int
 	refuse := func(r Reason) {
--- a/internal/scheduler/ahead.go
+++ b/internal/scheduler/ahead.go
@@ -63,8 +63,10 @@
 func (s *Scheduler) freeAhead(sh *shardLoop, state *placement.State, waiting []ahead) []ahead {
 	kept := waiting[:0]
 	for _, a := range waiting {
+		state.Usage.Remove(a.task.Team, a.task.Size)
 		d, err := s.policy.place.Place(state, a.task)
 		if err != nil {
+			state.Usage.Add(a.task.Team, a.task.Size)
 			kept = append(kept, a)
 			continue
 		}
@@ -81,14 +83,15 @@
 
 // placeAhead places batch tasks for which no worker has room on the workers that are expected to have room first. When every worker has
 // an attempt that waits, a task with less time to spare takes the place of another one.
-func (s *Scheduler) placeAhead(sh *shardLoop, now time.Time, tasks []placement.Task, waiting []ahead, placing map[taskKey]*contract.Place) {
+func (s *Scheduler) placeAhead(sh *shardLoop, now time.Time, usage *placement.Usage, tasks []placement.Task, waiting []ahead, placing map[taskKey]*contract.Place) {
 	slots := s.aheadSlots(sh, now, placing)
 	for _, t := range tasks {
-		if s.kinds[t.Kind].Class != manifest.ClassBatch {
+		if s.kinds[t.Kind].Class != manifest.ClassBatch || !usage.Allows(t.Team, t.Size) {
 			continue
 		}
 		if i := firstFit(s, sh, slots, t); i >= 0 {
 			s.putPlace(sh, now, t, placement.Decision{Worker: slots[i], Reason: "waits for room on this worker"})
+			usage.Add(t.Team, t.Size)
 			slots = append(slots[:i], slots[i+1:]...)
 			continue
 		}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -18,10 +18,14 @@
 	// that more of them would not change the order. maxCandidates bounds the tasks of all jobs.
 	maxPlaces     = 250
 	maxCandidates = 10000
-	firstPause    = 500 * time.Millisecond
-	maxPause      = time.Minute
+	// maxOfTeam bounds the tasks of one team, so that its backlog leaves candidates to the other teams.
+	maxOfTeam  = maxCandidates / 4
+	firstPause = 500 * time.Millisecond
+	maxPause   = time.Minute
 )
 
+type teamKind struct{ team, kind string }
+
 type taskKey struct {
 	job   string
 	index int
@@ -39,27 +43,31 @@
 			placing[taskKey{p.Job, p.Index}] = p
 		}
 	})
-	tasks := s.candidates(sh, now, placing)
+	usage := s.usage(sh)
+	tasks := s.candidates(sh, now, placing, usage)
 	waiting := s.waiting(sh, now)
 	if len(placing) >= maxPlaces || len(tasks)+len(waiting) == 0 {
 		return
 	}
 	state := s.placementState(sh, now, placing)
+	state.Usage = usage
 	s.policy.place.Order(now, tasks)
 	waiting = s.freeAhead(sh, state, waiting)
 	left := s.placeAll(sh, now, state, tasks, maxPlaces-len(placing))
-	s.placeAhead(sh, now, left, waiting, placing)
+	s.placeAhead(sh, now, usage, left, waiting, placing)
+	s.checkShares(sh, placing)
 }
 
 // placeAll places tasks on workers that have room and returns those for which none has.
 func (s *Scheduler) placeAll(sh *shardLoop, now time.Time, state *placement.State, tasks []placement.Task, limit int) (left []placement.Task) {
-	// Tasks of one kind have one size, so that one refusal speaks for all of them in this round.
-	refused := map[string]*refusal{}
+	// Tasks of one kind have one size, so that one refusal speaks for all of them of one team in this round.
+	refused := map[teamKind]*refusal{}
 	for _, t := range tasks {
 		if limit == 0 {
 			return nil
 		}
-		r := refused[t.Kind]
+		key := teamKind{t.Team, t.Kind}
+		r := refused[key]
 		if r == nil {
 			d, err := s.policy.place.Place(state, t)
 			if err == nil {
@@ -70,7 +78,7 @@
 				continue
 			}
 			r = s.refusalOf(err)
-			refused[t.Kind] = r
+			refused[key] = r
 		}
 		sh.own.refuse(t.Job, r)
 		if r.reason == placement.ReasonNoRoom {
@@ -115,8 +123,9 @@
 }
 
 // candidates returns the pending tasks that may be placed now.
-func (s *Scheduler) candidates(sh *shardLoop, now time.Time, placing map[taskKey]*contract.Place) []placement.Task {
+func (s *Scheduler) candidates(sh *shardLoop, now time.Time, placing map[taskKey]*contract.Place, usage *placement.Usage) []placement.Task {
 	var out []placement.Task
+	ofTeam := map[string]int{}
 	var job *attempt.Job
 	ofJob := 0
 	sh.state.EachPending(func(j *attempt.Job, t *attempt.Task) bool {
@@ -134,7 +143,17 @@
 		if placing[taskKey{j.Submit.Job, t.Index}] != nil || now.Before(t.EndedAt.Add(pause(t))) {
 			return true
 		}
+		if err := usage.Check(placement.Task{Kind: k.Name, Team: j.Submit.Team, Size: k.Size}); err != nil {
+			// The rest of the job has the same size, so that it is refused as well.
+			sh.own.refuse(j.Submit.Job, s.refusalOf(err))
+			ofJob = maxPlaces
+			return true
+		}
+		if ofTeam[j.Submit.Team] >= maxOfTeam {
+			return true
+		}
 		ofJob++
+		ofTeam[j.Submit.Team]++
 		out = append(out, placementTask(j, t, k))
 		return len(out) < maxCandidates
 	})
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 	"clementinewalk.example/clementinewalk/internal/config"
 	"clementinewalk.example/clementinewalk/internal/instance"
 	"clementinewalk.example/clementinewalk/internal/process"
+	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/shard"
 )
 
@@ -31,6 +32,7 @@
 	names    []string
 	members  membership
 	policy   policies
+	shares   map[string]map[string]resource.Vector
 	leaving  bool
 	lastRead time.Time
 	nextSec  time.Time
@@ -141,6 +143,7 @@
 	}
 	s.version = v
 	s.policy = policiesOf(v.Manifest)
+	s.shares = sharesOf(v.Manifest)
 	for _, k := range v.Manifest.Kinds {
 		s.kinds[k.Name] = kindInfo{Kind: k, current: true}
 	}
