Ready: spread tasks over racks in proportion to their room

Cause: spread and least-laxity counted the tasks of a job in each rack, so that racks of 8, 8 and 1 workers got the same number and the single worker of the small rack was filled first. Change: the order of racks is the share that the job occupies of the rack's free capacity and its own tasks there; workers that may get no work do not count.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -63,6 +63,7 @@
 	// Usage holds the shares of teams; nil stands for no limits.
 	Usage *Usage
 	index map[instance.ID]int
+	racks racks
 	// spread counts the open attempts of a job by rack and by worker.
 	spread map[spreadKey]int
 }
@@ -75,7 +76,7 @@
 
 // NewState returns a state over workers, whose order is kept. Ties go to the earlier worker.
 func NewState(workers []Worker) *State {
-	s := &State{Workers: workers, index: make(map[instance.ID]int, len(workers)), spread: map[spreadKey]int{}}
+	s := &State{Workers: workers, index: make(map[instance.ID]int, len(workers)), spread: map[spreadKey]int{}, racks: newRacks(workers)}
 	for i := range workers {
 		s.index[workers[i].ID] = i
 	}
@@ -93,8 +94,12 @@
 // Assign adds a task to a worker.
 func (s *State) Assign(t Task, worker instance.ID) {
 	if i, ok := s.index[worker]; ok {
-		s.Workers[i].Used = s.Workers[i].Used.Add(t.Size)
-		s.Workers[i].Tasks++
+		w := &s.Workers[i]
+		before := usable(w)
+		w.Used = w.Used.Add(t.Size)
+		n := s.racks.ofWorker[i]
+		s.racks.free[n] = s.racks.free[n].Sub(before).Add(usable(w))
+		w.Tasks++
 		s.Usage.Add(t.Team, t.Size)
 		s.Note(t.Job, worker)
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -79,6 +79,45 @@
 	require.Equal(t, map[int]int{0: 8}, racks(BestFit{}))
 }
 
+// Guards against a job that fills a small rack first: with equal numbers of tasks, the single worker of the third rack is full after 34.
+func TestSpreadOverUnequalRacks(t *testing.T) {
+	tests := map[string]struct {
+		change func(ws []Worker)
+		tasks  int
+		want   map[int]int
+	}{
+		"racks of 8, 8 and 1":      {func([]Worker) {}, 34, map[int]int{0: 16, 1: 16, 2: 2}},
+		"a rack that is half full": {halfFull, 26, map[int]int{0: 8, 1: 16, 2: 2}},
+		"a rack that is half drained": {func(ws []Worker) {
+			for i := range 4 {
+				ws[i].Draining = true
+			}
+		}, 26, map[int]int{0: 8, 1: 16, 2: 2}},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			ws := fleet(17)
+			c.change(ws)
+			s, got := NewState(ws), map[int]int{}
+			for i := range c.tasks {
+				task := Task{Job: "j", Index: i, Size: resource.Vector{MilliCores: 4000, MemoryMB: 8000}}
+				d, err := LeastLaxity{}.Place(s, task)
+				require.NoError(t, err)
+				s.Assign(task, d.Worker)
+				got[s.Workers[s.index[d.Worker]].Rack]++
+			}
+			require.Equal(t, c.want, got)
+		})
+	}
+}
+
+// halfFull occupies half of what the workers of rack 0 leave to tasks.
+func halfFull(ws []Worker) {
+	for i := range 8 {
+		ws[i].Used.MilliCores = ws[i].Limit().MilliCores / 2
+	}
+}
+
 // Guards against an order that lets the task with the least time to spare wait.
 func TestLeastLaxityOrder(t *testing.T) {
 	now := time.Unix(0, 0)
--- a/internal/placement/policies.go
+++ b/internal/placement/policies.go
@@ -21,11 +21,11 @@
 
 // Place implements Policy.
 func (BestFit) Place(s *State, t Task) (Decision, error) {
-	return choose(s, t, func(w *Worker) score { return score{load: -used(w, t.Size)} },
+	return choose(s, t, func(_ int, w *Worker) score { return score{load: -used(w, t.Size)} },
 		func(w *Worker) string { return fmt.Sprintf("least free capacity, %.0f%% used", 100*used(w, t.Size)) })
 }
 
-// Spread keeps the tasks of a job apart, first over racks and then over workers, and balances the load otherwise. The loss of a
+// Spread keeps the tasks of a job apart, first over racks in proportion to their room and then over workers, and balances the load otherwise. The loss of a
 // rack then stops few tasks of each job.
 type Spread struct{}
 
@@ -37,11 +37,12 @@
 
 // Place implements Policy.
 func (Spread) Place(s *State, t Task) (Decision, error) {
-	return choose(s, t, func(w *Worker) score {
-		return score{rack: s.spread[spreadKey{job: t.Job, rack: w.Rack}],
+	shares := s.rackShares(t)
+	return choose(s, t, func(i int, w *Worker) score {
+		return score{rack: shares[s.racks.ofWorker[i]],
 			worker: s.spread[spreadKey{job: t.Job, rack: -1, worker: w.ID}], load: used(w, t.Size)}
 	}, func(w *Worker) string {
-		return fmt.Sprintf("fewest tasks of the job in rack %d, %.0f%% used", w.Rack, 100*used(w, t.Size))
+		return fmt.Sprintf("least share of the room in rack %d, %.0f%% used", w.Rack, 100*used(w, t.Size))
 	})
 }
 
@@ -75,8 +76,10 @@
 
 // score orders candidates, the lowest first.
 type score struct {
-	rack, worker int
-	load         float64
+	// rack is the share of a rack, worker a number of tasks.
+	rack   float64
+	worker int
+	load   float64
 }
 
 func (a score) less(b score) bool {
@@ -102,7 +105,7 @@
 		share(after.Accelerators, limit.Accelerators))
 }
 
-func choose(s *State, t Task, rate func(*Worker) score, why func(*Worker) string) (Decision, error) {
+func choose(s *State, t Task, rate func(int, *Worker) score, why func(*Worker) string) (Decision, error) {
 	if err := s.Usage.Check(t); err != nil {
 		return Decision{}, err
 	}
@@ -130,7 +133,7 @@
 			continue
 		}
 		candidates++
-		if sc := rate(w); best < 0 || sc.less(bestScore) {
+		if sc := rate(i, w); best < 0 || sc.less(bestScore) {
 			best, bestScore = i, sc
 		}
 	}
