--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build check format lint test models mutants demo up faults process-test clean
+.PHONY: build check format lint test models mutants demo up faults process-test soak experiment bench capacity clean
 
 build:
 	@mkdir -p $(BIN)
@@ -45,7 +45,15 @@
 	@$(GO) test -c -o $(BIN)/faults.test ./test/faults
 	@cd test/faults && PROCESSES=1 KEEP="$(KEEP)" ../../$(BIN)/faults.test -test.timeout 5m -test.run TestProcesses
 
-check: format lint test models mutants
+# Compares policies on a deployment of the real programs: EXP=name of a file of examples/experiments; scripts/experiment.sh lists the settings.
+experiment:
+	@EXP="$(EXP)" scripts/experiment.sh
+
+# Cost of the decisions at growing sizes, with the targets of docs/measurements.md.
+bench:
+	@scripts/bench.sh
+
+check: format lint test models mutants process-test
 
 clean:
 	@rm -rf $(BIN) out
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -9,6 +9,7 @@
 	"clementinewalk.example/clementinewalk/internal/budget"
 	"clementinewalk.example/clementinewalk/internal/config"
 	"clementinewalk.example/clementinewalk/internal/instance"
+	"clementinewalk.example/clementinewalk/internal/manifest"
 	"clementinewalk.example/clementinewalk/internal/routing"
 	"clementinewalk.example/clementinewalk/internal/ticket"
 )
@@ -22,10 +23,14 @@
 	retries  *admission.RetryBudget
 	policy   routing.Policy
 	outliers *routing.Outliers
-	tickets  *ticket.Table
-	waiters  map[uint64][]chan ticket.Answer
-	shards   map[string]*shardCalls
-	random   *rand.Rand
+	// ejecting tells that workers with repeated failures are ejected.
+	ejecting bool
+	// ejectSlow tells that slow workers are ejected, too.
+	ejectSlow bool
+	tickets   *ticket.Table
+	waiters   map[uint64][]chan ticket.Answer
+	shards    map[string]*shardCalls
+	random    *rand.Rand
 	// peak is the largest number of slots that could be used at once since the last grant round, asked the one that was sent then.
 	peak, asked int
 	nextRound   time.Time
@@ -63,7 +68,7 @@
 	policy, _ := routing.New(routing.NameExact, r)
 	return control{holding: budget.NewHolding(), queue: admission.NewQueue[*call](defaultQueue),
 		services: admission.NewServices(), retries: admission.NewRetryBudget(defaultRetryShare), policy: policy,
-		outliers: routing.NewOutliers(), tickets: ticket.NewTable(ticket.Limits{Tickets: maxTickets, Bytes: ticketMemory}),
+		outliers: routing.NewOutliers(), ejecting: true, tickets: ticket.NewTable(ticket.Limits{Tickets: maxTickets, Bytes: ticketMemory}),
 		waiters: map[uint64][]chan ticket.Answer{}, shards: map[string]*shardCalls{}, random: r}
 }
 
@@ -109,6 +114,8 @@
 		c.queue.SetLimit(p.QueueLimit)
 	}
 	c.retries.SetShare(p.RetryShare)
+	c.queue.SetOrder(admission.Order(p.Admission))
+	g.followEjection(p.Ejection)
 	if policy, err := routing.New(p.Routing, c.random); err != nil {
 		g.log.Warn("routing policy is not changed", "error", err)
 	} else {
@@ -117,6 +124,19 @@
 	g.log.Info("manifest is in force", "version", v.Offset)
 }
 
+// followEjection takes up whether workers are ejected. A change of the policy ends all ejections.
+func (g *Gateway) followEjection(name string) {
+	c := &g.control
+	ejecting, slow := name != manifest.EjectionNone, name == manifest.EjectionLatency
+	if ejecting == c.ejecting && slow == c.ejectSlow {
+		return
+	}
+	c.ejecting, c.ejectSlow = ejecting, slow
+	for _, id := range c.outliers.Clear() {
+		c.holding.SetEjected(id, false)
+	}
+}
+
 // beReady makes the gateway ready once it has slots and its entry is in the list, so that the first requests do not wait for grants and
 // other gateways find the issuer of its tickets. After readyLimit it is ready anyway: submissions and status need neither.
 func (g *Gateway) beReady(now time.Time) {
@@ -174,6 +194,10 @@
 				Refusal: admission.Refusal{Reason: admission.ReasonNoCapacity, RetryAfter: time.Second}}})
 			continue
 		}
+		if k.outliers.Probation(permit.Worker) {
+			// release ends this when the request has ended.
+			k.holding.SetEjected(permit.Worker, true)
+		}
 		entry.Value.slot <- slot{permit: permit, expected: k.services.Estimate(entry.Kind)}
 	}
 }
@@ -208,5 +232,8 @@
 
 func (g *Gateway) release(now time.Time, p budget.Permit) {
 	g.control.holding.Release(p)
+	if g.control.outliers.Probation(p.Worker) {
+		g.control.holding.SetEjected(p.Worker, false)
+	}
 	g.pump(now)
 }
