--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -60,7 +60,10 @@
 // State is what a decision is taken from. Assign keeps it current within one round of placements.
 type State struct {
 	Workers []Worker
-	index   map[instance.ID]int
+	// Usage holds the shares of teams; nil stands for no limits.
+	Usage *Usage
+	index map[instance.ID]int
+	racks racks
 	// spread counts the open attempts of a job by rack and by worker.
 	spread map[spreadKey]int
 }
@@ -73,7 +76,7 @@
 
 // NewState returns a state over workers, whose order is kept. Ties go to the earlier worker.
 func NewState(workers []Worker) *State {
-	s := &State{Workers: workers, index: make(map[instance.ID]int, len(workers)), spread: map[spreadKey]int{}}
+	s := &State{Workers: workers, index: make(map[instance.ID]int, len(workers)), spread: map[spreadKey]int{}, racks: newRacks(workers)}
 	for i := range workers {
 		s.index[workers[i].ID] = i
 	}
@@ -91,8 +94,13 @@
 // Assign adds a task to a worker.
 func (s *State) Assign(t Task, worker instance.ID) {
 	if i, ok := s.index[worker]; ok {
-		s.Workers[i].Used = s.Workers[i].Used.Add(t.Size)
-		s.Workers[i].Tasks++
+		w := &s.Workers[i]
+		before := usable(w)
+		w.Used = w.Used.Add(t.Size)
+		n := s.racks.ofWorker[i]
+		s.racks.free[n] = s.racks.free[n].Sub(before).Add(usable(w))
+		w.Tasks++
+		s.Usage.Add(t.Team, t.Size)
 		s.Note(t.Job, worker)
 	}
 }
@@ -125,6 +133,8 @@
 	ReasonQuarantined Reason = "quarantined"
 	ReasonUnfenced    Reason = "unfenced"
 	ReasonNoRoom      Reason = "no-room"
+	// ReasonQuota: the team would hold more than its share of its quota in this shard.
+	ReasonQuota Reason = "quota"
 	// ReasonTooLarge parks a task: no worker could hold it even if it held nothing else.
 	ReasonTooLarge Reason = "too-large"
 )
@@ -136,6 +146,8 @@
 	Parked bool
 	// Counts holds the number of workers refused for each reason.
 	Counts map[Reason]int
+	// Held is what the team holds, Share what it may hold in this shard; set for ReasonQuota.
+	Held, Share resource.Vector
 }
 
 // ForName returns the policy with the given name, or a *PolicyError.
