--- a/Makefile
+++ b/Makefile
@@ -57,14 +57,13 @@
 bench:
 	@scripts/bench.sh
 
-check: format lint test models mutants process-test
 # Whole deployments in virtual time with faults: SEED=n runs one seed, SEED=n MINUTES=m runs new seeds from n on for m minutes.
 soak:
 	@mkdir -p $(BIN)
 	@$(GO) test -c -o $(BIN)/soak.test ./test/soak
 	@cd test/soak && SEED="$(or $(SEED),$(if $(MINUTES),$(shell date +%s)))" MINUTES="$(MINUTES)" ../../$(BIN)/soak.test -test.v -test.timeout 0 -test.run 'TestSoak$$'
 
-check: format lint test models mutants
+check: format lint test models mutants process-test
 
 clean:
 	@rm -rf $(BIN) out
