Ready: report no forwarded request as not run while an earlier call is under way

Cause: a gateway repeats a forwarded request when the issuer of the ticket does not answer. Change: once a call that may have been sent has had no answer, a later not run is unknown. TestForwardWithoutAnswerIsNeverNotRun gets not-run before and unknown after the change.

--- a/internal/gateway/refuse_test.go
+++ b/internal/gateway/refuse_test.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"clementinewalk.example/clementinewalk/internal/config"
+	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/link"
 )
 
 // switchedConfig gives the version that the test has set, or none.
@@ -48,3 +52,25 @@
 	req.Header.Set(headerTicket, ticket)
 	require.True(t, g.mayBeRepeat(req), "a gateway that has just started")
 }
+
+// Guards against "not run" from a repeated call to the issuer while the first call, whose answer was lost, may still arrive and run.
+func TestForwardWithoutAnswerIsNeverNotRun(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.start("a"), w.start("b")
+	require.Eventually(t, func() bool { return b.directory.Load().gateways["a-1"].Addr != "" }, 3*time.Second, 10*time.Millisecond)
+	for _, sent := range []bool{true, false} {
+		lost := false
+		w.mu.Lock()
+		w.peers["link-a"] = func(_ context.Context, _ link.Peer, m contract.Message) (contract.Message, error) {
+			if !lost {
+				lost = true
+				return nil, &link.CallError{Addr: "link-a", Sent: sent, Err: context.DeadlineExceeded}
+			}
+			return &contract.ForwardReply{RequestID: m.(*contract.Forward).RequestID, State: contract.AnswerNotRun}, nil
+		}
+		w.mu.Unlock()
+		ticket := a.post(t, "/v1/tickets", "").header.Get(headerTicket)
+		r := b.post(t, "/v1/requests/send", "p", headerTicket, ticket)
+		require.Equal(t, map[bool]string{true: "unknown", false: "not-run"}[sent], r.header.Get(headerOutcome))
+	}
+}
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -9,6 +9,7 @@
 
 	"clementinewalk.example/clementinewalk/internal/contract"
 	"clementinewalk.example/clementinewalk/internal/instance"
+	"clementinewalk.example/clementinewalk/internal/link"
 	"clementinewalk.example/clementinewalk/internal/ticket"
 )
 
@@ -148,15 +149,19 @@
 			detail: "no gateway of the instance list has the incarnation " + string(issuer)}
 	}
 	g.metrics.forwards.Inc()
+	mayBeUnderWay := false
 	for {
 		reply, err := g.deps.Link.Call(ctx, m.Addr, &contract.Forward{RequestID: r.id, Kind: r.kind.Name, Team: r.team,
 			Ticket: r.ticket, Timeout: time.Until(r.deadline), Body: r.body})
 		if f, ok := reply.(*contract.ForwardReply); err == nil && ok && f.RequestID == r.id {
-			return answer{state: f.State, reason: f.Reason, retryAfter: f.RetryAfter, body: f.Body}
+			// An earlier call without an answer can reach the issuer after this one, and a ticket that was not run is still good.
+			return conclude(answer{state: f.State, reason: f.Reason, retryAfter: f.RetryAfter, body: f.Body}, mayBeUnderWay)
 		}
 		if err == nil {
 			err = &ReplyError{Got: messageName(reply)}
 		}
+		var call *link.CallError
+		mayBeUnderWay = mayBeUnderWay || errors.As(err, &call) && call.Sent
 		if _, still := g.directory.Load().gateways[issuer]; !still || ctx.Err() != nil {
 			return answer{state: contract.AnswerUnknown, reason: reasonIssuerSilent, detail: err.Error()}
 		}
