Eject slow workers by default

Cause: a worker six times as slow as the others set the tail of urgent requests, because failures never add up on a worker that answers. Strong interference at full load is not measured.

--- a/internal/manifest/parse.go
+++ b/internal/manifest/parse.go
@@ -37,7 +37,7 @@
 var defaultPolicies = Policies{
 	Routing:        "exact",
 	Admission:      "urgency",
-	Ejection:       EjectionFailures,
+	Ejection:       EjectionLatency,
 	Placement:      "least-laxity",
 	IsolationLimit: 10 * time.Minute,
 	LeaseTTL:       10 * time.Second,
