--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,10 @@
 up:
 	@DEMO_HOLD=1 scripts/demo.sh
 
+# What each process costs at several sizes, for 11 minutes; scripts/capacity.sh lists its settings.
+capacity:
+	@scripts/capacity.sh
+
 # Failures of the real programs under load, one scenario after the other: SCENARIO=name runs one, LIST=1 lists them, KEEP=1 keeps the logs.
 faults:
 	@mkdir -p $(BIN)
@@ -53,6 +57,12 @@
 bench:
 	@scripts/bench.sh
 
+# Whole deployments in virtual time with faults: SEED=n runs one seed, SEED=n MINUTES=m runs new seeds from n on for m minutes.
+soak:
+	@mkdir -p $(BIN)
+	@$(GO) test -c -o $(BIN)/soak.test ./test/soak
+	@cd test/soak && SEED="$(or $(SEED),$(if $(MINUTES),$(shell date +%s)))" MINUTES="$(MINUTES)" ../../$(BIN)/soak.test -test.v -test.timeout 0 -test.run 'TestSoak$$'
+
 check: format lint test models mutants process-test
 
 clean:
--- a/cmd/clementine-load/main.go
+++ b/cmd/clementine-load/main.go
@@ -17,10 +17,12 @@
 // CLI holds the flags and commands.
 type CLI struct {
 	process.LogSettings
-	Run        load.Settings       `cmd:"" help:"Send requests and jobs, check every answer, and report."`
-	Compare    compare             `cmd:"" help:"Print the results of several runs side by side."`
-	Experiment experiment.Settings `cmd:"" help:"Compare policies on a running deployment; docs/experiments.md describes the files."`
-	Layout     load.Layout         `cmd:"" help:"Print the settings of a deployment of a manifest on the loopback network, for scripts."`
+	Run            load.Settings       `cmd:"" help:"Send requests and jobs, check every answer, and report."`
+	Compare        compare             `cmd:"" help:"Print the results of several runs side by side."`
+	Experiment     experiment.Settings `cmd:"" help:"Compare policies on a running deployment; docs/experiments.md describes the files."`
+	Layout         load.Layout         `cmd:"" help:"Print the settings of a deployment of a manifest on the loopback network, for scripts."`
+	Sample         load.Sample         `cmd:"" help:"Measure what processes cost during an interval of fixed load."`
+	CapacityReport load.CapacityReport `cmd:"" help:"Print the tables of a capacity run: slopes, costs at the target size, limits."`
 }
 
 type compare struct {
@@ -51,6 +53,10 @@
 		exit(l, cli.Layout.Run(os.Stdout))
 	case "experiment <file>":
 		os.Exit(process.Run(l, experiment.NewDriver(&cli.Experiment, process.Part(l, "experiment"), os.Stdout).Run))
+	case "sample":
+		os.Exit(process.Run(l, cli.Sample.Run))
+	case "capacity-report":
+		exit(l, cli.CapacityReport.Run(os.Stdout))
 	default:
 		os.Exit(process.Run(l, func(ctx context.Context) error { return run(ctx, &cli.Run, l) }))
 	}
