Let the estimate over all kinds age like those of each kind

Cause: the mean service time over all kinds was halved by nothing; after a slow spell it refused every request as late, and refused requests give no observation. Change: the total ages with the others.

--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -55,11 +55,16 @@
 
 // Age halves the estimates without a recent observation. It is called about once a second.
 func (s *Services) Age(now time.Time) {
+	s.total.age(now)
 	for _, e := range s.kinds {
-		if now.Sub(e.seen) > staleAfter {
-			e.mean /= 2
-			e.seen = now
-		}
+		e.age(now)
+	}
+}
+
+func (e *estimate) age(now time.Time) {
+	if now.Sub(e.seen) > staleAfter {
+		e.mean /= 2
+		e.seen = now
 	}
 }
 
