Ready: give a worker one task at a time after its quarantine

Cause: quarantine had no test. The first run of one showed that a worker which fails every task was filled with 8 tasks after each quarantine, because an empty worker is the first choice of the placement. Change: a worker on probation gets one task until one is done, attempts that wait on a worker in quarantine are given up, and explain shows the probation.

Two bad jobs at a time were not measured.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -21,6 +21,8 @@
 	Tasks int
 	// Fenced tells that the worker answers this owner. Only a fenced worker gets work.
 	Fenced, Leaving, Draining, Quarantined bool
+	// Probation limits the worker to one task at a time: its last tasks failed, and none has been done since.
+	Probation bool
 }
 
 // Free returns what tasks may still occupy. Components can be negative.
@@ -35,7 +37,7 @@
 		return ReasonLeaving
 	case w.Draining:
 		return ReasonDraining
-	case w.Quarantined:
+	case w.Quarantined, w.Probation && w.Tasks > 0:
 		return ReasonQuarantined
 	case !w.Fenced:
 		return ReasonUnfenced
@@ -97,9 +99,9 @@
 		w := &s.Workers[i]
 		before := usable(w)
 		w.Used = w.Used.Add(t.Size)
+		w.Tasks++
 		n := s.racks.ofWorker[i]
 		s.racks.free[n] = s.racks.free[n].Sub(before).Add(usable(w))
-		w.Tasks++
 		s.Usage.Add(t.Team, t.Size)
 		s.Note(t.Job, worker)
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -30,11 +30,12 @@
 		reason Reason
 		parked bool
 	}{
-		"fits":        {func([]Worker) {}, small, "w0", "", false},
-		"leaving":     {func(ws []Worker) { ws[0].Leaving = true }, small, "w1", "", false},
-		"draining":    {func(ws []Worker) { ws[0].Draining, ws[1].Draining = true, true }, small, "", ReasonDraining, false},
-		"quarantined": {func(ws []Worker) { ws[0].Quarantined, ws[1].Quarantined = true, true }, small, "", ReasonQuarantined, false},
-		"unfenced":    {func(ws []Worker) { ws[0].Fenced, ws[1].Fenced = false, false }, small, "", ReasonUnfenced, false},
+		"fits":         {func([]Worker) {}, small, "w0", "", false},
+		"leaving":      {func(ws []Worker) { ws[0].Leaving = true }, small, "w1", "", false},
+		"draining":     {func(ws []Worker) { ws[0].Draining, ws[1].Draining = true, true }, small, "", ReasonDraining, false},
+		"quarantined":  {func(ws []Worker) { ws[0].Quarantined, ws[1].Quarantined = true, true }, small, "", ReasonQuarantined, false},
+		"on probation": {func(ws []Worker) { ws[0].Probation, ws[1].Probation, ws[0].Tasks = true, true, 1 }, small, "w1", "", false},
+		"unfenced":     {func(ws []Worker) { ws[0].Fenced, ws[1].Fenced = false, false }, small, "", ReasonUnfenced, false},
 		"full": {func(ws []Worker) {
 			ws[0].Used.MilliCores, ws[1].Used.MilliCores = 45000, 45000
 		}, small, "", ReasonNoRoom, false},
--- a/internal/scheduler/ahead.go
+++ b/internal/scheduler/ahead.go
@@ -121,7 +121,7 @@
 	room := map[instance.ID]time.Time{}
 	var out []instance.ID
 	for id, w := range sh.own.workers {
-		if !s.usable(sh, w, now) || w.failing || w.health.quarantined(now) {
+		if !s.usable(sh, w, now) || w.failing || w.health.quarantined(now) || w.health.probation() {
 			continue
 		}
 		for _, t := range w.tasks {
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -76,6 +76,8 @@
 		state = "is drained"
 	case w.health.quarantined(now):
 		state = "is in quarantine until " + w.health.until.Format(time.RFC3339)
+	case w.health.probation():
+		state = "is on probation"
 	}
 	held := w.held(func(*run) bool { return true })
 	lines := []string{fmt.Sprintf("worker %s in rack %d %s; tasks hold %d of %d millicores and %d of %d MB", w.id,
--- a/internal/scheduler/fakes_test.go
+++ b/internal/scheduler/fakes_test.go
@@ -45,8 +45,9 @@
 }
 
 type fakeTask struct {
-	req upstream.StartRequest
-	end time.Time
+	req   upstream.StartRequest
+	end   time.Time
+	fails bool
 }
 
 // fleet is a set of workers behind one lock; it fails the test if a task runs in two places.
@@ -56,6 +57,10 @@
 	workers map[string]*fakeWorker
 	starts  int
 	resumed []upstream.StartRequest
+	// fails tells whether an attempt fails after a second on a worker.
+	fails func(w *fakeWorker, r upstream.StartRequest) bool
+	// startsOn holds the number of starts by worker.
+	startsOn map[instance.ID]int
 }
 
 type downError struct{}
@@ -80,6 +85,8 @@
 	lapsed := now.Sub(w.began)+time.Second >= w.expiry
 	for ref, t := range w.tasks {
 		switch {
+		case t.fails && !now.Before(t.end):
+			w.finish(ref, upstream.OutcomeFailed, "")
 		case !t.req.Service && !now.Before(t.end):
 			w.finish(ref, upstream.OutcomeDone, "")
 		case lapsed:
@@ -149,8 +156,13 @@
 		}
 	}
 	w.seen[key] = r.Attempt
-	w.tasks[r.TaskRef] = &fakeTask{req: r, end: time.Now().Add(r.RunTime)}
+	task := &fakeTask{req: r, end: time.Now().Add(r.RunTime)}
+	if f.fails != nil && f.fails(w, r) {
+		task.fails, task.end = true, time.Now().Add(time.Second)
+	}
+	w.tasks[r.TaskRef] = task
 	f.starts++
+	f.startsOn[w.id]++
 	if r.Checkpoint != "" {
 		f.resumed = append(f.resumed, r)
 	}
@@ -227,25 +239,6 @@
 
 func (c *changingConfig) Changed() <-chan struct{} { return nil }
 
-// fakeLedger counts the workers it was given.
-type fakeLedger struct{ workers map[instance.ID]int }
-
-func (l *fakeLedger) SetWorker(_ time.Time, id instance.ID, _, _ string, slots int) {
-	l.workers[id] = slots
-}
-func (l *fakeLedger) RemoveWorker(_ time.Time, id instance.ID)   { delete(l.workers, id) }
-func (l *fakeLedger) Fences(instance.ID) []upstream.GatewayFence { return nil }
-func (l *fakeLedger) Report(time.Time, instance.ID, []upstream.GatewayFence, []upstream.GatewayUse) {
-}
-func (l *fakeLedger) Grant(_ time.Time, r contract.GrantRequest) contract.GrantReply {
-	out := contract.GrantReply{Shard: r.Shard, Generation: 1}
-	for id, n := range l.workers {
-		out.Workers = append(out.Workers, contract.WorkerGrant{Worker: id, Slots: n})
-	}
-	return out
-}
-func (l *fakeLedger) Granted() int { return len(l.workers) }
-
 // world is a deployment inside one synctest bubble.
 type world struct {
 	t     *testing.T
@@ -262,7 +255,7 @@
 
 func newWorld(t *testing.T, workers int) *world {
 	w := &world{t: t, log: standin.NewLog(standin.Limits{}, 1), list: standin.NewList(0, 10*time.Second),
-		fleet: &fleet{t: t, workers: map[string]*fakeWorker{}}, net: &network{handlers: map[string]link.Handler{}}}
+		fleet: &fleet{t: t, workers: map[string]*fakeWorker{}, startsOn: map[instance.ID]int{}}, net: &network{handlers: map[string]link.Handler{}}}
 	w.v = &config.Version{Offset: 1, Manifest: &manifest.Manifest{RacksPerShard: 4,
 		DataCentres: []manifest.DataCentre{{Name: "bne", Workers: workers}}, Prices: manifest.Prices{CoreHour: 3600000},
 		Worker: manifest.Worker{Slots: 8, PerRack: 8, Capacity: resource.Vector{MilliCores: 8000, MemoryMB: 8000}},
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -41,4 +41,8 @@
 	}
 }
 
+// probation reports whether the worker gets one task at a time. Without this limit it would be filled after each quarantine, as an
+// empty worker is the first choice, and each of these tasks would fail.
+func (h *health) probation() bool { return h.failures >= quarantineAfter && h.several }
+
 func (h *health) quarantined(now time.Time) bool { return now.Before(h.until) }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -188,7 +188,8 @@
 		workers[i] = placement.Worker{ID: id, Rack: w.member.Rack, Capacity: w.member.Capacity,
 			Reserved: s.policy.envelope.Scale(int64(w.member.Slots)), Used: w.held(func(*run) bool { return true }),
 			Tasks: len(w.tasks), Fenced: w.lease.Fenced() && !w.lease.Lapsed(now) && !w.failing,
-			Leaving: w.leaving, Draining: sh.state.Drained(id), Quarantined: w.health.quarantined(now)}
+			Leaving: w.leaving, Draining: sh.state.Drained(id), Quarantined: w.health.quarantined(now),
+			Probation: w.health.probation()}
 	}
 	state := placement.NewState(workers)
 	for _, id := range ids {
--- a/internal/scheduler/renew.go
+++ b/internal/scheduler/renew.go
@@ -122,7 +122,9 @@
 		if t := w.tasks[e.TaskRef]; t != nil && t.end == nil {
 			t.end = e
 			sh.changed = true
-			w.health.ended(now, e)
+			if !s.noQuarantine {
+				w.health.ended(now, e)
+			}
 			s.metrics.observeEnd(t, e)
 		}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -26,18 +26,20 @@
 	io      context.Context
 
 	// The fields below belong to the control loop.
-	start    time.Time
-	version  *config.Version
-	shards   map[string]*shardLoop
-	names    []string
-	members  membership
-	policy   policies
-	shares   map[string]map[string]resource.Vector
-	leaving  bool
-	lastRead time.Time
-	nextSec  time.Time
-	kinds    map[string]kindInfo
-	transfer map[string]bool
+	start   time.Time
+	version *config.Version
+	shards  map[string]*shardLoop
+	names   []string
+	members membership
+	policy  policies
+	shares  map[string]map[string]resource.Vector
+	// noQuarantine selects the baseline, in which failures have no effect on workers.
+	noQuarantine bool
+	leaving      bool
+	lastRead     time.Time
+	nextSec      time.Time
+	kinds        map[string]kindInfo
+	transfer     map[string]bool
 }
 
 type membership struct {
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -118,6 +118,8 @@
 	case stop && !t.sent:
 		t.end = &upstream.TaskEvent{TaskRef: t.ref, Outcome: outcome, Reason: "the attempt was not started"}
 		sh.dirty = true
+	case !t.sent && w.health.quarantined(now):
+		s.giveUp(sh, t, "the worker is in quarantine")
 	case stop:
 		s.stop(sh, w, t, now, outcome)
 	case t.started.IsZero() && w.leased && !w.leaving && !sh.own.releasing && !s.leaving && s.fitsNow(w, t):
