--- a/test/faults/cluster_test.go
+++ b/test/faults/cluster_test.go
@@ -129,7 +129,7 @@
 }
 
 func (c *cluster) startScheduler(i int) *program {
-	return c.startEntry("clementine-scheduler", schedulerName(i), i, 14)
+	return c.startEntry("clementine-scheduler", schedulerName(i), i, 14, "--lease-interval", "500ms")
 }
 
 // newCluster starts a whole deployment and waits until every worker is fenced and every gateway serves.
@@ -298,8 +298,12 @@
 	for i := range 2 * entries {
 		gateways = append(gateways, gatewayURL(i))
 	}
+	jobs := 16
+	if c.short {
+		jobs = 6
+	}
 	return &load.Settings{Gateways: gateways, Manifest: manifestFile, Rate: 120, Duration: s.length, Requests: 100_000, PeakFactor: 1,
-		PeakEvery: time.Minute, Repeat: 0.3, BodyBytes: 256, MaxInFlight: 2000, Timeout: 6 * time.Second, BatchJobs: 16, BatchKinds: []string{"tool-rebid", "part-refresh"}, TasksPerJob: 6,
-		BatchSpread: s.length / 2, BatchWait: 60 * time.Second, Seed: 1, Standin: c.workers, Conditions: c.links.path,
+		PeakEvery: time.Minute, Repeat: 0.3, BodyBytes: 256, MaxInFlight: 2000, Timeout: 6 * time.Second, BatchJobs: jobs, BatchKinds: []string{"tool-rebid", "part-refresh"}, TasksPerJob: 6,
+		BatchSpread: s.length / 4, BatchWait: 60 * time.Second, Seed: 1, Standin: c.workers, Conditions: c.links.path,
 		Local: "127.9.0.1", Out: filepath.Join(c.dir, "load"), Plots: "none"}
 }
--- a/test/faults/faults_test.go
+++ b/test/faults/faults_test.go
@@ -100,6 +100,10 @@
 	}
 }
 
+// actionAfter is the number of executed requests after which the action begins, about 2.5 s after the start of the load. By then owners know
+// checkpoints of running tasks.
+const actionAfter = 300
+
 // prepare builds the programs and creates the keys of all instances.
 func prepare(t *testing.T) {
 	dir := t.TempDir()
@@ -134,7 +138,7 @@
 	go func() { result <- c.load(ctx, s) }()
 	c.await("load", startLimit, func() bool {
 		st := c.stats()
-		return st.Counts["executions"] > 150 && st.Running > 2
+		return st.Counts["executions"] > actionAfter && st.Running > 2
 	})
 	s.action(c)
 	if c.marked.IsZero() {
--- a/test/faults/scenarios_test.go
+++ b/test/faults/scenarios_test.go
@@ -62,7 +62,10 @@
 	one := worker.Selection{Workers: []instance.ID{"ipswich-w001"}}
 	return []scenario{
 		{name: "worker-dead", hit: "the busiest worker dies", action: func(c *cluster) {
-			c.workerFaults(c.busiest(), worker.Faults{Dead: true})
+			w := c.busiest()
+			// Its owner learns checkpoints with each fifth renewal, every 2.5 s.
+			c.pause(leaseTTL)
+			c.workerFaults(w, worker.Faults{Dead: true})
 		}},
 		{name: "worker-rebooted", hit: "the busiest worker dies and boots again at once", action: func(c *cluster) {
 			w := c.busiest()
@@ -206,6 +209,18 @@
 			c.kill(schedulerName(1))
 			c.mark()
 		}},
+		{name: "worker-dead-log-down", hit: "the busiest worker dies while the log is down for 6 s", length: 13 * time.Second, action: func(c *cluster) {
+			c.logFaults(platform.LogFaults{Down: true})
+			c.workerFaults(c.busiest(), worker.Faults{Dead: true})
+			c.pause(2 * leaseTTL)
+			c.logFaults(platform.LogFaults{})
+		}},
+		{name: "gateway-killed-twice", hit: "a gateway dies, comes back and dies again", action: func(c *cluster) {
+			for range 2 {
+				killGateway(c)
+				c.recovered()
+			}
+		}},
 		{name: "frozen-twice", hit: "an owner is frozen, thawed and frozen again", length: 16 * time.Second, action: func(c *cluster) {
 			for range 2 {
 				c.freezeFor(2*leaseTTL, schedulerName(1))
