--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build check format lint test models mutants demo up faults process-test clean
+.PHONY: build check format lint test models mutants demo up faults process-test soak experiment bench capacity clean
 
 build:
 	@mkdir -p $(BIN)
@@ -33,6 +33,10 @@
 up:
 	@DEMO_HOLD=1 scripts/demo.sh
 
+# What each process costs at several sizes, for 11 minutes; scripts/capacity.sh lists its settings.
+capacity:
+	@scripts/capacity.sh
+
 # Failures of the real programs under load, one scenario after the other: SCENARIO=name runs one, LIST=1 lists them, KEEP=1 keeps the logs.
 faults:
 	@mkdir -p $(BIN)
@@ -45,13 +49,21 @@
 	@$(GO) test -c -o $(BIN)/faults.test ./test/faults
 	@cd test/faults && PROCESSES=1 KEEP="$(KEEP)" ../../$(BIN)/faults.test -test.timeout 5m -test.run TestProcesses
 
+# Compares policies on a deployment of the real programs: EXP=name of a file of examples/experiments; scripts/experiment.sh lists the settings.
+experiment:
+	@EXP="$(EXP)" scripts/experiment.sh
+
+# Cost of the decisions at growing sizes, with the targets of docs/measurements.md.
+bench:
+	@scripts/bench.sh
+
 # Whole deployments in virtual time with faults: SEED=n runs one seed, SEED=n MINUTES=m runs new seeds from n on for m minutes.
 soak:
 	@mkdir -p $(BIN)
 	@$(GO) test -c -o $(BIN)/soak.test ./test/soak
 	@cd test/soak && SEED="$(or $(SEED),$(if $(MINUTES),$(shell date +%s)))" MINUTES="$(MINUTES)" ../../$(BIN)/soak.test -test.v -test.timeout 0 -test.run 'TestSoak$$'
 
-check: format lint test models mutants
+check: format lint test models mutants process-test
 
 clean:
 	@rm -rf $(BIN) out
--- a/internal/placement/policies.go
+++ b/internal/placement/policies.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -21,11 +23,11 @@
 
 // Place implements Policy.
 func (BestFit) Place(s *State, t Task) (Decision, error) {
-	return choose(s, t, func(w *Worker) score { return score{load: -used(w, t.Size)} },
+	return choose(s, t, func(_ int, w *Worker) score { return score{load: -used(w, t.Size)} },
 		func(w *Worker) string { return fmt.Sprintf("least free capacity, %.0f%% used", 100*used(w, t.Size)) })
 }
 
-// Spread keeps the tasks of a job apart, first over racks and then over workers, and balances the load otherwise. The loss of a
+// Spread keeps the tasks of a job apart, first over racks in proportion to their room and then over workers, and balances the load otherwise. The loss of a
 // rack then stops few tasks of each job.
 type Spread struct{}
 
@@ -37,11 +39,12 @@
 
 // Place implements Policy.
 func (Spread) Place(s *State, t Task) (Decision, error) {
-	return choose(s, t, func(w *Worker) score {
-		return score{rack: s.spread[spreadKey{job: t.Job, rack: w.Rack}],
+	shares := s.rackShares(t)
+	return choose(s, t, func(i int, w *Worker) score {
+		return score{rack: shares[s.racks.ofWorker[i]],
 			worker: s.spread[spreadKey{job: t.Job, rack: -1, worker: w.ID}], load: used(w, t.Size)}
 	}, func(w *Worker) string {
-		return fmt.Sprintf("fewest tasks of the job in rack %d, %.0f%% used", w.Rack, 100*used(w, t.Size))
+		return fmt.Sprintf("least share of the room in rack %d, %.0f%% used", w.Rack, 100*used(w, t.Size))
 	})
 }
 
@@ -51,23 +54,49 @@
 // Name implements Policy.
 func (LeastLaxity) Name() string { return "least-laxity" }
 
-// Order implements Policy. Tasks without a deadline come last, by urgency and then by time of submission.
+// Order implements Policy. Tasks without a deadline come last, by urgency and then by time of submission. Sorting small keys and moving
+// each task once is several times faster than sorting the tasks, which are large.
 func (LeastLaxity) Order(now time.Time, tasks []Task) {
-	sort.SliceStable(tasks, func(i, k int) bool {
-		a, b := tasks[i], tasks[k]
-		if a.Deadline.IsZero() != b.Deadline.IsZero() {
-			return b.Deadline.IsZero()
+	keys := make([]orderKey, len(tasks))
+	for i := range tasks {
+		t := &tasks[i]
+		keys[i] = orderKey{endless: t.Deadline.IsZero(), rank: t.Rank, submitted: t.Submitted, index: i}
+		if !keys[i].endless {
+			keys[i].laxity = Laxity(now, *t)
 		}
-		if !a.Deadline.IsZero() {
-			if la, lb := Laxity(now, a), Laxity(now, b); la != lb {
-				return la < lb
-			}
-		}
-		if a.Rank != b.Rank {
-			return a.Rank < b.Rank
+	}
+	slices.SortFunc(keys, orderKey.compare)
+	old := slices.Clone(tasks)
+	for i, k := range keys {
+		tasks[i] = old[k.index]
+	}
+}
+
+// orderKey is what the order of a task depends on. The index keeps equal tasks in their order.
+type orderKey struct {
+	laxity    time.Duration
+	submitted time.Time
+	rank      int
+	index     int
+	endless   bool
+}
+
+func (a orderKey) compare(b orderKey) int {
+	switch {
+	case a.endless != b.endless:
+		if a.endless {
+			return 1
 		}
-		return a.Submitted.Before(b.Submitted)
-	})
+		return -1
+	case a.laxity != b.laxity:
+		return cmp.Compare(a.laxity, b.laxity)
+	case a.rank != b.rank:
+		return cmp.Compare(a.rank, b.rank)
+	}
+	if c := a.submitted.Compare(b.submitted); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.index, b.index)
 }
 
 // Laxity is the time that a task can still wait and end before its deadline; negative if it is late.
@@ -75,8 +104,10 @@
 
 // score orders candidates, the lowest first.
 type score struct {
-	rack, worker int
-	load         float64
+	// rack is the share of a rack, worker a number of tasks.
+	rack   float64
+	worker int
+	load   float64
 }
 
 func (a score) less(b score) bool {
@@ -102,7 +133,10 @@
 		share(after.Accelerators, limit.Accelerators))
 }
 
-func choose(s *State, t Task, rate func(*Worker) score, why func(*Worker) string) (Decision, error) {
+func choose(s *State, t Task, rate func(int, *Worker) score, why func(*Worker) string) (Decision, error) {
+	if err := s.Usage.Check(t); err != nil {
+		return Decision{}, err
+	}
 	best, bestScore, candidates, possible := -1, score{}, 0, false
 	var counts map[Reason]int
 	refuse := func(r Reason) {
@@ -127,7 +161,7 @@
 			continue
 		}
 		candidates++
-		if sc := rate(w); best < 0 || sc.less(bestScore) {
+		if sc := rate(i, w); best < 0 || sc.less(bestScore) {
 			best, bestScore = i, sc
 		}
 	}
