--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -193,3 +193,21 @@
 	f.round(map[string]int{"db": 100})
 	require.Equal(t, 8, f.holdings["db"].Slots())
 }
+
+// Guards against requests to a leaving worker under a grant whose owner is gone.
+func TestHoldingLeavesOutLeavingWorkers(t *testing.T) {
+	h, now := NewHolding(), time.Unix(1000, 0)
+	h.Apply(now, now, contract.GrantReply{Shard: "s", Epoch: 1, Generation: 1, TTL: 10 * time.Second,
+		Workers: []contract.WorkerGrant{{Worker: "w0", Slots: 2}, {Worker: "w1", Slots: 3}}}, false)
+	h.SetLeaving(map[instance.ID]bool{"w0": true})
+	free := map[int16]int{}
+	for _, c := range h.Candidates() {
+		free[c.Free]++
+	}
+	require.Equal(t, map[int16]int{0: 1, 3: 1}, free)
+	h.SetLeaving(nil)
+	for i := range h.Candidates() {
+		_, ok := h.Acquire(now, i)
+		require.True(t, ok)
+	}
+}
--- a/internal/budget/holding.go
+++ b/internal/budget/holding.go
@@ -73,6 +73,7 @@
 	entries    []entry
 	candidates []Candidate
 	index      map[instance.ID]int
+	leaving    map[instance.ID]bool
 	nextExpiry time.Time
 	free       int
 	slots      int
@@ -180,7 +181,7 @@
 
 func (h *Holding) update(i int) {
 	e, free := &h.entries[i], 0
-	if e.refused.IsZero() && !h.shards[e.shard].expired {
+	if e.refused.IsZero() && !h.leaving[e.id] && !h.shards[e.shard].expired {
 		free = max(0, e.slots-e.inUse)
 	}
 	c := h.candidates[i]
@@ -259,6 +260,15 @@
 	}
 }
 
+// SetLeaving names the workers that are leaving. They get no new request although the grant may still last: the owner that would withdraw it
+// can be gone.
+func (h *Holding) SetLeaving(leaving map[instance.ID]bool) {
+	h.leaving = leaving
+	for i := range h.entries {
+		h.update(i)
+	}
+}
+
 // Complying returns the newest grant of a shard with which all requests in progress comply.
 func (h *Holding) Complying(shard string) (epoch, generation uint64) {
 	s := h.shards[shard]
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -63,6 +63,7 @@
 	}
 	d := &directory{gateways: map[instance.Incarnation]instance.Member{}, workers: map[instance.ID]instance.Member{},
 		shards: map[string]string{}}
+	leaving := map[instance.ID]bool{}
 	for _, m := range members {
 		switch m.Role {
 		case instance.RoleGateway:
@@ -71,9 +72,13 @@
 			d.schedulers = append(d.schedulers, m)
 		case instance.RoleWorker:
 			d.workers[m.ID] = m
+			if m.State == instance.StateLeaving {
+				leaving[m.ID] = true
+			}
 			d.shards[datacentre.Shard(m.DataCentre, m.Rack, max(c.version.Manifest.RacksPerShard, 1))] = m.DataCentre
 		}
 	}
+	c.holding.SetLeaving(leaving)
 	g.directory.Store(d)
 	_, c.listed = d.gateways[g.Incarnation]
 	for name, dc := range d.shards {
