Use a worker again when an answer ends its probation

Cause: a worker on probation is left out of routing while its one request runs; the answer that ended the probation also removed the mark by which release would have put the worker back, so it stayed out for good. With every worker through a probation, a gateway had free slots and used none. Ruled out: expired grants, slots kept for cancelled requests. Change: release puts the worker back according to the state of its ejection. Conclusion: the end of a probation is tested now, not only its beginning.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -232,8 +232,7 @@
 
 func (g *Gateway) release(now time.Time, p budget.Permit) {
 	g.control.holding.Release(p)
-	if g.control.outliers.Probation(p.Worker) {
-		g.control.holding.SetEjected(p.Worker, false)
-	}
+	// The answer may have ended the probation, so the state decides and not whether the worker still is on probation.
+	g.control.holding.SetEjected(p.Worker, g.control.outliers.Ejected(p.Worker))
 	g.pump(now)
 }
--- a/internal/gateway/ejection_test.go
+++ b/internal/gateway/ejection_test.go
@@ -47,5 +47,13 @@
 	require.Empty(t, waiting.slot, "slots of a worker on probation are not used")
 	require.Equal(t, routing.None, c.policy.Choose(c.holding.Candidates(), routing.None))
 	g.release(now, probe.permit)
-	require.Equal(t, probe.permit.Worker, (<-waiting.slot).permit.Worker, "the next request")
-}
+	next := <-waiting.slot
+	require.Equal(t, probe.permit.Worker, next.permit.Worker, "the next request")
+
+	c.services.Observe(now, "quote", time.Second)
+	g.succeeded(now, "quote", next.permit, time.Second)
+	require.False(t, c.outliers.Probation("slow"))
+	i, known := c.holding.Index("slow")
+	require.True(t, known)
+	require.False(t, c.holding.Candidates()[i].Ejected, "an answer in time ends the probation")
+}
