--- a/internal/gateway/ejection_test.go
+++ b/internal/gateway/ejection_test.go
@@ -56,4 +56,4 @@
 	i, known := c.holding.Index("slow")
 	require.True(t, known)
 	require.False(t, c.holding.Candidates()[i].Ejected, "an answer in time ends the probation")
-}
+}
