Share the start of a deployment and the frame of the two entry programs

Change: entry.Support.Run holds the frame of gateway and scheduler; start_deployment and stop_deployment in scripts/lib.sh serve both scripts. Conclusion: one place to change for both.

--- a/cmd/clementine-gateway/wire.go
+++ b/cmd/clementine-gateway/wire.go
@@ -11,5 +11,5 @@
 )
 
 func initialize(s *Settings, l *slog.Logger) (*program, error) {
-	panic(wire.Build(entry.Parts, newProgram, newEntrySettings, newLinkListen, newGateway))
+	panic(wire.Build(entry.Parts, wire.Struct(new(program), "*"), newEntrySettings, newLinkListen, newGateway))
 }
--- a/cmd/clementine-gateway/wire_gen.go
+++ b/cmd/clementine-gateway/wire_gen.go
@@ -15,7 +15,6 @@
 // Injectors from wire.go:
 
 func initialize(s *Settings, l *slog.Logger) (*program, error) {
-	incarnation := entry.NewIncarnation()
 	settings := newEntrySettings(s)
 	linkListen := newLinkListen(s)
 	conditions, err := entry.NewConditions(settings, l)
@@ -35,13 +34,24 @@
 	if err != nil {
 		return nil, err
 	}
-	client := entry.NewWorkers(linkListen, conditions, traffic)
 	follower, err := entry.NewFollower(settings, l, log, list, transport, registry)
 	if err != nil {
 		return nil, err
 	}
+	support := &entry.Support{
+		Settings:  settings,
+		Follower:  follower,
+		Transport: transport,
+		List:      list,
+	}
+	incarnation := entry.NewIncarnation()
+	client := entry.NewWorkers(linkListen, conditions, traffic)
 	health := entry.NewHealth()
 	gateway := newGateway(s, incarnation, l, log, list, transport, client, follower, registry, health)
-	mainProgram := newProgram(s, gateway, follower, transport, list)
+	mainProgram := &program{
+		settings: s,
+		support:  support,
+		gateway:  gateway,
+	}
 	return mainProgram, nil
 }
--- a/cmd/clementine-scheduler/main.go
+++ b/cmd/clementine-scheduler/main.go
@@ -8,12 +8,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/sync/errgroup"
 
-	"clementinewalk.example/clementinewalk/internal/config"
 	"clementinewalk.example/clementinewalk/internal/entry"
-	"clementinewalk.example/clementinewalk/internal/link"
-	"clementinewalk.example/clementinewalk/internal/platform"
 	"clementinewalk.example/clementinewalk/internal/process"
 	"clementinewalk.example/clementinewalk/internal/scheduler"
 )
@@ -26,49 +22,20 @@
 // program is the wired process.
 type program struct {
 	settings  *Settings
+	support   *entry.Support
 	scheduler *scheduler.Scheduler
-	follower  *config.Follower
-	transport *link.Transport
-	list      platform.List
 	registry  *prometheus.Registry
 }
 
-func newProgram(s *Settings, sch *scheduler.Scheduler, f *config.Follower, t *link.Transport, l platform.List, r *prometheus.Registry) *program {
-	return &program{settings: s, scheduler: sch, follower: f, transport: t, list: l, registry: r}
-}
-
-// run works until ctx ends. Link, configuration and the operators' endpoint outlive the handover of the shards.
+// run works until ctx ends and the shards are handed over.
 func (p *program) run(ctx context.Context) error {
 	ln, err := process.Listen("--http-listen", p.settings.HTTPListen)
 	if err != nil {
 		return err
 	}
-	if err := entry.AwaitPlatform(ctx, &p.settings.Settings, p.list); err != nil {
-		return err
-	}
-	support, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	// A failed part ends the others.
-	ctx, fail := context.WithCancel(ctx)
-	defer fail()
-	var group errgroup.Group
-	group.Go(func() error {
-		defer fail()
-		return p.transport.Serve(support, p.scheduler.Handle)
-	})
-	group.Go(func() error {
-		defer fail()
-		return p.follower.Run(support)
-	})
-	group.Go(func() error {
-		defer fail()
-		return process.ServeHTTP(support, process.NewHTTPServer(p.scheduler.Ops(p.registry), opsReadTimeout), ln, opsStopWait)
-	})
-	group.Go(func() error {
-		defer stop()
-		return p.scheduler.Run(ctx)
-	})
-	return group.Wait()
+	server := process.NewHTTPServer(p.scheduler.Ops(p.registry), opsReadTimeout)
+	return p.support.Run(ctx, p.scheduler.Handle, p.scheduler.Run,
+		func(ctx context.Context) error { return process.ServeHTTP(ctx, server, ln, opsStopWait) })
 }
 
 func main() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,7 +61,8 @@
 
 // Parts provides everything that both programs use.
 var Parts = wire.NewSet(NewHealth, process.NewRegistry, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
-	NewIncarnation, NewTraffic, NewPlatformHTTP, NewLog, NewList, NewWorkers, NewKeys, NewConditions, NewTransport, NewFollower)
+	NewIncarnation, NewTraffic, NewPlatformHTTP, NewLog, NewList, NewWorkers, NewKeys, NewConditions, NewTransport, NewFollower,
+	wire.Struct(new(Support), "*"))
 
 // NewHealth returns the health of a process that is not ready yet.
 func NewHealth() *process.Health { return &process.Health{} }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -19,61 +19,11 @@
 out=${DEMO_OUT:-out/demo}
 entries=3
 
-platform=127.0.0.1:$port
-admin_port=$((port + 1))
-gateway_http=$((port + 10)) gateway_link=$((port + 11))
-scheduler_http=$((port + 20)) scheduler_link=$((port + 21))
-
 new_work
 say "building"
 make --no-print-directory build
 
-bin/clementine-load layout --manifest "$manifest" --port "$port" --conditions "$WORK/links.yaml" >"$WORK/layout.sh"
-. "$WORK/layout.sh"
-export "${!CLEMENTINE_WORKER_@}"
-export CLEMENTINE_PLATFORM=http://$platform CLEMENTINE_PLATFORM_URL=http://$platform
-export CLEMENTINE_KEYS=$WORK/keys CLEMENTINE_LINK_CONDITIONS=$WORK/links.yaml
-count=${#DATA_CENTRES[@]}
-
-say "creating keys for $entries gateways and $entries schedulers"
-bin/clementinectl keys init --dir "$WORK/keys" >/dev/null
-for ((i = 0; i < entries; i++)); do
-  host=${ENTRY_HOSTS[i % count]}
-  bin/clementinectl keys issue "gateway-$i" --dir "$WORK/keys" --role gateway --ip "$host" --validity 24h >/dev/null
-  bin/clementinectl keys issue "scheduler-$i" --dir "$WORK/keys" --role scheduler --ip "$host" --validity 24h >/dev/null
-done
-
-say "starting the platform and the workers: $CLEMENTINE_WORKER_FLEET"
-spawn platform bin/standin-platform --listen "$platform"
-await_ready platform 127.0.0.1 "$port" 10
-spawn workers bin/standin-worker --admin "127.0.0.1:$admin_port"
-await_ready workers 127.0.0.1 "$admin_port" 10
-
-say "starting $entries schedulers and $entries gateways"
-gateways=()
-for ((i = 0; i < entries; i++)); do
-  # A data centre's second and later entry instances use other ports of the same address.
-  shift_by=$((i / count * 100))
-  host=${ENTRY_HOSTS[i % count]} centre=${DATA_CENTRES[i % count]}
-  spawn "scheduler-$i" bin/clementine-scheduler --id "scheduler-$i" --data-centre "$centre" \
-    --http-listen "$host:$((scheduler_http + shift_by))" --link-listen "$host:$((scheduler_link + shift_by))"
-  spawn "gateway-$i" bin/clementine-gateway --id "gateway-$i" --data-centre "$centre" \
-    --http-listen "$host:$((gateway_http + shift_by))" --link-listen "$host:$((gateway_link + shift_by))"
-  gateways+=("http://$host:$((gateway_http + shift_by))")
-done
-
-# await_count PATTERN COUNT SECONDS COMMAND...: waits until the output of clementinectl COMMAND has COUNT lines with PATTERN.
-await_count() {
-  local pattern=$1 count=$2 deadline=$((SECONDS + $3)) found=0
-  shift 3
-  while ((SECONDS < deadline)); do
-    found=$(bin/clementinectl "$@" -o json 2>/dev/null | grep -c "$pattern" || true)
-    ((found >= count)) && return 0
-    sleep 0.2
-  done
-  fail "clementinectl $* shows $found of $count lines with $pattern"
-  return 1
-}
+start_deployment "$manifest" "$port" "$entries"
 
 # A process is listed about 2 s after its start; schedulers are listed once they have a manifest.
 await_count '"role": "gateway"' "$entries" 15 instances
@@ -138,13 +88,6 @@
 ((resumed == evicted)) || fail "$resumed of $evicted evicted tasks were resumed"
 ((evicted > 0)) || say "note: the drained worker had no task left to evict"
 
-say "stopping gateways, schedulers, workers and the platform"
-for ((i = 0; i < entries; i++)); do fronts+=("gateway-$i") owners+=("scheduler-$i"); done
-stop "${fronts[@]}"
-stop "${owners[@]}"
-# Without owners the leases of the workers lapse, which ends the tasks of services.
-stop workers
-stop platform
-if grep -l 'assertion is broken' "$WORK"/logs/*.log >&2; then fail "an invariant was broken"; fi
+stop_deployment
 ((FAILED == 0)) && say "passed; results are in $out" || say "failed"
 exit $FAILED
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -123,3 +123,66 @@
   fail "$1 was not ready within $4 s"
   return 1
 }
+
+# start_deployment MANIFEST PORT ENTRIES: starts the platform, the workers of the manifest, and ENTRIES schedulers and gateways, each in the
+# network of its data centre. It sets gateways (URLs), admin_port (of the workers), and fronts and owners for stop_deployment.
+start_deployment() {
+  local manifest=$1 port=$2 entries=$3 i host centre base count platform=127.0.0.1:$2
+  admin_port=$((port + 1)) gateways=() fronts=() owners=()
+  bin/clementine-load layout --manifest "$manifest" --port "$port" --conditions "$WORK/links.yaml" >"$WORK/layout.sh"
+  . "$WORK/layout.sh"
+  export "${!CLEMENTINE_WORKER_@}"
+  export CLEMENTINE_PLATFORM=http://$platform CLEMENTINE_PLATFORM_URL=http://$platform
+  export CLEMENTINE_KEYS=$WORK/keys CLEMENTINE_LINK_CONDITIONS=$WORK/links.yaml
+  count=${#DATA_CENTRES[@]}
+
+  say "creating keys for $entries gateways and $entries schedulers"
+  bin/clementinectl keys init --dir "$WORK/keys" >/dev/null
+  for ((i = 0; i < entries; i++)); do
+    for role in gateway scheduler; do
+      bin/clementinectl keys issue "$role-$i" --dir "$WORK/keys" --role $role --ip "${ENTRY_HOSTS[i % count]}" --validity 24h >/dev/null
+    done
+  done
+
+  say "starting the platform and the workers: $CLEMENTINE_WORKER_FLEET"
+  spawn platform bin/standin-platform --listen "$platform"
+  await_ready platform 127.0.0.1 "$port" 10
+  spawn workers bin/standin-worker --admin "127.0.0.1:$admin_port"
+  await_ready workers 127.0.0.1 "$admin_port" 10
+
+  say "starting $entries schedulers and $entries gateways"
+  for ((i = 0; i < entries; i++)); do
+    # A data centre's second and later entry instances use other ports of the same address.
+    base=$((port + 10 + i / count * 100))
+    host=${ENTRY_HOSTS[i % count]} centre=${DATA_CENTRES[i % count]}
+    spawn "scheduler-$i" bin/clementine-scheduler --id "scheduler-$i" --data-centre "$centre" \
+      --http-listen "$host:$((base + 10))" --link-listen "$host:$((base + 11))"
+    spawn "gateway-$i" bin/clementine-gateway --id "gateway-$i" --data-centre "$centre" \
+      --http-listen "$host:$base" --link-listen "$host:$((base + 1))"
+    gateways+=("http://$host:$base") fronts+=("gateway-$i") owners+=("scheduler-$i")
+  done
+}
+
+# stop_deployment stops what start_deployment started, callers' side first, and looks for broken invariants in the logs.
+stop_deployment() {
+  say "stopping gateways, schedulers, workers and the platform"
+  stop "${fronts[@]}"
+  stop "${owners[@]}"
+  # Without owners the leases of the workers lapse, which ends the tasks of services.
+  stop workers
+  stop platform
+  if grep -l 'assertion is broken' "$WORK"/logs/*.log >&2; then fail "an invariant was broken"; fi
+}
+
+# await_count PATTERN COUNT SECONDS COMMAND...: waits until the output of clementinectl COMMAND has COUNT lines with PATTERN.
+await_count() {
+  local pattern=$1 count=$2 deadline=$((SECONDS + $3)) found=0
+  shift 3
+  while ((SECONDS < deadline)); do
+    found=$(bin/clementinectl "$@" -o json 2>/dev/null | grep -c "$pattern" || true)
+    ((found >= count)) && return 0
+    sleep 0.2
+  done
+  fail "clementinectl $* shows $found of $count lines with $pattern"
+  return 1
+}
