--- a/cmd/clementine-load/main.go
+++ b/cmd/clementine-load/main.go
@@ -42,29 +42,26 @@
 	return r.Run(ctx)
 }
 
+// commands returns what each command of the command line does, by its name.
+func commands(cli *CLI, l *slog.Logger) map[string]func(ctx context.Context) error {
+	here := func(f func() error) func(context.Context) error {
+		return func(context.Context) error { return f() }
+	}
+	return map[string]func(ctx context.Context) error{
+		"run":     func(ctx context.Context) error { return run(ctx, &cli.Run, l) },
+		"compare": here(func() error { return load.Compare(os.Stdout, cli.Compare.Dirs) }),
+		"experiment": func(ctx context.Context) error {
+			return experiment.NewDriver(&cli.Experiment, process.Part(l, "experiment"), os.Stdout).Run(ctx)
+		},
+		"layout":          here(func() error { return cli.Layout.Run(os.Stdout) }),
+		"sample":          cli.Sample.Run,
+		"capacity-report": here(func() error { return cli.CapacityReport.Run(os.Stdout) }),
+	}
+}
+
 func main() {
 	cli := &CLI{}
 	k := process.Parse(cli, "clementine-load", "Load generator for gateways on the loopback network.")
 	l := cli.NewLogger(os.Stderr)
-	switch k.Command() {
-	case "compare <dir>":
-		exit(l, load.Compare(os.Stdout, cli.Compare.Dirs))
-	case "layout":
-		exit(l, cli.Layout.Run(os.Stdout))
-	case "experiment <file>":
-		os.Exit(process.Run(l, experiment.NewDriver(&cli.Experiment, process.Part(l, "experiment"), os.Stdout).Run))
-	case "sample":
-		os.Exit(process.Run(l, cli.Sample.Run))
-	case "capacity-report":
-		exit(l, cli.CapacityReport.Run(os.Stdout))
-	default:
-		os.Exit(process.Run(l, func(ctx context.Context) error { return run(ctx, &cli.Run, l) }))
-	}
-}
-
-func exit(l *slog.Logger, err error) {
-	if err != nil {
-		l.Error("load: the command failed", "error", err)
-		os.Exit(1)
-	}
+	os.Exit(process.Run(l, commands(cli, l)[k.Selected().Name]))
 }
