Use ejected workers when no other worker is left

Cause: workers on probation are out of routing while their request runs and do not count towards the bound of half, so a gateway could have free slots and no worker to use. Change: if every worker with a grant is out of routing, the one with the most free slots is used. Conclusion: ejection can no longer stop a gateway.

--- a/internal/budget/holding.go
+++ b/internal/budget/holding.go
@@ -260,6 +260,21 @@
 	}
 }
 
+// LastResort returns the index of the worker with the most free slots if ejection leaves no worker at all, and false otherwise. A worker that
+// failed is then better than none.
+func (h *Holding) LastResort() (int, bool) {
+	best, found := 0, false
+	for i, c := range h.candidates {
+		if !c.Ejected {
+			return 0, false
+		}
+		if c.Free > 0 && (!found || c.Free > h.candidates[best].Free) {
+			best, found = i, true
+		}
+	}
+	return best, found
+}
+
 // SetLeaving names the workers that are leaving. They get no new request although the grant may still last: the owner that would withdraw it
 // can be gone.
 func (h *Holding) SetLeaving(leaving map[instance.ID]bool) {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -178,7 +178,11 @@
 		// The choice comes first, so that no call leaves the queue when only ejected workers have free slots.
 		i := k.policy.Choose(k.holding.Candidates(), routing.None)
 		if i == routing.None {
-			return
+			last, ok := k.holding.LastResort()
+			if !ok {
+				return
+			}
+			i = last
 		}
 		entry, refused := k.queue.Pop(now, k.load())
 		g.refuse(refused)
@@ -186,7 +190,9 @@
 			return
 		}
 		if avoid, known := k.holding.Index(entry.Value.avoid); known {
-			i = k.policy.Choose(k.holding.Candidates(), avoid)
+			if other := k.policy.Choose(k.holding.Candidates(), avoid); other != routing.None {
+				i = other
+			}
 		}
 		permit, ok := k.holding.Acquire(now, i)
 		if !ok {
--- a/internal/gateway/ejection_test.go
+++ b/internal/gateway/ejection_test.go
@@ -57,3 +57,24 @@
 	require.True(t, known)
 	require.False(t, c.holding.Candidates()[i].Ejected, "an answer in time ends the probation")
 }
+
+// Guards against a gateway that uses no slot at all because each of its workers is ejected or on probation.
+func TestLastResort(t *testing.T) {
+	g, now := New(Settings{ID: "g", Incarnation: "g-1", DataCentre: "bne"}, newWorld(t).deps()), time.Now()
+	c := &g.control
+	c.holding.Apply(now, now, contract.GrantReply{Shard: testShard, Epoch: 1, Generation: 1, TTL: time.Hour,
+		Workers: []contract.WorkerGrant{{Worker: "a", Slots: 1}, {Worker: "b", Slots: 2}}}, false)
+	enter := func() *call {
+		x := &call{slot: make(chan slot, 1)}
+		x.entry = admission.Entry[*call]{Kind: "quote", Arrived: now, Deadline: now.Add(time.Minute), Value: x}
+		g.enter(now, x, false)
+		return x
+	}
+	c.holding.SetEjected("b", true)
+	require.EqualValues(t, "a", (<-enter().slot).permit.Worker)
+	waiting := enter()
+	require.Empty(t, waiting.slot, "one worker is in use and not ejected")
+	c.holding.SetEjected("a", true)
+	g.pump(now)
+	require.EqualValues(t, "b", (<-waiting.slot).permit.Worker)
+}
