Name durations as durations when a setting is refused

Cause: a refused lease interval of one hour was reported as value 3600, allowed 0.05 to 60. Conclusion: an operator can copy the allowed value.

--- a/cmd/clementine-gateway/settings.go
+++ b/cmd/clementine-gateway/settings.go
@@ -24,7 +24,7 @@
 		s.Settings.Check(),
 		process.CheckAddr("--http-listen", s.HTTPListen),
 		process.CheckAddr("--link-listen", s.LinkListen),
-		process.CheckRange("--drain-delay", s.DrainDelay.Seconds(), 0, maxDrainDelay.Seconds()),
+		process.CheckRange("--drain-delay", s.DrainDelay, 0, maxDrainDelay),
 	}
 	for _, err := range checks {
 		if err != nil {
--- a/cmd/clementine-scheduler/settings.go
+++ b/cmd/clementine-scheduler/settings.go
@@ -26,7 +26,7 @@
 		s.Settings.Check(),
 		process.CheckAddr("--http-listen", s.HTTPListen),
 		process.CheckAddr("--link-listen", s.LinkListen),
-		process.CheckRange("--lease-interval", s.LeaseInterval.Seconds(), minLeaseInterval.Seconds(), maxLeaseInterval.Seconds()),
+		process.CheckRange("--lease-interval", s.LeaseInterval, minLeaseInterval, maxLeaseInterval),
 	}
 	for _, err := range checks {
 		if err != nil {
--- a/cmd/standin-platform/settings.go
+++ b/cmd/standin-platform/settings.go
@@ -31,9 +31,9 @@
 		process.CheckAddr("--listen", s.Listen),
 		process.CheckRange("--appends-per-second", s.AppendsPerSecond, 0, maxRate),
 		process.CheckRange("--max-records", s.MaxRecords, 0, maxRecords),
-		process.CheckRange("--max-age", s.MaxAge.Seconds(), 0, maxDuration.Seconds()),
-		process.CheckRange("--list-lag", s.ListLag.Seconds(), 0, time.Hour.Seconds()),
-		process.CheckRange("--list-ttl", s.ListTTL.Seconds(), 0, maxDuration.Seconds()),
+		process.CheckRange("--max-age", s.MaxAge, 0, maxDuration),
+		process.CheckRange("--list-lag", s.ListLag, 0, time.Hour),
+		process.CheckRange("--list-ttl", s.ListTTL, 0, maxDuration),
 	}
 	for _, err := range checks {
 		if err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,7 +50,7 @@
 
 // Check returns a *process.SettingError for the first setting that is not allowed.
 func (s *Settings) Check() error {
-	return process.CheckRange("--platform-wait", s.PlatformWait.Seconds(), 0, maxPlatformWait.Seconds())
+	return process.CheckRange("--platform-wait", s.PlatformWait, 0, maxPlatformWait)
 }
 
 // LinkListen and HTTPListen are the addresses of a process, as it listens on them and as others use them.
--- a/internal/experiment/spec.go
+++ b/internal/experiment/spec.go
@@ -129,7 +129,7 @@
 	seen := map[string]bool{}
 	for _, p := range s.Phases {
 		checks = append(checks, checkName("phases.name", p.Name), checkOnce("phases.name", p.Name, seen),
-			process.CheckRange("phases.length", p.Length.Seconds(), 1, maxLength.Seconds()),
+			process.CheckRange("phases.length", p.Length, time.Second, maxLength),
 			process.CheckRange("phases.factor", p.Factor, 0, maxFactor))
 	}
 	seen = map[string]bool{}
--- a/internal/load/sample.go
+++ b/internal/load/sample.go
@@ -55,7 +55,7 @@
 	if err := process.CheckRange("--repeat", s.Repeat, 1, maxRepeat); err != nil {
 		return nil, err
 	}
-	return out, process.CheckRange("--interval", s.Interval.Seconds(), 1, maxInterval.Seconds())
+	return out, process.CheckRange("--interval", s.Interval, time.Second, maxInterval)
 }
 
 // Run measures for the interval. It returns a *TargetError or *process.SettingError for settings that are not allowed, and a
--- a/internal/load/settings.go
+++ b/internal/load/settings.go
@@ -85,19 +85,19 @@
 func (s *Settings) checkRanges() []error {
 	return []error{
 		process.CheckRange("--rate", s.Rate, 0, maxRate),
-		process.CheckRange("--duration", s.Duration.Seconds(), 0, maxRunTime.Seconds()),
+		process.CheckRange("--duration", s.Duration, 0, maxRunTime),
 		process.CheckRange("--requests", s.Requests, 0, maxRequests),
 		process.CheckRange("--peak-factor", s.PeakFactor, 0, maxPeakFactor),
-		process.CheckRange("--peak-every", s.PeakEvery.Seconds(), 0.1, maxRunTime.Seconds()),
-		process.CheckRange("--peak-length", s.PeakLength.Seconds(), 0, s.PeakEvery.Seconds()),
+		process.CheckRange("--peak-every", s.PeakEvery, 100*time.Millisecond, maxRunTime),
+		process.CheckRange("--peak-length", s.PeakLength, 0, s.PeakEvery),
 		process.CheckRange("--repeat", s.Repeat, 0, 1),
 		process.CheckRange("--body-bytes", s.BodyBytes, 0, maxBodyBytes),
 		process.CheckRange("--max-in-flight", s.MaxInFlight, 1, maxInFlight),
-		process.CheckRange("--timeout", s.Timeout.Seconds(), 0.001, time.Hour.Seconds()),
+		process.CheckRange("--timeout", s.Timeout, time.Millisecond, time.Hour),
 		process.CheckRange("--batch-jobs", s.BatchJobs, 0, maxJobs),
 		process.CheckRange("--tasks-per-job", s.TasksPerJob, 1, maxTasks),
-		process.CheckRange("--batch-spread", s.BatchSpread.Seconds(), 0, maxRunTime.Seconds()),
-		process.CheckRange("--batch-wait", s.BatchWait.Seconds(), 0, maxRunTime.Seconds()),
+		process.CheckRange("--batch-spread", s.BatchSpread, 0, maxRunTime),
+		process.CheckRange("--batch-wait", s.BatchWait, 0, maxRunTime),
 	}
 }
 
--- a/internal/operator/cli.go
+++ b/internal/operator/cli.go
@@ -63,7 +63,7 @@
 			return err
 		}
 	}
-	return process.CheckRange("--timeout", s.Timeout.Seconds(), 0.1, time.Hour.Seconds())
+	return process.CheckRange("--timeout", s.Timeout, 100*time.Millisecond, time.Hour)
 }
 
 func checkURL(setting, value string) error {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 )
@@ -109,7 +110,7 @@
 }
 
 // CheckRange returns a *SettingError unless low <= value <= high.
-func CheckRange[T int | int64 | float64](setting string, value, low, high T) error {
+func CheckRange[T int | int64 | float64 | time.Duration](setting string, value, low, high T) error {
 	if value < low || value > high {
 		return &SettingError{Setting: setting, Value: fmt.Sprint(value), Allowed: fmt.Sprintf("%v to %v", low, high)}
 	}
