--- /dev/null
+++ b/cmd/clementine-node/wire.go
@@ -0,0 +1,17 @@
+//go:build wireinject
+
+package main
+
+import (
+	"log/slog"
+
+	"github.com/google/wire"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"clementinewalk.example/clementinewalk/internal/node"
+	"clementinewalk.example/clementinewalk/platform"
+)
+
+func initialize(o *Options, s *platform.Settings, l *slog.Logger, r *prometheus.Registry) *node.Node {
+	panic(wire.Build(newStore, newWorkers, newTopics, newConfig, newCatalog, newViews, newBatcher, newDesk, newOwner, newNode))
+}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,230 @@
+// Package catalog is what a process knows of all submissions: everything that the log holds of them, kept current by followers.
+package catalog
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+// Keys of the two topics. A submission's own key is its id.
+const (
+	cancelPrefix = "cancel/"
+	ownerKey     = "owner"
+)
+
+// SubmissionEntry returns the entry that makes a submission accepted. It returns an *workflow.EncodeError.
+func SubmissionEntry(s *workflow.Submission) (eventlog.Entry, error) {
+	b, err := workflow.Encode("submission", s)
+	return eventlog.Entry{Key: string(s.Job), Value: b}, err
+}
+
+// CancelEntry returns the entry that cancels a submission.
+func CancelEntry(id workflow.JobID) eventlog.Entry {
+	return eventlog.Entry{Key: cancelPrefix + string(id), Value: []byte{1}}
+}
+
+// ProgressEntry returns the entry with the state of a submission. It returns an *workflow.EncodeError.
+func ProgressEntry(id workflow.JobID, r *workflow.Record) (eventlog.Entry, error) {
+	b, err := workflow.Encode("progress", r)
+	return eventlog.Entry{Key: string(id), Value: b}, err
+}
+
+// Ownership is the record with which an instance takes all submissions over, and shows that it still has them.
+type Ownership struct {
+	_        struct{} `cbor:",toarray"`
+	Epoch    int64
+	Instance string
+	Claim    string
+	// Released tells that the owner has stopped and sends no more orders.
+	Released bool
+}
+
+// OwnerEntry returns the entry of an ownership. It returns an *workflow.EncodeError.
+func OwnerEntry(o *Ownership) (eventlog.Entry, error) {
+	b, err := workflow.Encode("ownership", o)
+	return eventlog.Entry{Key: ownerKey, Value: b}, err
+}
+
+// Job is what is known of one submission. It is shared and never changed after it is published.
+type Job struct {
+	Submission *workflow.Submission
+	Cancelled  bool
+	// Record is nil before the owner has decided anything.
+	Record *workflow.Record
+	// RecordOffset is where Record stands in the log.
+	RecordOffset int64
+	// Offset orders submissions by acceptance.
+	Offset int64
+}
+
+// State returns what a caller is told.
+func (j *Job) State() workflow.State {
+	switch {
+	case j.Record != nil && j.Record.State.Over():
+		return j.Record.State
+	case j.Cancelled:
+		return workflow.Cancelled
+	case j.Record != nil:
+		return j.Record.State
+	}
+	return workflow.Queued
+}
+
+// Catalog holds all submissions. Its methods may be called from any goroutine.
+type Catalog struct {
+	logger *slog.Logger
+	mu     sync.RWMutex
+	jobs   map[workflow.JobID]*Job
+	// orphans are cancellations and records whose submission has not been read yet.
+	orphans map[workflow.JobID]*Job
+	owner   Ownership
+}
+
+// New returns an empty catalog.
+func New(l *slog.Logger) *Catalog {
+	return &Catalog{logger: l, jobs: map[workflow.JobID]*Job{}, orphans: map[workflow.JobID]*Job{}}
+}
+
+// Find returns a submission, or nil.
+func (c *Catalog) Find(id workflow.JobID) *Job {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.jobs[id]
+}
+
+// Waiting counts the submissions of a queue of which no task has started.
+func (c *Catalog) Waiting(queueName string) int {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	n := 0
+	for _, j := range c.jobs {
+		if j.Submission.Terms.Queue == queueName && j.State() == workflow.Queued {
+			n++
+		}
+	}
+	return n
+}
+
+// All returns every submission.
+func (c *Catalog) All() []*Job {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	out := make([]*Job, 0, len(c.jobs))
+	for _, j := range c.jobs {
+		out = append(out, j)
+	}
+	return out
+}
+
+// Owner returns the newest ownership; its epoch is 0 before the first.
+func (c *Catalog) Owner() Ownership {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.owner
+}
+
+// ApplySubmissions takes over what callers handed in and cancelled, and returns the submissions that are new or changed.
+func (c *Catalog) ApplySubmissions(b eventlog.Batch) []*Job {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var changed []*Job
+	for _, e := range b.Entries {
+		if j := c.applySubmission(e); j != nil {
+			changed = append(changed, j)
+		}
+	}
+	return changed
+}
+
+func (c *Catalog) applySubmission(e eventlog.Entry) *Job {
+	if len(e.Key) > len(cancelPrefix) && e.Key[:len(cancelPrefix)] == cancelPrefix {
+		return c.update(workflow.JobID(e.Key[len(cancelPrefix):]), func(j *Job) bool {
+			was := j.Cancelled
+			j.Cancelled = true
+			return !was
+		})
+	}
+	id := workflow.JobID(e.Key)
+	if c.jobs[id] != nil {
+		return nil
+	}
+	var s workflow.Submission
+	if err := workflow.Decode("submission", e.Value, &s); err != nil {
+		c.logger.Error("submission left out", "job", id, "offset", e.Offset, "error", err)
+		return nil
+	}
+	j := Job{}
+	if o := c.orphans[id]; o != nil {
+		j = *o
+		delete(c.orphans, id)
+	}
+	j.Submission, j.Offset = &s, e.Offset
+	c.jobs[id] = &j
+	return &j
+}
+
+// update publishes a changed copy of a submission and returns it, or nil if it is unknown or f changes nothing.
+func (c *Catalog) update(id workflow.JobID, f func(*Job) bool) *Job {
+	if j := c.jobs[id]; j != nil {
+		n := *j
+		if !f(&n) {
+			return nil
+		}
+		c.jobs[id] = &n
+		return &n
+	}
+	o := c.orphans[id]
+	if o == nil {
+		o = &Job{}
+		c.orphans[id] = o
+	}
+	f(o)
+	return nil
+}
+
+// ApplyProgress takes over what the owner wrote and returns the newest ownership.
+func (c *Catalog) ApplyProgress(entries []eventlog.Entry) Ownership {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range entries {
+		if e.Key == ownerKey {
+			c.applyOwner(e)
+			continue
+		}
+		var r workflow.Record
+		if err := workflow.Decode("progress", e.Value, &r); err != nil {
+			c.logger.Error("progress left out", "job", e.Key, "offset", e.Offset, "error", err)
+			continue
+		}
+		c.update(workflow.JobID(e.Key), func(j *Job) bool {
+			// The owner applies its own records at once and reads them again later.
+			if j.Record != nil && e.Offset <= j.RecordOffset {
+				return false
+			}
+			j.Record, j.RecordOffset = &r, e.Offset
+			return true
+		})
+	}
+	return c.owner
+}
+
+func (c *Catalog) applyOwner(e eventlog.Entry) {
+	var o Ownership
+	if err := workflow.Decode("ownership", e.Value, &o); err != nil {
+		c.logger.Error("ownership left out", "offset", e.Offset, "error", err)
+		return
+	}
+	if o.Epoch >= c.owner.Epoch {
+		c.owner = o
+	}
+}
+
+// Freshness is how current a view is, in time since the instance was started.
+type Freshness interface {
+	// AsOf returns the time up to which the view is complete, and false before the first read.
+	AsOf() (time.Duration, bool)
+}
--- /dev/null
+++ b/internal/dispatch/fleet.go
@@ -0,0 +1,178 @@
+package dispatch
+
+import (
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/resource"
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+// worker is what the owner knows of one worker.
+type worker struct {
+	Member
+	// listed tells that the list names the worker.
+	listed bool
+	// fenced tells that this lifetime has answered this owner, so that it refuses earlier owners.
+	fenced bool
+	tasks  map[*task]struct{}
+	// reserved and bestEffort are what the tasks occupy and ask for.
+	reserved   resource.Vector
+	bestEffort int64
+	// clock is the worker's newest reading, taken no earlier than the answer to it was sent; clockAt is the time of receipt.
+	clock   time.Duration
+	clockAt time.Duration
+	// lapse is the time by which every lease that the worker can hold has ended.
+	lapse time.Duration
+	// applied, sealed and confirmed number the newest end that was taken over, that is in a batch, and that is stored.
+	applied, confirmed, sent int64
+	seals                    []seal
+	renewing                 bool
+	renewedAt                time.Duration
+	answeredAt               time.Duration
+	failingSince             time.Duration
+	retry                    time.Duration
+	// Figures for the choice of workers.
+	failedInRow int
+	doneCount   int
+	quarantine  time.Duration
+	fullUntil   time.Duration
+	pace        int
+	pressure    float64
+	raiseAt     time.Duration
+	slow        bool
+	speed       float64
+}
+
+type seal struct{ batch, number int64 }
+
+// worker returns the worker with an id, which may be known from records only.
+func (c *Core) worker(id string) *worker {
+	w := c.workers[id]
+	if w == nil {
+		w = &worker{Member: Member{Lifetime: Lifetime{ID: id}}, tasks: map[*task]struct{}{}, pace: fullPace, speed: 1}
+		c.workers[id] = w
+	}
+	return w
+}
+
+func (w *worker) hold(t *task) {
+	t.phase = workflow.Placed
+	t.worker = w
+	w.tasks[t] = struct{}{}
+	w.reserved = w.reserved.Add(t.reserved())
+	if t.step.def.BestEffort {
+		w.bestEffort += t.step.def.Size.MilliCores
+	}
+}
+
+func (w *worker) drop(t *task) {
+	delete(w.tasks, t)
+	w.reserved = w.reserved.Sub(t.reserved())
+	if t.step.def.BestEffort {
+		w.bestEffort -= t.step.def.Size.MilliCores
+	}
+}
+
+func (w *worker) extend(to time.Duration) { w.lapse = max(w.lapse, to) }
+
+// unusable reports whether the worker must get no new task.
+func (w *worker) unusable() bool { return !w.listed || w.Leaving || !w.fenced }
+
+// until returns the clock reading up to which a call that is sent now grants a lease, and counts it for the lapse.
+func (w *worker) until(now, lease time.Duration) time.Duration {
+	// The worker's clock has advanced by at least this much since its reading.
+	passed := time.Duration(float64(now-w.clockAt) / driftFactor)
+	w.extend(w.clockAt + withDrift(passed+lease))
+	return w.clock + passed + lease
+}
+
+func (w *worker) takeClock(now, reading time.Duration) {
+	if reading > w.clock {
+		w.clock, w.clockAt = reading, now
+	}
+}
+
+// seal notes that everything taken over so far is in a batch, unless a submission is still to be stored.
+func (w *worker) seal(batch int64, dirty map[*job]struct{}) {
+	if len(dirty) > 0 {
+		return
+	}
+	last := w.confirmed
+	if n := len(w.seals); n > 0 {
+		last = w.seals[n-1].number
+	}
+	if w.applied > last {
+		w.seals = append(w.seals, seal{batch: batch, number: w.applied})
+	}
+}
+
+func (w *worker) commit(batch int64) {
+	for len(w.seals) > 0 && w.seals[0].batch <= batch {
+		w.confirmed = w.seals[0].number
+		w.seals = w.seals[1:]
+	}
+}
+
+// SetMember takes a worker's entry over.
+func (c *Core) SetMember(now time.Duration, m Member) {
+	w := c.worker(m.ID)
+	// An entry that was written before the newest start of the worker tells nothing.
+	if m.Born < w.Born {
+		return
+	}
+	if m.Born > w.Born && w.Born != 0 {
+		c.reborn(now, w, m.Born)
+	}
+	if w.listed && !w.Leaving && m.Leaving {
+		c.logger.Info("worker leaving", "worker", m.ID, "tasks", len(w.tasks))
+	}
+	if !w.listed {
+		c.logger.Info("worker listed", "worker", m.ID, "born", m.Born, "data_centre", m.DataCentre)
+		w.retry = 0
+	}
+	w.Member, w.listed = m, true
+	c.forgetLifetimes(now, w)
+}
+
+// forgetLifetimes frees the tasks that records place on an earlier lifetime of the worker.
+func (c *Core) forgetLifetimes(now time.Duration, w *worker) {
+	for t := range w.tasks {
+		if t.born != 0 && t.born < w.Born {
+			c.lost(now, t, "worker restarted")
+		}
+	}
+}
+
+// DropMember tells that a worker is no longer listed. Its tasks run on until their lease has ended.
+func (c *Core) DropMember(id string) {
+	if w := c.workers[id]; w != nil && w.listed {
+		w.listed = false
+		c.logger.Info("worker no longer listed", "worker", id, "tasks", len(w.tasks))
+	}
+}
+
+// Listed returns the ids of the workers that the list names.
+func (c *Core) Listed() []string {
+	var ids []string
+	for id, w := range c.workers {
+		if w.listed {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// reborn takes over that a worker has started anew: what it ran is gone, and so is its fence.
+func (c *Core) reborn(now time.Duration, w *worker, born int64) {
+	c.logger.Info("worker restarted", "worker", w.ID, "before", w.Born, "born", born, "tasks", len(w.tasks))
+	tasks := make([]*task, 0, len(w.tasks))
+	for t := range w.tasks {
+		tasks = append(tasks, t)
+	}
+	w.Born, w.fenced = born, false
+	w.clock, w.clockAt, w.applied, w.confirmed, w.sent, w.seals = 0, 0, 0, 0, 0, nil
+	w.lapse, w.failingSince, w.retry, w.failedInRow, w.quarantine = now, 0, 0, 0, 0
+	for _, t := range tasks {
+		c.lost(now, t, "worker restarted")
+	}
+}
--- /dev/null
+++ b/internal/dispatch/plan.go
@@ -0,0 +1,280 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/assign"
+	"clementinewalk.example/clementinewalk/internal/resource"
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+// maxPlacements bounds one plan, so that renewals and ends are not kept waiting.
+const maxPlacements = 200
+
+// Plan places what is pending, as far as there is room.
+func (c *Core) Plan(now time.Duration) {
+	c.openDue(now)
+	if len(c.pending) == 0 {
+		return
+	}
+	c.sortPending()
+	p := c.newPlan(now)
+	rest := c.pending[:0]
+	for _, t := range c.pending {
+		if t.phase != workflow.Pending || t.job().cancelled || t.job().state.Over() {
+			t.pendingIndex = false
+			continue
+		}
+		if p.placed >= maxPlacements || t.notBefore > now || !p.place(t) {
+			rest = append(rest, t)
+			continue
+		}
+		t.pendingIndex = false
+	}
+	clear(c.pending[len(rest):])
+	c.pending = rest
+}
+
+func (c *Core) openDue(now time.Duration) {
+	if len(c.waiting) == 0 {
+		return
+	}
+	wall := c.now()
+	rest := c.waiting[:0]
+	var due []*round
+	for _, r := range c.waiting {
+		switch {
+		case r.job.state.Over():
+		case wall.Before(r.due):
+			rest = append(rest, r)
+		default:
+			due = append(due, r)
+		}
+	}
+	c.waiting = rest
+	for _, r := range due {
+		c.openRound(now, r)
+	}
+}
+
+// sortPending puts the highest priority first, services before others, then the order of acceptance.
+func (c *Core) sortPending() {
+	if !c.unsorted {
+		return
+	}
+	c.unsorted = false
+	sort.SliceStable(c.pending, func(i, k int) bool {
+		a, b := c.pending[i], c.pending[k]
+		if x, y := a.job().terms.Priority, b.job().terms.Priority; x != y {
+			return x < y
+		}
+		if a.step.def.Service != b.step.def.Service {
+			return a.step.def.Service
+		}
+		return a.job().offset < b.job().offset
+	})
+}
+
+// plan is one round of placements.
+type plan struct {
+	core *Core
+	now  time.Duration
+	// nodes are the candidates of each service, made when the first task asks for them.
+	nodes  map[string][]*assign.Node
+	placed int
+	// full holds the sizes for which no worker had room.
+	full map[fullKey]struct{}
+}
+
+type fullKey struct {
+	service, label string
+	size           resource.Vector
+}
+
+func (c *Core) newPlan(now time.Duration) *plan {
+	return &plan{core: c, now: now, nodes: map[string][]*assign.Node{}, full: map[fullKey]struct{}{}}
+}
+
+func (p *plan) candidates(service string) []*assign.Node {
+	if n, ok := p.nodes[service]; ok {
+		return n
+	}
+	var out []*assign.Node
+	for _, w := range p.core.workers {
+		if w.Service != service || w.unusable() || w.quarantine > p.now || w.fullUntil > p.now || w.failingSince != 0 {
+			continue
+		}
+		out = append(out, w.node())
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].ID < out[k].ID })
+	p.nodes[service] = out
+	return out
+}
+
+func (w *worker) node() *assign.Node {
+	n := &assign.Node{ID: w.ID, Rack: w.Rack, Capacity: w.Capacity, Reserved: w.reserved, BestEffort: w.bestEffort, Pressure: w.pressure,
+		Throttled: 1 - float64(w.pace)/fullPace, Unproven: w.failedInRow > 0, Slow: w.slow}
+	for t := range w.tasks {
+		if t.step.def.Service && t.step.def.Objective > 0 {
+			n.Services++
+		}
+	}
+	return n
+}
+
+// place places a task, or all tasks of its gang, and reports whether it did.
+func (p *plan) place(t *task) bool {
+	if t.step.def.Gang {
+		return p.placeGang(t.step)
+	}
+	w := p.choose(t, nil)
+	if w == nil {
+		return false
+	}
+	p.assign(t, w, t.run+1)
+	return true
+}
+
+func (p *plan) choose(t *task, usable func(*worker) bool) *assign.Node {
+	def, terms := t.step.def, &t.job().terms
+	key := fullKey{service: terms.Service, label: def.Label, size: def.Reserved()}
+	if _, ok := p.full[key]; ok {
+		return nil
+	}
+	nodes := p.candidates(terms.Service)
+	restricted := def.Label != "" || def.MaxPerWorker > 0 || usable != nil
+	if restricted {
+		nodes = p.restrict(nodes, t, usable)
+	}
+	n := assign.Choose(nodes, &assign.Task{Size: def.Size, BestEffort: def.BestEffort, Service: def.Service && def.Objective > 0,
+		DataRack: def.DataRack, Avoid: t.avoid, Retry: t.failures > 0})
+	if n == nil && !restricted {
+		p.full[key] = struct{}{}
+	}
+	return n
+}
+
+func (p *plan) restrict(nodes []*assign.Node, t *task, usable func(*worker) bool) []*assign.Node {
+	out := make([]*assign.Node, 0, len(nodes))
+	for _, n := range nodes {
+		w := p.core.workers[n.ID]
+		if l := t.step.def.Label; l != "" && !w.hasLabel(l) {
+			continue
+		}
+		if m := t.step.def.MaxPerWorker; m > 0 && w.count(t.step) >= m {
+			continue
+		}
+		if usable != nil && !usable(w) {
+			continue
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+func (w *worker) hasLabel(label string) bool {
+	for _, l := range w.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// count returns how many tasks of a step the worker holds.
+func (w *worker) count(s *step) int {
+	n := 0
+	for t := range w.tasks {
+		if t.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *plan) assign(t *task, n *assign.Node, run int) {
+	c := p.core
+	w := c.workers[n.ID]
+	t.run, t.born, t.order, t.batch, t.attempts = run, w.Born, orderStoring, 0, 0
+	w.hold(t)
+	n.Reserved, n.BestEffort = w.reserved, w.bestEffort
+	j := t.job()
+	j.placed++
+	if j.state == workflow.Queued {
+		j.state = workflow.Running
+	}
+	c.committing = append(c.committing, t)
+	c.markDirty(j)
+	p.placed++
+	c.logger.Info("task placed", "task", t.id, "run", run, "worker", w.ID, "waited_ms", (p.now - t.queuedAt).Milliseconds(), "failures", t.failures)
+}
+
+// placeGang places all tasks of a gang that fit together, or none.
+func (p *plan) placeGang(s *step) bool {
+	if s.breaking {
+		return false
+	}
+	run := 0
+	for _, t := range s.tasks {
+		if t.phase != workflow.Pending {
+			return false
+		}
+		run = max(run, t.run)
+	}
+	chosen := p.fitGang(s)
+	if chosen == nil {
+		return false
+	}
+	for i, t := range s.tasks {
+		t.checkpoint = s.tasks[0].checkpoint
+		p.assign(t, chosen[i], run+1)
+		t.pendingIndex = false
+	}
+	return true
+}
+
+// fitGang returns a node for each task, on one rack if the step asks for it and one has the room.
+func (p *plan) fitGang(s *step) []*assign.Node {
+	if s.def.SameRack {
+		racks := map[string]struct{}{}
+		for _, n := range p.candidates(s.round.job.terms.Service) {
+			racks[n.Rack] = struct{}{}
+		}
+		names := make([]string, 0, len(racks))
+		for r := range racks {
+			names = append(names, r)
+		}
+		sort.Strings(names)
+		for _, r := range names {
+			if got := p.tryGang(s, func(w *worker) bool { return w.Rack == r }); got != nil {
+				return got
+			}
+		}
+	}
+	return p.tryGang(s, func(*worker) bool { return true })
+}
+
+func (p *plan) tryGang(s *step, usable func(*worker) bool) []*assign.Node {
+	var got []*assign.Node
+	perWorker := map[string]int{}
+	need := s.def.Reserved()
+	for _, t := range s.tasks {
+		n := p.choose(t, func(w *worker) bool {
+			return usable(w) && (s.def.MaxPerWorker == 0 || perWorker[w.ID] < s.def.MaxPerWorker)
+		})
+		if n == nil {
+			break
+		}
+		n.Reserved = n.Reserved.Add(need)
+		perWorker[n.ID]++
+		got = append(got, n)
+	}
+	for _, n := range got {
+		n.Reserved = n.Reserved.Sub(need)
+	}
+	if len(got) < len(s.tasks) {
+		return nil
+	}
+	return got
+}
--- /dev/null
+++ b/internal/dispatch/worker.go
@@ -0,0 +1,158 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/resource"
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+// Lifetime is one start of a worker. A worker that starts again under its id has a later Born and knows nothing of before.
+type Lifetime struct {
+	ID   string
+	Born int64
+}
+
+// Member is what a worker says of itself in the list.
+type Member struct {
+	Lifetime
+	Service, Addr, DataCentre string
+	Capacity                  resource.Vector
+	Labels                    []string
+	Leaving                   bool
+	// Rack is the label that names the rack; empty if unknown.
+	Rack string
+}
+
+// Attempt names one run of a task.
+type Attempt struct {
+	Task workflow.TaskID
+	Run  int
+}
+
+// StartCall orders a worker to run an attempt.
+type StartCall struct {
+	Attempt
+	Spec       string
+	Checkpoint string
+	Fence      int64
+	// Until is the reading of the worker's clock after which the worker refuses the call and ends what it runs.
+	Until time.Duration
+}
+
+// StopCall ends an attempt and makes the worker refuse it from then on.
+type StopCall struct {
+	Attempt
+	Fence int64
+}
+
+// PaceCall sets the share of its processors that an attempt may use, in percent.
+type PaceCall struct {
+	Attempt
+	Percent int
+	Fence   int64
+}
+
+// LeaseCall renews the lease of everything that runs on a worker, confirms ends and asks what runs.
+type LeaseCall struct {
+	Fence int64
+	Until time.Duration
+	// Confirmed is the number of the newest end that is stored; the worker forgets ends up to it.
+	Confirmed int64
+	// Wait is how long the answer may wait for an end.
+	Wait time.Duration
+}
+
+// Running is one attempt that a worker runs.
+type Running struct {
+	Attempt
+	Checkpoint string
+	// Percent is how far a task is, or how ready a service task is.
+	Percent int
+	// Load is the tail latency in milliseconds of a service task, and the thousandths of a core in use of any other.
+	Load float64
+}
+
+// How tells how an attempt ended on a worker.
+type How string
+
+// The ends of an attempt.
+const (
+	EndDone    How = "done"
+	EndFailed  How = "failed"
+	EndStopped How = "stopped"
+	EndLapsed  How = "lapsed"
+	// EndBroken: another task of the gang ended. EndAlone: the others of the gang did not come in time.
+	EndBroken How = "broken"
+	EndAlone  How = "alone"
+)
+
+// End is one attempt that has ended.
+type End struct {
+	Number int64
+	Attempt
+	How        How
+	Checkpoint string
+}
+
+// LeaseAnswer is a worker's word on what it runs.
+type LeaseAnswer struct {
+	Born    int64
+	Clock   time.Duration
+	Running []Running
+	Ends    []End
+}
+
+// CallAnswer answers a start, stop or pace. Born is 0 if the answer does not say.
+type CallAnswer struct {
+	Born  int64
+	Clock time.Duration
+}
+
+// Reason is why a worker refuses a call.
+type Reason string
+
+// The reasons of a refusal. Nothing was done.
+const (
+	// ReasonFenced: the worker has seen a later owner.
+	ReasonFenced Reason = "fenced"
+	// ReasonOld: this attempt or a later one was started, stopped or ended there.
+	ReasonOld Reason = "old"
+	// ReasonLate: the call came after the time that it names.
+	ReasonLate Reason = "late"
+	ReasonRoom Reason = "no room"
+	// ReasonLifetime: the worker has started anew.
+	ReasonLifetime  Reason = "other lifetime"
+	ReasonUnhealthy Reason = "unhealthy"
+	ReasonTicket    Reason = "ticket"
+	// ReasonInvalid: the worker cannot read the call.
+	ReasonInvalid Reason = "invalid"
+)
+
+// RefusedError reports a call that a worker refused without doing anything.
+type RefusedError struct {
+	Reason Reason
+	Answer CallAnswer
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return fmt.Sprintf("worker refused the call: %s", e.Reason) }
+
+// NoAnswerError reports a call that may have been carried out, or may be seconds later.
+type NoAnswerError struct{ Err error }
+
+// Error implements error.
+func (e *NoAnswerError) Error() string { return fmt.Sprintf("worker did not answer: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *NoAnswerError) Unwrap() error { return e.Err }
+
+// Workers sends calls to workers. Each returns *RefusedError or *NoAnswerError.
+type Workers interface {
+	Start(ctx context.Context, m Member, c StartCall) (CallAnswer, error)
+	Stop(ctx context.Context, m Member, c StopCall) (CallAnswer, error)
+	Pace(ctx context.Context, m Member, c PaceCall) (CallAnswer, error)
+	Renew(ctx context.Context, m Member, c LeaseCall) (LeaseAnswer, error)
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,131 @@
+// Package intake takes submissions from callers, stores them, and tells how far they are.
+package intake
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/clock"
+	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/queue"
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+// NotAcceptedError reports a submission or cancellation that was not stored and never will be.
+type NotAcceptedError struct {
+	Reason string
+	// RetryAfter is when to come back.
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error implements error.
+func (e *NotAcceptedError) Error() string { return fmt.Sprintf("not accepted: %s", e.Reason) }
+
+// Unwrap returns the cause.
+func (e *NotAcceptedError) Unwrap() error { return e.Err }
+
+// UncertainError reports a submission or cancellation that may have been stored. The caller must ask again.
+type UncertainError struct{ Err error }
+
+// Error implements error.
+func (e *UncertainError) Error() string { return fmt.Sprintf("outcome unknown: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *UncertainError) Unwrap() error { return e.Err }
+
+// retryAfter is how long an outage of the log is expected to last at least.
+const retryAfter = time.Second
+
+// Appender stores one entry.
+type Appender interface {
+	Append(ctx context.Context, e eventlog.Entry) error
+}
+
+// Desk serves callers. Its methods may be called from any goroutine.
+type Desk struct {
+	log     Appender
+	catalog *catalog.Catalog
+	config  *queue.Current
+	view    catalog.Freshness
+	maxAge  time.Duration
+	logger  *slog.Logger
+	seconds *prometheus.HistogramVec
+}
+
+// New returns a desk. An unknown submission is said not to exist only while the view is at most maxAge old.
+func New(log Appender, cat *catalog.Catalog, config *queue.Current, view catalog.Freshness, maxAge time.Duration, l *slog.Logger, r prometheus.Registerer) *Desk {
+	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "clementine_intake_seconds",
+		Help: "Time to answer a submission or cancellation, by queue and outcome.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 10)},
+		[]string{"queue", "outcome"})
+	r.MustRegister(h)
+	return &Desk{log: log, catalog: cat, config: config, view: view, maxAge: maxAge, logger: l, seconds: h}
+}
+
+// Config returns the configuration in force, nil before the first.
+func (d *Desk) Config() *queue.Config { return d.config.Load() }
+
+// Fresh reports whether the view is new enough to say that something does not exist.
+func (d *Desk) Fresh() bool {
+	asOf, ok := d.view.AsOf()
+	return ok && clock.Now()-asOf <= d.maxAge
+}
+
+// Submit returns when a submission is stored. It returns *workflow.InvalidError, *NotAcceptedError or *UncertainError.
+func (d *Desk) Submit(ctx context.Context, s *workflow.Submission) error {
+	if err := s.Check(); err != nil {
+		d.logger.Info("submission invalid", "job", s.Job, "queue", s.Terms.Queue, "error", err)
+		return err
+	}
+	if d.catalog.Find(s.Job) != nil {
+		d.logger.Info("submission repeated", "job", s.Job, "queue", s.Terms.Queue)
+		return nil
+	}
+	e, err := catalog.SubmissionEntry(s)
+	if err != nil {
+		return &NotAcceptedError{Reason: "not encodable", Err: err}
+	}
+	return d.store(ctx, "submission", s.Terms.Queue, s.Job, e)
+}
+
+// Cancel returns when a cancellation is stored. It returns *NotAcceptedError or *UncertainError. A submission that is not known yet is cancelled too.
+func (d *Desk) Cancel(ctx context.Context, queueName string, id workflow.JobID) error {
+	if j := d.catalog.Find(id); j != nil && (j.Cancelled || j.State().Over()) {
+		return nil
+	}
+	return d.store(ctx, "cancellation", queueName, id, catalog.CancelEntry(id))
+}
+
+func (d *Desk) store(ctx context.Context, what, queueName string, id workflow.JobID, e eventlog.Entry) error {
+	start := time.Now()
+	err := d.log.Append(ctx, e)
+	outcome := "accepted"
+	var unknown *eventlog.UnknownError
+	switch {
+	case err == nil:
+	case errors.As(err, &unknown):
+		outcome, err = "uncertain", &UncertainError{Err: err}
+	default:
+		outcome, err = "refused", &NotAcceptedError{Reason: "the log is not available", RetryAfter: retryAfter, Err: err}
+	}
+	took := time.Since(start)
+	d.seconds.WithLabelValues(queueName, outcome).Observe(took.Seconds())
+	if err != nil {
+		d.logger.Info(what+" "+outcome, "job", id, "queue", queueName, "took_ms", took.Milliseconds(), "error", err)
+		return err
+	}
+	d.logger.Info(what+" "+outcome, "job", id, "queue", queueName, "took_ms", took.Milliseconds(), "config", d.config.Load().Version)
+	return nil
+}
+
+// Find returns a submission, or nil if it is not known.
+func (d *Desk) Find(id workflow.JobID) *catalog.Job { return d.catalog.Find(id) }
+
+// Waiting counts the submissions of a queue of which no task has started.
+func (d *Desk) Waiting(queueName string) int { return d.catalog.Waiting(queueName) }
--- /dev/null
+++ b/internal/workflow/workflow.go
@@ -0,0 +1,186 @@
+// Package workflow holds submissions of several steps: what a caller hands in, how far each task is, and the record that outlives every
+// process. It holds no clock, network or goroutine.
+package workflow
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/resource"
+)
+
+// JobID names a submission. The caller chooses it.
+type JobID string
+
+// Step is a group of equal tasks of a submission.
+type Step struct {
+	Count int             `cbor:"1,keyasint"`
+	Size  resource.Vector `cbor:"2,keyasint"`
+	// Estimate is the declared duration of one task. It can be wrong by a factor.
+	Estimate time.Duration `cbor:"3,keyasint,omitempty"`
+	// After lists the earlier steps whose tasks must all be done first.
+	After []int `cbor:"4,keyasint,omitempty"`
+	// Checkpoints tells that a stopped task can resume where it was.
+	Checkpoints bool `cbor:"5,keyasint,omitempty"`
+	// Gang tells that all tasks start, run and end together.
+	Gang bool `cbor:"6,keyasint,omitempty"`
+	// SameRack tells that the tasks are slow on more than one rack.
+	SameRack bool `cbor:"7,keyasint,omitempty"`
+	// Label is one that a worker must have; empty for none.
+	Label string `cbor:"8,keyasint,omitempty"`
+	// DataRack is the rack that holds the input; tasks are slow elsewhere.
+	DataRack string `cbor:"9,keyasint,omitempty"`
+	// MaxPerWorker limits the tasks of the step on one worker; 0 for no limit.
+	MaxPerWorker int `cbor:"10,keyasint,omitempty"`
+	// Speculative allows a second copy of a task to run beside the first.
+	Speculative bool `cbor:"11,keyasint,omitempty"`
+	// Service tells that the tasks run until the submission is cancelled.
+	Service bool `cbor:"12,keyasint,omitempty"`
+	// Image names the program. Tasks of one image disturb others in the same way.
+	Image string `cbor:"13,keyasint,omitempty"`
+	// Objective is the tail latency below which a service task must stay; 0 for none.
+	Objective time.Duration `cbor:"14,keyasint,omitempty"`
+	// BestEffort tells that the processors of the step are not reserved: it uses what the others leave.
+	BestEffort bool `cbor:"15,keyasint,omitempty"`
+	// DisruptionBudget is how many tasks of a service step the system may take away at once.
+	DisruptionBudget int `cbor:"16,keyasint,omitempty"`
+}
+
+// Reserved returns what a task of the step occupies exclusively.
+func (s *Step) Reserved() resource.Vector {
+	v := s.Size
+	if s.BestEffort {
+		v.MilliCores = 0
+	}
+	return v
+}
+
+// Terms are what the queue of a submission promises. They are stored with it, so that it is finished after its queue is removed.
+type Terms struct {
+	Queue string `cbor:"1,keyasint"`
+	// Service names the pool of workers.
+	Service string `cbor:"2,keyasint"`
+	// Priority 0 comes first.
+	Priority    int `cbor:"3,keyasint,omitempty"`
+	MaxAttempts int `cbor:"4,keyasint,omitempty"`
+	// Stretch times the longest chain of work, plus Allowance, is the latency objective.
+	Stretch   float64       `cbor:"5,keyasint,omitempty"`
+	Allowance time.Duration `cbor:"6,keyasint,omitempty"`
+}
+
+// Submission is what a caller hands in, with the terms of its queue at that time.
+type Submission struct {
+	Job   JobID  `cbor:"1,keyasint"`
+	Terms Terms  `cbor:"2,keyasint"`
+	Spec  string `cbor:"3,keyasint,omitempty"`
+	Steps []Step `cbor:"4,keyasint"`
+	// Repeat is how often the steps run, at First and then every Interval; 0 for once, at once.
+	Repeat   int           `cbor:"5,keyasint,omitempty"`
+	First    time.Time     `cbor:"6,keyasint,omitempty"`
+	Interval time.Duration `cbor:"7,keyasint,omitempty"`
+}
+
+// Rounds returns how often the steps run.
+func (s *Submission) Rounds() int { return max(1, s.Repeat) }
+
+// Scheduled reports whether the rounds have times.
+func (s *Submission) Scheduled() bool { return s.Repeat > 0 }
+
+// Due returns the time of a round; the zero time stands for at once.
+func (s *Submission) Due(round int) time.Time {
+	if !s.Scheduled() {
+		return time.Time{}
+	}
+	return s.First.Add(time.Duration(round) * s.Interval)
+}
+
+// Limits of a submission. They bound the memory that one submission can take.
+const (
+	maxSteps  = 200
+	maxTasks  = 5000
+	maxRounds = 10000
+)
+
+// InvalidError reports a submission that can never be accepted.
+type InvalidError struct {
+	Field, Problem string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string { return fmt.Sprintf("submission: %s %s", e.Field, e.Problem) }
+
+// Check returns an *InvalidError unless the submission is well formed.
+func (s *Submission) Check() error {
+	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
+		return &InvalidError{"steps", fmt.Sprintf("has %d entries; 1 to %d are allowed", len(s.Steps), maxSteps)}
+	}
+	if s.Repeat < 0 || s.Repeat > maxRounds || s.Repeat > 1 && s.Interval <= 0 {
+		return &InvalidError{"repeat count", "is out of range or has no interval"}
+	}
+	total := 0
+	for i := range s.Steps {
+		if err := s.checkStep(i); err != nil {
+			return err
+		}
+		total += s.Steps[i].Count
+	}
+	if total > maxTasks {
+		return &InvalidError{"steps", fmt.Sprintf("have %d tasks; at most %d are allowed", total, maxTasks)}
+	}
+	return nil
+}
+
+func (s *Submission) checkStep(i int) error {
+	st := &s.Steps[i]
+	field := fmt.Sprintf("step %d", i)
+	if st.Count < 1 {
+		return &InvalidError{field, "has no tasks"}
+	}
+	if st.Size.MilliCores < 0 || st.Size.MemoryMB < 0 || st.Size.Accelerators < 0 {
+		return &InvalidError{field, "has a negative size"}
+	}
+	for _, a := range st.After {
+		if a < 0 || a >= i {
+			return &InvalidError{field, fmt.Sprintf("waits for step %d, which is not an earlier one", a)}
+		}
+	}
+	return nil
+}
+
+// TaskID names one task of a submission.
+type TaskID struct {
+	Job                JobID
+	Round, Step, Index int
+}
+
+// String returns the name that workers know.
+func (t TaskID) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Round, t.Step, t.Index)
+}
+
+// TaskNameError reports a task name that is not of the form JOB.ROUND.STEP.INDEX.
+type TaskNameError struct{ Name string }
+
+// Error implements error.
+func (e *TaskNameError) Error() string {
+	return fmt.Sprintf("task name %q is not of the form JOB.ROUND.STEP.INDEX", e.Name)
+}
+
+// ParseTaskID is the inverse of TaskID.String. It returns a *TaskNameError.
+func ParseTaskID(name string) (TaskID, error) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return TaskID{}, &TaskNameError{Name: name}
+	}
+	var n [3]int
+	for i := range n {
+		v, err := strconv.Atoi(parts[i+1])
+		if err != nil || v < 0 {
+			return TaskID{}, &TaskNameError{Name: name}
+		}
+		n[i] = v
+	}
+	return TaskID{Job: JobID(parts[0]), Round: n[0], Step: n[1], Index: n[2]}, nil
+}
