Learn which images disturb which services, and place and pace by it

Cause: all best-effort tasks beside a service were slowed whenever its tail came near its objective, which load alone does. Change: internal/interference fits the coefficient of each pair; services of one image are put together, best-effort tasks are kept away from services that they disturb, and only tasks that disturb are slowed, or moved if little is left to them.

--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -14,12 +14,10 @@
 	Reserved resource.Vector
 	// BestEffort is the thousandths of a core that best-effort tasks on the worker ask for.
 	BestEffort int64
-	// Services counts the service tasks with a latency objective.
-	Services int
-	// Pressure is the highest tail latency of a service task on the worker as a share of its objective.
-	Pressure float64
-	// Throttled is how much of their processors best-effort tasks are denied, 0 to 1.
-	Throttled float64
+	// Services counts the service tasks with a latency objective, by image.
+	Services map[string]int
+	// Slack is the least share of its objective that a service task has left: negative when it is over.
+	Slack float64
 	// Unproven tells that the last attempts there failed; Slow that tasks there make less progress than elsewhere.
 	Unproven, Slow bool
 }
@@ -38,8 +36,10 @@
 	DataRack string
 	// Avoid is the worker on which the last attempt failed.
 	Avoid string
-	// Retry tells that an attempt has failed, so that another failure is expensive.
-	Retry bool
+	// Image is the image of a service.
+	Image string
+	// Disturbance returns by how much the logarithm of the worst tail latency on a worker grows with the task; nil for none.
+	Disturbance func(*Node) float64
 }
 
 // Reserved returns what the task occupies exclusively.
@@ -57,10 +57,12 @@
 	slowPenalty     = 2.0
 	avoidPenalty    = 8.0
 	remotePenalty   = 1.0
-	throttlePenalty = 1.0
-	// pressurePenalty applies to best-effort tasks: the closer a service is to its objective, the more.
-	pressurePenalty = 0.6
-	servicePenalty  = 0.02
+	// disturbancePenalty makes a best-effort task that doubles a tail worse off than on a full worker.
+	disturbancePenalty = 4.0
+	// overPenalty keeps best-effort tasks off a worker whose service is over its objective.
+	overPenalty = 0.5
+	// sameImageBonus puts services of one image together: what disturbs one then spares the workers of the others.
+	sameImageBonus = 0.3
 )
 
 // Choose returns the best of the nodes that can hold the task, or nil. Ties go to the earlier node.
@@ -95,12 +97,26 @@
 	if t.DataRack != "" && t.DataRack != n.Rack {
 		s -= remotePenalty
 	}
-	if t.BestEffort {
-		s -= pressurePenalty*n.Pressure + throttlePenalty*n.Throttled + servicePenalty*float64(n.Services)
+	if t.Service && len(n.Services) > 0 {
+		s += sameImageBonus * (2*float64(n.Services[t.Image])/float64(total(n.Services)) - 1)
+	}
+	if t.Disturbance != nil {
+		s -= disturbancePenalty * t.Disturbance(n)
+		if n.Slack < 0 {
+			s -= overPenalty
+		}
 	}
 	return s
 }
 
+func total(counts map[string]int) int {
+	n := 0
+	for _, v := range counts {
+		n += v
+	}
+	return n
+}
+
 // FirstFit is the baseline: the first node that can hold the task.
 func FirstFit(nodes []*Node, t *Task) *Node {
 	need := t.Reserved()
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -39,7 +39,6 @@
 		if t.stopWanted {
 			c.attention[t] = struct{}{}
 		}
-		c.paceNew(t)
 	case errors.As(err, &refused):
 		c.startRefused(now, t, refused)
 	default:
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -12,6 +12,7 @@
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/interference"
 	"clementinewalk.example/clementinewalk/internal/queue"
 	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/workflow"
@@ -57,6 +58,7 @@
 	orders    []Order
 	deposed   bool
 	recovered time.Duration
+	model     *interference.Model
 }
 
 type job struct {
@@ -123,17 +125,23 @@
 	attempts  int
 	retryAt   time.Duration
 	// unsure tells that an earlier call of this run had no answer, so a refusal of a later one proves nothing.
-	unsure       bool
-	stopWanted   bool
-	stopSending  bool
-	percent      int
-	percentAt    time.Duration
-	startedAt    time.Duration
-	load         float64
-	pace         int
-	pacing       bool
-	seen         bool
-	notBefore    time.Duration
+	unsure      bool
+	stopWanted  bool
+	stopSending bool
+	percent     int
+	percentAt   time.Duration
+	startedAt   time.Duration
+	load        float64
+	pace        int
+	pacing      bool
+	seen        bool
+	notBefore   time.Duration
+	// wantedPace is what the services beside the task leave it; slowedSince is when it fell below evictPace.
+	wantedPace  int
+	slowedSince time.Duration
+	evictions   int
+	// overSince is when a service task went over its objective; 0 if it is not.
+	overSince    time.Duration
 	avoid        string
 	queuedAt     time.Duration
 	pendingIndex bool
@@ -146,7 +154,7 @@
 // New returns the core of an owner that has just claimed the epoch, over everything that the log holds.
 func New(p Params, epoch int64, now time.Duration, wall func() time.Time, l *slog.Logger, config *queue.Config, jobs []*catalog.Job) *Core {
 	c := &Core{params: p, logger: l, epoch: epoch, config: config, now: wall, jobs: map[workflow.JobID]*job{}, workers: map[string]*worker{},
-		dirty: map[*job]struct{}{}, attention: map[*task]struct{}{}, recovered: now}
+		dirty: map[*job]struct{}{}, attention: map[*task]struct{}{}, recovered: now, model: interference.New()}
 	sort.Slice(jobs, func(i, k int) bool { return jobs[i].Offset < jobs[k].Offset })
 	for _, j := range jobs {
 		c.Submit(now, j)
@@ -220,7 +228,7 @@
 		st := &step{def: &j.sub.Steps[s], round: r, index: s}
 		r.steps = append(r.steps, st)
 		for i := range st.def.Count {
-			t := &task{id: workflow.TaskID{Job: j.sub.Job, Round: k, Step: s, Index: i}, step: st, pace: fullPace}
+			t := &task{id: workflow.TaskID{Job: j.sub.Job, Round: k, Step: s, Index: i}, step: st, pace: fullPace, wantedPace: fullPace}
 			st.tasks = append(st.tasks, t)
 			if k < len(rec.Tasks) && s < len(rec.Tasks[k]) && i < len(rec.Tasks[k][s]) {
 				c.restore(t, &rec.Tasks[k][s][i])
@@ -339,6 +347,7 @@
 	t.phase = workflow.Pending
 	t.stopWanted, t.unsure, t.seen, t.attempts = false, false, false, 0
 	t.percent, t.load, t.pace, t.pacing, t.startedAt = 0, 0, fullPace, false, 0
+	t.wantedPace, t.slowedSince, t.overSince = fullPace, 0, 0
 	delete(c.attention, t)
 	j := t.job()
 	j.placed--
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -36,11 +36,8 @@
 	doneCount   int
 	quarantine  time.Duration
 	fullUntil   time.Duration
-	pace        int
 	pressure    float64
-	raiseAt     time.Duration
 	slow        bool
-	speed       float64
 }
 
 type seal struct{ batch, number int64 }
@@ -49,7 +46,7 @@
 func (c *Core) worker(id string) *worker {
 	w := c.workers[id]
 	if w == nil {
-		w = &worker{Member: Member{Lifetime: Lifetime{ID: id}}, tasks: map[*task]struct{}{}, pace: fullPace, speed: 1}
+		w = &worker{Member: Member{Lifetime: Lifetime{ID: id}}, tasks: map[*task]struct{}{}}
 		c.workers[id] = w
 	}
 	return w
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -1,91 +1,205 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"clementinewalk.example/clementinewalk/internal/assign"
+	"clementinewalk.example/clementinewalk/internal/interference"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
-// fullPace lets a task use all that it can get.
-const fullPace = 100
-
 const (
-	// A service whose tail latency is above this share of its objective has the best-effort tasks beside it slowed.
-	highPressure = 0.85
-	// Below this share they are sped up again.
-	lowPressure = 0.6
-	// overPressure is where they are slowed at once to a share that is certainly harmless in a few steps.
-	overPressure = 1.0
-	slowStep     = 0.6
-	overStep     = 0.3
-	raiseStep    = 20
-	// minPace below which best-effort tasks stand still.
-	minPace = 8
-	// raiseDelay lets the measured latency, which is half a second old, follow the last change.
-	raiseDelay = 800 * time.Millisecond
+	// fullPace lets a task use all that it can get, in percent.
+	fullPace = 100
+	// paceGrain is the smallest change of pace that is worth an order.
+	paceGrain = 10
+	// tailGoal is the share of its objective at which the tail of a service is held where best-effort tasks lengthen it.
+	tailGoal = 0.8
+	// harmful is the coefficient from which an image is held responsible for the tail of a service. On a tenth of a worker it lengthens
+	// the tail by a tenth.
+	harmful = 1.0
+	// overCut is applied to the pace of responsible tasks while a service is over its objective.
+	overCut = 0.4
+	// blameAll is how long a service may be over its objective before all best-effort tasks beside it are slowed, whether known to
+	// disturb it or not.
+	blameAll = 1200 * time.Millisecond
+	// raiseStep is how much a pace may grow with each answer, in percent.
+	raiseStep = 30
+	// A task whose pace stays below evictPace for evictAfter is moved, at most maxEvictions times.
+	evictPace    = 40
+	evictAfter   = 300 * time.Millisecond
+	maxEvictions = 3
 )
 
+// latencyCritical reports whether the tasks of a step serve callers of their own under an objective.
+func latencyCritical(s *workflow.Step) bool { return s.Service && s.Objective > 0 }
+
 // mixed reports whether best-effort tasks run beside services with an objective.
 func (w *worker) mixed() bool {
 	service, bestEffort := false, false
 	for t := range w.tasks {
-		service = service || t.step.def.Service && t.step.def.Objective > 0
+		service = service || latencyCritical(t.step.def)
 		bestEffort = bestEffort || t.step.def.BestEffort
 	}
 	return service && bestEffort
 }
 
-// regulate sets the pace of the best-effort tasks on a worker after the tail latency of its services.
+// share returns the part of the worker's processors that a task uses at its present pace.
+func (w *worker) share(t *task) float64 { return t.load / float64(max(1, w.Capacity.MilliCores)) }
+
+// fullShare returns the part of the worker's processors that a task asks for.
+func (w *worker) fullShare(t *task) float64 {
+	return float64(t.step.def.Size.MilliCores) / float64(max(1, w.Capacity.MilliCores))
+}
+
+// disturbance returns by how much a task would lengthen the worst tail on a worker, as a function of the worker; nil for a task that
+// disturbs nothing.
+func (c *Core) disturbance(now time.Duration, t *task) func(*assign.Node) float64 {
+	def := t.step.def
+	switch {
+	case def.BestEffort:
+		return func(n *assign.Node) float64 {
+			worst := 0.0
+			for image := range n.Services {
+				worst = max(worst, c.model.Coefficient(now, image, def.Image))
+			}
+			return worst * float64(def.Size.MilliCores) / float64(max(1, n.Capacity.MilliCores))
+		}
+	case latencyCritical(def):
+		return func(n *assign.Node) float64 {
+			sum, w := 0.0, c.workers[n.ID]
+			for o := range w.tasks {
+				if o.step.def.BestEffort {
+					sum += c.model.Coefficient(now, def.Image, o.step.def.Image) * w.fullShare(o)
+				}
+			}
+			return sum
+		}
+	}
+	return nil
+}
+
+// regulate learns from a worker's report and sets the pace of its best-effort tasks after the tail latency of its services.
 func (c *Core) regulate(now time.Duration, w *worker) {
 	w.pressure = 0
+	var services, bestEffort []*task
 	for t := range w.tasks {
-		if d := t.step.def; d.Service && d.Objective > 0 && t.seen {
-			w.pressure = max(w.pressure, t.load/float64(d.Objective.Milliseconds()))
+		switch {
+		case !t.seen:
+		case latencyCritical(t.step.def):
+			services = append(services, t)
+			w.pressure = max(w.pressure, t.load/objective(t))
+		case t.step.def.BestEffort:
+			bestEffort = append(bestEffort, t)
 		}
 	}
-	before := w.pace
-	switch {
-	case w.pressure > overPressure:
-		w.pace = int(float64(w.pace) * overStep)
-		w.raiseAt = now + raiseDelay
-	case w.pressure > highPressure:
-		w.pace = int(float64(w.pace) * slowStep)
-		w.raiseAt = now + raiseDelay
-	case w.pressure < lowPressure && now >= w.raiseAt:
-		w.pace = min(fullPace, w.pace+raiseStep)
-		w.raiseAt = now + raiseDelay
-	}
-	if w.pace < minPace {
-		w.pace = 0
-	}
-	if w.pace != before && w.mixed() {
-		c.logger.Info("pace changed", "worker", w.ID, "percent", w.pace, "pressure", w.pressure)
+	c.learn(now, w, services, bestEffort)
+	if len(bestEffort) == 0 {
+		return
 	}
-	for t := range w.tasks {
-		c.setPace(t, w.pace)
+	for _, t := range bestEffort {
+		t.wantedPace = min(fullPace, t.pace+raiseStep)
+	}
+	for _, s := range services {
+		c.protect(now, w, s, bestEffort)
+	}
+	for _, t := range bestEffort {
+		c.setPace(t)
+		c.evictSlowed(now, t)
 	}
 }
 
-// paceNew gives a task that has just started the pace of its worker.
-func (c *Core) paceNew(t *task) {
-	t.pace = fullPace
-	c.setPace(t, t.worker.pace)
+// objective returns the objective of a service task in milliseconds.
+func objective(t *task) float64 { return float64(t.step.def.Objective) / float64(time.Millisecond) }
+
+func (c *Core) learn(now time.Duration, w *worker, services, bestEffort []*task) {
+	var shares []interference.Share
+	for _, t := range bestEffort {
+		shares = append(shares, interference.Share{Image: t.step.def.Image, Part: w.share(t)})
+	}
+	for _, s := range services {
+		// A service task that still starts has no tail of its own.
+		if s.percent == fullPercent && s.load > 0 {
+			c.model.Observe(now, s.step.def.Image, s.load, shares)
+		}
+	}
 }
 
-func (c *Core) setPace(t *task, percent int) {
-	if !t.step.def.BestEffort || t.pace == percent || t.pacing || t.order != orderSettled || t.stopWanted {
+// fullPercent is the progress of a service task that is at work.
+const fullPercent = 100
+
+// protect lowers the wanted pace of the tasks that lengthen the tail of a service beyond its goal.
+func (c *Core) protect(now time.Duration, w *worker, s *task, bestEffort []*task) {
+	if s.load <= 0 {
+		return
+	}
+	over := s.load > objective(s)
+	if !over {
+		s.overSince = 0
+	} else if s.overSince == 0 {
+		s.overSince = now
+	}
+	rise, full := 0.0, 0.0
+	image := s.step.def.Image
+	for _, t := range bestEffort {
+		k := c.model.Coefficient(now, image, t.step.def.Image)
+		rise += k * w.share(t)
+		if k >= harmful {
+			full += k * w.fullShare(t)
+		}
+	}
+	allowed := math.Log(tailGoal*objective(s)) - (math.Log(s.load) - rise)
+	part := 1.0
+	if full > 0 {
+		part = min(1, max(0, allowed/full))
+	}
+	everyone := over && now-s.overSince >= blameAll
+	for _, t := range bestEffort {
+		k := c.model.Coefficient(now, image, t.step.def.Image)
+		if k >= harmful {
+			t.wantedPace = min(t.wantedPace, int(part*fullPace))
+		}
+		if over && (k >= harmful || everyone) {
+			t.wantedPace = min(t.wantedPace, int(float64(t.pace)*overCut))
+		}
+	}
+}
+
+// setPace orders the wanted pace, if it differs by enough.
+func (c *Core) setPace(t *task) {
+	wanted := t.wantedPace / paceGrain * paceGrain
+	if !t.step.def.BestEffort || t.pace == wanted || t.pacing || t.order != orderSettled || t.stopWanted {
 		return
 	}
 	t.pacing = true
-	c.orders = append(c.orders, PaceOrder{Member: t.worker.Member, task: t, Call: PaceCall{Attempt: t.attempt(), Percent: percent, Fence: c.epoch}})
+	c.orders = append(c.orders, PaceOrder{Member: t.worker.Member, task: t, Call: PaceCall{Attempt: t.attempt(), Percent: wanted, Fence: c.epoch}})
+}
+
+// evictSlowed moves a task that the services beside it leave too little.
+func (c *Core) evictSlowed(now time.Duration, t *task) {
+	if t.wantedPace >= evictPace {
+		t.slowedSince = 0
+		return
+	}
+	if t.slowedSince == 0 {
+		t.slowedSince = now
+	}
+	if now-t.slowedSince < evictAfter || t.evictions >= maxEvictions || t.stopWanted {
+		return
+	}
+	t.evictions++
+	t.avoid = t.worker.ID
+	c.logger.Info("task evicted", "task", t.id, "run", t.run, "worker", t.worker.ID, "image", t.step.def.Image, "pace", t.pace, "percent", t.percent)
+	c.withdraw(t)
 }
 
 // PaceReturned takes over the outcome of a pace order.
 func (c *Core) PaceReturned(now time.Duration, o PaceOrder, a CallAnswer, err error) {
 	t := o.task
-	if !c.current(t, o.Member, o.Call.Attempt) || t.phase != workflow.Placed {
+	if !c.current(t, o.Member, o.Call.Attempt) {
 		return
 	}
 	t.pacing = false
@@ -94,8 +208,6 @@
 	case err == nil:
 		t.worker.takeClock(now, a.Clock)
 		t.pace = o.Call.Percent
-		// The worker's pace may have changed while the call was in flight.
-		c.setPace(t, t.worker.pace)
 	case errors.As(err, &refused) && refused.Reason == ReasonFenced:
 		c.deposed = true
 	default:
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -113,11 +113,11 @@
 }
 
 func (w *worker) node() *assign.Node {
-	n := &assign.Node{ID: w.ID, Rack: w.Rack, Capacity: w.Capacity, Reserved: w.reserved, BestEffort: w.bestEffort, Pressure: w.pressure,
-		Throttled: 1 - float64(w.pace)/fullPace, Unproven: w.failedInRow > 0, Slow: w.slow}
+	n := &assign.Node{ID: w.ID, Rack: w.Rack, Capacity: w.Capacity, Reserved: w.reserved, BestEffort: w.bestEffort, Slack: 1 - w.pressure,
+		Unproven: w.failedInRow > 0, Slow: w.slow, Services: map[string]int{}}
 	for t := range w.tasks {
-		if t.step.def.Service && t.step.def.Objective > 0 {
-			n.Services++
+		if latencyCritical(t.step.def) {
+			n.Services[t.step.def.Image]++
 		}
 	}
 	return n
@@ -147,8 +147,8 @@
 	if restricted {
 		nodes = p.restrict(nodes, t, usable)
 	}
-	n := assign.Choose(nodes, &assign.Task{Size: def.Size, BestEffort: def.BestEffort, Service: def.Service && def.Objective > 0,
-		DataRack: def.DataRack, Avoid: t.avoid, Retry: t.failures > 0})
+	n := assign.Choose(nodes, &assign.Task{Size: def.Size, BestEffort: def.BestEffort, Service: latencyCritical(def), Image: def.Image,
+		DataRack: def.DataRack, Avoid: t.avoid, Disturbance: p.core.disturbance(p.now, t)})
 	if n == nil && !restricted {
 		p.full[key] = struct{}{}
 	}
@@ -199,6 +199,9 @@
 	t.run, t.born, t.order, t.batch, t.attempts = run, w.Born, orderStoring, 0, 0
 	w.hold(t)
 	n.Reserved, n.BestEffort = w.reserved, w.bestEffort
+	if latencyCritical(t.step.def) {
+		n.Services[t.step.def.Image]++
+	}
 	j := t.job()
 	j.placed++
 	if j.state == workflow.Queued {
--- /dev/null
+++ b/internal/interference/interference_test.go
@@ -0,0 +1,37 @@
+package interference
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against blaming an image that runs beside the one that disturbs: only the pair that disturbs gets a coefficient.
+func TestLearnsThePairThatDisturbs(t *testing.T) {
+	m := New()
+	r := rand.New(rand.NewPCG(1, 1))
+	for i := range 400 {
+		heavy, light := 0.2*r.Float64(), 0.2*r.Float64()
+		tail := 20 * math.Exp(4*heavy+0.2*r.NormFloat64())
+		m.Observe(time.Duration(i)*10*time.Millisecond, "quotes", tail, []Share{{"heavy", heavy}, {"light", light}})
+	}
+	now := 4 * time.Second
+	assert.InDelta(t, 4, m.Coefficient(now, "quotes", "heavy"), 0.8)
+	assert.Less(t, m.Coefficient(now, "quotes", "light"), 0.6)
+	base, ok := m.Base(now, "quotes")
+	assert.True(t, ok)
+	assert.InDelta(t, 20, base, 2)
+}
+
+// Guards against a coefficient for a pair that was never seen together.
+func TestUnknownPairsDisturbNothing(t *testing.T) {
+	m := New()
+	assert.Zero(t, m.Coefficient(0, "quotes", "heavy"))
+	m.Observe(0, "quotes", 20, nil)
+	assert.Zero(t, m.Coefficient(0, "quotes", "heavy"))
+	m.Observe(0, "prices", 20, []Share{{"heavy", 0.1}})
+	assert.Zero(t, m.Coefficient(0, "quotes", "heavy"))
+}
