Plan only when something has changed, over candidates that are kept

Change: plans are at least 10 ms apart and made when room or work has changed; candidates keep their counts; a step without room is tried once.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -169,6 +169,7 @@
 		}
 		if !w.listed && len(w.tasks) == 0 && w.confirmed == w.sent && !w.renewing {
 			delete(c.workers, id)
+			c.sorted = nil
 			continue
 		}
 		if w.renewing || w.Addr == "" || now < w.renewedAt+c.renewInterval(w) {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -42,11 +42,15 @@
 	epoch  int64
 	config *queue.Config
 	// now is the wall clock; the due times of scheduled rounds are compared with it.
-	now      func() time.Time
-	jobs     map[workflow.JobID]*job
-	workers  map[string]*worker
-	dirty    map[*job]struct{}
-	pending  []*task
+	now     func() time.Time
+	jobs    map[workflow.JobID]*job
+	workers map[string]*worker
+	dirty   map[*job]struct{}
+	pending []*task
+	// changed tells that something may have room that had none at the time of the last plan.
+	changed  bool
+	planned  time.Duration
+	sorted   []*worker
 	unsorted bool
 	// waiting holds the rounds whose time has not come.
 	waiting []*round
@@ -302,7 +306,7 @@
 	}
 	t.pendingIndex, t.queuedAt = true, now
 	c.pending = append(c.pending, t)
-	c.unsorted = true
+	c.unsorted, c.changed = true, true
 }
 
 func (c *Core) markDirty(j *job) { c.dirty[j] = struct{}{} }
@@ -343,6 +347,7 @@
 // release takes a task off its worker. Its attempt has ended or was never ordered.
 func (c *Core) release(t *task) {
 	t.worker.drop(t)
+	c.changed = true
 	t.worker, t.order, t.batch = nil, orderNone, 0
 	t.phase = workflow.Pending
 	t.stopWanted, t.unsure, t.seen, t.attempts = false, false, false, 0
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -31,7 +31,7 @@
 	w.takeClock(now, a.Clock)
 	w.answeredAt, w.failingSince, w.retry = now, 0, 0
 	if !w.fenced {
-		w.fenced = true
+		w.fenced, c.changed = true, true
 		c.logger.Info("worker fenced", "worker", w.ID, "epoch", c.epoch, "running", len(a.Running), "ends", len(a.Ends))
 	}
 	for i := range a.Ends {
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"clementinewalk.example/clementinewalk/internal/resource"
+	"clementinewalk.example/clementinewalk/internal/assign"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -15,9 +15,8 @@
 	// fenced tells that this lifetime has answered this owner, so that it refuses earlier owners.
 	fenced bool
 	tasks  map[*task]struct{}
-	// reserved and bestEffort are what the tasks occupy and ask for.
-	reserved   resource.Vector
-	bestEffort int64
+	// node is the worker as a candidate; it holds what the tasks occupy and ask for.
+	node assign.Node
 	// clock is the worker's newest reading, taken no earlier than the answer to it was sent; clockAt is the time of receipt.
 	clock   time.Duration
 	clockAt time.Duration
@@ -46,7 +45,8 @@
 func (c *Core) worker(id string) *worker {
 	w := c.workers[id]
 	if w == nil {
-		w = &worker{Member: Member{Lifetime: Lifetime{ID: id}}, tasks: map[*task]struct{}{}}
+		w = &worker{Member: Member{Lifetime: Lifetime{ID: id}}, tasks: map[*task]struct{}{},
+			node: assign.Node{Services: map[string]int{}}}
 		c.workers[id] = w
 	}
 	return w
@@ -56,17 +56,27 @@
 	t.phase = workflow.Placed
 	t.worker = w
 	w.tasks[t] = struct{}{}
-	w.reserved = w.reserved.Add(t.reserved())
-	if t.step.def.BestEffort {
-		w.bestEffort += t.step.def.Size.MilliCores
-	}
+	w.node.Reserved = w.node.Reserved.Add(t.reserved())
+	w.tally(t, 1)
 }
 
 func (w *worker) drop(t *task) {
 	delete(w.tasks, t)
-	w.reserved = w.reserved.Sub(t.reserved())
-	if t.step.def.BestEffort {
-		w.bestEffort -= t.step.def.Size.MilliCores
+	w.node.Reserved = w.node.Reserved.Sub(t.reserved())
+	w.tally(t, -1)
+}
+
+func (w *worker) tally(t *task, n int) {
+	d := t.step.def
+	if d.BestEffort {
+		w.node.BestEffort += int64(n) * d.Size.MilliCores
+	}
+	if !latencyCritical(d) {
+		return
+	}
+	w.node.Services[d.Image] += n
+	if w.node.Services[d.Image] == 0 {
+		delete(w.node.Services, d.Image)
 	}
 }
 
@@ -127,7 +137,7 @@
 		c.logger.Info("worker listed", "worker", m.ID, "born", m.Born, "data_centre", m.DataCentre)
 		w.retry = 0
 	}
-	w.Member, w.listed = m, true
+	w.Member, w.listed, c.changed = m, true, true
 	c.forgetLifetimes(now, w)
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -12,12 +12,20 @@
 // maxPlacements bounds one plan, so that renewals and ends are not kept waiting.
 const maxPlacements = 200
 
+const (
+	// planSpacing bounds how often plans are made; what comes up in that time is placed together.
+	planSpacing = 10 * time.Millisecond
+	// planRetry is how soon tasks without room are looked at again when nothing is known to have changed.
+	planRetry = 100 * time.Millisecond
+)
+
 // Plan places what is pending, as far as there is room.
 func (c *Core) Plan(now time.Duration) {
 	c.openDue(now)
-	if len(c.pending) == 0 {
+	if len(c.pending) == 0 || now-c.planned < planSpacing || !c.changed && now-c.planned < planRetry {
 		return
 	}
+	c.planned, c.changed = now, false
 	c.sortPending()
 	p := c.newPlan(now)
 	rest := c.pending[:0]
@@ -83,8 +91,9 @@
 	// nodes are the candidates of each service, made when the first task asks for them.
 	nodes  map[string][]*assign.Node
 	placed int
-	// full holds the sizes for which no worker had room.
-	full map[fullKey]struct{}
+	// full holds the sizes for which no worker had room, fullSteps the steps whose restrictions left none.
+	full      map[fullKey]struct{}
+	fullSteps map[*step]struct{}
 }
 
 type fullKey struct {
@@ -93,7 +102,7 @@
 }
 
 func (c *Core) newPlan(now time.Duration) *plan {
-	return &plan{core: c, now: now, nodes: map[string][]*assign.Node{}, full: map[fullKey]struct{}{}}
+	return &plan{core: c, now: now, nodes: map[string][]*assign.Node{}, full: map[fullKey]struct{}{}, fullSteps: map[*step]struct{}{}}
 }
 
 func (p *plan) candidates(service string) []*assign.Node {
@@ -101,26 +110,28 @@
 		return n
 	}
 	var out []*assign.Node
-	for _, w := range p.core.workers {
+	for _, w := range p.core.sortedWorkers() {
 		if w.Service != service || w.unusable() || w.quarantine > p.now || w.fullUntil > p.now || w.failingSince != 0 {
 			continue
 		}
-		out = append(out, w.node())
+		w.node.ID, w.node.Rack, w.node.Capacity = w.ID, w.Rack, w.Capacity
+		w.node.Slack, w.node.Unproven, w.node.Slow = 1-w.pressure, w.failedInRow > 0, w.slow
+		out = append(out, &w.node)
 	}
-	sort.Slice(out, func(i, k int) bool { return out[i].ID < out[k].ID })
 	p.nodes[service] = out
 	return out
 }
 
-func (w *worker) node() *assign.Node {
-	n := &assign.Node{ID: w.ID, Rack: w.Rack, Capacity: w.Capacity, Reserved: w.reserved, BestEffort: w.bestEffort, Slack: 1 - w.pressure,
-		Unproven: w.failedInRow > 0, Slow: w.slow, Services: map[string]int{}}
-	for t := range w.tasks {
-		if latencyCritical(t.step.def) {
-			n.Services[t.step.def.Image]++
+// sortedWorkers returns all workers by id.
+func (c *Core) sortedWorkers() []*worker {
+	if len(c.sorted) != len(c.workers) {
+		c.sorted = c.sorted[:0]
+		for _, w := range c.workers {
+			c.sorted = append(c.sorted, w)
 		}
+		sort.Slice(c.sorted, func(i, k int) bool { return c.sorted[i].ID < c.sorted[k].ID })
 	}
-	return n
+	return c.sorted
 }
 
 // place places a task, or all tasks of its gang, and reports whether it did.
@@ -142,6 +153,9 @@
 	if _, ok := p.full[key]; ok {
 		return nil
 	}
+	if _, ok := p.fullSteps[t.step]; ok {
+		return nil
+	}
 	nodes := p.candidates(terms.Service)
 	restricted := def.Label != "" || def.MaxPerWorker > 0 || usable != nil
 	if restricted {
@@ -149,7 +163,11 @@
 	}
 	n := assign.Choose(nodes, &assign.Task{Size: def.Size, BestEffort: def.BestEffort, Service: latencyCritical(def), Image: def.Image,
 		DataRack: def.DataRack, Avoid: t.avoid, Disturbance: p.core.disturbance(p.now, t)})
-	if n == nil && !restricted {
+	switch {
+	case n != nil || usable != nil:
+	case restricted:
+		p.fullSteps[t.step] = struct{}{}
+	default:
 		p.full[key] = struct{}{}
 	}
 	return n
@@ -198,10 +216,6 @@
 	w := c.workers[n.ID]
 	t.run, t.born, t.order, t.batch, t.attempts = run, w.Born, orderStoring, 0, 0
 	w.hold(t)
-	n.Reserved, n.BestEffort = w.reserved, w.bestEffort
-	if latencyCritical(t.step.def) {
-		n.Services[t.step.def.Image]++
-	}
 	j := t.job()
 	j.placed++
 	if j.state == workflow.Queued {
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -18,6 +18,19 @@
 	Cancelled
 )
 
+var stateNames = [...]string{"queued", "running", "done", "failed", "cancelled"}
+
+// String returns the name for logs.
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return "unknown"
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
 // Over reports whether the state is final.
 func (s State) Over() bool { return s >= Done }
 
--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -157,9 +157,17 @@
 
 // String returns the name that workers know.
 func (t TaskID) String() string {
-	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Round, t.Step, t.Index)
+	b := make([]byte, 0, len(t.Job)+12)
+	b = append(b, t.Job...)
+	for _, n := range [...]int{t.Round, t.Step, t.Index} {
+		b = strconv.AppendInt(append(b, '.'), int64(n), 10)
+	}
+	return string(b)
 }
 
+// MarshalText implements encoding.TextMarshaler, so that logs show the name.
+func (t TaskID) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
+
 // TaskNameError reports a task name that is not of the form JOB.ROUND.STEP.INDEX.
 type TaskNameError struct{ Name string }
 
