Order tasks by the objective of their submission, and log a summary

Change: within a priority, tasks whose submission can meet its objective come first, by earliest objective, then services, then late work.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -255,6 +255,7 @@
 
 // Act sends what is due: renewals, repeated orders and stops.
 func (c *Core) Act(now time.Duration) {
+	c.summarize(now)
 	c.renew(now)
 	c.attend(now)
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -48,10 +48,11 @@
 	dirty   map[*job]struct{}
 	pending []*task
 	// changed tells that something may have room that had none at the time of the last plan.
-	changed  bool
-	planned  time.Duration
-	sorted   []*worker
-	unsorted bool
+	changed    bool
+	planned    time.Duration
+	summarized time.Duration
+	sorted     []*worker
+	unsorted   bool
 	// waiting holds the rounds whose time has not come.
 	waiting []*round
 	// committing holds the placements that are not stored yet, by order of their batch.
@@ -72,8 +73,12 @@
 	cancelled bool
 	state     workflow.State
 	rounds    []*round
-	open      int // rounds that are not done
-	placed    int // tasks that may run
+	// objective is the time until which the submission should be done.
+	objective time.Duration
+	// span is the time that the objective allows from the acceptance on.
+	span   time.Duration
+	open   int // rounds that are not done
+	placed int // tasks that may run
 }
 
 type round struct {
@@ -175,7 +180,6 @@
 	for _, j := range c.jobs {
 		c.refreshTerms(j)
 	}
-	c.unsorted = true
 }
 
 // refreshTerms takes the terms of the queue in force; those of the submission stay when the queue was removed.
@@ -203,6 +207,8 @@
 	j := &job{sub: known.Submission, terms: known.Submission.Terms, offset: known.Offset}
 	c.jobs[j.sub.Job] = j
 	c.refreshTerms(j)
+	j.span = time.Duration(j.terms.Stretch*float64(j.sub.Chain())) + j.terms.Allowance
+	j.objective = now + j.span - max(0, min(j.span, c.now().Sub(j.sub.Accepted)))
 	var rec workflow.Record
 	if known.Record != nil {
 		rec = *known.Record
@@ -306,7 +312,7 @@
 	}
 	t.pendingIndex, t.queuedAt = true, now
 	c.pending = append(c.pending, t)
-	c.unsorted, c.changed = true, true
+	c.changed = true
 }
 
 func (c *Core) markDirty(j *job) { c.dirty[j] = struct{}{} }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -26,7 +26,7 @@
 		return
 	}
 	c.planned, c.changed = now, false
-	c.sortPending()
+	c.sortPending(now)
 	p := c.newPlan(now)
 	rest := c.pending[:0]
 	for _, t := range c.pending {
@@ -66,21 +66,38 @@
 	}
 }
 
-// sortPending puts the highest priority first, services before others, then the order of acceptance.
-func (c *Core) sortPending() {
-	if !c.unsorted {
-		return
+// lateFactor times the time that the objective allows is how long a result is still worth something.
+const lateFactor = 3
+
+// tier groups the tasks of one priority: first those whose submission can meet its objective, then services, then what is late.
+func (t *task) tier(now time.Duration) int {
+	j := t.job()
+	switch {
+	case t.step.def.Service:
+		return 1
+	case now <= j.objective:
+		return 0
+	case now <= j.objective+(lateFactor-1)*j.span:
+		return 2
 	}
-	c.unsorted = false
+	return 3
+}
+
+// sortPending puts the highest priority first, then tiers, then the earliest objective. Services keep the order of acceptance.
+func (c *Core) sortPending(now time.Duration) {
 	sort.SliceStable(c.pending, func(i, k int) bool {
 		a, b := c.pending[i], c.pending[k]
-		if x, y := a.job().terms.Priority, b.job().terms.Priority; x != y {
+		ja, jb := a.job(), b.job()
+		if x, y := ja.terms.Priority, jb.terms.Priority; x != y {
+			return x < y
+		}
+		if x, y := a.tier(now), b.tier(now); x != y {
 			return x < y
 		}
-		if a.step.def.Service != b.step.def.Service {
-			return a.step.def.Service
+		if !a.step.def.Service && ja.objective != jb.objective {
+			return ja.objective < jb.objective
 		}
-		return a.job().offset < b.job().offset
+		return ja.offset < jb.offset
 	})
 }
 
--- /dev/null
+++ b/internal/dispatch/summary.go
@@ -0,0 +1,44 @@
+package dispatch
+
+import (
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/resource"
+)
+
+// summaryInterval is the time between two summaries in the log.
+const summaryInterval = 2 * time.Second
+
+// summarize logs what is placed, what waits and what is free, so that a wait can be explained afterwards.
+func (c *Core) summarize(now time.Duration) {
+	if now-c.summarized < summaryInterval {
+		return
+	}
+	c.summarized = now
+	var waiting, services int
+	queues := map[string]int{}
+	var asked, capacity, reserved resource.Vector
+	for _, t := range c.pending {
+		waiting++
+		asked = asked.Add(t.reserved())
+		queues[t.job().terms.Queue]++
+		if t.step.def.Service {
+			services++
+		}
+	}
+	usable, silent, placed := 0, 0, 0
+	for _, w := range c.workers {
+		placed += len(w.tasks)
+		if w.failingSince != 0 {
+			silent++
+		}
+		if w.unusable() {
+			continue
+		}
+		usable++
+		capacity, reserved = capacity.Add(w.Capacity), reserved.Add(w.node.Reserved)
+	}
+	c.logger.Info("summary", "epoch", c.epoch, "workers", len(c.workers), "usable", usable, "silent", silent, "placed", placed, "waiting", waiting,
+		"waiting_services", services, "waiting_by_queue", queues, "asked_cores", asked.MilliCores/1000, "asked_mb", asked.MemoryMB, "cores", capacity.MilliCores/1000,
+		"reserved_cores", reserved.MilliCores/1000, "mb", capacity.MemoryMB, "reserved_mb", reserved.MemoryMB)
+}
--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -80,6 +80,22 @@
 	Repeat   int           `cbor:"5,keyasint,omitempty"`
 	First    time.Time     `cbor:"6,keyasint,omitempty"`
 	Interval time.Duration `cbor:"7,keyasint,omitempty"`
+	// Accepted is when the submission was handed in, by the clock of the instance that took it.
+	Accepted time.Time `cbor:"8,keyasint,omitempty"`
+}
+
+// Chain returns the longest declared duration of steps that wait for each other.
+func (s *Submission) Chain() time.Duration {
+	ends := make([]time.Duration, len(s.Steps))
+	longest := time.Duration(0)
+	for i := range s.Steps {
+		for _, a := range s.Steps[i].After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += s.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
 }
 
 // Rounds returns how often the steps run.
