Keep what was learned of disturbance across owners, and hand over at once

Cause: after each change of owner the disturbance of images was learned anew, tasks slowed by the old owner stayed slow, and a stopping owner waited a second for lease calls before it released. While a service was over its objective, images with a small coefficient were not slowed. Change: the fit is stored every 4 s; the pace of adopted tasks counts as unknown; lease calls do not hold up the release; an owner that finds its own instance's earlier claim claims at once; from the goal on, images with a coefficient of 0.2 are slowed too.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/interference"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -14,6 +15,7 @@
 const (
 	cancelPrefix = "cancel/"
 	ownerKey     = "owner"
+	learnedKey   = "interference"
 )
 
 // SubmissionEntry returns the entry that makes a submission accepted. It returns an *workflow.EncodeError.
@@ -49,6 +51,12 @@
 	return eventlog.Entry{Key: ownerKey, Value: b}, err
 }
 
+// LearnedEntry returns the entry with what owners have learned of disturbance. It returns an *workflow.EncodeError.
+func LearnedEntry(s interference.State) (eventlog.Entry, error) {
+	b, err := workflow.Encode("interference", s)
+	return eventlog.Entry{Key: learnedKey, Value: b}, err
+}
+
 // Job is what is known of one submission. It is shared and never changed after it is published.
 type Job struct {
 	Submission *workflow.Submission
@@ -82,6 +90,7 @@
 	// orphans are cancellations and records whose submission has not been read yet.
 	orphans map[workflow.JobID]*Job
 	owner   Ownership
+	learned []byte
 }
 
 // New returns an empty catalog.
@@ -203,9 +212,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, e := range entries {
-		if e.Key == ownerKey {
+		switch e.Key {
+		case ownerKey:
 			c.applyOwner(e)
 			continue
+		case learnedKey:
+			c.learned = e.Value
+			continue
 		}
 		var r workflow.Record
 		if err := workflow.Decode("progress", e.Value, &r); err != nil {
@@ -235,6 +248,21 @@
 	}
 }
 
+// Learned returns what owners have learned of disturbance, empty if nothing is stored or it cannot be read.
+func (c *Catalog) Learned() interference.State {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var s interference.State
+	if c.learned == nil {
+		return s
+	}
+	if err := workflow.Decode("interference", c.learned, &s); err != nil {
+		c.logger.Error("learned disturbance left out", "error", err)
+		return interference.State{}
+	}
+	return s
+}
+
 // Freshness is how current a view is, in time since the instance was started.
 type Freshness interface {
 	// AsOf returns the time up to which the view is complete, and false before the first read.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -161,9 +161,10 @@
 func (t *task) attempt() Attempt { return Attempt{Task: t.id, Run: t.run} }
 
 // New returns the core of an owner that has just claimed the epoch, over everything that the log holds.
-func New(p Params, epoch int64, now time.Duration, wall func() time.Time, l *slog.Logger, config *queue.Config, jobs []*catalog.Job) *Core {
+func New(p Params, epoch int64, now time.Duration, wall func() time.Time, l *slog.Logger, config *queue.Config, jobs []*catalog.Job,
+	learned interference.State) *Core {
 	c := &Core{params: p, logger: l, epoch: epoch, config: config, now: wall, jobs: map[workflow.JobID]*job{}, workers: map[string]*worker{},
-		dirty: map[*job]struct{}{}, attention: map[*task]struct{}{}, recovered: now, model: interference.New()}
+		dirty: map[*job]struct{}{}, attention: map[*task]struct{}{}, recovered: now, model: interference.Restore(now, learned)}
 	sort.Slice(jobs, func(i, k int) bool { return jobs[i].Offset < jobs[k].Offset })
 	for _, j := range jobs {
 		c.Submit(now, j)
@@ -171,6 +172,9 @@
 	return c
 }
 
+// Learned returns what the owner knows of disturbance.
+func (c *Core) Learned() interference.State { return c.model.State() }
+
 // Deposed reports whether a worker has seen a later owner.
 func (c *Core) Deposed() bool { return c.deposed }
 
@@ -262,6 +266,7 @@
 	}
 	w := c.worker(r.Worker)
 	t.order, t.settledAt = orderSettled, c.recovered
+	t.pace = unknownPace
 	if t.job().state.Over() {
 		t.stopWanted = true
 		c.attention[t] = struct{}{}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -38,6 +38,8 @@
 	standbyTick = 200 * time.Millisecond
 	// appendSpacing bounds the number of appends; the decisions of that time go into one.
 	appendSpacing = 15 * time.Millisecond
+	// learnedInterval is how often what was learned of disturbance is stored: a few kilobytes each time.
+	learnedInterval = 4 * time.Second
 	// Retry times of an append that was refused.
 	firstAppendRetry = 30 * time.Millisecond
 	maxAppendRetry   = 250 * time.Millisecond
@@ -73,6 +75,7 @@
 	confirmed time.Duration
 	appending bool
 	appended  time.Duration
+	learned   time.Duration
 	calls     int
 	stopping  bool
 	following context.CancelFunc
@@ -231,7 +234,9 @@
 		return
 	}
 	owner := o.catalog.Owner()
-	if owner.Epoch > 0 && !owner.Released && now-o.ownerSign < claimSilence {
+	// An owner of this instance was an earlier process, which has ended.
+	ended := owner.Released || owner.Instance == o.settings.Instance
+	if owner.Epoch > 0 && !ended && now-o.ownerSign < claimSilence {
 		return
 	}
 	o.claim(ctx, now, owner)
@@ -278,8 +283,8 @@
 		o.logger.Info("claim outdated", "epoch", o.epoch, "newest", newest.Epoch)
 		return
 	}
-	o.core = New(o.settings.Params, o.epoch, now, time.Now, o.logger, o.config.Load(), o.catalog.All())
-	o.appended = now
+	o.core = New(o.settings.Params, o.epoch, now, time.Now, o.logger, o.config.Load(), o.catalog.All(), o.catalog.Learned())
+	o.appended, o.learned = now, now
 	followCtx, cancel := context.WithCancel(ctx)
 	o.following = cancel
 	o.fleet = eventlog.NewFollower(o.log, o.settings.WorkersTopic, eventlog.Pace{Wait: 600 * time.Millisecond, Pause: 250 * time.Millisecond}, o.logger, o.membersRead)
@@ -360,6 +365,15 @@
 		}
 		entries = []eventlog.Entry{e}
 	}
+	if now-o.learned >= learnedInterval {
+		o.learned = now
+		e, err := catalog.LearnedEntry(o.core.Learned())
+		if err != nil {
+			o.logger.Error("learned disturbance not encoded", "error", err)
+		} else {
+			entries = append(entries, e)
+		}
+	}
 	o.sequence++
 	o.appending, o.appended = true, now
 	core, p := o.core, eventlog.Producer{Name: producer, Epoch: o.epoch, Sequence: o.sequence}
@@ -415,12 +429,17 @@
 // send carries the core's orders out.
 func (o *Owner) send(ctx context.Context, now time.Duration) {
 	for _, order := range o.core.Orders() {
-		o.calls++
+		// A lease call may wait for a second and changes nothing that a successor would have to know.
+		counted := 1
+		if _, ok := order.(LeaseOrder); ok {
+			counted = 0
+		}
+		o.calls += counted
 		core := o.core
 		go func() {
 			report := o.carryOut(ctx, core, now, order)
 			o.post(func(now time.Duration) {
-				o.calls--
+				o.calls -= counted
 				if o.core == core {
 					report(now)
 				}
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -14,6 +14,8 @@
 const (
 	// fullPace lets a task use all that it can get, in percent.
 	fullPace = 100
+	// unknownPace is that of a task which an earlier owner started.
+	unknownPace = -1
 	// paceGrain is the smallest change of pace that is worth an order.
 	paceGrain = 10
 	// tailGoal is the share of its objective at which the tail of a service is held where best-effort tasks lengthen it.
@@ -21,6 +23,8 @@
 	// harmful is the coefficient from which an image is held responsible for the tail of a service. On a tenth of a worker it lengthens
 	// the tail by a tenth.
 	harmful = 1.0
+	// slight is the coefficient from which an image is held responsible where a service is beyond its goal.
+	slight = 0.2
 	// overCut is applied to the pace of responsible tasks while a service is over its objective.
 	overCut = 0.4
 	// blameAll is how long a service may be over its objective before all best-effort tasks beside it are slowed, whether known to
@@ -106,6 +110,9 @@
 	}
 	for _, t := range bestEffort {
 		t.wantedPace = min(fullPace, t.pace+raiseStep)
+		if t.pace == unknownPace {
+			t.wantedPace = fullPace
+		}
 	}
 	for _, s := range services {
 		c.protect(now, w, s, bestEffort)
@@ -146,12 +153,16 @@
 	} else if s.overSince == 0 {
 		s.overSince = now
 	}
+	blamed := harmful
+	if s.load > tailGoal*objective(s) {
+		blamed = slight
+	}
 	rise, full := 0.0, 0.0
 	image := s.step.def.Image
 	for _, t := range bestEffort {
 		k := c.model.Coefficient(now, image, t.step.def.Image)
 		rise += k * w.share(t)
-		if k >= harmful {
+		if k >= blamed {
 			full += k * w.fullShare(t)
 		}
 	}
@@ -163,11 +174,11 @@
 	everyone := over && now-s.overSince >= blameAll
 	for _, t := range bestEffort {
 		k := c.model.Coefficient(now, image, t.step.def.Image)
-		if k >= harmful {
+		if k >= blamed {
 			t.wantedPace = min(t.wantedPace, int(part*fullPace))
 		}
 		if over && (k >= harmful || everyone) {
-			t.wantedPace = min(t.wantedPace, int(float64(t.pace)*overCut))
+			t.wantedPace = min(t.wantedPace, int(float64(max(0, t.pace))*overCut))
 		}
 	}
 }
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -103,7 +103,7 @@
 func (w *world) takeOver() {
 	w.epoch++
 	w.stored = nil
-	w.core = New(w.params, w.epoch, w.now, func() time.Time { return time.Unix(0, int64(w.now)) }, quiet(), testConfig(), w.catalog.All())
+	w.core = New(w.params, w.epoch, w.now, func() time.Time { return time.Unix(0, int64(w.now)) }, quiet(), testConfig(), w.catalog.All(), w.catalog.Learned())
 	w.list()
 }
 
--- a/internal/eventlog/batcher.go
+++ b/internal/eventlog/batcher.go
@@ -28,7 +28,7 @@
 	// batchEntries bounds one append: entries are at most a few kilobytes.
 	batchEntries = 200
 	// appendsInFlight lets appends go on while one waits for an answer that was lost.
-	appendsInFlight = 3
+	appendsInFlight = 2
 	// appendTries is how often a batch is sent; the callers of a batch whose last try has no answer must ask again.
 	appendTries = 3
 	appendPause = 60 * time.Millisecond
--- a/internal/interference/interference.go
+++ b/internal/interference/interference.go
@@ -127,6 +127,63 @@
 	f.faded = now
 }
 
+// State is what a model has learned, in a form that can be stored.
+type State struct {
+	// Images holds the best-effort images in the order of their columns, from column 1 on.
+	Images   []string            `cbor:"1,keyasint"`
+	Services map[string]FitState `cbor:"2,keyasint"`
+}
+
+// FitState is the regression of one service image: the sums of x x' by row, and of x y.
+type FitState struct {
+	XX []float32 `cbor:"1,keyasint"`
+	XY []float32 `cbor:"2,keyasint"`
+}
+
+// State returns what the model has learned.
+func (m *Model) State() State {
+	s := State{Images: make([]string, len(m.index)), Services: make(map[string]FitState, len(m.services))}
+	for image, i := range m.index {
+		s.Images[i-1] = image
+	}
+	for image, f := range m.services {
+		s.Services[image] = FitState{XX: narrow(f.xx), XY: narrow(f.xy)}
+	}
+	return s
+}
+
+// Restore returns a model that goes on from a state. Services whose sums do not fit together are left out.
+func Restore(now time.Duration, s State) *Model {
+	m := New()
+	for i, image := range s.Images {
+		m.index[image] = i + 1
+	}
+	for image, f := range s.Services {
+		n := len(f.XY)
+		if n == 0 || n > len(s.Images)+1 || len(f.XX) != n*n {
+			continue
+		}
+		m.services[image] = &fit{n: n, xx: widen(f.XX), xy: widen(f.XY), faded: now}
+	}
+	return m
+}
+
+func narrow(v []float64) []float32 {
+	out := make([]float32, len(v))
+	for i, x := range v {
+		out[i] = float32(x)
+	}
+	return out
+}
+
+func widen(v []float32) []float64 {
+	out := make([]float64, len(v))
+	for i, x := range v {
+		out[i] = float64(x)
+	}
+	return out
+}
+
 // Coefficient returns by how much the logarithm of the service's tail grows if the tasks of an image use all processors of a worker, at least 0.
 func (m *Model) Coefficient(now time.Duration, service, image string) float64 {
 	f, i := m.services[service], m.index[image]
--- a/internal/interference/interference_test.go
+++ b/internal/interference/interference_test.go
@@ -35,3 +35,16 @@
 	m.Observe(0, "prices", 20, []Share{{"heavy", 0.1}})
 	assert.Zero(t, m.Coefficient(0, "quotes", "heavy"))
 }
+
+// Guards against a new owner that starts from nothing, or from a damaged record.
+func TestStateOutlivesTheModel(t *testing.T) {
+	m := New()
+	for i := range 100 {
+		m.Observe(0, "quotes", 20*math.Exp(3*float64(i%10)/50), []Share{{"heavy", float64(i%10) / 50}})
+	}
+	s := m.State()
+	r := Restore(time.Second, s)
+	assert.InDelta(t, m.Coefficient(0, "quotes", "heavy"), r.Coefficient(time.Second, "quotes", "heavy"), 0.01)
+	s.Services["damaged"] = FitState{XX: []float32{1}, XY: []float32{1, 2}}
+	assert.Zero(t, Restore(0, s).Coefficient(0, "damaged", "heavy"))
+}
