Give what services can bear to the first in order where it is scarce

Change: below 35 percent of the pace, tasks get their full pace in the order of their objectives. A worker that is gone is forgotten.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -170,7 +170,7 @@
 		if c.expired(now, w) {
 			continue
 		}
-		if !w.listed && len(w.tasks) == 0 && w.confirmed == w.sent && !w.renewing {
+		if !w.listed && len(w.tasks) == 0 && !w.renewing && (w.confirmed == w.sent || w.failingSince != 0) {
 			delete(c.workers, id)
 			c.sorted = nil
 			continue
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,10 @@
 	// blameAll is how long a service may be over its objective before all best-effort tasks beside it are slowed, whether known to
 	// disturb it or not.
 	blameAll = 1200 * time.Millisecond
+	// nothing is a disturbance that cannot be noticed; it keeps from dividing by zero.
+	nothing = 1e-6
+	// leastEven is the part of their pace down to which tasks are slowed evenly.
+	leastEven = 0.35
 	// raiseStep is how much a pace may grow with each answer, in percent.
 	raiseStep = 30
 	// A task whose pace stays below evictPace for evictAfter is moved, at most maxEvictions times.
@@ -108,6 +113,7 @@
 	if len(bestEffort) == 0 {
 		return
 	}
+	sort.Slice(bestEffort, func(i, k int) bool { return bestEffort[i].before(bestEffort[k], now) })
 	for _, t := range bestEffort {
 		t.wantedPace = min(fullPace, t.pace+raiseStep)
 		if t.pace == unknownPace {
@@ -157,24 +163,30 @@
 	if s.load > tailGoal*objective(s) {
 		blamed = slight
 	}
-	rise, full := 0.0, 0.0
 	image := s.step.def.Image
+	rise := 0.0
 	for _, t := range bestEffort {
-		k := c.model.Coefficient(now, image, t.step.def.Image)
-		rise += k * w.share(t)
-		if k >= blamed {
-			full += k * w.fullShare(t)
-		}
-	}
-	allowed := math.Log(tailGoal*objective(s)) - (math.Log(s.load) - rise)
-	part := 1.0
-	if full > 0 {
-		part = min(1, max(0, allowed/full))
+		rise += c.model.Coefficient(now, image, t.step.def.Image) * w.share(t)
 	}
+	allowed := max(0, math.Log(tailGoal*objective(s))-(math.Log(s.load)-rise))
 	everyone := over && now-s.overSince >= blameAll
+	asked := 0.0
+	for _, t := range bestEffort {
+		if k := c.model.Coefficient(now, image, t.step.def.Image); k >= blamed {
+			asked += k * w.fullShare(t)
+		}
+	}
+	even := min(1, allowed/max(asked, nothing))
 	for _, t := range bestEffort {
 		k := c.model.Coefficient(now, image, t.step.def.Image)
 		if k >= blamed {
+			part := even
+			if even < leastEven {
+				// Side by side at a small part of their pace all would end late: the first in order get what the service can bear.
+				full := k * w.fullShare(t)
+				part = min(1, allowed/full)
+				allowed -= part * full
+			}
 			t.wantedPace = min(t.wantedPace, int(part*fullPace))
 		}
 		if over && (k >= harmful || everyone) {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -83,22 +83,27 @@
 	return 3
 }
 
-// sortPending puts the highest priority first, then tiers, then the earliest objective. Services keep the order of acceptance.
+// before reports whether a task comes before another: the highest priority first, then tiers, then the earliest objective. Services keep the order
+// of acceptance.
+func (t *task) before(o *task, now time.Duration) bool {
+	jt, jo := t.job(), o.job()
+	if x, y := jt.terms.Priority, jo.terms.Priority; x != y {
+		return x < y
+	}
+	if x, y := t.tier(now), o.tier(now); x != y {
+		return x < y
+	}
+	if !t.step.def.Service && jt.objective != jo.objective {
+		return jt.objective < jo.objective
+	}
+	if jt.offset != jo.offset {
+		return jt.offset < jo.offset
+	}
+	return t.id.Step < o.id.Step || t.id.Step == o.id.Step && t.id.Index < o.id.Index
+}
+
 func (c *Core) sortPending(now time.Duration) {
-	sort.SliceStable(c.pending, func(i, k int) bool {
-		a, b := c.pending[i], c.pending[k]
-		ja, jb := a.job(), b.job()
-		if x, y := ja.terms.Priority, jb.terms.Priority; x != y {
-			return x < y
-		}
-		if x, y := a.tier(now), b.tier(now); x != y {
-			return x < y
-		}
-		if !a.step.def.Service && ja.objective != jb.objective {
-			return ja.objective < jb.objective
-		}
-		return ja.offset < jb.offset
-	})
+	sort.SliceStable(c.pending, func(i, k int) bool { return c.pending[i].before(c.pending[k], now) })
 }
 
 // plan is one round of placements.
