Claim only on silence that was read, and once

Cause: TestOutageOfTheLogIsNoSilence failed: at the start of an outage of the log an instance counted the time since its last read as silence of the owner, and its claim was repeated until the outage was over, which deposed a living owner.

--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -236,7 +236,9 @@
 	owner := o.catalog.Owner()
 	// An owner of this instance was an earlier process, which has ended.
 	ended := owner.Released || owner.Instance == o.settings.Instance
-	if owner.Epoch > 0 && !ended && now-o.ownerSign < claimSilence {
+	// Only what has been read counts: the owner may have written since.
+	read, _ := o.views.Progress.AsOf()
+	if owner.Epoch > 0 && !ended && read-o.ownerSign < claimSilence {
 		return
 	}
 	o.claim(ctx, now, owner)
@@ -262,13 +264,13 @@
 	}
 	go func() {
 		sent := clock.Now()
-		offset, err := o.appendUntil(ctx, &p, []eventlog.Entry{e})
+		// A claim that fails is not repeated as it is: what justified it may be over. One that was carried out all the same shows in the log.
+		offset, err := o.log.Append(ctx, o.settings.ProgressTopic, &p, []eventlog.Entry{e})
 		o.post(func(now time.Duration) {
 			o.claiming = false
 			o.claimAfter = now + rand.N(claimSpread)
 			if err != nil {
 				o.logger.Info("claim lost", "epoch", p.Epoch, "error", err)
-				o.ownerSign = now
 				return
 			}
 			o.epoch, o.sequence, o.confirmed, o.claimOffset = p.Epoch, p.Sequence, sent, offset+1
