--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,90 @@
+package catalog
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/interference"
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+func newCatalog() *Catalog { return New(slog.New(slog.NewTextHandler(io.Discard, nil))) }
+
+func entry(t *testing.T, offset int64) func(eventlog.Entry, error) eventlog.Entry {
+	return func(e eventlog.Entry, err error) eventlog.Entry {
+		t.Helper()
+		require.NoError(t, err)
+		e.Offset = offset
+		return e
+	}
+}
+
+func submission(id workflow.JobID) *workflow.Submission {
+	return &workflow.Submission{Job: id, Terms: workflow.Terms{Queue: "q"}, Steps: []workflow.Step{{Count: 1}}}
+}
+
+func TestRepeatedSubmissionRemainsOne(t *testing.T) {
+	c := newCatalog()
+	e := entry(t, 1)(SubmissionEntry(submission("a")))
+	assert.Len(t, c.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{e, e}}), 1)
+	assert.Len(t, c.All(), 1)
+	assert.Equal(t, 1, c.Waiting("q"))
+}
+
+// Guards against a cancellation that is lost because it is read before its submission, which a slow append can store later.
+func TestCancellationBeforeItsSubmission(t *testing.T) {
+	c := newCatalog()
+	changed := c.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{CancelEntry("a"), entry(t, 2)(SubmissionEntry(submission("a")))}})
+	require.Len(t, changed, 1)
+	assert.True(t, changed[0].Cancelled)
+	assert.Equal(t, workflow.Cancelled, c.Find("a").State())
+}
+
+// Guards against a state that goes back when the owner reads its own records again.
+func TestStateDoesNotGoBack(t *testing.T) {
+	c := newCatalog()
+	c.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{entry(t, 1)(SubmissionEntry(submission("a")))}})
+	running := entry(t, 5)(ProgressEntry("a", &workflow.Record{State: workflow.Running}))
+	done := entry(t, 6)(ProgressEntry("a", &workflow.Record{State: workflow.Done}))
+	c.ApplyProgress([]eventlog.Entry{done})
+	c.ApplyProgress([]eventlog.Entry{running, done})
+	assert.Equal(t, workflow.Done, c.Find("a").State())
+	c.ApplyProgress([]eventlog.Entry{running})
+	assert.Equal(t, workflow.Done, c.Find("a").State())
+}
+
+func TestCompleteOnlyWithAllSubmissions(t *testing.T) {
+	c := newCatalog()
+	assert.True(t, c.Complete())
+	c.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{CancelEntry("b")}})
+	assert.True(t, c.Complete(), "a cancellation needs no owner")
+	c.ApplyProgress([]eventlog.Entry{entry(t, 1)(ProgressEntry("a", &workflow.Record{State: workflow.Running}))})
+	assert.False(t, c.Complete())
+	c.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{entry(t, 1)(SubmissionEntry(submission("a")))}})
+	assert.True(t, c.Complete())
+	assert.Equal(t, workflow.Running, c.Find("a").State())
+}
+
+func TestOlderOwnershipIsIgnored(t *testing.T) {
+	c := newCatalog()
+	c.ApplyProgress([]eventlog.Entry{entry(t, 1)(OwnerEntry(&Ownership{Epoch: 3, Instance: "x"}))})
+	assert.Equal(t, "x", c.ApplyProgress([]eventlog.Entry{entry(t, 2)(OwnerEntry(&Ownership{Epoch: 2, Instance: "y"}))}).Instance)
+}
+
+// Guards against one unreadable record that hides all others.
+func TestUnreadableRecordsAreLeftOut(t *testing.T) {
+	c := newCatalog()
+	bad := eventlog.Entry{Key: "a", Value: []byte{0xff}}
+	good := entry(t, 1)(SubmissionEntry(submission("b")))
+	assert.Len(t, c.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{bad, good}}), 1)
+	c.ApplyProgress([]eventlog.Entry{bad, {Key: "owner", Value: []byte{0xff}}, {Key: "interference", Value: []byte{0xff}}})
+	assert.Zero(t, c.Owner().Epoch)
+	assert.Empty(t, c.Learned().Images)
+	c.ApplyProgress([]eventlog.Entry{entry(t, 1)(LearnedEntry(interference.State{Images: []string{"x"}}))})
+	assert.Equal(t, []string{"x"}, c.Learned().Images)
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -52,7 +52,6 @@
 	planned    time.Duration
 	summarized time.Duration
 	sorted     []*worker
-	unsorted   bool
 	// waiting holds the rounds whose time has not come.
 	waiting []*round
 	// committing holds the placements that are not stored yet, by order of their batch.
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -85,7 +85,6 @@
 	contact     time.Duration
 	progressEnd int64
 	claiming    bool
-	claimedAt   int64
 	claimOffset int64
 	claimAfter  time.Duration
 	seenEpoch   int64
--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,138 @@
+package eventlog_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/clock"
+	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/standin/memlog"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// recorder collects what a follower hands over.
+type recorder struct {
+	mu     sync.Mutex
+	keys   []string
+	resets int
+}
+
+func (r *recorder) take(b eventlog.Batch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if b.Reset {
+		r.resets++
+	}
+	for _, e := range b.Entries {
+		r.keys = append(r.keys, e.Key)
+	}
+}
+
+func (r *recorder) seen() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.keys...)
+}
+
+func follow(t *testing.T, l eventlog.Log) (*eventlog.Follower, *recorder) {
+	t.Helper()
+	r := &recorder{}
+	f := eventlog.NewFollower(l, "topic", eventlog.Pace{Wait: 50 * time.Millisecond, Pause: time.Millisecond}, quiet, r.take)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.Run(ctx)
+	return f, r
+}
+
+func put(t *testing.T, l *memlog.Log, key string) {
+	t.Helper()
+	_, err := l.Append(context.Background(), "topic", nil, []eventlog.Entry{{Key: key, Value: []byte("v")}})
+	require.NoError(t, err)
+}
+
+// Guards against a gap when the store forgets its history while a follower is behind.
+func TestFollowerSurvivesLostHistory(t *testing.T) {
+	l := memlog.New()
+	put(t, l, "a")
+	_, r := follow(t, l)
+	require.Eventually(t, func() bool { return len(r.seen()) == 1 }, time.Second, time.Millisecond)
+	l.SetFaults(memlog.Faults{Down: true})
+	time.Sleep(60 * time.Millisecond)
+	l.SetFaults(memlog.Faults{})
+	put(t, l, "b")
+	l.Trim("topic")
+	put(t, l, "c")
+	require.Eventually(t, func() bool {
+		seen := map[string]bool{}
+		for _, k := range r.seen() {
+			seen[k] = true
+		}
+		return seen["a"] && seen["b"] && seen["c"]
+	}, 2*time.Second, time.Millisecond)
+}
+
+// Guards against a view that counts as current although nothing can be read.
+func TestFollowerAgesDuringAnOutage(t *testing.T) {
+	l := memlog.New()
+	f, _ := follow(t, l)
+	require.Eventually(t, func() bool { _, ok := f.AsOf(); return ok }, time.Second, time.Millisecond)
+	l.SetFaults(memlog.Faults{Down: true})
+	time.Sleep(300 * time.Millisecond)
+	asOf, _ := f.AsOf()
+	assert.Greater(t, clock.Now()-asOf, 200*time.Millisecond)
+	l.SetFaults(memlog.Faults{})
+	require.Eventually(t, func() bool { asOf, _ := f.AsOf(); return clock.Now()-asOf < 100*time.Millisecond }, 2*time.Second, time.Millisecond)
+}
+
+func batcher(t *testing.T, l eventlog.Log) *eventlog.Batcher {
+	t.Helper()
+	b := eventlog.NewBatcher(l, "topic", quiet)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go b.Run(ctx)
+	return b
+}
+
+// Guards against a refusal that is reported although an earlier try may have stored the entry.
+func TestBatcherOutcomes(t *testing.T) {
+	l := memlog.New()
+	b := batcher(t, l)
+	e := eventlog.Entry{Key: "k", Value: []byte("v")}
+	require.NoError(t, b.Append(context.Background(), e))
+	l.SetFaults(memlog.Faults{LoseAnswers: 1})
+	require.NoError(t, b.Append(context.Background(), e), "a lost answer is asked for again")
+	l.SetFaults(memlog.Faults{Down: true})
+	var refused *eventlog.RefusedError
+	require.ErrorAs(t, b.Append(context.Background(), e), &refused)
+	l.SetFaults(memlog.Faults{Late: 3, Delay: time.Millisecond})
+	var unknown *eventlog.UnknownError
+	require.ErrorAs(t, b.Append(context.Background(), e), &unknown)
+}
+
+// Guards against one append for each caller.
+func TestBatcherAppendsTogether(t *testing.T) {
+	l := memlog.New()
+	b := eventlog.NewBatcher(l, "topic", quiet)
+	var wg sync.WaitGroup
+	for range 100 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			assert.NoError(t, b.Append(context.Background(), eventlog.Entry{Key: "k", Value: []byte("v")}))
+		}()
+	}
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go b.Run(ctx)
+	wg.Wait()
+	assert.LessOrEqual(t, l.Appends(), 3)
+}
--- /dev/null
+++ b/internal/workflow/workflow_test.go
@@ -0,0 +1,57 @@
+package workflow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestTaskNames(t *testing.T) {
+	id := TaskID{Job: "5c0e7a21d94b36f8", Round: 2, Step: 1, Index: 17}
+	assert.Equal(t, "5c0e7a21d94b36f8.2.1.17", id.String())
+	back, err := ParseTaskID(id.String())
+	require.NoError(t, err)
+	assert.Equal(t, id, back)
+	for _, bad := range []string{"", "a", "a.1.2", "a.1.2.x", "a.1.2.-3", "a.1.2.3.4"} {
+		_, err := ParseTaskID(bad)
+		assert.IsType(t, &TaskNameError{}, err, bad)
+	}
+}
+
+func TestChainIsTheLongestPath(t *testing.T) {
+	s := Submission{Steps: []Step{{Count: 1, Estimate: time.Second}, {Count: 1, Estimate: 5 * time.Second},
+		{Count: 1, Estimate: 2 * time.Second, After: []int{0}}, {Count: 1, Estimate: time.Second, After: []int{1, 2}}}}
+	assert.Equal(t, 6*time.Second, s.Chain())
+}
+
+func TestRecordsOutliveTheirWriter(t *testing.T) {
+	r := Record{State: Running, Tasks: [][][]TaskRecord{{{{Phase: Placed, Run: 3, Failures: 1, Worker: "w", Born: 9, Checkpoint: "c"}}}}}
+	b, err := Encode("record", &r)
+	require.NoError(t, err)
+	var back Record
+	require.NoError(t, Decode("record", b, &back))
+	assert.Equal(t, r, back)
+	assert.IsType(t, &DecodeError{}, Decode("record", []byte{0xff}, &back))
+}
+
+func TestRoundsAreDueAtTheirTimes(t *testing.T) {
+	first := time.UnixMilli(1000)
+	s := Submission{Repeat: 3, First: first, Interval: time.Second}
+	assert.Equal(t, 3, s.Rounds())
+	assert.Equal(t, first.Add(2*time.Second), s.Due(2))
+	assert.True(t, (&Submission{}).Due(0).IsZero())
+}
+
+func FuzzDecodeRecord(f *testing.F) {
+	b, err := Encode("record", &Record{State: Running, Tasks: [][][]TaskRecord{{{{Run: 1}}}}})
+	require.NoError(f, err)
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var r Record
+		if err := Decode("record", b, &r); err != nil {
+			assert.IsType(t, &DecodeError{}, err)
+		}
+	})
+}
