Store which workers are silent, so that a successor need not wait for their leases

Change: the owner stores which workers leave it without an answer, and by when their leases end; it grants them none until it has stored that they answer again.

--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -21,7 +21,7 @@
 const (
 	// leaseTime is what a renewal grants, at most what the platform allows: long enough for a change of owner (about 3 s) and a
 	// second attempt, short enough to start the tasks of a lost worker anew while their submission is still worth something.
-	leaseTime = 6 * time.Second
+	leaseTime = 5 * time.Second
 	// isolation is how long an owner acts without a confirmed append. With the lease it bridges an outage of the log of 10 s.
 	isolation = 5 * time.Second
 	// unknownMargin is kept between the age of the view and the time after which an accepted submission must be known everywhere.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"clementinewalk.example/clementinewalk/internal/clock"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 	"clementinewalk.example/clementinewalk/internal/interference"
 	"clementinewalk.example/clementinewalk/internal/workflow"
@@ -16,6 +17,7 @@
 	cancelPrefix = "cancel/"
 	ownerKey     = "owner"
 	learnedKey   = "interference"
+	silentKey    = "silent"
 )
 
 // SubmissionEntry returns the entry that makes a submission accepted. It returns an *workflow.EncodeError.
@@ -57,6 +59,20 @@
 	return eventlog.Entry{Key: learnedKey, Value: b}, err
 }
 
+// SilentWorker is a worker that has left the owner without an answer. It gets no lease before the owner has stored that it answers again.
+type SilentWorker struct {
+	_    struct{} `cbor:",toarray"`
+	Born int64
+	// Left is at most how long its tasks may still run, from the time at which the record was written.
+	Left time.Duration
+}
+
+// SilentEntry returns the entry with all silent workers. It returns an *workflow.EncodeError.
+func SilentEntry(workers map[string]SilentWorker) (eventlog.Entry, error) {
+	b, err := workflow.Encode("silent workers", workers)
+	return eventlog.Entry{Key: silentKey, Value: b}, err
+}
+
 // Job is what is known of one submission. It is shared and never changed after it is published.
 type Job struct {
 	Submission *workflow.Submission
@@ -91,6 +107,11 @@
 	orphans map[workflow.JobID]*Job
 	owner   Ownership
 	learned []byte
+	// silent was written no later than silentAt.
+	silent   map[string]SilentWorker
+	silentAt time.Duration
+	// silentOffset is where silent stands in the log.
+	silentOffset int64
 }
 
 // New returns an empty catalog.
@@ -219,6 +240,9 @@
 		case learnedKey:
 			c.learned = e.Value
 			continue
+		case silentKey:
+			c.applySilent(e)
+			continue
 		}
 		var r workflow.Record
 		if err := workflow.Decode("progress", e.Value, &r); err != nil {
@@ -263,6 +287,46 @@
 	return s
 }
 
+func (c *Catalog) applySilent(e eventlog.Entry) {
+	// The owner applies its own records at once and reads them again later.
+	if e.Offset < c.silentOffset {
+		return
+	}
+	var silent map[string]SilentWorker
+	if err := workflow.Decode("silent workers", e.Value, &silent); err != nil {
+		c.logger.Error("silent workers left out", "offset", e.Offset, "error", err)
+		silent = nil
+	}
+	if e.Offset > c.silentOffset || c.silentAt == 0 {
+		c.silentAt = clock.Now()
+	}
+	c.silent, c.silentOffset = silent, e.Offset
+}
+
+// Silent returns the workers that the newest owner has stored as silent, with the time since the instance was started by which their tasks have ended.
+func (c *Catalog) Silent() map[Lifetime]time.Duration {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	out := make(map[Lifetime]time.Duration, len(c.silent))
+	for id, s := range c.silent {
+		out[Lifetime{ID: id, Born: s.Born}] = c.silentAt + s.Left
+	}
+	return out
+}
+
+// SilentAt returns when the newest statement on silent workers was read.
+func (c *Catalog) SilentAt() time.Duration {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.silentAt
+}
+
+// Lifetime is one start of a worker. Born is the Unix millisecond of the start.
+type Lifetime struct {
+	ID   string
+	Born int64
+}
+
 // Freshness is how current a view is, in time since the instance was started.
 type Freshness interface {
 	// AsOf returns the time up to which the view is complete, and false before the first read.
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -102,8 +102,8 @@
 		}
 		switch {
 		case t.retryAt > now || t.stopSending || t.order == orderSending || t.order == orderStoring:
-		case t.worker.Addr == "":
-			// The list has not named the worker to this owner yet.
+		case t.worker.Addr == "", t.order == orderUnsure && !t.stopWanted && t.attempts < startTries && !t.worker.mayLease():
+			// The list has not named the worker to this owner yet, or a start would grant it a lease.
 		case t.worker.failingSince != 0 && now-t.worker.failingSince > time.Second:
 			// The worker answers nothing; the end of its lease decides.
 		case t.stopWanted || t.order == orderUnsure && t.attempts >= startTries:
@@ -170,7 +170,7 @@
 		if c.expired(now, w) {
 			continue
 		}
-		if !w.listed && len(w.tasks) == 0 && !w.renewing && (w.confirmed == w.sent || w.failingSince != 0) {
+		if !w.listed && len(w.tasks) == 0 && !w.renewing && w.silence == silenceNone && (w.confirmed == w.sent || w.failingSince != 0) {
 			delete(c.workers, id)
 			c.sorted = nil
 			continue
@@ -218,7 +218,7 @@
 func (c *Core) sendLease(now time.Duration, w *worker) {
 	call := LeaseCall{Fence: c.epoch, Confirmed: w.confirmed}
 	// A worker that has left a call unanswered gets no new lease until it answers: its tasks must end at a time that is known.
-	if w.fenced && w.failingSince == 0 {
+	if w.mayLease() {
 		call.Until = w.until(now, c.params.Lease)
 		if len(w.tasks) > 0 && w.applied == w.confirmed {
 			call.Wait = leaseWait
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -62,7 +62,9 @@
 	orders    []Order
 	deposed   bool
 	recovered time.Duration
-	model     *interference.Model
+	// silent holds the workers that the earlier owner stated to be silent, with the end of their leases.
+	silent map[catalog.Lifetime]time.Duration
+	model  *interference.Model
 }
 
 type job struct {
@@ -161,9 +163,14 @@
 
 // New returns the core of an owner that has just claimed the epoch, over everything that the log holds.
 func New(p Params, epoch int64, now time.Duration, wall func() time.Time, l *slog.Logger, config *queue.Config, jobs []*catalog.Job,
-	learned interference.State) *Core {
+	silent map[catalog.Lifetime]time.Duration, learned interference.State) *Core {
 	c := &Core{params: p, logger: l, epoch: epoch, config: config, now: wall, jobs: map[workflow.JobID]*job{}, workers: map[string]*worker{},
-		dirty: map[*job]struct{}{}, attention: map[*task]struct{}{}, recovered: now, model: interference.Restore(now, learned)}
+		dirty: map[*job]struct{}{}, attention: map[*task]struct{}{}, recovered: now, silent: silent, model: interference.Restore(now, learned)}
+	for l := range silent {
+		// The statements stand until this owner has stored others.
+		w := c.worker(l.ID)
+		w.Born, w.silence = l.Born, silenceStated
+	}
 	sort.Slice(jobs, func(i, k int) bool { return jobs[i].Offset < jobs[k].Offset })
 	for _, j := range jobs {
 		c.Submit(now, j)
@@ -273,6 +280,11 @@
 	t.born = r.Born
 	w.hold(t)
 	t.job().placed++
+	if end, ok := c.silent[catalog.Lifetime{ID: r.Worker, Born: r.Born}]; ok {
+		// The earlier owner has stored that it grants the worker no lease.
+		w.extend(end)
+		return
+	}
 	// The earlier owner may have renewed the lease for as long as it was allowed to act.
 	w.extend(c.recovered + c.params.Isolation + withDrift(c.params.Lease))
 }
@@ -383,8 +395,9 @@
 const maxBatchJobs = 400
 
 // TakeBatch returns the changes since the last batch, nil if there are none. The last batch must be committed.
-func (c *Core) TakeBatch() *Batch {
-	if len(c.dirty) == 0 {
+func (c *Core) TakeBatch(now time.Duration) *Batch {
+	silent, stated := c.stateSilence(now)
+	if len(c.dirty) == 0 && !stated {
 		for _, w := range c.workers {
 			// Ends of earlier attempts change nothing that would have to be stored.
 			w.confirmed = w.applied
@@ -393,6 +406,9 @@
 	}
 	c.batch++
 	b := &Batch{ID: c.batch}
+	if stated {
+		b.Entries = append(b.Entries, silent)
+	}
 	for j := range c.dirty {
 		if len(b.Entries) == maxBatchJobs {
 			break
@@ -413,6 +429,9 @@
 	}
 	for _, w := range c.workers {
 		w.seal(b.ID, c.dirty)
+		if stated && w.silence == silenceEnding {
+			w.silenceBatch = b.ID
+		}
 	}
 	return b
 }
@@ -444,6 +463,7 @@
 
 // Committed tells that a batch is stored. The starts that it contains are ordered and its ends are confirmed.
 func (c *Core) Committed(now time.Duration, id int64) {
+	c.endSilence(id)
 	rest := c.committing[:0]
 	for _, t := range c.committing {
 		switch {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -72,6 +72,22 @@
 	assert.Len(t, w.workers["b"].running, 4)
 }
 
+// Guards against a new owner that waits for leases which the old one has not granted for long, and against the old one granting them after it said so.
+func TestSilenceOutlivesTheOwner(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.submit("0000000000000001", service(4))
+	w.run(500 * time.Millisecond)
+	w.workers["a"].cut = true
+	w.run(3 * time.Second)
+	w.takeOver()
+	w.run(w.params.Lease)
+	assert.Len(t, w.workers["b"].running, 4)
+	w.workers["a"].cut = false
+	w.submit("0000000000000002", service(4))
+	w.run(time.Second)
+	assert.Equal(t, 8, w.runningTasks(), "the worker that answers again gets tasks")
+}
+
 // Guards against tasks that stay with a worker which has started anew under its id.
 func TestRestartedWorkerLosesItsTasks(t *testing.T) {
 	w := newWorld(t, 1, 2)
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/eventlog"
+
 	"clementinewalk.example/clementinewalk/internal/assign"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
@@ -25,11 +28,14 @@
 	// applied, sealed and confirmed number the newest end that was taken over, that is in a batch, and that is stored.
 	applied, confirmed, sent int64
 	seals                    []seal
-	renewing                 bool
-	renewedAt                time.Duration
-	answeredAt               time.Duration
-	failingSince             time.Duration
-	retry                    time.Duration
+	// silence is what the log says of the worker's answers.
+	silence      silence
+	silenceBatch int64
+	renewing     bool
+	renewedAt    time.Duration
+	answeredAt   time.Duration
+	failingSince time.Duration
+	retry        time.Duration
 	// Figures for the choice of workers.
 	failedInRow int
 	doneCount   int
@@ -39,6 +45,61 @@
 	slow        bool
 }
 
+// silence is how far the statement that a worker does not answer is stored. While it stands, a later owner relies on it, so the worker gets no
+// lease.
+type silence uint8
+
+const (
+	silenceNone silence = iota
+	// silenceStated: the statement is stored or on its way.
+	silenceStated
+	// silenceEnding: the worker answers again, and that is to be stored.
+	silenceEnding
+)
+
+// mayLease reports whether the worker may be given a lease.
+func (w *worker) mayLease() bool { return w.fenced && w.failingSince == 0 && w.silence == silenceNone }
+
+// stateAfter is how long a worker with tasks must be silent until that is stored.
+const stateAfter = 800 * time.Millisecond
+
+// stateSilence keeps the statements up to date, and returns the entry to store if one has changed.
+func (c *Core) stateSilence(now time.Duration) (eventlog.Entry, bool) {
+	stated := map[string]catalog.SilentWorker{}
+	changed := false
+	for id, w := range c.workers {
+		failing := w.failingSince != 0 && now-w.failingSince >= stateAfter && len(w.tasks) > 0
+		switch {
+		case w.silence == silenceNone && failing:
+			w.silence, changed = silenceStated, true
+		case w.silence == silenceStated && (w.failingSince == 0 && w.fenced || len(w.tasks) == 0):
+			w.silence, changed = silenceEnding, true
+		}
+		if w.silence == silenceStated {
+			stated[id] = catalog.SilentWorker{Born: w.Born, Left: max(0, w.lapse-now)}
+		}
+	}
+	if !changed {
+		return eventlog.Entry{}, false
+	}
+	e, err := catalog.SilentEntry(stated)
+	if err != nil {
+		c.logger.Error("silent workers not encoded", "error", err)
+		return eventlog.Entry{}, false
+	}
+	c.logger.Info("silent workers stated", "count", len(stated))
+	return e, true
+}
+
+// endSilence lets workers have leases again whose answer is stored.
+func (c *Core) endSilence(batch int64) {
+	for _, w := range c.workers {
+		if w.silence == silenceEnding && w.silenceBatch <= batch {
+			w.silence = silenceNone
+		}
+	}
+}
+
 type seal struct{ batch, number int64 }
 
 // worker returns the worker with an id, which may be known from records only.
@@ -83,7 +144,9 @@
 func (w *worker) extend(to time.Duration) { w.lapse = max(w.lapse, to) }
 
 // unusable reports whether the worker must get no new task.
-func (w *worker) unusable() bool { return !w.listed || w.Leaving || !w.fenced }
+func (w *worker) unusable() bool {
+	return !w.listed || w.Leaving || !w.fenced || w.silence != silenceNone
+}
 
 // until returns the clock reading up to which a call that is sent now grants a lease, and counts it for the lapse.
 func (w *worker) until(now, lease time.Duration) time.Duration {
@@ -172,14 +235,14 @@
 // reborn takes over that a worker has started anew: what it ran is gone, and so is its fence.
 func (c *Core) reborn(now time.Duration, w *worker, born int64) {
 	c.logger.Info("worker restarted", "worker", w.ID, "before", w.Born, "born", born, "tasks", len(w.tasks))
-	tasks := make([]*task, 0, len(w.tasks))
-	for t := range w.tasks {
-		tasks = append(tasks, t)
-	}
 	w.Born, w.fenced = born, false
 	w.clock, w.clockAt, w.applied, w.confirmed, w.sent, w.seals = 0, 0, 0, 0, 0, nil
-	w.lapse, w.failingSince, w.retry, w.failedInRow, w.quarantine = now, 0, 0, 0, 0
-	for _, t := range tasks {
-		c.lost(now, t, "worker restarted")
+	// The statement on the earlier lifetime does not concern this one.
+	w.silence = silenceNone
+	w.failingSince, w.retry, w.failedInRow, w.quarantine = 0, 0, 0, 0
+	// Records may place tasks on the new lifetime already; an earlier owner may have granted them a lease.
+	c.forgetLifetimes(now, w)
+	if len(w.tasks) == 0 {
+		w.lapse = now
 	}
 }
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -284,7 +284,8 @@
 		o.logger.Info("claim outdated", "epoch", o.epoch, "newest", newest.Epoch)
 		return
 	}
-	o.core = New(o.settings.Params, o.epoch, now, time.Now, o.logger, o.config.Load(), o.catalog.All(), o.catalog.Learned())
+	o.core = New(o.settings.Params, o.epoch, now, time.Now, o.logger, o.config.Load(), o.catalog.All(), o.catalog.Silent(),
+		o.catalog.Learned())
 	o.appended, o.learned = now, now
 	followCtx, cancel := context.WithCancel(ctx)
 	o.following = cancel
@@ -350,7 +351,7 @@
 	if o.appending || now-o.appended < appendSpacing {
 		return
 	}
-	b := o.core.TakeBatch()
+	b := o.core.TakeBatch(now)
 	if b == nil && now-o.appended < heartbeat {
 		return
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -5,15 +5,13 @@
 	"fmt"
 	"time"
 
+	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
 // Lifetime is one start of a worker. A worker that starts again under its id has a later Born and knows nothing of before.
-type Lifetime struct {
-	ID   string
-	Born int64
-}
+type Lifetime = catalog.Lifetime
 
 // Member is what a worker says of itself in the list.
 type Member struct {
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -103,10 +103,19 @@
 func (w *world) takeOver() {
 	w.epoch++
 	w.stored = nil
-	w.core = New(w.params, w.epoch, w.now, func() time.Time { return time.Unix(0, int64(w.now)) }, quiet(), testConfig(), w.catalog.All(), w.catalog.Learned())
+	w.core = New(w.params, w.epoch, w.now, func() time.Time { return time.Unix(0, int64(w.now)) }, quiet(), testConfig(), w.catalog.All(), w.silent(), w.catalog.Learned())
 	w.list()
 }
 
+// silent returns the stored statements in virtual time; a successor reads them at the latest when it takes over.
+func (w *world) silent() map[catalog.Lifetime]time.Duration {
+	out := map[catalog.Lifetime]time.Duration{}
+	for l, end := range w.catalog.Silent() {
+		out[l] = w.now + end - w.catalog.SilentAt()
+	}
+	return out
+}
+
 func (w *world) list() {
 	for _, f := range w.workers {
 		w.core.SetMember(w.now, w.member(f))
@@ -174,7 +183,7 @@
 		w.core.Committed(w.now, w.stored.ID)
 		w.stored = nil
 	}
-	if b := w.core.TakeBatch(); b != nil {
+	if b := w.core.TakeBatch(w.now); b != nil {
 		w.stored, w.storeAt = b, w.now+20*time.Millisecond
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,8 +71,9 @@
 var (
 	submissionsPace      = eventlog.Pace{Wait: 800 * time.Millisecond, Pause: 150 * time.Millisecond}
 	ownerSubmissionsPace = eventlog.Pace{Wait: 600 * time.Millisecond, Pause: 10 * time.Millisecond}
-	progressPace         = eventlog.Pace{Wait: 800 * time.Millisecond, Pause: 120 * time.Millisecond}
-	configPace           = eventlog.Pace{Wait: time.Second, Pause: 50 * time.Millisecond}
+	// The owner writes all the time, so the wait for its records only matters when it is silent.
+	progressPace = eventlog.Pace{Wait: 250 * time.Millisecond, Pause: 120 * time.Millisecond}
+	configPace   = eventlog.Pace{Wait: time.Second, Pause: 50 * time.Millisecond}
 )
 
 // NewViews returns the followers of a node, which keep the catalog and the configuration current.
