--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build check format lint test models mutants demo up faults process-test soak experiment bench capacity clean
+.PHONY: build tools check format lint test models mutants demo up faults process-test soak experiment bench capacity clean
 
 build:
 	@mkdir -p $(BIN)
@@ -63,7 +63,11 @@
 	@$(GO) test -c -o $(BIN)/soak.test ./test/soak
 	@cd test/soak && SEED="$(or $(SEED),$(if $(MINUTES),$(shell date +%s)))" MINUTES="$(MINUTES)" ../../$(BIN)/soak.test -test.v -test.timeout 0 -test.run 'TestSoak$$'
 
-check: format lint test models mutants process-test
+# Fails at once, not after the tests, when a tool is missing.
+tools:
+	@for t in gcc spin; do command -v $$t >/dev/null || { echo "$$t is not installed; on Debian: apt-get install gcc libc6-dev spin" >&2; exit 2; }; done
+
+check: tools format lint test models mutants process-test
 
 clean:
 	@rm -rf $(BIN) out
--- a/cmd/clementine-node/main.go
+++ b/cmd/clementine-node/main.go
@@ -38,5 +38,6 @@
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
+	l = l.With("instance", s.Instance)
 	return process.Run(l, initialize(o, s, l, r).Run)
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return &NotAcceptedError{Reason: "not encodable", Err: err}
 	}
-	return d.store(ctx, "submission", s.Terms.Queue, s.Job, e)
+	return d.store(ctx, "submission", s.Terms.Queue, s.Job, e, func() bool { return d.catalog.Find(s.Job) != nil })
 }
 
 // Cancel returns when a cancellation is stored. It returns *NotAcceptedError or *UncertainError. A submission that is not known yet is cancelled too.
@@ -99,12 +99,46 @@
 	if j := d.catalog.Find(id); j != nil && (j.Cancelled || j.State().Over()) {
 		return nil
 	}
-	return d.store(ctx, "cancellation", queueName, id, catalog.CancelEntry(id))
+	return d.store(ctx, "cancellation", queueName, id, catalog.CancelEntry(id), func() bool {
+		j := d.catalog.Find(id)
+		return j != nil && j.Cancelled
+	})
 }
 
-func (d *Desk) store(ctx context.Context, what, queueName string, id workflow.JobID, e eventlog.Entry) error {
+// knownCheck is how often a caller without an answer from the log is looked for in what was read of it.
+const knownCheck = 50 * time.Millisecond
+
+// append stores an entry. If the answer of the log is lost, reading the entry back is as good.
+func (d *Desk) append(ctx context.Context, e eventlog.Entry, known func() bool) error {
+	done := make(chan error, 1)
+	go func() { done <- d.log.Append(ctx, e) }()
+	t := time.NewTicker(knownCheck)
+	defer t.Stop()
+	result, answered := error(nil), false
+	for {
+		select {
+		case err := <-done:
+			var unknown *eventlog.UnknownError
+			if !errors.As(err, &unknown) || ctx.Err() != nil {
+				return err
+			}
+			result, answered, done = err, true, nil
+		case <-t.C:
+			if known() {
+				return nil
+			}
+		case <-ctx.Done():
+			if !answered {
+				result = &eventlog.UnknownError{Op: "append", Err: ctx.Err()}
+			}
+			return result
+		}
+	}
+}
+
+func (d *Desk) store(ctx context.Context, what, queueName string, id workflow.JobID, e eventlog.Entry, known func() bool) error {
 	start := time.Now()
-	err := d.log.Append(ctx, e)
+	err := d.append(ctx, e, known)
 	outcome := "accepted"
 	var unknown *eventlog.UnknownError
 	switch {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -181,7 +181,7 @@
 		return process.ServeHTTP(serving, process.NewHTTPServer(n.deps.Ready, readTimeout), ready, exitMargin)
 	})
 	g.Go(func() error { defer stopServing(); return n.serveCallers(ctx, callers) })
-	n.deps.Logger.Info("started", "instance", n.settings.Instance)
+	n.deps.Logger.Info("started", "callers", n.settings.Listeners.Callers)
 	return g.Wait()
 }
 
