--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -19,6 +19,8 @@
 type Settings struct {
 	Params
 	Instance string
+	// Cores is the processor time that the instance has: the more, the sooner it claims.
+	Cores float64
 	// ProgressTopic is where the owner writes; WorkersTopic lists the workers.
 	ProgressTopic, WorkersTopic string
 }
@@ -28,8 +30,10 @@
 	// is three heartbeats.
 	claimSilence = 1600 * time.Millisecond
 	heartbeat    = 500 * time.Millisecond
-	// claimSpread keeps several instances from claiming at the same moment.
+	// claimSpread keeps several instances from claiming at the same moment, and claimDelay, for an instance of one core, lets the strongest
+	// go first.
 	claimSpread = 250 * time.Millisecond
+	claimDelay  = 30 * time.Millisecond
 	// maxViewAge is the age of the views of submissions and workers up to which tasks are placed. It is well within the times after
 	// which a cancelled submission or a leaving worker must get nothing.
 	maxViewAge = 1400 * time.Millisecond
@@ -87,6 +91,7 @@
 	claiming    bool
 	claimOffset int64
 	claimAfter  time.Duration
+	claimDue    time.Duration
 	seenEpoch   int64
 }
 
@@ -174,9 +179,12 @@
 		}
 		now := clock.Now()
 		o.step(calls, now)
-		if o.core != nil {
+		switch {
+		case o.core != nil:
 			timer.Reset(ownerTick)
-		} else {
+		case o.claimDue > 0:
+			timer.Reset(max(0, o.claimDue-now))
+		default:
 			timer.Reset(standbyTick)
 		}
 	}
@@ -238,11 +246,21 @@
 	// Only what has been read counts: the owner may have written since.
 	read, _ := o.views.Progress.AsOf()
 	if owner.Epoch > 0 && !ended && read-o.ownerSign < claimSilence {
+		o.claimDue = 0
 		return
 	}
-	o.claim(ctx, now, owner)
+	if o.claimDue == 0 {
+		o.claimDue = now + time.Duration(float64(claimDelay)*(1+rand.Float64())/max(leastCores, o.settings.Cores))
+	}
+	if now >= o.claimDue {
+		o.claimDue = 0
+		o.claim(ctx, now, owner)
+	}
 }
 
+// leastCores bounds the delay of a claim.
+const leastCores = 0.05
+
 // viewsKnown reports whether everything has been read and the log can be read at present.
 func (o *Owner) viewsKnown(now time.Duration) bool {
 	progress, ok := o.views.Progress.AsOf()
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -19,6 +19,8 @@
 	unknownPace = -1
 	// paceGrain is the smallest change of pace that is worth an order.
 	paceGrain = 10
+	// minRaise is the smallest raise of a pace that is ordered, in percent.
+	minRaise = 20
 	// tailGoal is the share of its objective at which the tail of a service is held where best-effort tasks lengthen it.
 	tailGoal = 0.8
 	// harmful is the coefficient from which an image is held responsible for the tail of a service. On a tenth of a worker it lengthens
@@ -198,7 +200,9 @@
 // setPace orders the wanted pace, if it differs by enough.
 func (c *Core) setPace(t *task) {
 	wanted := t.wantedPace / paceGrain * paceGrain
-	if !t.step.def.BestEffort || t.pace == wanted || t.pacing || t.order != orderSettled || t.stopWanted {
+	// Small raises are not worth an order; the last one to full pace is.
+	small := wanted > t.pace && wanted < min(t.pace+minRaise, fullPace) && t.pace != unknownPace
+	if !t.step.def.BestEffort || t.pace == wanted || small || t.pacing || t.order != orderSettled || t.stopWanted {
 		return
 	}
 	t.pacing = true
