Remove submissions when nobody may ask for them any more

Cause: records of submissions that were over stayed in the store and in every process for ever; the store refuses appends at 400 MB. Change: a minute after the time for which a state must be told, the owner removes the submission, then its record, and leftovers of an earlier owner.

--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -24,6 +24,8 @@
 	leaseTime = 5 * time.Second
 	// isolation is how long an owner acts without a confirmed append. With the lease it bridges an outage of the log of 10 s.
 	isolation = 5 * time.Second
+	// retentionMargin is kept beyond the time for which a submission can be asked for: repeats of a request may arrive late.
+	retentionMargin = time.Minute
 	// unknownMargin is kept between the age of the view and the time after which an accepted submission must be known everywhere.
 	unknownMargin = 800 * time.Millisecond
 )
@@ -55,7 +57,7 @@
 }
 
 func newOwner(s *platform.Settings, log eventlog.Log, w dispatch.Workers, t node.Topics, q *queue.Current, c *catalog.Catalog, v *node.Views, l *slog.Logger) *dispatch.Owner {
-	settings := dispatch.Settings{Instance: s.Instance, Cores: s.Cores, ProgressTopic: t.Progress, WorkersTopic: platform.TopicWorkers,
+	settings := dispatch.Settings{Instance: s.Instance, Cores: s.Cores, ProgressTopic: t.Progress, WorkersTopic: platform.TopicWorkers, SubmissionsTopic: t.Submissions, Retention: s.StatusTime + retentionMargin,
 		Params: dispatch.Params{Lease: min(leaseTime, s.MaxLease), Isolation: isolation, PaceDelay: s.PaceDelay, WorkerStop: s.WorkerStop}}
 	return dispatch.NewOwner(settings, log, w, platform.DecodeMember, q, c, dispatch.Views{Submissions: v.Submissions, Progress: v.Progress},
 		v.RoleChanged, process.Part(l, "owner"))
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -3,6 +3,7 @@
 
 import (
 	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
@@ -157,12 +158,35 @@
 	return c.owner
 }
 
-// Complete reports whether the submission of every record has been read. An owner that lacks one would take its tasks for strays.
+// ForgetSubmission returns the entries that remove a submission and its cancellation. They are stored before ForgetProgress: a submission without its
+// record would run again.
+func ForgetSubmission(id workflow.JobID) []eventlog.Entry {
+	return []eventlog.Entry{{Key: string(id)}, {Key: cancelPrefix + string(id)}}
+}
+
+// ForgetProgress returns the entry that removes the record of a submission.
+func ForgetProgress(id workflow.JobID) eventlog.Entry { return eventlog.Entry{Key: string(id)} }
+
+// Leftovers returns the submissions that are removed and whose records are not: their owner ended between the two.
+func (c *Catalog) Leftovers() []workflow.JobID {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var ids []workflow.JobID
+	for id, o := range c.orphans {
+		if o.Record != nil && o.Record.State.Over() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Complete reports whether the submission of every record has been read. An owner that lacks one would take its tasks for strays. Records of submissions
+// that are over may be leftovers of a removal.
 func (c *Catalog) Complete() bool {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	for _, o := range c.orphans {
-		if o.Record != nil {
+		if o.Record != nil && (!o.Record.State.Over() || len(o.Record.Tasks) > 0) {
 			return false
 		}
 	}
@@ -183,6 +207,10 @@
 }
 
 func (c *Catalog) applySubmission(e eventlog.Entry) *Job {
+	if e.Value == nil {
+		c.forget(e.Key)
+		return nil
+	}
 	if len(e.Key) > len(cancelPrefix) && e.Key[:len(cancelPrefix)] == cancelPrefix {
 		return c.update(workflow.JobID(e.Key[len(cancelPrefix):]), func(j *Job) bool {
 			was := j.Cancelled
@@ -209,6 +237,22 @@
 	return &j
 }
 
+// forget takes the removal of a submission or a cancellation over. A record stays until it is removed itself.
+func (c *Catalog) forget(key string) {
+	id, cancel := strings.CutPrefix(key, cancelPrefix)
+	j := c.jobs[workflow.JobID(id)]
+	switch {
+	case cancel && j == nil && c.orphans[workflow.JobID(id)] != nil && c.orphans[workflow.JobID(id)].Record == nil:
+		delete(c.orphans, workflow.JobID(id))
+	case cancel || j == nil:
+	default:
+		delete(c.jobs, workflow.JobID(id))
+		if j.Record != nil {
+			c.orphans[workflow.JobID(id)] = &Job{Record: j.Record, RecordOffset: j.RecordOffset}
+		}
+	}
+}
+
 // update publishes a changed copy of a submission and returns it, or nil if it is unknown or f changes nothing.
 func (c *Catalog) update(id workflow.JobID, f func(*Job) bool) *Job {
 	if j := c.jobs[id]; j != nil {
@@ -244,6 +288,10 @@
 			c.applySilent(e)
 			continue
 		}
+		if e.Value == nil {
+			delete(c.orphans, workflow.JobID(e.Key))
+			continue
+		}
 		var r workflow.Record
 		if err := workflow.Decode("progress", e.Value, &r); err != nil {
 			c.logger.Error("progress left out", "job", e.Key, "offset", e.Offset, "error", err)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -70,6 +70,19 @@
 	assert.Equal(t, workflow.Running, c.Find("a").State())
 }
 
+// Guards against a removed submission that blocks every later owner, or that runs again because its record went first.
+func TestRemoval(t *testing.T) {
+	c := newCatalog()
+	c.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{entry(t, 1)(SubmissionEntry(submission("a"))), CancelEntry("a")}})
+	c.ApplyProgress([]eventlog.Entry{entry(t, 2)(ProgressEntry("a", &workflow.Record{State: workflow.Cancelled}))})
+	c.ApplySubmissions(eventlog.Batch{Entries: ForgetSubmission("a")})
+	assert.Nil(t, c.Find("a"))
+	assert.True(t, c.Complete())
+	assert.Equal(t, []workflow.JobID{"a"}, c.Leftovers())
+	c.ApplyProgress([]eventlog.Entry{ForgetProgress("a")})
+	assert.Empty(t, c.Leftovers())
+}
+
 func TestOlderOwnershipIsIgnored(t *testing.T) {
 	c := newCatalog()
 	c.ApplyProgress([]eventlog.Entry{entry(t, 1)(OwnerEntry(&Ownership{Epoch: 3, Instance: "x"}))})
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -41,6 +41,8 @@
 	logger *slog.Logger
 	epoch  int64
 	config *queue.Config
+	// time is that of the newest answer or plan.
+	time time.Duration
 	// now is the wall clock; the due times of scheduled rounds are compared with it.
 	now     func() time.Time
 	jobs    map[workflow.JobID]*job
@@ -77,7 +79,9 @@
 	// objective is the time until which the submission should be done.
 	objective time.Duration
 	// span is the time that the objective allows from the acceptance on.
-	span   time.Duration
+	span time.Duration
+	// overAt is when the submission was seen to be over.
+	overAt time.Duration
 	open   int // rounds that are not done
 	placed int // tasks that may run
 }
@@ -204,6 +208,7 @@
 
 // Submit takes a submission over, or its cancellation.
 func (c *Core) Submit(now time.Duration, known *catalog.Job) {
+	c.time = now
 	j := c.jobs[known.Submission.Job]
 	if j == nil {
 		j = c.add(now, known)
@@ -223,7 +228,7 @@
 	if known.Record != nil {
 		rec = *known.Record
 	}
-	j.state = rec.State
+	j.state, j.overAt = rec.State, now
 	if j.state.Over() && len(rec.Tasks) == 0 {
 		return j
 	}
@@ -341,7 +346,7 @@
 
 // finish gives a submission its final state and stops what still runs.
 func (c *Core) finish(j *job, s workflow.State) {
-	j.state = s
+	j.state, j.overAt = s, c.time
 	c.markDirty(j)
 	c.logger.Info("submission over", "job", j.sub.Job, "state", s, "placed", j.placed)
 	for _, r := range j.rounds {
@@ -385,6 +390,19 @@
 	c.markDirty(j)
 }
 
+// Forget drops the submissions that have been over for the retention time, and returns up to limit of them. Their states are stored.
+func (c *Core) Forget(now, retention time.Duration, limit int) []workflow.JobID {
+	var ids []workflow.JobID
+	for id, j := range c.jobs {
+		_, dirty := c.dirty[j]
+		if len(ids) < limit && j.state.Over() && j.placed == 0 && !dirty && now-j.overAt > retention {
+			ids = append(ids, id)
+			delete(c.jobs, id)
+		}
+	}
+	return ids
+}
+
 // Batch is what has to be stored together.
 type Batch struct {
 	ID      int64
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -112,6 +112,16 @@
 	assert.Equal(t, workflow.Done, w.state("0000000000000001"))
 }
 
+// Guards against a catalog that grows for ever, and against a submission that is dropped before its time or before its state is stored.
+func TestSubmissionsAreForgottenAfterTheirTime(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.submit("0000000000000001", batch(1, 100*time.Millisecond))
+	w.submit("0000000000000002", service(1))
+	w.run(2 * time.Second)
+	assert.Empty(t, w.core.Forget(w.now, time.Minute, 10))
+	assert.Equal(t, []workflow.JobID{"0000000000000001"}, w.core.Forget(w.now, time.Second, 10))
+}
+
 func TestFailingTaskUsesUpItsAttempts(t *testing.T) {
 	w := newWorld(t, 1, 5)
 	for _, f := range w.workers {
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -16,6 +16,7 @@
 
 // LeaseAnswered takes over a worker's word on what it runs. sent is the time at which the question was sent.
 func (c *Core) LeaseAnswered(now, sent time.Duration, o LeaseOrder, a LeaseAnswer) {
+	c.time = now
 	w := o.worker
 	w.renewing = false
 	if a.Born < w.Born {
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -13,6 +13,7 @@
 	"clementinewalk.example/clementinewalk/internal/clock"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 	"clementinewalk.example/clementinewalk/internal/queue"
+	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
 // Settings are the figures of an Owner.
@@ -22,7 +23,9 @@
 	// Cores is the processor time that the instance has: the more, the sooner it claims.
 	Cores float64
 	// ProgressTopic is where the owner writes; WorkersTopic lists the workers.
-	ProgressTopic, WorkersTopic string
+	ProgressTopic, WorkersTopic, SubmissionsTopic string
+	// Retention is how long a submission that is over can be asked for.
+	Retention time.Duration
 }
 
 const (
@@ -80,10 +83,13 @@
 	appending bool
 	appended  time.Duration
 	learned   time.Duration
-	calls     int
-	stopping  bool
-	following context.CancelFunc
-	fleet     *eventlog.Follower
+	forgot    time.Duration
+	// forgetting are the submissions that are removed and whose records are to be.
+	forgetting []workflow.JobID
+	calls      int
+	stopping   bool
+	following  context.CancelFunc
+	fleet      *eventlog.Follower
 
 	ownerSign   time.Duration
 	contact     time.Duration
@@ -221,6 +227,49 @@
 		o.send(ctx, now)
 	}
 	o.flush(ctx, now)
+	o.forget(ctx, now)
+}
+
+const (
+	// forgetInterval and forgetLimit bound the calls and the size of removals.
+	forgetInterval = 10 * time.Second
+	forgetLimit    = 200
+)
+
+// forget removes submissions that nobody may ask for any more: first they themselves, then their records.
+func (o *Owner) forget(ctx context.Context, now time.Duration) {
+	if now-o.forgot < forgetInterval || o.forgetting != nil {
+		return
+	}
+	o.forgot = now
+	ids := o.core.Forget(now, o.settings.Retention, forgetLimit)
+	var entries []eventlog.Entry
+	for _, id := range ids {
+		entries = append(entries, catalog.ForgetSubmission(id)...)
+	}
+	// Those of an earlier owner lack their records only.
+	ids = append(ids, o.catalog.Leftovers()...)
+	if len(ids) == 0 {
+		return
+	}
+	core := o.core
+	go func() {
+		var err error
+		if len(entries) > 0 {
+			_, err = o.log.Append(ctx, o.settings.SubmissionsTopic, nil, entries)
+		}
+		o.post(func(time.Duration) {
+			if err != nil {
+				// The next owner finds them again.
+				o.logger.Info("submissions not removed", "count", len(ids), "error", err)
+				return
+			}
+			o.logger.Info("submissions removed", "count", len(ids))
+			if o.core == core {
+				o.forgetting = ids
+			}
+		})
+	}()
 }
 
 // current reports whether the views are new enough to place tasks.
@@ -304,7 +353,7 @@
 	}
 	o.core = New(o.settings.Params, o.epoch, now, time.Now, o.logger, o.config.Load(), o.catalog.All(), o.catalog.Silent(),
 		o.catalog.Learned())
-	o.appended, o.learned = now, now
+	o.appended, o.learned, o.forgot, o.forgetting = now, now, now, nil
 	followCtx, cancel := context.WithCancel(ctx)
 	o.following = cancel
 	o.fleet = eventlog.NewFollower(o.log, o.settings.WorkersTopic, eventlog.Pace{Wait: 600 * time.Millisecond, Pause: 250 * time.Millisecond}, o.logger, o.membersRead)
@@ -394,6 +443,10 @@
 			entries = append(entries, e)
 		}
 	}
+	for _, id := range o.forgetting {
+		entries = append(entries, catalog.ForgetProgress(id))
+	}
+	o.forgetting = nil
 	o.sequence++
 	o.appending, o.appended = true, now
 	core, p := o.core, eventlog.Producer{Name: producer, Epoch: o.epoch, Sequence: o.sequence}
