Begin each ownership without calls of the one before

An owner that was deposed while an append was under way believed at its next ownership that it still was, and stored nothing for two seconds, until another instance claimed. Change: an ownership begins without calls under way, and its calls end with it. An instance is ready while its view is younger than 1.5 s (2.5 s before).

--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -88,8 +88,10 @@
 	forgetting []workflow.JobID
 	calls      int
 	stopping   bool
-	following  context.CancelFunc
-	fleet      *eventlog.Follower
+	// tenure ends with the ownership, and with it its calls.
+	tenure    context.Context
+	endTenure context.CancelFunc
+	fleet     *eventlog.Follower
 
 	ownerSign   time.Duration
 	contact     time.Duration
@@ -224,10 +226,10 @@
 			o.core.Plan(now)
 		}
 		o.core.Act(now)
-		o.send(ctx, now)
+		o.send(o.tenure, now)
 	}
-	o.flush(ctx, now)
-	o.forget(ctx, now)
+	o.flush(o.tenure, now)
+	o.forget(o.tenure, now)
 }
 
 const (
@@ -354,10 +356,11 @@
 	o.core = New(o.settings.Params, o.epoch, now, time.Now, o.logger, o.config.Load(), o.catalog.All(), o.catalog.Silent(),
 		o.catalog.Learned())
 	o.appended, o.learned, o.forgot, o.forgetting = now, now, now, nil
-	followCtx, cancel := context.WithCancel(ctx)
-	o.following = cancel
+	// Calls and appends of an earlier ownership may still be on their way; they concern this one no more.
+	o.appending, o.calls = false, 0
+	o.tenure, o.endTenure = context.WithCancel(ctx)
 	o.fleet = eventlog.NewFollower(o.log, o.settings.WorkersTopic, eventlog.Pace{Wait: 600 * time.Millisecond, Pause: 250 * time.Millisecond}, o.logger, o.membersRead)
-	go o.fleet.Run(followCtx)
+	go o.fleet.Run(o.tenure)
 	o.onRole(true)
 	o.logger.Info("owner", "epoch", o.epoch)
 }
@@ -365,7 +368,7 @@
 func (o *Owner) stepDown(reason string) {
 	o.logger.Warn("no longer owner", "epoch", o.epoch, "reason", reason)
 	o.core = nil
-	o.following()
+	o.endTenure()
 	o.ownerSign = clock.Now()
 	o.onRole(false)
 }
@@ -512,8 +515,8 @@
 		go func() {
 			report := o.carryOut(ctx, core, now, order)
 			o.post(func(now time.Duration) {
-				o.calls -= counted
 				if o.core == core {
+					o.calls -= counted
 					report(now)
 				}
 			})
--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -134,6 +135,48 @@
 	eventually(t, "a owns again", a.isOwner)
 }
 
+// gate is one instance's way to the log.
+type gate struct {
+	eventlog.Log
+	// noAppends and noReads refuse calls.
+	noAppends, noReads atomic.Bool
+}
+
+func (g *gate) Append(ctx context.Context, topic string, p *eventlog.Producer, entries []eventlog.Entry) (int64, error) {
+	if g.noAppends.Load() {
+		return 0, &eventlog.RefusedError{Op: "append", Status: 503}
+	}
+	return g.Log.Append(ctx, topic, p, entries)
+}
+
+func (g *gate) Read(ctx context.Context, topic string, from int64, wait time.Duration) (eventlog.Page, error) {
+	if g.noReads.Load() {
+		return eventlog.Page{}, &eventlog.RefusedError{Op: "read", Status: 503}
+	}
+	return g.Log.Read(ctx, topic, from, wait)
+}
+
+// Guards against an owner that writes nothing because an append of its earlier ownership never came back.
+func TestOwnerForTheSecondTimeWrites(t *testing.T) {
+	log := memlog.New()
+	gateA, gateB := &gate{Log: log}, &gate{Log: log}
+	a := startInstance(t, gateA, "a")
+	eventually(t, "a owns", a.isOwner)
+	b := startInstance(t, gateB, "b")
+	time.Sleep(300 * time.Millisecond)
+	gateA.noAppends.Store(true)
+	eventually(t, "b owns", b.isOwner)
+	// a reads the later claim while its own append is still refused.
+	eventually(t, "a steps down", func() bool { return !a.isOwner() })
+	gateA.noAppends.Store(false)
+	gateB.noAppends.Store(true)
+	gateB.noReads.Store(true)
+	eventually(t, "a owns again", a.isOwner)
+	before := log.Appends()
+	time.Sleep(3 * heartbeat)
+	assert.Greater(t, log.Appends(), before+1)
+}
+
 // Guards against a claim while the log cannot be read, when the owner's silence means nothing.
 func TestOutageOfTheLogIsNoSilence(t *testing.T) {
 	log := memlog.New()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,7 +150,7 @@
 	exitMargin = 500 * time.Millisecond
 	// readyCheck is the interval at which readiness is judged; readyAge is the age of the view up to which the node is ready.
 	readyCheck  = 100 * time.Millisecond
-	readyAge    = 2500 * time.Millisecond
+	readyAge    = 1500 * time.Millisecond
 	idleTimeout = 60 * time.Second
 	readTimeout = 10 * time.Second
 )
