--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -154,6 +154,7 @@
 	wantedPace  int
 	slowedSince time.Duration
 	evictions   int
+	stalls      int
 	// overSince is when a service task went over its objective; 0 if it is not.
 	overSince    time.Duration
 	avoid        string
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -122,6 +122,32 @@
 	assert.Equal(t, []workflow.JobID{"0000000000000001"}, w.core.Forget(w.now, time.Second, 10))
 }
 
+// Guards against tasks that wait for a worker on which nothing makes progress.
+func TestStalledTaskIsMoved(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.workers["a"].hanging = true
+	w.submit("0000000000000001", batch(4, 800*time.Millisecond))
+	w.run(5 * time.Second)
+	assert.Equal(t, workflow.Done, w.state("0000000000000001"))
+}
+
+// Guards against a submission that fails because its last attempt goes to a worker on which everything fails.
+func TestLastAttemptGoesToAProvenWorker(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.run(50 * time.Millisecond)
+	w.core.workers["a"].quarantine = w.now + 100*time.Millisecond
+	w.submit("0000000000000001", batch(4, time.Second))
+	w.run(200 * time.Millisecond)
+	require.Len(t, w.workers["b"].running, 4)
+	// Only a has room, and the last attempt there has failed.
+	w.workers["a"].failing = true
+	w.core.workers["a"].failedInRow = 1
+	w.submit("0000000000000002", batch(1, 100*time.Millisecond))
+	w.core.jobs["0000000000000002"].rounds[0].steps[0].tasks[0].failures = 2
+	w.run(2 * time.Second)
+	assert.Equal(t, workflow.Done, w.state("0000000000000002"))
+}
+
 func TestFailingTaskUsesUpItsAttempts(t *testing.T) {
 	w := newWorld(t, 1, 5)
 	for _, f := range w.workers {
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -10,7 +10,7 @@
 	// failedRetryDelay keeps a task that fails at once from using up its attempts within one disturbance.
 	failedRetryDelay = 100 * time.Millisecond
 	// A worker on which this many attempts in a row have failed gets no task for the quarantine.
-	failuresToQuarantine = 3
+	failuresToQuarantine = 2
 	quarantineTime       = 4 * time.Second
 )
 
@@ -222,6 +222,7 @@
 		}
 		seen[t] = struct{}{}
 		t.observe(now, r)
+		c.moveStalled(now, t)
 	}
 	for t := range w.tasks {
 		if _, ok := seen[t]; ok || t.order != orderSettled || sent <= t.settledAt {
--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -59,7 +59,7 @@
 	var progress *eventlog.Follower
 	submissions := eventlog.NewFollower(log, "submissions", pace, quiet(), func(b eventlog.Batch) { i.owner.SubmissionsChanged(cat.ApplySubmissions(b)) })
 	progress = eventlog.NewFollower(log, "progress", pace, quiet(), func(b eventlog.Batch) { i.owner.ProgressRead(b, cat.ApplyProgress(b.Entries)) })
-	s := Settings{Instance: name, ProgressTopic: "progress", WorkersTopic: "workers", SubmissionsTopic: "submissions", Retention: time.Hour, Params: Params{Lease: 6 * time.Second, Isolation: 5 * time.Second}}
+	s := Settings{Instance: name, ProgressTopic: "progress", WorkersTopic: "workers", SubmissionsTopic: "submissions", Retention: time.Hour, Cores: 1000, Params: Params{Lease: 6 * time.Second, Isolation: 5 * time.Second}}
 	i.owner = NewOwner(s, log, noWorkers{}, func(id string, _ []byte) (Member, error) { return Member{Lifetime: Lifetime{ID: id}}, nil }, config, cat,
 		Views{Submissions: submissions, Progress: progress}, func(owns bool) {
 			i.mu.Lock()
@@ -91,17 +91,28 @@
 	require.Eventually(t, ok, 6*time.Second, 10*time.Millisecond, what)
 }
 
+// lagging shows what was written only after a while, so that several instances claim before they see each other's claims.
+type lagging struct{ eventlog.Log }
+
+func (l lagging) Read(ctx context.Context, topic string, from int64, wait time.Duration) (eventlog.Page, error) {
+	p, err := l.Log.Read(ctx, topic, from, wait)
+	time.Sleep(400 * time.Millisecond)
+	return p, err
+}
+
 // Guards against two owners after several instances claim at the same moment, also when answers to the claims are lost.
 func TestOneOfManyClaims(t *testing.T) {
-	log := memlog.New()
-	log.SetFaults(memlog.Faults{LoseAnswers: 2})
-	var all []*testInstance
-	for _, name := range []string{"a", "b", "c", "d"} {
-		all = append(all, startInstance(t, log, name))
+	for _, faults := range []memlog.Faults{{}, {LoseAnswers: 2}} {
+		log := memlog.New()
+		log.SetFaults(faults)
+		var all []*testInstance
+		for _, name := range []string{"a", "b", "c", "d"} {
+			all = append(all, startInstance(t, lagging{log}, name))
+		}
+		eventually(t, "an owner", func() bool { return owners(all) >= 1 })
+		time.Sleep(time.Second)
+		assert.Equal(t, 1, owners(all))
 	}
-	eventually(t, "an owner", func() bool { return owners(all) == 1 })
-	time.Sleep(300 * time.Millisecond)
-	assert.Equal(t, 1, owners(all))
 }
 
 // Guards against a wait for silence when an owner stops in a planned way.
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -256,6 +256,8 @@
 	case err == nil:
 		t.worker.takeClock(now, a.Clock)
 		t.pace = o.Call.Percent
+		// What it did at another pace says nothing of whether it stands still.
+		t.percentAt = now
 	case errors.As(err, &refused) && refused.Reason == ReasonFenced:
 		c.deposed = true
 	default:
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -161,7 +161,11 @@
 	if t.step.def.Gang {
 		return p.placeGang(t.step)
 	}
-	w := p.choose(t, nil)
+	var usable func(*worker) bool
+	if t.lastAttempt() && p.now-t.queuedAt < carefulTime {
+		usable = func(w *worker) bool { return w.failedInRow == 0 }
+	}
+	w := p.choose(t, usable)
 	if w == nil {
 		return false
 	}
@@ -169,6 +173,14 @@
 	return true
 }
 
+// carefulTime is how long the last attempt of a task waits for a worker on which nothing has failed of late.
+const carefulTime = 2 * time.Second
+
+// lastAttempt reports whether another failure would end the submission.
+func (t *task) lastAttempt() bool {
+	return t.failures > 0 && !t.step.def.Service && t.failures+1 >= t.job().terms.MaxAttempts
+}
+
 func (p *plan) choose(t *task, usable func(*worker) bool) *assign.Node {
 	def, terms := t.step.def, &t.job().terms
 	key := fullKey{service: terms.Service, label: def.Label, size: def.Reserved()}
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -31,6 +31,8 @@
 	lapsed int64
 	number int64
 	cut    bool
+	// hanging lets nothing that runs make progress.
+	hanging bool
 	// failing makes every attempt fail at once.
 	failing bool
 }
@@ -40,9 +42,18 @@
 	started    time.Duration
 	checkpoint string
 	service    bool
+	work       time.Duration
 	waited     time.Duration
 }
 
+// percent is the progress of a task, 100 for a service that is at work.
+func (r *fakeRun) percent(now time.Duration) int {
+	if r.service {
+		return 100
+	}
+	return int(100 * (r.work - (r.ends - now)) / max(1, r.work))
+}
+
 // world runs cores against fake workers in virtual time and checks the promises from the workers' side.
 type world struct {
 	t       *testing.T
@@ -194,6 +205,9 @@
 	}
 	for a, r := range f.running {
 		alone := false
+		if f.hanging {
+			r.ends += tick
+		}
 		if s := &w.steps[a.Task.Job][a.Task.Step]; s.Gang && w.present(a) < s.Count {
 			// A gang works only while all of it is present.
 			r.ends += tick
@@ -365,7 +379,7 @@
 	step := w.steps[c.Task.Job][c.Task.Step]
 	w.check(f, c, &step)
 	f.highest[c.Task] = c.Run
-	f.running[c.Attempt] = &fakeRun{started: w.now, ends: w.now + step.Estimate, service: step.Service}
+	f.running[c.Attempt] = &fakeRun{started: w.now, ends: w.now + step.Estimate, work: step.Estimate, service: step.Service}
 	if step.Service {
 		f.running[c.Attempt].ends = w.now + time.Hour
 	}
@@ -423,7 +437,7 @@
 	}
 	a := LeaseAnswer{Born: f.born, Clock: w.clock(f), Ends: append([]End(nil), f.ends...)}
 	for at, r := range f.running {
-		a.Running = append(a.Running, Running{Attempt: at, Percent: 100, Checkpoint: r.checkpoint})
+		a.Running = append(a.Running, Running{Attempt: at, Percent: r.percent(w.now), Checkpoint: r.checkpoint})
 	}
 	return a, nil
 }
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -115,6 +115,8 @@
 	l.SetFaults(memlog.Faults{Late: 3, Delay: time.Millisecond})
 	var unknown *eventlog.UnknownError
 	require.ErrorAs(t, b.Append(context.Background(), e), &unknown)
+	l.SetFaults(memlog.Faults{Late: 1, Delay: time.Millisecond, Down: true})
+	require.ErrorAs(t, b.Append(context.Background(), e), &unknown, "the first try may still be carried out")
 }
 
 // Guards against one append for each caller.
--- a/internal/standin/memlog/memlog.go
+++ b/internal/standin/memlog/memlog.go
@@ -15,7 +15,7 @@
 	Down bool
 	// LoseAnswers is how many appends are carried out and not answered.
 	LoseAnswers int
-	// Late is how many appends are carried out after Delay and not answered.
+	// Late is how many appends are carried out after Delay and not answered, before Down refuses the next.
 	Late  int
 	Delay time.Duration
 }
@@ -91,7 +91,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return 0, &eventlog.RefusedError{Op: "append"}
-	case l.faults.Down:
+	case l.faults.Down && l.faults.Late == 0:
 		return 0, &eventlog.RefusedError{Op: "append", Status: 503}
 	case l.faults.Late > 0:
 		l.faults.Late--
