--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -18,8 +18,8 @@
 	Services map[string]int
 	// Slack is the least share of its objective that a service task has left: negative when it is over.
 	Slack float64
-	// Unproven tells that the last attempts there failed; Slow that tasks there make less progress than elsewhere.
-	Unproven, Slow bool
+	// Unproven tells that the last attempts there failed.
+	Unproven bool
 }
 
 // Free returns what may still be reserved.
@@ -54,7 +54,6 @@
 // Weights of the score. They are shares of a worker's processors: a penalty of 1 outweighs an idle worker.
 const (
 	unprovenPenalty = 4.0
-	slowPenalty     = 2.0
 	avoidPenalty    = 8.0
 	remotePenalty   = 1.0
 	// disturbancePenalty makes a best-effort task that doubles a tail worse off than on a full worker.
@@ -88,9 +87,6 @@
 	if n.Unproven {
 		s -= unprovenPenalty
 	}
-	if n.Slow {
-		s -= slowPenalty
-	}
 	if t.Avoid == n.ID {
 		s -= avoidPenalty
 	}
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -74,7 +74,6 @@
 	switch how {
 	case EndDone:
 		w.failedInRow = 0
-		w.doneCount++
 	case EndFailed:
 		// A task that has failed before says more about itself than about the worker.
 		if t.failures > 0 && w.failedInRow == 0 {
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -38,11 +38,9 @@
 	retry        time.Duration
 	// Figures for the choice of workers.
 	failedInRow int
-	doneCount   int
 	quarantine  time.Duration
 	fullUntil   time.Duration
 	pressure    float64
-	slow        bool
 }
 
 // silence is how far the statement that a worker does not answer is stored. While it stands, a later owner relies on it, so the worker gets no
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -137,7 +137,7 @@
 			continue
 		}
 		w.node.ID, w.node.Rack, w.node.Capacity = w.ID, w.Rack, w.Capacity
-		w.node.Slack, w.node.Unproven, w.node.Slow = 1-w.pressure, w.failedInRow > 0, w.slow
+		w.node.Slack, w.node.Unproven = 1-w.pressure, w.failedInRow > 0
 		out = append(out, &w.node)
 	}
 	p.nodes[service] = out
--- /dev/null
+++ b/internal/dispatch/sending.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+)
+
+// send carries the core's orders out.
+func (o *Owner) send(ctx context.Context, now time.Duration) {
+	for _, order := range o.core.Orders() {
+		// A lease call may wait for a second and changes nothing that a successor would have to know.
+		counted := 1
+		if _, ok := order.(LeaseOrder); ok {
+			counted = 0
+		}
+		o.calls += counted
+		core := o.core
+		go func() {
+			report := o.carryOut(ctx, core, now, order)
+			o.post(func(now time.Duration) {
+				if o.core == core {
+					o.calls -= counted
+					report(now)
+				}
+			})
+		}()
+	}
+}
+
+func (o *Owner) carryOut(ctx context.Context, core *Core, sent time.Duration, order Order) func(time.Duration) {
+	switch c := order.(type) {
+	case StartOrder:
+		a, err := o.workers.Start(ctx, c.Member, c.Call)
+		return func(now time.Duration) { core.StartReturned(now, c, a, err) }
+	case StopOrder:
+		a, err := o.workers.Stop(ctx, c.Member, c.Call)
+		return func(now time.Duration) { core.StopReturned(now, c, a, err) }
+	case PaceOrder:
+		a, err := o.workers.Pace(ctx, c.Member, c.Call)
+		return func(now time.Duration) { core.PaceReturned(now, c, a, err) }
+	case LeaseOrder:
+		a, err := o.workers.Renew(ctx, c.Member, c.Call)
+		if err != nil {
+			return func(now time.Duration) { core.LeaseFailed(now, c, err) }
+		}
+		return func(now time.Duration) { core.LeaseAnswered(now, sent, c, a) }
+	}
+	return func(time.Duration) {}
+}
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -84,7 +84,7 @@
 
 func newWorld(t *testing.T, seed uint64, workers int) *world {
 	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 7)), now: time.Minute, workers: map[string]*fakeWorker{}, steps: map[workflow.JobID][]workflow.Step{},
-		params:  Params{Lease: 6 * time.Second, Isolation: 5 * time.Second, WorkerStop: 400 * time.Millisecond},
+		params:  Params{Lease: 6 * time.Second, Isolation: 5 * time.Second},
 		catalog: catalog.New(quiet()), doneConfirmed: map[workflow.TaskID]bool{}}
 	for i := range workers {
 		w.addWorker(string(rune('a' + i)))
