Bound the size of a submission's record and of an append

Cause: reading the code, not a run: a submission with thousands of repeats has a record beyond what the store takes, and an owner repeats a refused append for ever.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -29,8 +29,11 @@
 	Entries []eventlog.Entry
 }
 
-// maxBatchJobs bounds one append; a record has a few hundred bytes.
-const maxBatchJobs = 400
+// Bounds of one append. A record has a few hundred bytes, those of the largest submissions a few hundred kilobytes.
+const (
+	maxBatchJobs  = 400
+	maxBatchBytes = 512 << 10
+)
 
 // TakeBatch returns the changes since the last batch, nil if there are none. The last batch must be committed.
 func (c *Core) TakeBatch(now time.Duration) *Batch {
@@ -47,8 +50,9 @@
 	if stated {
 		b.Entries = append(b.Entries, silent)
 	}
+	size := 0
 	for j := range c.dirty {
-		if len(b.Entries) == maxBatchJobs {
+		if len(b.Entries) >= maxBatchJobs || size >= maxBatchBytes {
 			break
 		}
 		delete(c.dirty, j)
@@ -59,6 +63,7 @@
 			continue
 		}
 		b.Entries = append(b.Entries, e)
+		size += len(e.Value)
 		for _, t := range c.committing {
 			if t.batch == 0 && t.job() == j {
 				t.batch = b.ID
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -95,10 +95,11 @@
 	evictions   int
 	stalls      int
 	// overSince is when a service task went over its objective; 0 if it is not.
-	overSince    time.Duration
-	avoid        string
-	queuedAt     time.Duration
-	pendingIndex bool
+	overSince time.Duration
+	avoid     string
+	queuedAt  time.Duration
+	// queued tells that the task is in the list of pending tasks.
+	queued bool
 }
 
 func (t *task) job() *job { return t.step.round.job }
@@ -225,10 +226,10 @@
 }
 
 func (c *Core) enqueue(now time.Duration, t *task) {
-	if t.pendingIndex || t.job().cancelled || t.job().state.Over() {
+	if t.queued || t.job().cancelled || t.job().state.Over() {
 		return
 	}
-	t.pendingIndex, t.queuedAt = true, now
+	t.queued, t.queuedAt = true, now
 	c.pending = append(c.pending, t)
 	c.changed = true
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -31,14 +31,14 @@
 	rest := c.pending[:0]
 	for _, t := range c.pending {
 		if t.phase != workflow.Pending || t.job().cancelled || t.job().state.Over() {
-			t.pendingIndex = false
+			t.queued = false
 			continue
 		}
 		if p.placed >= maxPlacements || t.notBefore > now || !p.place(t) {
 			rest = append(rest, t)
 			continue
 		}
-		t.pendingIndex = false
+		t.queued = false
 	}
 	clear(c.pending[len(rest):])
 	c.pending = rest
@@ -280,7 +280,7 @@
 	for i, t := range s.tasks {
 		t.checkpoint = s.tasks[0].checkpoint
 		p.assign(t, chosen[i], run+1)
-		t.pendingIndex = false
+		t.queued = false
 	}
 	return true
 }
--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -117,6 +117,8 @@
 	maxSteps  = 200
 	maxTasks  = 5000
 	maxRounds = 10000
+	// maxTotal bounds the tasks of all rounds, so that the record of a submission fits into one record of the log.
+	maxTotal = 20000
 )
 
 // InvalidError reports a submission that can never be accepted.
@@ -142,8 +144,8 @@
 		}
 		total += s.Steps[i].Count
 	}
-	if total > maxTasks {
-		return &InvalidError{"steps", fmt.Sprintf("have %d tasks; at most %d are allowed", total, maxTasks)}
+	if total > maxTasks || total*s.Rounds() > maxTotal {
+		return &InvalidError{"steps", fmt.Sprintf("have %d tasks in %d rounds; at most %d, and %d in all rounds, are allowed", total, s.Rounds(), maxTasks, maxTotal)}
 	}
 	return nil
 }
--- a/internal/workflow/workflow_test.go
+++ b/internal/workflow/workflow_test.go
@@ -20,6 +20,15 @@
 	}
 }
 
+// Guards against a submission whose record the log refuses, which would keep its owner from storing anything else.
+func TestSizeIsBounded(t *testing.T) {
+	assert.NoError(t, (&Submission{Steps: []Step{{Count: 2000}}, Repeat: 10, Interval: time.Second}).Check())
+	for _, s := range []Submission{{Steps: []Step{{Count: 5001}}}, {Steps: []Step{{Count: 2000}}, Repeat: 11, Interval: time.Second},
+		{Steps: []Step{{Count: 1}}, Repeat: 2}, {Steps: make([]Step, 201)}, {Steps: []Step{{Count: 1, After: []int{0}}}}} {
+		assert.IsType(t, &InvalidError{}, s.Check())
+	}
+}
+
 func TestChainIsTheLongestPath(t *testing.T) {
 	s := Submission{Steps: []Step{{Count: 1, Estimate: time.Second}, {Count: 1, Estimate: 5 * time.Second},
 		{Count: 1, Estimate: 2 * time.Second, After: []int{0}}, {Count: 1, Estimate: time.Second, After: []int{1, 2}}}}
