Deny queues only by a current configuration, close quiet connections only, read for callers who ask

(3) Instances became not ready for 0.3 s in every second of an idle log, since the age of a view counted from the time at which a waiting read was sent. (4) Standby instances read the owner's records 7 times a second each, most of it for nobody.

A stopping instance closes its connections with each answer and ends when no request has come for 0.6 s. An empty answer proves the view up to the end of the wait. Standby instances read at once for a caller who asks for a submission that is not over, and otherwise less often.

--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -28,6 +28,8 @@
 	retentionMargin = time.Minute
 	// unknownMargin is kept between the age of the view and the time after which an accepted submission must be known everywhere.
 	unknownMargin = 800 * time.Millisecond
+	// configMargin is kept between the age of the configuration and the time after which it must be in force everywhere.
+	configMargin = 300 * time.Millisecond
 )
 
 func newStore(s *platform.Settings) eventlog.Log {
@@ -53,7 +55,8 @@
 }
 
 func newDesk(s *platform.Settings, b *eventlog.Batcher, c *catalog.Catalog, q *queue.Current, v *node.Views, l *slog.Logger, r *prometheus.Registry) *intake.Desk {
-	return intake.New(b, c, q, v.Submissions, s.Visible-unknownMargin, process.Part(l, "intake"), r)
+	ages := intake.Ages{Submissions: s.Visible - unknownMargin, Config: s.ConfigApply - configMargin}
+	return intake.New(b, c, q, v, v.Submissions, v.Config, ages, process.Part(l, "intake"), r)
 }
 
 func newOwner(s *platform.Settings, log eventlog.Log, w dispatch.Workers, t node.Topics, q *queue.Current, c *catalog.Catalog, v *node.Views, l *slog.Logger) *dispatch.Owner {
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -92,6 +92,47 @@
 	require.Eventually(t, func() bool { asOf, _ := f.AsOf(); return clock.Now()-asOf < 100*time.Millisecond }, 2*time.Second, time.Millisecond)
 }
 
+// Guards against a view that counts as outdated, and an instance as not ready, because nothing is written.
+func TestIdleViewIsCurrent(t *testing.T) {
+	l := memlog.New()
+	const wait = 300 * time.Millisecond
+	f := eventlog.NewFollower(l, "topic", eventlog.Pace{Wait: wait}, quiet, func(eventlog.Batch) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.Run(ctx)
+	time.Sleep(wait / 2)
+	for range 40 {
+		asOf, ok := f.AsOf()
+		require.True(t, ok)
+		assert.Less(t, clock.Now()-asOf, wait+100*time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against a caller who is told an old state because this instance reads seldom.
+func TestRefreshReadsAtOnce(t *testing.T) {
+	l := memlog.New()
+	r := &recorder{}
+	f := eventlog.NewFollower(l, "topic", eventlog.Pace{Wait: time.Hour, Pause: time.Hour, IdlePause: time.Hour}, quiet, r.take)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.Run(ctx)
+	require.Eventually(t, func() bool { _, ok := f.AsOf(); return ok }, time.Second, time.Millisecond)
+	for _, key := range []string{"a", "b"} {
+		put(t, l, key)
+		limited, done := context.WithTimeout(ctx, time.Second)
+		f.Refresh(limited)
+		require.NoError(t, limited.Err(), "the read is asked for")
+		done()
+		assert.Contains(t, r.seen(), key)
+	}
+	l.SetFaults(memlog.Faults{Down: true})
+	limited, done := context.WithTimeout(ctx, time.Second)
+	defer done()
+	f.Refresh(limited)
+	assert.NoError(t, limited.Err(), "a read that fails keeps nobody waiting")
+}
+
 func batcher(t *testing.T, l eventlog.Log) *eventlog.Batcher {
 	t.Helper()
 	b := eventlog.NewBatcher(l, "topic", quiet)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -48,33 +48,50 @@
 	Append(ctx context.Context, e eventlog.Entry) error
 }
 
+// View is what has been read of the log.
+type View interface {
+	// RefreshSubmissions and RefreshProgress return when what was stored before the call is known, or when ctx ends.
+	RefreshSubmissions(ctx context.Context)
+	RefreshProgress(ctx context.Context)
+}
+
+// Ages bound how old a view may be when something is said not to exist.
+type Ages struct{ Submissions, Config time.Duration }
+
 // Desk serves callers. Its methods may be called from any goroutine.
 type Desk struct {
 	log     Appender
 	catalog *catalog.Catalog
 	config  *queue.Current
-	view    catalog.Freshness
-	maxAge  time.Duration
-	logger  *slog.Logger
-	seconds *prometheus.HistogramVec
+	view    View
+	// submissions and configs tell how old the views are.
+	submissions, configs catalog.Freshness
+	ages                 Ages
+	logger               *slog.Logger
+	seconds              *prometheus.HistogramVec
 }
 
-// New returns a desk. An unknown submission is said not to exist only while the view is at most maxAge old.
-func New(log Appender, cat *catalog.Catalog, config *queue.Current, view catalog.Freshness, maxAge time.Duration, l *slog.Logger, r prometheus.Registerer) *Desk {
+// New returns a desk. An unknown submission or queue is said not to exist only while the view of it is at most as old as ages allow.
+func New(log Appender, cat *catalog.Catalog, config *queue.Current, v View, submissions, configs catalog.Freshness, ages Ages, l *slog.Logger, r prometheus.Registerer) *Desk {
 	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "clementine_intake_seconds",
 		Help: "Time to answer a submission or cancellation, by queue and outcome.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 10)},
 		[]string{"queue", "outcome"})
 	r.MustRegister(h)
-	return &Desk{log: log, catalog: cat, config: config, view: view, maxAge: maxAge, logger: l, seconds: h}
+	return &Desk{log: log, catalog: cat, config: config, view: v, submissions: submissions, configs: configs, ages: ages, logger: l, seconds: h}
 }
 
 // Config returns the configuration in force, nil before the first.
 func (d *Desk) Config() *queue.Config { return d.config.Load() }
 
-// Fresh reports whether the view is new enough to say that something does not exist.
-func (d *Desk) Fresh() bool {
-	asOf, ok := d.view.AsOf()
-	return ok && clock.Now()-asOf <= d.maxAge
+// KnowsSubmissions reports whether the view of submissions is new enough to say that one does not exist.
+func (d *Desk) KnowsSubmissions() bool { return younger(d.submissions, d.ages.Submissions) }
+
+// KnowsConfig reports whether the view of the configuration is new enough to say that a queue does not exist.
+func (d *Desk) KnowsConfig() bool { return younger(d.configs, d.ages.Config) }
+
+func younger(v catalog.Freshness, age time.Duration) bool {
+	asOf, ok := v.AsOf()
+	return ok && clock.Now()-asOf <= age
 }
 
 // Submit returns when a submission is stored. It returns *workflow.InvalidError, *NotAcceptedError or *UncertainError.
@@ -158,8 +175,24 @@
 	return nil
 }
 
-// Find returns a submission, or nil if it is not known.
-func (d *Desk) Find(id workflow.JobID) *catalog.Job { return d.catalog.Find(id) }
+// refreshTime bounds the wait for a newer view: a read takes two crossings between data centres and the log's own time, 15 ms together.
+const refreshTime = 60 * time.Millisecond
+
+// Find returns a submission as it was stored when it was asked for, or nil if it is not known.
+func (d *Desk) Find(ctx context.Context, id workflow.JobID) *catalog.Job {
+	ctx, cancel := context.WithTimeout(ctx, refreshTime)
+	defer cancel()
+	j := d.catalog.Find(id)
+	if j == nil {
+		d.view.RefreshSubmissions(ctx)
+		j = d.catalog.Find(id)
+	}
+	if j != nil && !j.State().Over() {
+		d.view.RefreshProgress(ctx)
+		j = d.catalog.Find(id)
+	}
+	return j
+}
 
 // Waiting counts the submissions of a queue of which no task has started.
 func (d *Desk) Waiting(queueName string) int { return d.catalog.Waiting(queueName) }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -38,12 +38,16 @@
 
 func (fresh) AsOf() (time.Duration, bool) { return clock.Now(), true }
 
+// RefreshSubmissions and RefreshProgress find nothing new.
+func (fresh) RefreshSubmissions(context.Context) {}
+func (fresh) RefreshProgress(context.Context)    {}
+
 func newDesk(stores bool) *Desk {
 	l := slog.New(slog.NewTextHandler(io.Discard, nil))
 	cat := catalog.New(l)
 	config := &queue.Current{}
 	config.Advance(queue.New(1, nil, nil, queue.Limits{}))
-	return New(&lossy{catalog: cat, stores: stores}, cat, config, fresh{}, time.Second, l, prometheus.NewRegistry())
+	return New(&lossy{catalog: cat, stores: stores}, cat, config, fresh{}, fresh{}, fresh{}, Ages{Submissions: time.Second, Config: time.Second}, l, prometheus.NewRegistry())
 }
 
 func job() *workflow.Submission {
@@ -71,5 +75,30 @@
 	var invalid *workflow.InvalidError
 	d := newDesk(true)
 	require.ErrorAs(t, d.Submit(context.Background(), &workflow.Submission{Job: "a"}), &invalid)
-	assert.Nil(t, d.Find("a"))
+	assert.Nil(t, d.Find(context.Background(), "a"))
+}
+
+// stored is a view whose log holds a record that has not been read yet.
+type stored struct {
+	fresh
+	catalog *catalog.Catalog
+}
+
+func (s stored) RefreshSubmissions(context.Context) {
+	e, _ := catalog.SubmissionEntry(job())
+	s.catalog.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{e}})
+}
+
+func (s stored) RefreshProgress(context.Context) {
+	e, _ := catalog.ProgressEntry(job().Job, &workflow.Record{State: workflow.Done})
+	s.catalog.ApplyProgress([]eventlog.Entry{e})
+}
+
+// Guards against a caller who is told that a submission of another instance is unknown or still running.
+func TestFindReadsWhatIsStored(t *testing.T) {
+	d := newDesk(true)
+	d.view = stored{catalog: d.catalog}
+	j := d.Find(context.Background(), job().Job)
+	require.NotNil(t, j)
+	assert.Equal(t, workflow.Done, j.State())
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,8 +59,20 @@
 type Views struct {
 	Submissions, Progress, Config *eventlog.Follower
 	feed                          *feed
+	// owner tells that this instance is the owner, which knows its own records before it reads them.
+	owner atomic.Bool
 }
 
+// RefreshProgress brings the states of submissions up to date, or gives up when ctx ends.
+func (v *Views) RefreshProgress(ctx context.Context) {
+	if !v.owner.Load() {
+		v.Progress.Refresh(ctx)
+	}
+}
+
+// RefreshSubmissions brings the submissions up to date, or gives up when ctx ends.
+func (v *Views) RefreshSubmissions(ctx context.Context) { v.Submissions.Refresh(ctx) }
+
 // AsOf implements catalog.Freshness: the view is as old as its older part.
 func (v *Views) AsOf() (time.Duration, bool) {
 	s, ok := v.Submissions.AsOf()
@@ -67,13 +80,14 @@
 	return min(s, p), ok && okProgress
 }
 
-// How a node reads. Standby instances read less often: each call is paid for.
+// How a node reads. Each call is paid for, so standby instances read seldom, and at once for a caller who asks for a state.
 var (
-	submissionsPace      = eventlog.Pace{Wait: 800 * time.Millisecond, Pause: 150 * time.Millisecond}
-	ownerSubmissionsPace = eventlog.Pace{Wait: 600 * time.Millisecond, Pause: 10 * time.Millisecond}
-	// The owner writes all the time, so the wait for its records only matters when it is silent.
-	progressPace = eventlog.Pace{Wait: 250 * time.Millisecond, Pause: 120 * time.Millisecond}
-	configPace   = eventlog.Pace{Wait: time.Second, Pause: 50 * time.Millisecond}
+	submissionsPace      = eventlog.Pace{Wait: 600 * time.Millisecond, Pause: 600 * time.Millisecond, IdlePause: 10 * time.Millisecond}
+	ownerSubmissionsPace = eventlog.Pace{Wait: 600 * time.Millisecond, Pause: 10 * time.Millisecond, IdlePause: 10 * time.Millisecond}
+	// The owner writes all the time; when it is silent, its successors look more often.
+	progressPace      = eventlog.Pace{Wait: 250 * time.Millisecond, Pause: 200 * time.Millisecond, IdlePause: 50 * time.Millisecond}
+	ownerProgressPace = eventlog.Pace{Wait: 500 * time.Millisecond, Pause: 500 * time.Millisecond, IdlePause: 500 * time.Millisecond}
+	configPace        = eventlog.Pace{Wait: time.Second, Pause: 50 * time.Millisecond, IdlePause: 10 * time.Millisecond}
 )
 
 // NewViews returns the followers of a node, which keep the catalog and the configuration current.
@@ -124,11 +138,14 @@
 
 // RoleChanged adapts how the node reads to whether it is the owner.
 func (v *Views) RoleChanged(owner bool) {
+	v.owner.Store(owner)
 	if owner {
 		v.Submissions.SetPace(ownerSubmissionsPace)
+		v.Progress.SetPace(ownerProgressPace)
 		return
 	}
 	v.Submissions.SetPace(submissionsPace)
+	v.Progress.SetPace(progressPace)
 }
 
 // Node is the process.
@@ -146,7 +163,10 @@
 const (
 	// notReadyLead is how long a stopping node serves on after it has become not ready: the balancer misses it twice first.
 	notReadyLead = 2200 * time.Millisecond
-	// exitMargin is kept between the last answer and the kill.
+	// quietTime must pass without a request before connections are closed. It is well above the 200 ms for which a request may have been on
+	// its way when its connection closes.
+	quietTime = 600 * time.Millisecond
+	// exitMargin is kept between the last answer and the kill, and for the requests in progress before it.
 	exitMargin = 500 * time.Millisecond
 	// readyCheck is the interval at which readiness is judged; readyAge is the age of the view up to which the node is ready.
 	readyCheck  = 100 * time.Millisecond
@@ -189,15 +209,12 @@
 func (n *Node) serveCallers(ctx context.Context, ln net.Listener) error {
 	s := process.NewHTTPServer(n.deps.Callers, readTimeout)
 	s.IdleTimeout = idleTimeout
-	lead, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() {
-		<-ctx.Done()
-		n.deps.Logger.Info("stopping", "serving_on_ms", notReadyLead.Milliseconds())
-		time.Sleep(notReadyLead)
-		cancel()
-	}()
-	return process.ServeHTTP(lead, s, ln, n.settings.StopTime-notReadyLead-exitMargin)
+	d := process.Drain{Lead: notReadyLead, Quiet: quietTime, Limit: n.settings.StopTime - 2*exitMargin, Finish: exitMargin}
+	stopLog := context.AfterFunc(ctx, func() {
+		n.deps.Logger.Info("stopping", "serving_on_ms", d.Lead.Milliseconds(), "at_most_ms", d.Limit.Milliseconds())
+	})
+	defer stopLog()
+	return process.ServeDraining(ctx, s, ln, d)
 }
 
 func (n *Node) judgeReadiness(ctx context.Context) {
