Let the instance near the log claim first

Cause: the first owner was the instance whose random delay was shortest.

Change: a claim waits for strength and for the measured round trip to the log; less after a release, not at all for an instance's own earlier process, and longer before the first owner of a deployment.

--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -47,7 +47,7 @@
 		return
 	}
 	if o.claimDue == 0 {
-		o.claimDue = now + time.Duration(float64(claimDelay)*(1+rand.Float64())/max(leastCores, o.settings.Cores))
+		o.claimDue = now + o.claimDelay(owner)
 	}
 	if now >= o.claimDue {
 		o.claimDue = 0
@@ -55,8 +55,28 @@
 	}
 }
 
-// leastCores bounds the delay of a claim.
-const leastCores = 0.05
+// claimDelay lets instances with much processor time and a short way to the log go first: the owner needs both in every step of a submission.
+func (o *Owner) claimDelay(before catalog.Ownership) time.Duration {
+	if before.Instance == o.settings.Instance {
+		// Everyone else still waits for the silence of the earlier process.
+		return 0
+	}
+	roundTrip, known := o.views.Progress.RoundTrip()
+	if !known {
+		roundTrip = unknownRoundTrip
+	}
+	strength := time.Duration(float64(strengthDelay) / max(leastCores, o.settings.Cores))
+	d := strength + distanceFactor*min(roundTrip, unknownRoundTrip) + rand.N(claimJitter)
+	switch {
+	case before.Epoch == 0:
+		// Nothing waits for the first owner of a deployment, so instances that start a little later may still go before others.
+		return firstFactor * d
+	case before.Released:
+		// All instances read the release at about the same time.
+		return d / releasedDivisor
+	}
+	return d
+}
 
 // viewsKnown reports whether everything has been read and the log can be read at present.
 func (o *Owner) viewsKnown(now time.Duration) bool {
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
@@ -30,10 +29,21 @@
 	// is three heartbeats.
 	claimSilence = 1600 * time.Millisecond
 	heartbeat    = 500 * time.Millisecond
-	// claimSpread keeps several instances from claiming at the same moment, and claimDelay, for an instance of one core, lets the strongest
-	// go first.
+	// claimSpread is the pause after a claim that was lost, and claimJitter keeps equal instances from claiming at the same moment.
 	claimSpread = 250 * time.Millisecond
-	claimDelay  = 30 * time.Millisecond
+	claimJitter = 20 * time.Millisecond
+	// strengthDelay is how long an instance of one core waits before it claims; weaker ones wait longer.
+	strengthDelay = 50 * time.Millisecond
+	// distanceFactor times the round trip to the log is added: 30 ms within its data centre, 110 ms from another one.
+	distanceFactor = 8
+	// firstFactor lengthens the delays of the first claim of all: instances start within 0.3 s of each other.
+	firstFactor = 5
+	// releasedDivisor shortens them after a release: the order of claims needs to be right only most of the time.
+	releasedDivisor = 3
+	// unknownRoundTrip is that of an instance which has not measured it, and the longest that counts.
+	unknownRoundTrip = 25 * time.Millisecond
+	// leastCores bounds the delay of an instance whose processor time is not known.
+	leastCores = 0.05
 	// maxViewAge is the age of the views of submissions and workers up to which tasks are placed. It is well within the times after
 	// which a cancelled submission or a leaving worker must get nothing.
 	maxViewAge = 1400 * time.Millisecond
@@ -55,7 +65,15 @@
 
 // Views are the followers that feed the catalog.
 type Views struct {
-	Submissions, Progress catalog.Freshness
+	Submissions catalog.Freshness
+	Progress    ProgressView
+}
+
+// ProgressView is what has been read of the owner's records.
+type ProgressView interface {
+	catalog.Freshness
+	// RoundTrip is the time in which the log answers, and false while it is not known.
+	RoundTrip() (time.Duration, bool)
 }
 
 // Owner is one instance's part in the ownership of all submissions: it waits, claims when there is no owner, and then decides with a Core. One
@@ -159,7 +177,6 @@
 	// Calls outlive the request to stop: the hand-over waits for their outcome.
 	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	o.claimAfter = clock.Now() + rand.N(claimSpread)
 	timer := time.NewTimer(standbyTick)
 	defer timer.Stop()
 	for {
