Keep service images on workers of their own

An empty worker outweighed a worker with services of the same image, so every image took all workers, and later ones had to mix. Best-effort tasks then find no worker whose services they do not disturb.

Change: the attraction of services of one image is 1.0 instead of 0.3.

--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -60,8 +60,9 @@
 	disturbancePenalty = 4.0
 	// overPenalty keeps best-effort tasks off a worker whose service is over its objective.
 	overPenalty = 0.5
-	// sameImageBonus puts services of one image together: what disturbs one then spares the workers of the others.
-	sameImageBonus = 0.3
+	// sameImageBonus puts services of one image together: what disturbs one then spares the workers of the others. It outweighs the room of an
+	// empty worker, so that workers are left for the images that come later.
+	sameImageBonus = 1.0
 )
 
 // Choose returns the best of the nodes that can hold the task, or nil. Ties go to the earlier node.
--- a/internal/assign/assign_test.go
+++ b/internal/assign/assign_test.go
@@ -44,6 +44,16 @@
 			a.Services["x"], b.Services["y"] = 1, 1
 			return []*Node{a, b}
 		}, Task{Size: small, Service: true, Image: "y"}, "b"},
+		{"rather beside its image than on an empty worker", func() []*Node {
+			a, b := node("a", 0), node("b", 7000)
+			b.Services["y"] = 5
+			return []*Node{a, b}
+		}, Task{Size: small, Service: true, Image: "y"}, "b"},
+		{"rather on an empty worker than beside another image", func() []*Node {
+			a, b := node("a", 3000), node("b", 0)
+			a.Services["x"] = 1
+			return []*Node{a, b}
+		}, Task{Size: small, Service: true, Image: "y"}, "b"},
 		{"where it disturbs least", func() []*Node { return []*Node{node("a", 0), node("b", 7000)} },
 			Task{Size: small, BestEffort: true, Disturbance: func(n *Node) float64 { return map[string]float64{"a": 0.3, "b": 0}[n.ID] }}, "b"},
 		{"not beside a service over its objective", func() []*Node {
