Hold services back for short tasks where processors are scarce, and stop best-effort work beside a service in need

Change: (1) for 5 s after a task on time found no room, services wait for 2 s before they are placed; late work comes before services. (2) the fading mean of the reports decides: after half of the time that is allowed everything beside the service stands still. The time comes from the settings (harm_ms). (3) at least 4 ms between two steps.

Ruled out: fragments as the cause of the waits (packing other tasks tightly gave nothing), memory (60% in use).

--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -61,7 +61,7 @@
 
 func newOwner(s *platform.Settings, log eventlog.Log, w dispatch.Workers, t node.Topics, q *queue.Current, c *catalog.Catalog, v *node.Views, l *slog.Logger) *dispatch.Owner {
 	settings := dispatch.Settings{Instance: s.Instance, Cores: s.Cores, ProgressTopic: t.Progress, WorkersTopic: platform.TopicWorkers, SubmissionsTopic: t.Submissions, Retention: s.StatusTime + retentionMargin,
-		Params: dispatch.Params{Lease: min(leaseTime, s.MaxLease), Isolation: isolation}}
+		Params: dispatch.Params{Lease: min(leaseTime, s.MaxLease), Isolation: isolation, Tolerance: s.Harm}}
 	return dispatch.NewOwner(settings, log, w, platform.DecodeMember, q, c, dispatch.Views{Submissions: v.Submissions, Progress: v.Progress},
 		v.RoleChanged, process.Part(l, "owner"))
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -22,6 +22,8 @@
 	Lease time.Duration
 	// Isolation is how long an owner acts without a confirmed append. An earlier owner may have acted for as long after the claim.
 	Isolation time.Duration
+	// Tolerance is how long a service may be over its objective by what runs beside it.
+	Tolerance time.Duration
 }
 
 // driftFactor turns a time on a worker's clock, which may run 2% slow, into one that has certainly passed.
@@ -44,8 +46,10 @@
 	dirty   map[*job]struct{}
 	pending []*task
 	// changed tells that something may have room that had none at the time of the last plan.
-	changed    bool
-	planned    time.Duration
+	changed bool
+	planned time.Duration
+	// shortAt is when a task found no room that its submission needed on time; 0 if none did.
+	shortAt    time.Duration
 	summarized time.Duration
 	sorted     []*worker
 	// waiting holds the rounds whose time has not come.
@@ -148,7 +152,7 @@
 	// An answer to a stop of this attempt comes too late to be taken for one of the next.
 	t.stopWanted, t.stopSending, t.unsure, t.seen, t.attempts, t.retryAt = false, false, false, false, 0, 0
 	t.percent, t.load, t.pace, t.pacing, t.startedAt = 0, 0, fullPace, false, 0
-	t.wantedPace, t.slowedSince, t.overSince = fullPace, 0, 0
+	t.wantedPace, t.slowedSince, t.strain = fullPace, 0, strain{}
 	delete(c.attention, t)
 	j := t.job()
 	j.placed--
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -94,10 +94,10 @@
 	slowedSince time.Duration
 	evictions   int
 	stalls      int
-	// overSince is when a service task went over its objective; 0 if it is not.
-	overSince time.Duration
-	avoid     string
-	queuedAt  time.Duration
+	// strain is that of a service task.
+	strain   strain
+	avoid    string
+	queuedAt time.Duration
 	// queued tells that the task is in the list of pending tasks.
 	queued bool
 }
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -50,6 +50,8 @@
 	// ownerTick and standbyTick bound the time until something that no message announces is noticed.
 	ownerTick   = 20 * time.Millisecond
 	standbyTick = 200 * time.Millisecond
+	// stepSpacing bounds how often an owner goes through its workers and tasks; what is reported in that time is dealt with together.
+	stepSpacing = 4 * time.Millisecond
 	// appendSpacing bounds the number of appends; the decisions of that time go into one.
 	appendSpacing = 15 * time.Millisecond
 	// learnedInterval is how often what was learned of disturbance is stored: a few kilobytes each time.
@@ -92,6 +94,7 @@
 	ended    chan struct{}
 
 	core      *Core
+	stepped   time.Duration
 	epoch     int64
 	sequence  int64
 	confirmed time.Duration
@@ -190,6 +193,11 @@
 		case <-timer.C:
 		}
 		now := clock.Now()
+		if due := o.stepped + stepSpacing; o.core != nil && now < due {
+			timer.Reset(due - now)
+			continue
+		}
+		o.stepped = now
 		o.step(calls, now)
 		switch {
 		case o.core != nil:
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -30,9 +30,12 @@
 	slight = 0.2
 	// overCut is applied to the pace of responsible tasks while a service is over its objective.
 	overCut = 0.4
-	// blameAll is how long a service may be over its objective before all best-effort tasks beside it are slowed, whether known to
-	// disturb it or not.
-	blameAll = 1200 * time.Millisecond
+	// Shares of the time for which a service may be over its objective: after blameAll with every report over it, all best-effort tasks
+	// beside it are slowed, whether known to disturb it or not; after standStill over it on average, they stand still.
+	blameAll   = 0.3
+	standStill = 0.5
+	// strainMemory is the time in which the weight of a report of a tail fades. Single reports are rough: they differ by a third.
+	strainMemory = time.Second
 	// nothing is a disturbance that cannot be noticed; it keeps from dividing by zero.
 	nothing = 1e-6
 	// leastEven is the part of their pace down to which tasks are slowed evenly.
@@ -150,17 +153,53 @@
 // fullPercent is the progress of a service task that is at work.
 const fullPercent = 100
 
+// strain is how far the tail of a service is over its objective. Single reports are rough, so their fading mean decides in the end.
+type strain struct {
+	// mean is that of the logarithm of tail and objective, at the time of the newest report.
+	mean float64
+	at   time.Duration
+	// overSince is when the reports began that all were over the objective, meanSince when their mean came to be; 0 if not.
+	overSince, meanSince time.Duration
+}
+
+func (s *strain) observe(now time.Duration, ratio float64) {
+	weight := 1.0
+	if s.at > 0 {
+		weight = 1 - math.Exp(-float64(now-s.at)/float64(strainMemory))
+	}
+	s.mean += weight * (ratio - s.mean)
+	s.at = now
+	s.overSince = begin(s.overSince, now, ratio > 0)
+	s.meanSince = begin(s.meanSince, now, s.mean > 0)
+}
+
+// begin returns the time since when a condition holds, 0 if it does not.
+func begin(since, now time.Duration, holds bool) time.Duration {
+	switch {
+	case !holds:
+		return 0
+	case since == 0:
+		return now
+	}
+	return since
+}
+
+// demand reports whether all best-effort tasks beside the service must slow down, and whether they must stand still.
+func (s *strain) demand(now, tolerance time.Duration) (slow, halt bool) {
+	lasts := func(since time.Duration, share float64) bool {
+		return since > 0 && float64(now-since) >= share*float64(tolerance)
+	}
+	return lasts(s.overSince, blameAll), lasts(s.meanSince, standStill)
+}
+
 // protect lowers the wanted pace of the tasks that lengthen the tail of a service beyond its goal.
 func (c *Core) protect(now time.Duration, w *worker, s *task, bestEffort []*task) {
 	if s.load <= 0 {
 		return
 	}
 	over := s.load > objective(s)
-	if !over {
-		s.overSince = 0
-	} else if s.overSince == 0 {
-		s.overSince = now
-	}
+	s.strain.observe(now, math.Log(s.load/objective(s)))
+	everyone, halt := s.strain.demand(now, c.params.Tolerance)
 	blamed := harmful
 	if s.load > tailGoal*objective(s) {
 		blamed = slight
@@ -171,7 +210,6 @@
 		rise += c.model.Coefficient(now, image, t.step.def.Image) * w.share(t)
 	}
 	allowed := max(0, math.Log(tailGoal*objective(s))-(math.Log(s.load)-rise))
-	everyone := over && now-s.overSince >= blameAll
 	asked := 0.0
 	for _, t := range bestEffort {
 		if k := c.model.Coefficient(now, image, t.step.def.Image); k >= blamed {
@@ -191,7 +229,9 @@
 			}
 			t.wantedPace = min(t.wantedPace, int(part*fullPace))
 		}
-		if over && (k >= harmful || everyone) {
+		if halt {
+			t.wantedPace = 0
+		} else if over && (k >= harmful || everyone) {
 			t.wantedPace = min(t.wantedPace, int(float64(max(0, t.pace))*overCut))
 		}
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -34,7 +34,8 @@
 			t.queued = false
 			continue
 		}
-		if p.placed >= maxPlacements || t.notBefore > now || !p.place(t) {
+		if p.placed >= maxPlacements || t.notBefore > now || c.held(now, t) || !p.place(t) {
+			c.noteShortage(now, t)
 			rest = append(rest, t)
 			continue
 		}
@@ -69,18 +70,49 @@
 // lateFactor times the time that the objective allows is how long a result is still worth something.
 const lateFactor = 3
 
-// tier groups the tasks of one priority: first those whose submission can meet its objective, then services, then what is late.
+// The tiers of one priority, in order. Work that is late and still worth something takes its room for a short time only, so it comes before
+// services.
+const (
+	tierOnTime = iota
+	tierLate
+	tierService
+	tierTooLate
+)
+
+// tier groups the tasks of one priority.
 func (t *task) tier(now time.Duration) int {
 	j := t.job()
 	switch {
 	case t.step.def.Service:
-		return 1
+		return tierService
 	case now <= j.objective:
-		return 0
+		return tierOnTime
 	case now <= j.objective+(lateFactor-1)*j.span:
-		return 2
+		return tierLate
+	}
+	return tierTooLate
+}
+
+const (
+	// scarceTime is how long processors count as scarce after a task could not be placed that its submission needed on time.
+	scarceTime = 5 * time.Second
+	// holdTime is how long a service then waits, so that short tasks find the room that other services leave. A service must be placed within
+	// 3 s where there is room.
+	holdTime = 2 * time.Second
+)
+
+// held reports whether a service has to wait because its room would be missing to short tasks.
+func (c *Core) held(now time.Duration, t *task) bool {
+	scarce := c.shortAt != 0 && now-c.shortAt < scarceTime
+	// Nothing is known of how long a task has waited that was pending when this owner took over.
+	return scarce && t.step.def.Service && t.queuedAt > c.recovered && now-t.queuedAt < holdTime
+}
+
+// noteShortage notes that a task has found no room which should run now.
+func (c *Core) noteShortage(now time.Duration, t *task) {
+	if d := t.step.def; !d.Service && !d.BestEffort && t.notBefore <= now && t.tier(now) == tierOnTime {
+		c.shortAt = now
 	}
-	return 3
 }
 
 // before reports whether a task comes before another: the highest priority first, then tiers, then the earliest objective. Services keep the order
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -71,6 +71,8 @@
 	logDown bool
 	// queue holds what happens later: orders that arrive and answers that return.
 	queue []event
+	// loads returns the load that a worker reports of an attempt; nil stands for none.
+	loads func(Attempt) float64
 	// loss is the share of calls without an answer, half of which are carried out late.
 	loss float64
 	// doneConfirmed holds the tasks whose done end a worker has been told to forget.
@@ -84,7 +86,7 @@
 
 func newWorld(t *testing.T, seed uint64, workers int) *world {
 	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 7)), now: time.Minute, workers: map[string]*fakeWorker{}, steps: map[workflow.JobID][]workflow.Step{},
-		params:  Params{Lease: 6 * time.Second, Isolation: 5 * time.Second},
+		params:  Params{Lease: 6 * time.Second, Isolation: 5 * time.Second, Tolerance: 4 * time.Second},
 		catalog: catalog.New(quiet()), doneConfirmed: map[workflow.TaskID]bool{}}
 	for i := range workers {
 		w.addWorker(string(rune('a' + i)))
@@ -134,7 +136,7 @@
 }
 
 func (w *world) submit(id workflow.JobID, steps ...workflow.Step) {
-	s := &workflow.Submission{Job: id, Steps: steps, Terms: testConfig().Queues[0].Terms}
+	s := &workflow.Submission{Job: id, Steps: steps, Terms: testConfig().Queues[0].Terms, Accepted: time.Unix(0, int64(w.now))}
 	w.steps[id] = steps
 	e, err := catalog.SubmissionEntry(s)
 	require.NoError(w.t, err)
@@ -437,7 +439,11 @@
 	}
 	a := LeaseAnswer{Born: f.born, Clock: w.clock(f), Ends: append([]End(nil), f.ends...)}
 	for at, r := range f.running {
-		a.Running = append(a.Running, Running{Attempt: at, Percent: r.percent(w.now), Checkpoint: r.checkpoint})
+		row := Running{Attempt: at, Percent: r.percent(w.now), Checkpoint: r.checkpoint}
+		if w.loads != nil {
+			row.Load = w.loads(at)
+		}
+		a.Running = append(a.Running, row)
 	}
 	return a, nil
 }
