Serve queues with an advisor

Cause: the contracts of both sites name advice, and a queue that has it was refused: on an installation with such a queue nothing of it would run.

Change: the owner asks the advisor about up to 30 workers for the first task in order that has no permitted worker, keeps the tickets by the worker's lifetime, and sends them with starts. Without an advisor in the settings such submissions are refused as before.

--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -62,7 +62,7 @@
 func newOwner(s *platform.Settings, log eventlog.Log, w dispatch.Workers, t node.Topics, q *queue.Current, c *catalog.Catalog, v *node.Views, l *slog.Logger) *dispatch.Owner {
 	settings := dispatch.Settings{Instance: s.Instance, Cores: s.Cores, ProgressTopic: t.Progress, WorkersTopic: platform.TopicWorkers, SubmissionsTopic: t.Submissions, Retention: s.StatusTime + retentionMargin,
 		Params: dispatch.Params{Lease: min(leaseTime, s.MaxLease), Isolation: isolation, Tolerance: s.Harm}}
-	return dispatch.NewOwner(settings, log, w, platform.DecodeMember, q, c, dispatch.Views{Submissions: v.Submissions, Progress: v.Progress},
+	return dispatch.NewOwner(settings, log, w, platform.NewAdvisor(s.AdvisorAddr, platform.NewTransport()), platform.DecodeMember, q, c, dispatch.Views{Submissions: v.Submissions, Progress: v.Progress},
 		v.RoleChanged, process.Part(l, "owner"))
 }
 
@@ -72,7 +72,7 @@
 	addr := netip.MustParseAddrPort(s.CallerAddr).Addr()
 	return node.New(node.Settings{Instance: s.Instance, Topics: t, StopTime: s.StopTime, Listeners: node.Listeners{Callers: s.CallerAddr,
 		Ready: s.ReadyAddr, Metrics: netip.AddrPortFrom(addr, o.MetricsPort).String()}},
-		node.Deps{Config: q, Views: v, Batcher: b, Owner: owner, Callers: platform.NewCallers(d, process.Part(l, "callers")),
+		node.Deps{Config: q, Views: v, Batcher: b, Owner: owner, Callers: platform.NewCallers(d, s.AdvisorAddr != "", process.Part(l, "callers")),
 			Ready: platform.NewReady(health.Ready), Metrics: promhttp.HandlerFor(r, promhttp.HandlerOpts{}), Reload: reload(o, l),
 			Health: health, Logger: process.Part(l, "node")})
 }
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -22,7 +22,7 @@
 	t.order = orderSending
 	t.attempts++
 	c.orders = append(c.orders, StartOrder{Member: t.worker.Member, task: t, Call: StartCall{Attempt: t.attempt(), Spec: t.job().sub.Spec,
-		Checkpoint: t.checkpoint, Fence: c.epoch, Until: t.worker.until(now, c.params.Lease)}})
+		Checkpoint: t.checkpoint, Ticket: t.step.permits[t.worker.Lifetime].ticket, Fence: c.epoch, Until: t.worker.until(now, c.params.Lease)}})
 }
 
 // StartReturned takes over the outcome of a start.
@@ -80,7 +80,9 @@
 		// The attempt ran or was stopped there; the worker's lists tell which.
 		t.order, t.settledAt = orderSettled, now
 		return
-	case ReasonInvalid, ReasonTicket:
+	case ReasonTicket:
+		delete(t.step.permits, w.Lifetime)
+	case ReasonInvalid:
 	}
 	if t.unsure {
 		// An earlier call of this run may still be carried out: only a stop rules that out.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -59,6 +59,9 @@
 	// attention holds the placed tasks for which an order is to be sent or sent again.
 	attention map[*task]struct{}
 	batch     int64
+	// advising tells that the advisor is being asked; adviseAt is when it may be asked again.
+	advising  bool
+	adviseAt  time.Duration
 	orders    []Order
 	deposed   bool
 	recovered time.Duration
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -41,6 +41,8 @@
 	tasks []*task
 	open  int // tasks that have not ended
 	ready bool
+	// permits is what the advisor has said of the step's workers.
+	permits permits
 	// breaking tells that a task of a gang has ended without success, so that all must end before the next run.
 	breaking bool
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import ()
+import (
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
 
 // Orders returns what is to be sent now.
 func (c *Core) Orders() []Order {
@@ -40,7 +44,18 @@
 	worker *worker
 }
 
-func (StartOrder) isOrder() {}
-func (StopOrder) isOrder()  {}
-func (PaceOrder) isOrder()  {}
-func (LeaseOrder) isOrder() {}
+// AdviceOrder asks the advisor which workers may run a step.
+type AdviceOrder struct {
+	Step    workflow.StepID
+	Workers []Lifetime
+	// Takes is how long the answer is expected to take.
+	Takes time.Duration
+	terms workflow.Advised
+	step  *step
+}
+
+func (AdviceOrder) isOrder() {}
+func (StartOrder) isOrder()  {}
+func (StopOrder) isOrder()   {}
+func (PaceOrder) isOrder()   {}
+func (LeaseOrder) isOrder()  {}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -84,6 +84,7 @@
 	settings Settings
 	log      eventlog.Log
 	workers  Workers
+	advisor  Advisor
 	decode   func(id string, b []byte) (Member, error)
 	config   *queue.Current
 	catalog  *catalog.Catalog
@@ -122,9 +123,9 @@
 }
 
 // NewOwner returns an owner; Run starts it. decode reads a worker's entry; onRole is told when this instance becomes or ceases to be the owner.
-func NewOwner(s Settings, l eventlog.Log, w Workers, decode func(string, []byte) (Member, error), config *queue.Current, cat *catalog.Catalog, v Views,
+func NewOwner(s Settings, l eventlog.Log, w Workers, a Advisor, decode func(string, []byte) (Member, error), config *queue.Current, cat *catalog.Catalog, v Views,
 	onRole func(bool), logger *slog.Logger) *Owner {
-	return &Owner{settings: s, log: l, workers: w, decode: decode, config: config, catalog: cat, views: v, onRole: onRole, logger: logger,
+	return &Owner{settings: s, log: l, workers: w, advisor: a, decode: decode, config: config, catalog: cat, views: v, onRole: onRole, logger: logger,
 		events: make(chan func(time.Duration), eventQueue), ended: make(chan struct{})}
 }
 
--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -60,7 +60,7 @@
 	submissions := eventlog.NewFollower(log, "submissions", pace, quiet(), func(b eventlog.Batch) { i.owner.SubmissionsChanged(cat.ApplySubmissions(b)) })
 	progress = eventlog.NewFollower(log, "progress", pace, quiet(), func(b eventlog.Batch) { i.owner.ProgressRead(b, cat.ApplyProgress(b.Entries)) })
 	s := Settings{Instance: name, ProgressTopic: "progress", WorkersTopic: "workers", SubmissionsTopic: "submissions", Retention: time.Hour, Cores: 1000, Params: Params{Lease: 6 * time.Second, Isolation: 5 * time.Second}}
-	i.owner = NewOwner(s, log, noWorkers{}, func(id string, _ []byte) (Member, error) { return Member{Lifetime: Lifetime{ID: id}}, nil }, config, cat,
+	i.owner = NewOwner(s, log, noWorkers{}, nil, func(id string, _ []byte) (Member, error) { return Member{Lifetime: Lifetime{ID: id}}, nil }, config, cat,
 		Views{Submissions: submissions, Progress: progress}, func(owns bool) {
 			i.mu.Lock()
 			defer i.mu.Unlock()
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -199,6 +199,7 @@
 	}
 	w := p.choose(t, usable)
 	if w == nil {
+		p.ask(t)
 		return false
 	}
 	p.assign(t, w, t.run+1)
@@ -214,6 +215,7 @@
 }
 
 func (p *plan) choose(t *task, usable func(*worker) bool) *assign.Node {
+	usable = p.permitted(t, usable)
 	def, terms := t.step.def, &t.job().terms
 	key := fullKey{service: terms.Service, label: def.Label, size: def.Reserved()}
 	if _, ok := p.full[key]; ok {
@@ -307,6 +309,7 @@
 	}
 	chosen := p.fitGang(s)
 	if chosen == nil {
+		p.ask(s.tasks[0])
 		return false
 	}
 	for i, t := range s.tasks {
--- a/internal/dispatch/sending.go
+++ b/internal/dispatch/sending.go
@@ -10,7 +10,8 @@
 	for _, order := range o.core.Orders() {
 		// A lease call may wait for a second and changes nothing that a successor would have to know.
 		counted := 1
-		if _, ok := order.(LeaseOrder); ok {
+		switch order.(type) {
+		case LeaseOrder, AdviceOrder:
 			counted = 0
 		}
 		o.calls += counted
@@ -29,6 +30,13 @@
 
 func (o *Owner) carryOut(ctx context.Context, core *Core, sent time.Duration, order Order) func(time.Duration) {
 	switch c := order.(type) {
+	case AdviceOrder:
+		ids := make([]string, len(c.Workers))
+		for i, l := range c.Workers {
+			ids[i] = l.ID
+		}
+		a, err := o.advisor.Advise(ctx, c.Step, ids, c.Takes)
+		return func(now time.Duration) { core.AdviceReturned(now, c, a, err) }
 	case StartOrder:
 		a, err := o.workers.Start(ctx, c.Member, c.Call)
 		return func(now time.Duration) { core.StartReturned(now, c, a, err) }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -35,7 +35,9 @@
 	Attempt
 	Spec       string
 	Checkpoint string
-	Fence      int64
+	// Ticket shows that the worker may run the step; empty for queues without an advisor.
+	Ticket string
+	Fence  int64
 	// Until is the reading of the worker's clock after which the worker refuses the call and ends what it runs.
 	Until time.Duration
 }
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -71,6 +72,11 @@
 	logDown bool
 	// queue holds what happens later: orders that arrive and answers that return.
 	queue []event
+	// permitted are the workers that the advisor names; nil if no ticket is needed. Tickets hold for ticketTime.
+	permitted  map[string]bool
+	ticketTime time.Duration
+	// advised and ticketsRefused count calls of the advisor and starts without a ticket that holds.
+	advised, ticketsRefused int
 	// loads returns the load that a worker reports of an attempt; nil stands for none.
 	loads func(Attempt) float64
 	// loss is the share of calls without an answer, half of which are carried out late.
@@ -273,6 +279,10 @@
 // send carries a call to its worker and the answer back, or loses one of them.
 func (w *world) send(o Order) {
 	core := w.core
+	if a, ok := o.(AdviceOrder); ok {
+		w.later(a.Takes+2*oneWay, func() { core.AdviceReturned(w.now, a, w.advise(a), nil) })
+		return
+	}
 	member := orderMember(o)
 	answer := func(do func()) {
 		w.later(oneWay, func() {
@@ -297,6 +307,28 @@
 	})
 }
 
+// advise answers as the advisor. A ticket names the worker's lifetime and its end.
+func (w *world) advise(o AdviceOrder) Advice {
+	w.advised++
+	a := Advice{Tickets: map[string]string{}, Valid: w.ticketTime}
+	for _, l := range o.Workers {
+		if w.permitted[l.ID] {
+			a.Tickets[l.ID] = fmt.Sprintf("%s/%d/%d", l.ID, l.Born, w.now+w.ticketTime)
+		}
+	}
+	return a
+}
+
+// holds reports whether a ticket lets the worker start a task now.
+func (w *world) holds(f *fakeWorker, ticket string) bool {
+	if w.permitted == nil {
+		return true
+	}
+	var end int64
+	_, err := fmt.Sscanf(ticket, f.id+"/"+fmt.Sprint(f.born)+"/%d", &end)
+	return err == nil && w.now < time.Duration(end)
+}
+
 func orderMember(o Order) Member {
 	switch c := o.(type) {
 	case StartOrder:
@@ -376,6 +408,9 @@
 		return w.refuse(f, ReasonOld)
 	case c.Until <= w.clock(f):
 		return w.refuse(f, ReasonLate)
+	case !w.holds(f, c.Ticket):
+		w.ticketsRefused++
+		return w.refuse(f, ReasonTicket)
 	}
 	f.fence, f.until = c.Fence, max(f.until, c.Until)
 	step := w.steps[c.Task.Job][c.Task.Step]
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -13,8 +13,6 @@
 type Queue struct {
 	Host, PathPrefix string
 	Terms            workflow.Terms
-	// Advice tells that the queue's policy must be asked for the workers of a step.
-	Advice bool
 }
 
 // Service is a pool of workers.
--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -68,6 +68,15 @@
 	// Stretch times the longest chain of work, plus Allowance, is the latency objective.
 	Stretch   float64       `cbor:"5,keyasint,omitempty"`
 	Allowance time.Duration `cbor:"6,keyasint,omitempty"`
+	// Advised tells that only some workers may run a step; the advisor names them.
+	Advised *Advised `cbor:"7,keyasint,omitempty"`
+}
+
+// Advised is what the advisor of a queue takes: Decide for a call and Each for every worker that it names. What it permits holds for Valid.
+type Advised struct {
+	Decide time.Duration `cbor:"1,keyasint,omitempty"`
+	Each   time.Duration `cbor:"2,keyasint,omitempty"`
+	Valid  time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Submission is what a caller hands in, with the terms of its queue at that time.
@@ -174,10 +183,24 @@
 }
 
 // String returns the name that workers know.
-func (t TaskID) String() string {
-	b := make([]byte, 0, len(t.Job)+12)
-	b = append(b, t.Job...)
-	for _, n := range [...]int{t.Round, t.Step, t.Index} {
+func (t TaskID) String() string { return dotted(t.Job, t.Round, t.Step, t.Index) }
+
+// StepID names one step of a round of a submission.
+type StepID struct {
+	Job         JobID
+	Round, Step int
+}
+
+// String returns the name that the advisor knows.
+func (s StepID) String() string { return dotted(s.Job, s.Round, s.Step) }
+
+// MarshalText implements encoding.TextMarshaler, so that logs show the name.
+func (s StepID) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+func dotted(j JobID, numbers ...int) string {
+	b := make([]byte, 0, len(j)+12)
+	b = append(b, j...)
+	for _, n := range numbers {
 		b = strconv.AppendInt(append(b, '.'), int64(n), 10)
 	}
 	return string(b)
