Place services that have waited also on workers in quarantine

Change: a service that has waited for 2 s may be placed on a worker in quarantine: there is no limit to its attempts.

Ruled out: the order of late work and services.

--- a/internal/dispatch/pace_test.go
+++ b/internal/dispatch/pace_test.go
@@ -52,3 +52,18 @@
 		assert.NotNil(t, task.worker, "the service has waited for 3 s")
 	}
 }
+
+// Guards against a service that waits although there is room for it, because the worker with the room is in quarantine for 4 s (LOST on scale-1
+// of halloran-quotes).
+func TestServiceThatHasWaitedIsPlaced(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.core.workers["a"].quarantine = w.now + time.Minute
+	w.submit("0000000000000001", service(4))
+	w.run(300 * time.Millisecond)
+	assert.Len(t, w.workers["b"].running, 4)
+	w.submit("0000000000000002", service(4))
+	w.run(time.Second)
+	assert.Empty(t, w.workers["a"].running, "in quarantine")
+	w.run(2 * time.Second)
+	assert.Len(t, w.workers["a"].running, 4)
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -96,16 +96,19 @@
 const (
 	// scarceTime is how long processors count as scarce after a task could not be placed that its submission needed on time.
 	scarceTime = 5 * time.Second
-	// holdTime is how long a service then waits, so that short tasks find the room that other services leave. A service must be placed within
-	// 3 s where there is room.
+	// holdTime is how long a service then waits, so that short tasks find the room that other services leave. After that it is placed wherever
+	// there is room, also on workers in quarantine: it must not wait beside free room for 3 s.
 	holdTime = 2 * time.Second
 )
 
+// due reports whether a service has waited for so long that it must be placed wherever there is room.
+func (t *task) due(now time.Duration) bool { return t.step.def.Service && now-t.queuedAt >= holdTime }
+
 // held reports whether a service has to wait because its room would be missing to short tasks.
 func (c *Core) held(now time.Duration, t *task) bool {
 	scarce := c.shortAt != 0 && now-c.shortAt < scarceTime
 	// Nothing is known of how long a task has waited that was pending when this owner took over.
-	return scarce && t.step.def.Service && t.queuedAt > c.recovered && now-t.queuedAt < holdTime
+	return scarce && t.step.def.Service && t.queuedAt > c.recovered && !t.due(now)
 }
 
 // noteShortage notes that a task has found no room which should run now.
@@ -142,9 +145,9 @@
 type plan struct {
 	core *Core
 	now  time.Duration
-	// nodes are the candidates of each service, made when the first task asks for them.
-	nodes  map[string][]*assign.Node
-	placed int
+	// nodes are the candidates of each service, made when the first task asks for them; all includes workers in quarantine.
+	nodes, all map[string][]*assign.Node
+	placed     int
 	// full holds the sizes for which no worker had room, fullSteps the steps whose restrictions left none.
 	full      map[fullKey]struct{}
 	fullSteps map[*step]struct{}
@@ -153,26 +156,35 @@
 type fullKey struct {
 	service, label string
 	size           resource.Vector
+	due            bool
 }
 
 func (c *Core) newPlan(now time.Duration) *plan {
-	return &plan{core: c, now: now, nodes: map[string][]*assign.Node{}, full: map[fullKey]struct{}{}, fullSteps: map[*step]struct{}{}}
+	return &plan{core: c, now: now, nodes: map[string][]*assign.Node{}, all: map[string][]*assign.Node{}, full: map[fullKey]struct{}{}, fullSteps: map[*step]struct{}{}}
 }
 
-func (p *plan) candidates(service string) []*assign.Node {
-	if n, ok := p.nodes[service]; ok {
+// candidates returns the workers of a service that may get tasks.
+func (p *plan) candidates(service string) []*assign.Node { return p.collect(p.nodes, service, true) }
+
+// everyCandidate returns also those in quarantine: a service must be placed where there is room, and a failure costs it little.
+func (p *plan) everyCandidate(service string) []*assign.Node {
+	return p.collect(p.all, service, false)
+}
+
+func (p *plan) collect(known map[string][]*assign.Node, service string, quarantine bool) []*assign.Node {
+	if n, ok := known[service]; ok {
 		return n
 	}
 	var out []*assign.Node
 	for _, w := range p.core.sortedWorkers() {
-		if w.Service != service || w.unusable() || w.quarantine > p.now || w.fullUntil > p.now || w.failingSince != 0 {
+		if w.Service != service || w.unusable() || quarantine && w.quarantine > p.now || w.fullUntil > p.now || w.failingSince != 0 {
 			continue
 		}
 		w.node.ID, w.node.Rack, w.node.Capacity = w.ID, w.Rack, w.Capacity
 		w.node.Slack, w.node.Unproven = 1-w.pressure, w.failedInRow > 0
 		out = append(out, &w.node)
 	}
-	p.nodes[service] = out
+	known[service] = out
 	return out
 }
 
@@ -217,7 +229,8 @@
 func (p *plan) choose(t *task, usable func(*worker) bool) *assign.Node {
 	usable = p.permitted(t, usable)
 	def, terms := t.step.def, &t.job().terms
-	key := fullKey{service: terms.Service, label: def.Label, size: def.Reserved()}
+	due := t.due(p.now)
+	key := fullKey{service: terms.Service, label: def.Label, size: def.Reserved(), due: due}
 	if _, ok := p.full[key]; ok {
 		return nil
 	}
@@ -225,6 +238,9 @@
 		return nil
 	}
 	nodes := p.candidates(terms.Service)
+	if due {
+		nodes = p.everyCandidate(terms.Service)
+	}
 	restricted := def.Label != "" || def.MaxPerWorker > 0 || usable != nil
 	if restricted {
 		nodes = p.restrict(nodes, t, usable)
