--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -38,6 +38,10 @@
 
 func newWorkers() dispatch.Workers { return platform.NewWorkerClient(platform.NewTransport()) }
 
+func newAdvisor(s *platform.Settings) dispatch.Advisor {
+	return platform.NewAdvisor(s.AdvisorAddr, platform.NewTransport())
+}
+
 func newTopics() node.Topics {
 	return node.Topics{Config: platform.TopicConfig, ConfigKey: platform.ConfigKey, Submissions: platform.TopicSubmissions, Progress: platform.TopicProgress}
 }
@@ -59,10 +63,10 @@
 	return intake.New(b, c, q, v, v.Submissions, v.Config, ages, process.Part(l, "intake"), r)
 }
 
-func newOwner(s *platform.Settings, log eventlog.Log, w dispatch.Workers, t node.Topics, q *queue.Current, c *catalog.Catalog, v *node.Views, l *slog.Logger) *dispatch.Owner {
+func newOwner(s *platform.Settings, log eventlog.Log, w dispatch.Workers, a dispatch.Advisor, t node.Topics, q *queue.Current, c *catalog.Catalog, v *node.Views, l *slog.Logger) *dispatch.Owner {
 	settings := dispatch.Settings{Instance: s.Instance, Cores: s.Cores, ProgressTopic: t.Progress, WorkersTopic: platform.TopicWorkers, SubmissionsTopic: t.Submissions, Retention: s.StatusTime + retentionMargin,
 		Params: dispatch.Params{Lease: min(leaseTime, s.MaxLease), Isolation: isolation, Tolerance: s.Harm}}
-	return dispatch.NewOwner(settings, log, w, platform.NewAdvisor(s.AdvisorAddr, platform.NewTransport()), platform.DecodeMember, q, c, dispatch.Views{Submissions: v.Submissions, Progress: v.Progress},
+	return dispatch.NewOwner(settings, log, w, a, platform.DecodeMember, q, c, dispatch.Views{Submissions: v.Submissions, Progress: v.Progress},
 		v.RoleChanged, process.Part(l, "owner"))
 }
 
--- a/cmd/clementine-node/wire.go
+++ b/cmd/clementine-node/wire.go
@@ -13,5 +13,5 @@
 )
 
 func initialize(o *Options, s *platform.Settings, l *slog.Logger, r *prometheus.Registry) *node.Node {
-	panic(wire.Build(newStore, newWorkers, newTopics, newConfig, newCatalog, newViews, newBatcher, newDesk, newOwner, newNode))
+	panic(wire.Build(newStore, newWorkers, newAdvisor, newTopics, newConfig, newCatalog, newViews, newBatcher, newDesk, newOwner, newNode))
 }
--- a/cmd/clementine-node/wire_gen.go
+++ b/cmd/clementine-node/wire_gen.go
@@ -23,7 +23,8 @@
 	views := newViews(log, topics, catalog, current, l)
 	batcher := newBatcher(log, topics, l)
 	workers := newWorkers()
-	owner := newOwner(s, log, workers, topics, current, catalog, views, l)
+	advisor := newAdvisor(s)
+	owner := newOwner(s, log, workers, advisor, topics, current, catalog, views, l)
 	desk := newDesk(s, batcher, catalog, current, views, l, r)
 	nodeNode := newNode(o, s, topics, current, views, batcher, owner, desk, l, r)
 	return nodeNode
