Log when services are held back, and describe the line

Cause: the decision to hold services back showed only as waits in the summary. Change: one line when processors become scarce, with the task that found no room.

--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -42,18 +42,25 @@
 // due reports whether a service has waited for so long that it must be placed wherever there is room.
 func (t *task) due(now time.Duration) bool { return t.step.def.Service && now-t.queuedAt >= holdTime }
 
+// scarce reports whether a task has lately found no room that its submission needed on time.
+func (c *Core) scarce(now time.Duration) bool { return c.shortAt != 0 && now-c.shortAt < scarceTime }
+
 // held reports whether a service has to wait because its room would be missing to short tasks.
 func (c *Core) held(now time.Duration, t *task) bool {
-	scarce := c.shortAt != 0 && now-c.shortAt < scarceTime
 	// Nothing is known of how long a task has waited that was pending when this owner took over.
-	return scarce && t.step.def.Service && t.queuedAt > c.recovered && !t.due(now)
+	return c.scarce(now) && t.step.def.Service && t.queuedAt > c.recovered && !t.due(now)
 }
 
 // noteShortage notes that a task has found no room which should run now.
 func (c *Core) noteShortage(now time.Duration, t *task) {
-	if d := t.step.def; !d.Service && !d.BestEffort && t.notBefore <= now && t.tier(now) == tierOnTime {
-		c.shortAt = now
+	d := t.step.def
+	if d.Service || d.BestEffort || t.notBefore > now || t.tier(now) != tierOnTime {
+		return
+	}
+	if !c.scarce(now) {
+		c.logger.Info("processors scarce, services wait", "task", t.id, "waited_ms", (now - t.queuedAt).Milliseconds(), "pending", len(c.pending))
 	}
+	c.shortAt = now
 }
 
 // before reports whether a task comes before another: the highest priority first, then tiers, then the earliest objective. Services keep the order
