--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -50,8 +50,11 @@
 
 func newCatalog(l *slog.Logger) *catalog.Catalog { return catalog.New(process.Part(l, "catalog")) }
 
-func newViews(log eventlog.Log, t node.Topics, c *catalog.Catalog, q *queue.Current, l *slog.Logger) *node.Views {
-	return node.NewViews(log, t, platform.DecodeConfig, c, q, process.Part(l, "views"))
+// configAge is how old the view of the configuration may be when a queue is said not to exist.
+func configAge(s *platform.Settings) time.Duration { return s.ConfigApply - configMargin }
+
+func newViews(s *platform.Settings, log eventlog.Log, t node.Topics, c *catalog.Catalog, q *queue.Current, l *slog.Logger) *node.Views {
+	return node.NewViews(log, t, platform.DecodeConfig, c, q, configAge(s), process.Part(l, "views"))
 }
 
 func newBatcher(log eventlog.Log, t node.Topics, l *slog.Logger) *eventlog.Batcher {
@@ -59,7 +62,7 @@
 }
 
 func newDesk(s *platform.Settings, b *eventlog.Batcher, c *catalog.Catalog, q *queue.Current, v *node.Views, l *slog.Logger, r *prometheus.Registry) *intake.Desk {
-	ages := intake.Ages{Submissions: s.Visible - unknownMargin, Config: s.ConfigApply - configMargin}
+	ages := intake.Ages{Submissions: s.Visible - unknownMargin, Config: configAge(s)}
 	return intake.New(b, c, q, v, v.Submissions, v.Config, ages, process.Part(l, "intake"), r)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,12 +91,16 @@
 )
 
 // NewViews returns the followers of a node, which keep the catalog and the configuration current.
-func NewViews(l eventlog.Log, t Topics, decode func([]byte) (*queue.Config, error), cat *catalog.Catalog, config *queue.Current, logger *slog.Logger) *Views {
+// The view of the configuration gets at most configAge old while the log can be read.
+func NewViews(l eventlog.Log, t Topics, decode func([]byte) (*queue.Config, error), cat *catalog.Catalog, config *queue.Current, configAge time.Duration,
+	logger *slog.Logger) *Views {
+	configs := configPace
+	configs.Wait = min(configs.Wait, configAge*2/3)
 	f := &feed{topics: t, decode: decode, catalog: cat, config: config, logger: logger}
 	return &Views{feed: f,
 		Submissions: eventlog.NewFollower(l, t.Submissions, submissionsPace, logger, f.submissions),
 		Progress:    eventlog.NewFollower(l, t.Progress, progressPace, logger, f.progress),
-		Config:      eventlog.NewFollower(l, t.Config, configPace, logger, f.configuration)}
+		Config:      eventlog.NewFollower(l, t.Config, configs, logger, f.configuration)}
 }
 
 // feed hands what the followers read to the parts of the node.
