Bound the reads that callers cause

Cause: each caller who asks for a state that is not final makes a standby instance read at once. Nothing bounded these reads but their own duration; all instances share the rate of the store. Found by reading.

Change: at least 15 ms between two reads. Test: 20 callers who ask all the time for 0.3 s cause fewer than 25 reads.

--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -133,6 +134,40 @@
 	assert.NoError(t, limited.Err(), "a read that fails keeps nobody waiting")
 }
 
+// Guards against callers who use up the rate of the log by asking for states.
+func TestRefreshesShareReads(t *testing.T) {
+	l := &counting{Log: memlog.New()}
+	f := eventlog.NewFollower(l, "topic", eventlog.Pace{Pause: time.Hour, IdlePause: time.Hour}, quiet, func(eventlog.Batch) {})
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	go f.Run(ctx)
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for ctx.Err() == nil {
+				f.Refresh(ctx)
+			}
+		}()
+	}
+	wg.Wait()
+	assert.Less(t, l.reads.Load(), int64(25))
+	assert.Greater(t, l.reads.Load(), int64(5))
+}
+
+// counting counts the reads of a log.
+type counting struct {
+	*memlog.Log
+	reads atomic.Int64
+}
+
+// Read implements eventlog.Log.
+func (c *counting) Read(ctx context.Context, topic string, from int64, wait time.Duration) (eventlog.Page, error) {
+	c.reads.Add(1)
+	return c.Log.Read(ctx, topic, from, wait)
+}
+
 func batcher(t *testing.T, l eventlog.Log) *eventlog.Batcher {
 	t.Helper()
 	b := eventlog.NewBatcher(l, "topic", quiet)
--- a/internal/eventlog/follower.go
+++ b/internal/eventlog/follower.go
@@ -98,9 +98,14 @@
 	}
 }
 
+// demandSpacing bounds the reads that callers cause: 60 a second of each instance, since all instances share the rate of the log.
+const demandSpacing = 15 * time.Millisecond
+
 // pause waits until the next read is due, and reports whether it was asked for before.
 func (f *Follower) pause(ctx context.Context, d time.Duration) (demanded bool) {
-	t := time.NewTimer(d)
+	first := min(d, demandSpacing)
+	sleep(ctx, first)
+	t := time.NewTimer(d - first)
 	defer t.Stop()
 	select {
 	case <-f.demand:
