Place best-effort tasks only where they run at nearly full speed

Change: package headroom bounds the best-effort work on a worker by the processors that services leave and by the margins of the services, for each pair of images; other tasks stay pending. A task whose remaining steps cannot end in time counts as late. Connections to a worker are bounded and reused.

--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -41,7 +41,7 @@
 	return platform.NewStore(s.StoreAddr, platform.NewTransport())
 }
 
-func newWorkers() dispatch.Workers { return platform.NewWorkerClient(platform.NewTransport()) }
+func newWorkers() dispatch.Workers { return platform.NewWorkerClient(platform.NewWorkerTransport()) }
 
 func newAdvisor(s *platform.Settings) dispatch.Advisor {
 	return platform.NewAdvisor(s.AdvisorAddr, platform.NewTransport())
--- /dev/null
+++ b/internal/dispatch/bound.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/assign"
+	"clementinewalk.example/clementinewalk/internal/headroom"
+	"clementinewalk.example/clementinewalk/internal/resource"
+)
+
+// bestEffortBound limits the best-effort work in progress during one plan. A task is placed only on a worker that runs
+// it at nearly full speed; other tasks stay pending. It caches what the plan needs more than once.
+type bestEffortBound struct {
+	core    *Core
+	now     time.Duration
+	margins map[string]float64
+	pools   map[string]*poolBound
+}
+
+// poolBound is the state of the bound for one pool of workers.
+type poolBound struct {
+	// shares holds the share of the services' margins that each image may use up.
+	shares map[string]float64
+	// noHeadroom holds, for each image, the smallest tasks that no worker could take.
+	noHeadroom map[string][]resource.Vector
+	// idle reports whether tasks request less than idleShare of the processors of the pool.
+	idle bool
+}
+
+const (
+	// idleShare is the share of a pool's processors below which the bound does not apply to a submission that has nothing
+	// running and has waited for maxIdleWait: while half of the pool is idle, such a submission must not wait for 3 s.
+	idleShare   = 0.5
+	maxIdleWait = time.Second
+)
+
+func newBestEffortBound(c *Core, now time.Duration) *bestEffortBound {
+	return &bestEffortBound{core: c, now: now, margins: map[string]float64{}, pools: map[string]*poolBound{}}
+}
+
+// admit returns the nodes that can take a best-effort task. nodes are all candidates of its pool.
+func (b *bestEffortBound) admit(t *task, nodes []*assign.Node) []*assign.Node {
+	pool := b.pool(t.job().terms.Pool, nodes)
+	if pool.idle && t.job().placed == 0 && b.now-t.queuedAt >= maxIdleWait {
+		return nodes
+	}
+	def := t.step.def
+	for _, size := range pool.noHeadroom[def.Image] {
+		if size.Fits(def.Size) {
+			return nil
+		}
+	}
+	share := b.share(pool, nodes, def.Image)
+	need := def.Reserved()
+	var out []*assign.Node
+	for _, n := range nodes {
+		w := b.core.workers[n.ID]
+		if need.Fits(n.Free()) && w.load.Fits(b, n.Services, def.Image, def.Size.MilliCores, share) {
+			out = append(out, n)
+		}
+	}
+	if len(out) == 0 {
+		pool.noHeadroom[def.Image] = append(pool.noHeadroom[def.Image], def.Size)
+	}
+	return out
+}
+
+func (b *bestEffortBound) pool(name string, nodes []*assign.Node) *poolBound {
+	if p, ok := b.pools[name]; ok {
+		return p
+	}
+	requested, capacity := int64(0), int64(0)
+	for _, n := range nodes {
+		requested += n.Reserved.MilliCores + n.BestEffort
+		capacity += n.Capacity.MilliCores
+	}
+	p := &poolBound{shares: map[string]float64{}, noHeadroom: map[string][]resource.Vector{},
+		idle: float64(requested) < idleShare*float64(capacity)}
+	b.pools[name] = p
+	return p
+}
+
+func (b *bestEffortBound) share(p *poolBound, nodes []*assign.Node, image string) float64 {
+	if s, ok := p.shares[image]; ok {
+		return s
+	}
+	services := make([]map[string]int, len(nodes))
+	for i, n := range nodes {
+		services[i] = n.Services
+	}
+	p.shares[image] = headroom.Share(b, services, image)
+	return p.shares[image]
+}
+
+// Coefficient implements headroom.Interference.
+func (b *bestEffortBound) Coefficient(service, image string) float64 {
+	return b.core.model.Coefficient(b.now, service, image)
+}
+
+// unknownMargin is the margin of a service whose tail latency was not reported yet.
+const unknownMargin = 1.0
+
+// Margin implements headroom.Interference. The target is the one to which CPU limits hold the tail latency.
+func (b *bestEffortBound) Margin(service string) float64 {
+	if m, ok := b.margins[service]; ok {
+		return m
+	}
+	m := unknownMargin
+	base, known := b.core.model.Base(b.now, service)
+	if objective := b.core.objectives[service]; known && objective > 0 {
+		m = math.Log(tailTargetFraction*float64(objective)/float64(time.Millisecond)) - math.Log(base)
+	}
+	b.margins[service] = m
+	return m
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -75,6 +75,8 @@
 	// ends.
 	silentLeases map[catalog.Incarnation]time.Duration
 	model        *interference.Model
+	// objectives holds the latency objective of each service image.
+	objectives map[string]time.Duration
 }
 
 // New returns the Core of an owner that has just claimed the epoch. jobs, silentLeases and modelState are read from the
@@ -84,7 +86,7 @@
 	c := &Core{params: p, logger: l, epoch: epoch, config: config, wallClock: wallClock,
 		jobs: map[workflow.JobID]*job{}, workers: map[string]*worker{},
 		dirty: map[*job]struct{}{}, needsOrder: map[*task]struct{}{}, ownerSince: now, silentLeases: silentLeases,
-		model: interference.Restore(now, modelState)}
+		model: interference.Restore(now, modelState), objectives: map[string]time.Duration{}}
 	for l := range silentLeases {
 		// The recorded silence holds until this owner has stored an update.
 		w := c.worker(l.ID)
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -7,6 +7,7 @@
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 
 	"clementinewalk.example/clementinewalk/internal/assign"
+	"clementinewalk.example/clementinewalk/internal/headroom"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -21,6 +22,8 @@
 	tasks  map[*task]struct{}
 	// node is the worker as a placement candidate; it tracks the resources that its tasks reserve and request.
 	node assign.Node
+	// load is what its tasks request, for the bound on best-effort work.
+	load headroom.Load
 	// clockReading is the newest reading of the worker's clock that an answer carried; clockReadAt is when the answer
 	// was received.
 	clockReading time.Duration
@@ -118,7 +121,7 @@
 	w := c.workers[id]
 	if w == nil {
 		w = &worker{Member: Member{Incarnation: Incarnation{ID: id}}, tasks: map[*task]struct{}{},
-			node: assign.Node{Services: map[string]int{}}}
+			node: assign.Node{Services: map[string]int{}}, load: headroom.Load{BestEffort: map[string]int64{}}}
 		c.workers[id] = w
 	}
 	return w
@@ -138,18 +141,25 @@
 	w.adjustCounts(t, -1)
 }
 
-// adjustCounts adds n tasks like t to the best-effort and service counts of the worker's node.
+// adjustCounts adds n tasks like t to the counts and requests of the worker, except its reserved resources.
 func (w *worker) adjustCounts(t *task, n int) {
 	d := t.step.def
-	if d.BestEffort {
-		w.node.BestEffort += int64(n) * d.Size.MilliCores
-	}
-	if !latencyCritical(d) {
-		return
-	}
-	w.node.Services[d.Image] += n
-	if w.node.Services[d.Image] == 0 {
-		delete(w.node.Services, d.Image)
+	requested := int64(n) * d.Size.MilliCores
+	switch {
+	case d.BestEffort:
+		w.node.BestEffort += requested
+		w.load.BestEffort[d.Image] += requested
+		if w.load.BestEffort[d.Image] == 0 {
+			delete(w.load.BestEffort, d.Image)
+		}
+	case latencyCritical(d):
+		w.load.Services += requested
+		w.node.Services[d.Image] += n
+		if w.node.Services[d.Image] == 0 {
+			delete(w.node.Services, d.Image)
+		}
+	default:
+		w.load.Exclusive += requested
 	}
 }
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -45,6 +45,8 @@
 	index int
 	tasks []*task
 	open  int // number of tasks that have not ended
+	// path is the total estimate of the longest chain of steps that starts with this one.
+	path time.Duration
 	// ready is set when all steps that this one depends on have ended.
 	ready bool
 	// approvals holds the advisor's answers on which workers may run the step.
@@ -124,6 +126,8 @@
 	queuedAt    time.Duration
 	// queued is set while the task is in the list of pending tasks.
 	queued bool
+	// rank is the task's place in the order of placement, as of the last plan.
+	rank rank
 }
 
 func (t *task) job() *job { return t.step.round.job }
@@ -175,6 +179,9 @@
 	for s := range j.submission.Steps {
 		st := &step{def: &j.submission.Steps[s], round: r, index: s}
 		r.steps = append(r.steps, st)
+		if latencyCritical(st.def) {
+			c.objectives[st.def.Image] = st.def.Objective
+		}
 		for i := range st.def.Count {
 			t := &task{id: workflow.TaskID{Job: j.submission.Job, Round: k, Step: s, Index: i}, step: st,
 				cpuLimit: noLimitPercent, targetCPULimit: noLimitPercent}
@@ -190,9 +197,21 @@
 			r.open++
 		}
 	}
+	r.setPaths()
 	return r
 }
 
+// setPaths sets the paths of the steps. A step depends on earlier ones only.
+func (r *round) setPaths() {
+	for i := len(r.steps) - 1; i >= 0; i-- {
+		s := r.steps[i]
+		s.path += s.def.Estimate
+		for _, a := range s.def.After {
+			r.steps[a].path = max(r.steps[a].path, s.path)
+		}
+	}
+}
+
 // restoreTask applies the record that an earlier owner stored of a task. A placed task may be running: the next lease
 // answer of its worker shows whether it is.
 func (c *Core) restoreTask(t *task, r *workflow.TaskRecord) {
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -1,7 +1,8 @@
 package dispatch
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -17,15 +18,23 @@
 	tierTooLate
 )
 
-// tier returns the tier of a task within its priority.
+// pathMargin is the factor by which a best-effort task is expected to take longer than its estimate.
+const pathMargin = 1.2
+
+// tier returns the tier of a task within its priority. A best-effort task waits while more such work than the workers
+// can run is in progress, so it counts as late once the steps that remain can no longer end in time.
 func (t *task) tier(now time.Duration) int {
 	j := t.job()
+	end := now
+	if t.step.def.BestEffort {
+		end += time.Duration(pathMargin * float64(t.step.path))
+	}
 	switch {
 	case t.step.def.LongRunning:
 		return tierLongRunning
-	case now <= j.objectiveAt:
+	case end <= j.objectiveAt:
 		return tierOnTime
-	case now <= j.objectiveAt+(lateFactor-1)*j.latencyObjective:
+	case end <= j.objectiveAt+(lateFactor-1)*j.latencyObjective:
 		return tierLate
 	}
 	return tierTooLate
@@ -70,25 +79,34 @@
 	c.lastShortage = now
 }
 
-// before reports whether t is placed before other: by priority, then by tier, then by earliest objectiveAt.
-// Long-running tasks keep the order of acceptance.
-func (t *task) before(other *task, now time.Duration) bool {
-	jt, jOther := t.job(), other.job()
-	if x, y := jt.terms.Priority, jOther.terms.Priority; x != y {
-		return x < y
-	}
-	if x, y := t.tier(now), other.tier(now); x != y {
-		return x < y
-	}
-	if !t.step.def.LongRunning && jt.objectiveAt != jOther.objectiveAt {
-		return jt.objectiveAt < jOther.objectiveAt
-	}
-	if jt.offset != jOther.offset {
-		return jt.offset < jOther.offset
+// rank orders tasks for placement: by priority, then by tier, then by earliest objectiveAt. Long-running tasks keep the
+// order of acceptance.
+type rank struct {
+	priority, tier int
+	objectiveAt    time.Duration
+	offset         int64
+	step, index    int
+}
+
+func (t *task) newRank(now time.Duration) rank {
+	j := t.job()
+	r := rank{priority: j.terms.Priority, tier: t.tier(now), offset: j.offset, step: t.id.Step, index: t.id.Index}
+	if !t.step.def.LongRunning {
+		r.objectiveAt = j.objectiveAt
 	}
-	return t.id.Step < other.id.Step || t.id.Step == other.id.Step && t.id.Index < other.id.Index
+	return r
 }
 
-func (c *Core) sortPending(now time.Duration) {
-	sort.SliceStable(c.pending, func(i, k int) bool { return c.pending[i].before(c.pending[k], now) })
+func (r rank) compare(other rank) int {
+	return cmp.Or(cmp.Compare(r.priority, other.priority), cmp.Compare(r.tier, other.tier),
+		cmp.Compare(r.objectiveAt, other.objectiveAt), cmp.Compare(r.offset, other.offset),
+		cmp.Compare(r.step, other.step), cmp.Compare(r.index, other.index))
+}
+
+// sortTasks sorts tasks in the order of placement.
+func sortTasks(now time.Duration, tasks []*task) {
+	for _, t := range tasks {
+		t.rank = t.newRank(now)
+	}
+	slices.SortStableFunc(tasks, func(a, b *task) int { return a.rank.compare(b.rank) })
 }
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sort"
 	"time"
 
 	"github.com/pkg/errors"
@@ -126,7 +125,7 @@
 	if len(bestEffort) == 0 {
 		return
 	}
-	sort.Slice(bestEffort, func(i, k int) bool { return bestEffort[i].before(bestEffort[k], now) })
+	sortTasks(now, bestEffort)
 	for _, t := range bestEffort {
 		t.targetCPULimit = min(noLimitPercent, t.cpuLimit+maxRaisePercent)
 		if t.cpuLimit == unknownCPULimit {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -27,7 +27,7 @@
 		return
 	}
 	c.lastPlan, c.planNeeded = now, false
-	c.sortPending(now)
+	sortTasks(now, c.pending)
 	p := c.newPlan(now)
 	rest := c.pending[:0]
 	for _, t := range c.pending {
@@ -79,6 +79,7 @@
 	// label and is below the limit of tasks per worker had room.
 	noRoom      map[noRoomKey]struct{}
 	noCandidate map[*step]struct{}
+	bound       *bestEffortBound
 }
 
 type noRoomKey struct {
@@ -89,7 +90,7 @@
 
 func (c *Core) newPlan(now time.Duration) *plan {
 	return &plan{core: c, now: now, healthy: map[string][]*assign.Node{}, all: map[string][]*assign.Node{},
-		noRoom: map[noRoomKey]struct{}{}, noCandidate: map[*step]struct{}{}}
+		noRoom: map[noRoomKey]struct{}{}, noCandidate: map[*step]struct{}{}, bound: newBestEffortBound(c, now)}
 }
 
 // candidates returns the workers of a pool that may get tasks.
@@ -114,6 +115,7 @@
 			continue
 		}
 		w.node.ID, w.node.Rack, w.node.Capacity = w.ID, w.Rack, w.Capacity
+		w.load.Capacity = w.Capacity.MilliCores
 		w.node.Slack, w.node.RecentlyFailed = 1-w.worstTailRatio, w.consecutiveFailures > 0
 		out = append(out, &w.node)
 	}
@@ -174,6 +176,12 @@
 	if waitExpired {
 		nodes = p.candidatesWithQuarantined(terms.Pool)
 	}
+	// The tasks of a gang need room at the same time, for which they could wait forever under a bound.
+	if def.BestEffort && !def.Gang {
+		if nodes = p.bound.admit(t, nodes); len(nodes) == 0 {
+			return nil
+		}
+	}
 	restricted := def.Label != "" || def.MaxPerWorker > 0 || filter != nil
 	if restricted {
 		nodes = p.filterNodes(nodes, t, filter)
@@ -182,8 +190,8 @@
 		LatencyCritical: latencyCritical(def), Image: def.Image, DataRack: def.DataRack, AvoidWorker: t.avoidWorker,
 		TailRise: p.core.tailRise(p.now, t)})
 	switch {
-	// Filters that depend on the task are not cached.
-	case n != nil || filter != nil:
+	// Filters that depend on the task are not cached. The bound on best-effort work has its own cache.
+	case n != nil || filter != nil || def.BestEffort:
 	case restricted:
 		p.noCandidate[t.step] = struct{}{}
 	default:
--- /dev/null
+++ b/internal/headroom/headroom.go
@@ -0,0 +1,106 @@
+// Package headroom decides how much best-effort work a worker takes on beside its services. It answers load in which
+// more best-effort tasks arrive than the processors that services leave free can run. Placed all at once, such tasks
+// share the processors, end late together, and lengthen the tail latency of the services. A bound lets as many tasks
+// as there is headroom for run at nearly full speed, while the others wait in the order of their objectives. The package
+// uses no clock, network or goroutine.
+package headroom
+
+// serviceUse is the share of their reserved processors that services use on average. The rest can run best-effort
+// tasks.
+const serviceUse = 0.5
+
+const (
+	// cautiousShare is the share of a service's margin that best-effort tasks may use up. Images that exceed it with a
+	// few tasks belong on other workers; the rest of the margin covers the changing load of the service.
+	cautiousShare = 0.2
+	// fullShare applies to an image for which too few workers are compatible: it is placed beside services that it
+	// disturbs, and CPU limits protect them.
+	fullShare = 1.0
+	// minCompatibleShare is the share of the workers that must be compatible with an image for cautiousShare to apply.
+	minCompatibleShare = 0.1
+)
+
+// negligibleCoefficient is the coefficient below which an image counts as harmless to a service. It is the noise of the
+// fit: at 0.08, an image that uses all processors of a worker raises the tail latency by 8%.
+const negligibleCoefficient = 0.08
+
+// Load is what the tasks on a worker request, in thousandths of a core.
+type Load struct {
+	// Capacity is the processors of the worker.
+	Capacity int64
+	// Exclusive is reserved by tasks that are neither services with a latency objective nor best effort.
+	Exclusive int64
+	// Services is reserved by services with a latency objective.
+	Services int64
+	// BestEffort is requested by best-effort tasks, by image.
+	BestEffort map[string]int64
+}
+
+// Interference is the effect of best-effort tasks on services.
+type Interference interface {
+	// Coefficient returns by how much the logarithm of a service's tail latency rises if an image uses all processors of
+	// a worker; at least 0.
+	Coefficient(service, image string) float64
+	// Margin returns by how much the logarithm of a service's tail latency may rise before it reaches its target.
+	Margin(service string) float64
+}
+
+// Fits reports whether a best-effort task of the given image and size would run at nearly its full speed beside the
+// tasks of the load and the given services. share is the result of Share for the image.
+func (l *Load) Fits(i Interference, services map[string]int, image string, milliCores int64, share float64) bool {
+	return l.hasProcessors(milliCores) && l.keepsMargins(i, services, image, milliCores, share)
+}
+
+// hasProcessors reports whether the processors that the other tasks leave unused suffice. A worker without best-effort
+// tasks takes any one, because a task may be larger than what is ever left.
+func (l *Load) hasProcessors(milliCores int64) bool {
+	requested := int64(0)
+	for _, m := range l.BestEffort {
+		requested += m
+	}
+	left := l.Capacity - l.Exclusive - int64(serviceUse*float64(l.Services))
+	return requested == 0 || requested+milliCores <= left
+}
+
+func (l *Load) keepsMargins(i Interference, services map[string]int, image string, milliCores int64,
+	share float64) bool {
+	capacity := float64(max(1, l.Capacity))
+	for service := range services {
+		coefficient := i.Coefficient(service, image)
+		if coefficient < negligibleCoefficient {
+			continue
+		}
+		rise := coefficient * float64(milliCores) / capacity
+		for other, m := range l.BestEffort {
+			rise += i.Coefficient(service, other) * float64(m) / capacity
+		}
+		if rise > share*i.Margin(service) {
+			return false
+		}
+	}
+	return true
+}
+
+// Share returns the share of the services' margins that an image may use up: cautiousShare if enough workers run only
+// services that the image hardly disturbs, otherwise fullShare. services holds the service images of each worker.
+func Share(i Interference, services []map[string]int, image string) float64 {
+	compatible := 0
+	for _, s := range services {
+		if isCompatible(i, s, image) {
+			compatible++
+		}
+	}
+	if float64(compatible) < minCompatibleShare*float64(len(services)) {
+		return fullShare
+	}
+	return cautiousShare
+}
+
+func isCompatible(i Interference, services map[string]int, image string) bool {
+	for service := range services {
+		if i.Coefficient(service, image) >= negligibleCoefficient {
+			return false
+		}
+	}
+	return true
+}
