Accept the success of an attempt that counted as lost

Cause: a worker that was silent until its lease expired reports afterwards that the attempt had ended as done. Change: such an end completes the task while its next attempt has not been ordered. Measured: TestEndOfASilentWorkerIsNotRunAgain fails without the change (the task runs twice).

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -77,6 +77,23 @@
 
 // Guards against a new owner that waits longer than necessary for leases which the previous owner had stopped renewing,
 // and against a worker that gets no tasks when it answers again after the takeover.
+// Guards against running work again that had run: a worker ends a task, but does not answer until its lease has
+// expired, and reports the end before the task is started elsewhere.
+func TestEndOfASilentWorkerIsNotRunAgain(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	id := workflow.JobID("0000000000000001")
+	sim.submit(id, batchStep(1, time.Second))
+	sim.run(500 * time.Millisecond)
+	sim.workers["a"].disconnected = true
+	// There is no other worker, so the task is pending when the worker answers again.
+	sim.run(10 * time.Second)
+	require.Equal(t, workflow.Pending, sim.core.jobs[id].rounds[0].steps[0].tasks[0].phase)
+	sim.workers["a"].disconnected = false
+	sim.run(2 * time.Second)
+	assert.Equal(t, workflow.Done, sim.state(id))
+	assert.Equal(t, 1, sim.workers["a"].highestRun[workflow.TaskID{Job: id}], "the task was started again")
+}
+
 func TestSilenceOutlivesTheOwner(t *testing.T) {
 	sim := newSimulation(t, 1, 2)
 	sim.submit("0000000000000001", serviceStep(4))
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -50,6 +50,12 @@
 	}
 	w.appliedEnd = e.Number
 	t := c.findTask(e.Task)
+	if t != nil && c.doneBefore(t, w, e) {
+		c.logger.Info("earlier attempt had ended as done", "task", t.id, "run", e.Run, "worker", w.ID)
+		c.stopAttempt(t)
+		c.taskDone(now, t)
+		return
+	}
 	if t == nil || t.phase != workflow.Placed || t.worker != w || t.run != e.Run {
 		c.logger.Info("end of an earlier attempt ignored", "task", e.Task, "run", e.Run, "worker", w.ID,
 			"how", e.Outcome)
@@ -73,6 +79,23 @@
 	}
 }
 
+// doneBefore reports whether a success of an earlier attempt completes a task. The worker had not answered until its
+// lease expired, so the attempt counted as lost, but it had ended before that. If the next attempt was already ordered,
+// that one decides.
+func (c *Core) doneBefore(t *task, w *worker, e *End) bool {
+	d := t.step.def
+	if e.Outcome != EndDone || d.LongRunning || d.Gang || e.Run > t.run || t.job().state.Over() {
+		return false
+	}
+	switch t.phase {
+	case workflow.Pending:
+		return t.step.ready
+	case workflow.Placed:
+		return t.startState == startUncommitted && (t.worker != w || t.run != e.Run)
+	}
+	return false
+}
+
 // updateWorkerHealth counts the consecutive failed attempts on a worker, and quarantines it if there are too many.
 func (c *Core) updateWorkerHealth(now time.Duration, w *worker, t *task, outcome Outcome) {
 	switch outcome {
