Let an instance that cannot reach the log use another one

Cause: while the log turns single instances away, the load balancer still sends them callers if fewer than half of the instances of a data centre are ready. Change: package relay passes submissions, cancellations and questions about states to the owner or another instance over QUIC. Each process publishes its address and the fingerprint of its key in the log and withdraws it at a planned stop.

--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -15,6 +15,7 @@
 	"clementinewalk.example/clementinewalk/internal/node"
 	"clementinewalk.example/clementinewalk/internal/process"
 	"clementinewalk.example/clementinewalk/internal/queue"
+	"clementinewalk.example/clementinewalk/internal/relay"
 	"clementinewalk.example/clementinewalk/platform"
 )
 
@@ -75,7 +76,16 @@
 	r *prometheus.Registry,
 ) *intake.API {
 	ages := intake.MaxAges{Submissions: s.VisibilityLimit - visibilityMargin, Config: maxConfigAge(s)}
-	return intake.New(b, c, q, v, v.Submissions, v.Config, ages, process.WithPrefix(l, "intake"), r)
+	l = process.WithPrefix(l, "intake")
+	peers := intake.NewPeers(s.Instance, relay.NewClient(), c, v.Submissions, l, r)
+	api := intake.New(&intake.RelayedAppender{Local: b, Peers: peers}, c, q, v, v.Submissions, v.Config, ages, l, r)
+	api.UsePeers(peers)
+	return api
+}
+
+func newRelay(s *platform.Settings, b *eventlog.Batcher, api *intake.API, l *slog.Logger) *node.Relay {
+	return &node.Relay{Instance: s.Instance, Addr: s.RelayAddr, Log: b, Handler: intake.NewPeerHandler(b, api),
+		Logger: process.WithPrefix(l, "relay")}
 }
 
 func newOwner(
@@ -92,13 +102,13 @@
 }
 
 func newNode(o *Options, s *platform.Settings, t node.Topics, q *queue.Current, v *node.Views, b *eventlog.Batcher,
-	owner *dispatch.Owner, api *intake.API, l *slog.Logger, r *prometheus.Registry) *node.Node {
+	owner *dispatch.Owner, api *intake.API, peers *node.Relay, l *slog.Logger, r *prometheus.Registry) *node.Node {
 	health := &process.Health{}
 	addr := netip.MustParseAddrPort(s.CallerAddr).Addr()
 	return node.New(node.Settings{Instance: s.Instance, Topics: t, StopTime: s.StopTime,
 		Listeners: node.Listeners{Callers: s.CallerAddr, Ready: s.ReadyAddr,
 			Metrics: netip.AddrPortFrom(addr, o.MetricsPort).String()}},
-		node.Deps{Config: q, Views: v, Batcher: b, Owner: owner,
+		node.Deps{Config: q, Views: v, Batcher: b, Owner: owner, Relay: peers,
 			Callers: platform.NewCallers(api, s.AdvisorAddr != "", process.WithPrefix(l, "callers")),
 			Ready:   platform.NewReady(health.Ready), Metrics: promhttp.HandlerFor(r, promhttp.HandlerOpts{}),
 			Reload: checkChangedSettings(o, l),
--- a/cmd/clementine-node/wire_gen.go
+++ b/cmd/clementine-node/wire_gen.go
@@ -26,6 +26,7 @@
 	advisor := newAdvisor(s)
 	owner := newOwner(s, log, workers, advisor, topics, current, catalog, views, l)
 	api := newIntakeAPI(s, batcher, catalog, current, views, l, r)
-	nodeNode := newNode(o, s, topics, current, views, batcher, owner, api, l, r)
+	relay := newRelay(s, batcher, api, l)
+	nodeNode := newNode(o, s, topics, current, views, batcher, owner, api, relay, l, r)
 	return nodeNode
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -16,6 +16,7 @@
 // Keys in the topics of submissions and progress. The key of a submission, and of its record, is its id.
 const (
 	cancelPrefix    = "cancel/"
+	endpointPrefix  = "endpoint/"
 	ownerKey        = "owner"
 	interferenceKey = "interference"
 	silentKey       = "silent"
@@ -107,6 +108,8 @@
 	logger *slog.Logger
 	mu     sync.RWMutex
 	jobs   map[workflow.JobID]*Job
+	// endpoints holds the published relays by instance.
+	endpoints map[string]Endpoint
 	// orphans holds the cancellations and records whose submission has not been read or was removed.
 	orphans      map[workflow.JobID]*Job
 	owner        Ownership
@@ -121,7 +124,8 @@
 
 // New returns an empty catalog.
 func New(l *slog.Logger) *Catalog {
-	return &Catalog{logger: l, jobs: map[workflow.JobID]*Job{}, orphans: map[workflow.JobID]*Job{}}
+	return &Catalog{logger: l, jobs: map[workflow.JobID]*Job{}, orphans: map[workflow.JobID]*Job{},
+		endpoints: map[string]Endpoint{}}
 }
 
 // Find returns a submission, or nil if it is unknown.
@@ -203,6 +207,10 @@
 func (c *Catalog) ApplySubmissions(b eventlog.Batch) []*Job {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if b.Reset {
+		// A withdrawn endpoint is not in the batch.
+		clear(c.endpoints)
+	}
 	var changed []*Job
 	for _, e := range b.Entries {
 		if j := c.applySubmission(e); j != nil {
@@ -213,6 +221,10 @@
 }
 
 func (c *Catalog) applySubmission(e eventlog.Entry) *Job {
+	if instance, ok := strings.CutPrefix(e.Key, endpointPrefix); ok {
+		c.applyEndpoint(instance, e)
+		return nil
+	}
 	if e.Value == nil {
 		c.applyRemoval(e.Key)
 		return nil
--- /dev/null
+++ b/internal/catalog/endpoint.go
@@ -0,0 +1,93 @@
+package catalog
+
+import (
+	"math/rand/v2"
+	"regexp"
+	"strings"
+
+	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+// Endpoint is where the relay of an instance listens.
+type Endpoint struct {
+	_        struct{} `cbor:",toarray"`
+	Instance string
+	// Addr is of the form ip:port.
+	Addr string
+	// Fingerprint is the SHA-256 hash of the relay's certificate.
+	Fingerprint []byte
+}
+
+// EndpointEntry returns the entry that publishes an endpoint. Its error is a *workflow.EncodeError.
+func EndpointEntry(e *Endpoint) (eventlog.Entry, error) {
+	b, err := workflow.Encode("endpoint", e)
+	return eventlog.Entry{Key: endpointPrefix + e.Instance, Value: b}, err
+}
+
+// RemoveEndpointEntry returns the entry that withdraws the endpoint of an instance.
+func RemoveEndpointEntry(instance string) eventlog.Entry {
+	return eventlog.Entry{Key: endpointPrefix + instance}
+}
+
+func (c *Catalog) applyEndpoint(instance string, e eventlog.Entry) {
+	if e.Value == nil {
+		delete(c.endpoints, instance)
+		return
+	}
+	var p Endpoint
+	if err := workflow.Decode("endpoint", e.Value, &p); err != nil {
+		c.logger.Error("cannot decode endpoint, ignoring it", "instance", instance, "offset", e.Offset, "error", err)
+		return
+	}
+	c.endpoints[instance] = p
+}
+
+// Peers returns the endpoints of at most n instances other than self: that of the owner first, then random ones.
+func (c *Catalog) Peers(self string, n int) []Endpoint {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var out []Endpoint
+	for instance, e := range c.endpoints {
+		if instance != self {
+			out = append(out, e)
+		}
+	}
+	rand.Shuffle(len(out), func(i, k int) { out[i], out[k] = out[k], out[i] })
+	for i := range out {
+		if out[i].Instance == c.owner.Instance && !c.owner.Released {
+			out[0], out[i] = out[i], out[0]
+		}
+	}
+	return out[:min(n, len(out))]
+}
+
+var jobKey = regexp.MustCompile(`^[0-9a-f]{16}$`)
+
+// EntryError reports an entry that is neither a submission nor a cancellation.
+type EntryError struct{ Key, Problem string }
+
+// Error implements error.
+func (e *EntryError) Error() string { return "entry " + e.Key + " " + e.Problem }
+
+// CheckEntry returns an error unless the entry is a valid submission or a cancellation: an *EntryError, a
+// *workflow.DecodeError or a *workflow.InvalidError.
+func CheckEntry(e eventlog.Entry) error {
+	id, isCancellation := strings.CutPrefix(e.Key, cancelPrefix)
+	switch {
+	case !jobKey.MatchString(id):
+		return &EntryError{Key: e.Key, Problem: "has no key of a submission"}
+	case len(e.Value) == 0:
+		return &EntryError{Key: e.Key, Problem: "has no value"}
+	case isCancellation:
+		return nil
+	}
+	var s workflow.Submission
+	if err := workflow.Decode("submission", e.Value, &s); err != nil {
+		return err
+	}
+	if string(s.Job) != id {
+		return &EntryError{Key: e.Key, Problem: "holds another submission"}
+	}
+	return s.Check()
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -68,8 +68,10 @@
 	// submissionsFreshness and configFreshness give the age of the views.
 	submissionsFreshness, configFreshness catalog.Freshness
 	maxAges                               MaxAges
-	logger                                *slog.Logger
-	latency                               *prometheus.HistogramVec
+	// peers may be nil.
+	peers   *Peers
+	logger  *slog.Logger
+	latency *prometheus.HistogramVec
 }
 
 // New returns an API. SubmissionsFresh and ConfigFresh compare the age of the views with maxAges.
@@ -208,5 +210,42 @@
 	return j
 }
 
+// NotFoundError reports a submission that does not exist.
+type NotFoundError struct{ Job workflow.JobID }
+
+// Error implements error.
+func (e *NotFoundError) Error() string { return fmt.Sprintf("no submission %s", e.Job) }
+
+// StaleError reports that the view is too old to tell whether a submission exists.
+type StaleError struct{}
+
+// Error implements error.
+func (e *StaleError) Error() string { return "the state of submissions may be outdated" }
+
+// State returns the state of a submission: that in the own view, or that of a peer if the log cannot be reached. It
+// returns *NotFoundError or *StaleError.
+func (a *API) State(ctx context.Context, id workflow.JobID) (workflow.State, error) {
+	if a.peers != nil && a.peers.logUnreachable() {
+		if s, ok := a.peers.state(ctx, id); ok {
+			if !s.Known {
+				return 0, &NotFoundError{Job: id}
+			}
+			return s.State, nil
+		}
+	}
+	j := a.Find(ctx, id)
+	switch {
+	case j != nil:
+		return j.State(), nil
+	case a.SubmissionsFresh():
+		a.logger.Info("state of an unknown submission requested", "job", id)
+		return 0, &NotFoundError{Job: id}
+	}
+	return 0, &StaleError{}
+}
+
+// UsePeers makes the API ask peers for states while the log cannot be reached.
+func (a *API) UsePeers(p *Peers) { a.peers = p }
+
 // CountWaiting returns the number of submissions of a queue of which no task has started.
 func (a *API) CountWaiting(queueName string) int { return a.catalog.CountWaiting(queueName) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,7 @@
 	Views   *Views
 	Batcher *eventlog.Batcher
 	Owner   *dispatch.Owner
+	Relay   *Relay
 	// Callers serves the callers, Ready the readiness checks of the load balancer.
 	Callers, Ready, Metrics http.Handler
 	// Reload reads the settings file again.
@@ -217,6 +218,7 @@
 	go n.updateReadiness(ctx)
 	go n.reloadOnSignal(serving)
 	go n.serveMetrics(serving)
+	go n.deps.Relay.run(ctx, serving)
 	var g errgroup.Group
 	g.Go(func() error { n.deps.Owner.Run(ctx); return nil })
 	g.Go(func() error {
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,141 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+// fakeHandler stores entries in memory. Some keys have a fault.
+type fakeHandler struct {
+	mu      sync.Mutex
+	entries []eventlog.Entry
+}
+
+func (h *fakeHandler) Append(ctx context.Context, e eventlog.Entry) error {
+	switch e.Key {
+	case "panic":
+		panic("fault in the handler")
+	case "refused":
+		return &eventlog.RefusedError{Op: "append", Status: 503}
+	case "unknown":
+		return &eventlog.UnknownError{Op: "append", Err: io.EOF}
+	case "slow":
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.entries = append(h.entries, e)
+	return nil
+}
+
+func (h *fakeHandler) State(_ context.Context, id workflow.JobID) (State, bool) {
+	switch id {
+	case "stale":
+		return State{}, false
+	case "missing":
+		return State{}, true
+	}
+	return State{State: workflow.Done, Known: true}, true
+}
+
+func startServer(t *testing.T, h Handler) *Server {
+	s, err := Listen("peer", "127.0.0.1:0", slog.New(slog.NewTextHandler(io.Discard, nil)))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); s.Serve(ctx, h) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return s
+}
+
+func callContext(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestCalls(t *testing.T) {
+	h := &fakeHandler{}
+	to, c := startServer(t, h).Endpoint(), NewClient()
+	ctx := callContext(t, 5*time.Second)
+	e := eventlog.Entry{Key: "5c0e7a21d94b36f8", Value: bytes.Repeat([]byte("x"), 300<<10)}
+	require.NoError(t, c.Append(ctx, to, e))
+	assert.Equal(t, []eventlog.Entry{e}, h.entries)
+
+	var refused *RefusedError
+	var noAnswer *NoAnswerError
+	assert.ErrorAs(t, c.Append(ctx, to, eventlog.Entry{Key: "refused"}), &refused)
+	assert.ErrorAs(t, c.Append(ctx, to, eventlog.Entry{Key: "unknown"}), &noAnswer)
+	assert.ErrorAs(t, c.Append(ctx, to, eventlog.Entry{Key: "x", Value: make([]byte, maxMessageBytes)}), &refused,
+		"too long")
+
+	s, err := c.State(ctx, to, "5c0e7a21d94b36f8")
+	require.NoError(t, err)
+	assert.Equal(t, State{State: workflow.Done, Known: true}, s)
+	s, err = c.State(ctx, to, "missing")
+	require.NoError(t, err)
+	assert.False(t, s.Known)
+	_, err = c.State(ctx, to, "stale")
+	assert.ErrorAs(t, err, &refused)
+}
+
+// A call without an answer in time may have been carried out, and must be reported so.
+func TestCallWithoutAnswer(t *testing.T) {
+	to, c := startServer(t, &fakeHandler{}).Endpoint(), NewClient()
+	var noAnswer *NoAnswerError
+	assert.ErrorAs(t, c.Append(callContext(t, 200*time.Millisecond), to, eventlog.Entry{Key: "slow"}), &noAnswer)
+	assert.NoError(t, c.Append(callContext(t, 5*time.Second), to, eventlog.Entry{Key: "next"}), "a new connection")
+}
+
+// Guards against a fault in one call, or a malformed one, that ends the process.
+func TestFaultyCallsDoNotEndTheServer(t *testing.T) {
+	to, c := startServer(t, &fakeHandler{}).Endpoint(), NewClient()
+	ctx := callContext(t, 10*time.Second)
+	var noAnswer *NoAnswerError
+	assert.ErrorAs(t, c.Append(ctx, to, eventlog.Entry{Key: "panic"}), &noAnswer)
+	for _, bad := range [][]byte{nil, {0xff}, []byte("GET / HTTP/1.1"), {0xa1, 0x01, 0x18, 0x63},
+		bytes.Repeat([]byte{0x9f}, 1000), make([]byte, maxMessageBytes+10)} {
+		conn, err := quic.DialAddr(ctx, to.Addr, clientTLS(to), quicConfig())
+		require.NoError(t, err)
+		stream, err := conn.OpenStreamSync(ctx)
+		require.NoError(t, err)
+		// The server may refuse the rest of a long message.
+		_, _ = stream.Write(bad)
+		_ = stream.Close()
+		_, _ = io.ReadAll(stream)
+		_ = conn.CloseWithError(0, "")
+	}
+	assert.NoError(t, c.Append(ctx, to, eventlog.Entry{Key: "next"}))
+}
+
+// A process that restarts has another key; nothing may be sent to one that answers in its place.
+func TestOnlyThePublishedCertificateIsAccepted(t *testing.T) {
+	h := &fakeHandler{}
+	to := startServer(t, h).Endpoint()
+	to.Fingerprint = append([]byte{to.Fingerprint[0] ^ 1}, to.Fingerprint[1:]...)
+	var unreachable *UnreachableError
+	err := NewClient().Append(callContext(t, 2*time.Second), to, eventlog.Entry{Key: "x"})
+	assert.ErrorAs(t, err, &unreachable)
+	assert.ErrorContains(t, err, (&CertificateError{Peer: "peer"}).Error())
+	assert.Empty(t, h.entries)
+}
+
+func TestUnreachablePeer(t *testing.T) {
+	to := catalog.Endpoint{Instance: "gone", Addr: "127.0.0.1:1", Fingerprint: []byte{1}}
+	var unreachable *UnreachableError
+	assert.ErrorAs(t, NewClient().Append(callContext(t, 2*time.Second), to, eventlog.Entry{Key: "x"}), &unreachable)
+}
