Restart services before other work, and hold workers for them

Change: a long-running task that has run before comes first within its priority; after a second without room the worker with the most free processors is held for it, on at most 2% of the workers.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -94,6 +94,37 @@
 	assert.Equal(t, 1, sim.workers["a"].highestRun[workflow.TaskID{Job: id}], "the task was started again")
 }
 
+// Guards against a service that stays away after the loss of its worker: short tasks of the same priority take each part
+// of a worker that becomes free, but none is large enough for the service.
+func TestServiceIsRestartedInAFullPool(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	service := serviceStep(1)
+	service.Size.MilliCores = 3000
+	sim.submit("service", service)
+	sim.run(500 * time.Millisecond)
+	var home *fakeWorker
+	for _, f := range sim.workers {
+		if len(f.running) > 0 {
+			home = f
+		}
+	}
+	n := 0
+	flood := func(d time.Duration) {
+		for end := sim.now + d; sim.now < end; n++ {
+			sim.submit(workflow.JobID(fmt.Sprintf("short-%d", n)), batchStep(2, 700*time.Millisecond))
+			sim.run(150 * time.Millisecond)
+		}
+	}
+	flood(2 * time.Second)
+	home.disconnected = true
+	// The lease ends after 6 s on the worker's clock.
+	flood(7 * time.Second)
+	flood(3 * time.Second)
+	task := sim.core.jobs["service"].rounds[0].steps[0].tasks[0]
+	require.Equal(t, workflow.Placed, task.phase)
+	assert.NotEqual(t, home.id, task.worker.ID)
+}
+
 func TestSilenceOutlivesTheOwner(t *testing.T) {
 	sim := newSimulation(t, 1, 2)
 	sim.submit("0000000000000001", serviceStep(4))
--- /dev/null
+++ b/internal/dispatch/hold.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/assign"
+)
+
+const (
+	// maxHeldShare is the share of a pool's workers that are held at the same time. At least one may be.
+	maxHeldShare = 0.02
+	// minHoldWait is how long a task waits before a worker is held for it. Most find room before that, and a held worker
+	// runs fewer short tasks.
+	minHoldWait = time.Second
+)
+
+// hold keeps the worker with the most free processors for a long-running task that has run before and finds no room.
+// Without that, smaller tasks would take each part of a worker that becomes free.
+func (p *plan) hold(t *task) {
+	if t.rank.tier != tierRestart || t.step.def.BestEffort || p.now-t.queuedAt < minHoldWait {
+		return
+	}
+	pool := t.job().terms.Pool
+	nodes := p.filterNodes(p.candidates(pool), t, p.requireApproval(t, nil))
+	need := t.reserved()
+	var best *assign.Node
+	for _, n := range nodes {
+		if need.Fits(n.Capacity) && (best == nil || n.Free().MilliCores > best.Free().MilliCores) {
+			best = n
+		}
+	}
+	if best == nil || p.held >= max(1, int(maxHeldShare*float64(len(nodes)))) {
+		return
+	}
+	p.held++
+	for _, cache := range []map[string][]*assign.Node{p.healthy, p.all} {
+		cache[pool] = without(cache[pool], best)
+	}
+}
+
+func without(nodes []*assign.Node, n *assign.Node) []*assign.Node {
+	out := make([]*assign.Node, 0, len(nodes))
+	for _, o := range nodes {
+		if o != n {
+			out = append(out, o)
+		}
+	}
+	return out
+}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -9,10 +9,12 @@
 // lateFactor is the multiple of the latency objective after which a result has no value.
 const lateFactor = 3
 
-// Tiers within one priority, in order of placement. Late work that still has value takes its room for a short time
-// only, so it comes before long-running tasks.
+// Tiers within one priority, in order of placement. A long-running task that has run before is an outage of its service
+// until it runs again. Late work that still has value takes its room for a short time only, so it comes before other
+// long-running tasks.
 const (
-	tierOnTime = iota
+	tierRestart = iota
+	tierOnTime
 	tierLate
 	tierLongRunning
 	tierTooLate
@@ -30,6 +32,8 @@
 		end += time.Duration(pathMargin * float64(t.step.path))
 	}
 	switch {
+	case t.step.def.LongRunning && t.run > 0:
+		return tierRestart
 	case t.step.def.LongRunning:
 		return tierLongRunning
 	case end <= j.objectiveAt:
@@ -60,10 +64,11 @@
 	return c.lastShortage != 0 && now-c.lastShortage < scarcityDuration
 }
 
-// mustWait reports whether a long-running task has to wait so that short tasks find room.
+// mustWait reports whether a long-running task has to wait so that short tasks find room. One that has run before does
+// not.
 func (c *Core) mustWait(now time.Duration, t *task) bool {
 	// Tasks that were pending at the takeover do not wait: how long they have waited already is unknown.
-	return c.scarce(now) && t.step.def.LongRunning && t.queuedAt > c.ownerSince && !t.waitExpired(now)
+	return c.scarce(now) && t.tier(now) == tierLongRunning && t.queuedAt > c.ownerSince && !t.waitExpired(now)
 }
 
 // noteShortage notes that a task was not placed, if it is neither long-running nor best effort and should run now.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -80,6 +80,8 @@
 	noRoom      map[noRoomKey]struct{}
 	noCandidate map[*step]struct{}
 	bound       *bestEffortBound
+	// held is the number of workers that get no other task in this plan.
+	held int
 }
 
 type noRoomKey struct {
@@ -147,6 +149,7 @@
 	node := p.chooseNode(t, filter)
 	if node == nil {
 		p.requestAdvice(t)
+		p.hold(t)
 		return false
 	}
 	p.assignTask(t, node, t.run+1)
