--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -52,11 +52,11 @@
 		}
 	}
 	share := b.share(pool, nodes, def.Image)
-	need := def.Reserved()
+	need, size := def.Reserved(), requestedMilliCores(def)
 	var out []*assign.Node
 	for _, n := range nodes {
 		w := b.core.workers[n.ID]
-		if need.Fits(n.Free()) && w.load.Fits(b, n.Services, def.Image, def.Size.MilliCores, share) {
+		if need.Fits(n.Free()) && w.load.Fits(b, n.Services, def.Image, size, share) {
 			out = append(out, n)
 		}
 	}
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -141,10 +141,18 @@
 	w.adjustCounts(t, -1)
 }
 
+// maxRequestedMilliCores is the most that a task is taken to request, more than any worker has. Sums of absurd requests
+// do not overflow.
+const maxRequestedMilliCores = 1_000_000
+
+func requestedMilliCores(s *workflow.Step) int64 {
+	return min(s.Size.MilliCores, maxRequestedMilliCores)
+}
+
 // adjustCounts adds n tasks like t to the counts and requests of the worker, except its reserved resources.
 func (w *worker) adjustCounts(t *task, n int) {
 	d := t.step.def
-	requested := int64(n) * d.Size.MilliCores
+	requested := int64(n) * requestedMilliCores(d)
 	switch {
 	case d.BestEffort:
 		w.node.BestEffort += requested
