Space out appends by the bytes of their records, and show why tasks wait

Why tasks wait was in no metric. Change: after an append the next one waits until its bytes fit into 1 MB/s or a quarter of the own link, at most 250 ms. The placement summary tells tiers and best-effort requests, and both are metrics; "submission finished" tells time and objective. The fake worker of the simulation has a file of its own.

--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -90,15 +90,18 @@
 
 func newOwner(
 	s *platform.Settings, log eventlog.Log, w dispatch.Workers, a dispatch.Advisor, t node.Topics, q *queue.Current,
-	c *catalog.Catalog, v *node.Views, l *slog.Logger,
+	c *catalog.Catalog, v *node.Views, l *slog.Logger, r *prometheus.Registry,
 ) *dispatch.Owner {
-	settings := dispatch.Settings{Instance: s.Instance, Cores: s.Cores, ProgressTopic: t.Progress,
+	settings := dispatch.Settings{Instance: s.Instance, Cores: s.Cores,
+		LinkBytesPerSecond: s.LinkBytesPerSecond, ProgressTopic: t.Progress,
 		WorkersTopic: platform.TopicWorkers, SubmissionsTopic: t.Submissions,
 		Retention: s.StatusRetention + retentionMargin,
 		Params: dispatch.Params{Lease: min(leaseDuration, s.MaxLease), Isolation: isolationLimit,
 			ObjectiveTolerance: s.InterferenceTolerance}}
-	return dispatch.NewOwner(settings, log, w, a, platform.DecodeMember, q, c,
+	owner := dispatch.NewOwner(settings, log, w, a, platform.DecodeMember, q, c,
 		dispatch.Views{Submissions: v.Submissions, Progress: v.Progress}, v.RoleChanged, process.WithPrefix(l, "owner"))
+	owner.UseMetrics(dispatch.NewMetrics(r))
+	return owner
 }
 
 func newNode(o *Options, s *platform.Settings, t node.Topics, q *queue.Current, v *node.Views, b *eventlog.Batcher,
--- a/cmd/clementine-node/wire_gen.go
+++ b/cmd/clementine-node/wire_gen.go
@@ -24,7 +24,7 @@
 	batcher := newBatcher(log, topics, l)
 	workers := newWorkers()
 	advisor := newAdvisor(s)
-	owner := newOwner(s, log, workers, advisor, topics, current, catalog, views, l)
+	owner := newOwner(s, log, workers, advisor, topics, current, catalog, views, l, r)
 	api := newIntakeAPI(s, batcher, catalog, current, views, l, r)
 	relay := newRelay(s, batcher, api, l)
 	nodeNode := newNode(o, s, topics, current, views, batcher, owner, api, relay, l, r)
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -128,7 +128,8 @@
 	}
 	o.core = New(o.settings.Params, o.epoch, now, time.Now, o.logger, o.config.Load(), o.catalog.All(),
 		o.catalog.SilentLeases(), o.catalog.InterferenceState())
-	o.lastAppend, o.lastModelStore, o.lastRemoval, o.unremovedProgress = now, now, now, nil
+	o.core.metrics = o.metrics
+	o.lastAppend, o.nextAppend, o.lastModelStore, o.lastRemoval, o.unremovedProgress = now, now, now, now, nil
 	// Calls and appends of an earlier tenure may still be in flight; they do not count in this one.
 	o.appendInFlight, o.callsInFlight = false, 0
 	o.tenure, o.cancelTenure = context.WithCancel(ctx)
@@ -143,6 +144,7 @@
 func (o *Owner) stepDown(reason string) {
 	o.logger.Warn("no longer owner", "epoch", o.epoch, "reason", reason)
 	o.core = nil
+	o.metrics.reset()
 	o.cancelTenure()
 	o.lastOwnerWrite = clock.Now()
 	o.onRole(false)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -75,6 +75,8 @@
 	// ends.
 	silentLeases map[catalog.Incarnation]time.Duration
 	model        *interference.Model
+	// metrics may be nil.
+	metrics *Metrics
 	// objectives holds the latency objective of each service image.
 	objectives map[string]time.Duration
 }
@@ -135,7 +137,9 @@
 func (c *Core) finish(j *job, s workflow.State) {
 	j.state, j.finishedAt = s, c.eventTime
 	c.markDirty(j)
-	c.logger.Info("submission finished", "job", j.submission.Job, "state", s, "placed", j.placed)
+	c.logger.Info("submission finished", "job", j.submission.Job, "state", s, "placed", j.placed,
+		"took_ms", c.wallClock().Sub(j.submission.Accepted).Milliseconds(),
+		"objective_ms", j.latencyObjective.Milliseconds())
 	for _, r := range j.rounds {
 		for _, st := range r.steps {
 			for _, t := range st.tasks {
--- /dev/null
+++ b/internal/dispatch/fakeworker_test.go
@@ -0,0 +1,157 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+// fakeWorker implements the worker's side of the protocol: it refuses earlier owners, runs attempts while it has a
+// lease, and keeps ends until they are confirmed.
+type fakeWorker struct {
+	id           string
+	startedAt    int64
+	bornAt       time.Duration
+	highestEpoch int64
+	// leaseUntil is the reading of the worker's clock at which its lease ends.
+	leaseUntil time.Duration
+	running    map[Attempt]*fakeRun
+	// highestRun is the highest run of each task that was started or stopped.
+	highestRun map[workflow.TaskID]int
+	ends       []End
+	// lapsedEnd is the number of the newest end when the lease last expired. The tasks of ends up to it may since have
+	// been started elsewhere.
+	lapsedEnd    int64
+	lastEnd      int64
+	disconnected bool
+	// stalled stops the progress of all attempts.
+	stalled bool
+	// failsAttempts makes every attempt fail at its end.
+	failsAttempts bool
+}
+
+type fakeRun struct {
+	endsAt      time.Duration
+	started     time.Duration
+	checkpoint  string
+	longRunning bool
+	// cpuLimit is the percentage of its processors that the attempt may use; 0 for no limit.
+	cpuLimit int
+	// workTime is the run time without interruptions; waitedForGang is how long other tasks of the gang were missing.
+	workTime      time.Duration
+	waitedForGang time.Duration
+}
+
+// cpuShare returns the share of its processors that the attempt may use.
+func (r *fakeRun) cpuShare() float64 {
+	if r.cpuLimit == 0 {
+		return 1
+	}
+	return float64(r.cpuLimit) / 100
+}
+
+// percent returns the progress of an attempt; 100 for a long-running task.
+func (r *fakeRun) percent(now time.Duration) int {
+	if r.longRunning {
+		return 100
+	}
+	return int(100 * (r.workTime - (r.endsAt - now)) / max(1, r.workTime))
+}
+
+func (sim *simulation) refuse(f *fakeWorker, r Reason) (CallAnswer, error) {
+	a := CallAnswer{Clock: sim.clock(f), StartedAt: f.startedAt}
+	return a, &RefusedError{Reason: r, Answer: a}
+}
+
+func (sim *simulation) start(f *fakeWorker, c StartCall) (CallAnswer, error) {
+	switch {
+	case c.Epoch < f.highestEpoch:
+		return sim.refuse(f, ReasonFenced)
+	case f.running[c.Attempt] != nil:
+		f.leaseUntil = max(f.leaseUntil, c.Deadline)
+		return CallAnswer{Clock: sim.clock(f), StartedAt: f.startedAt}, nil
+	case c.Run <= f.highestRun[c.Task]:
+		return sim.refuse(f, ReasonStaleAttempt)
+	case c.Deadline <= sim.clock(f):
+		return sim.refuse(f, ReasonDeadlinePassed)
+	case !sim.ticketValid(f, c.Ticket):
+		sim.ticketsRefused++
+		return sim.refuse(f, ReasonTicket)
+	}
+	f.highestEpoch, f.leaseUntil = c.Epoch, max(f.leaseUntil, c.Deadline)
+	step := sim.steps[c.Task.Job][c.Task.Step]
+	sim.checkStart(f, c, &step)
+	f.highestRun[c.Task] = c.Run
+	f.running[c.Attempt] = &fakeRun{started: sim.now, endsAt: sim.now + step.Estimate, workTime: step.Estimate,
+		longRunning: step.LongRunning}
+	if step.LongRunning {
+		f.running[c.Attempt].endsAt = sim.now + time.Hour
+	}
+	return CallAnswer{Clock: sim.clock(f), StartedAt: f.startedAt}, nil
+}
+
+// checkStart asserts the invariants that hold when a task starts.
+func (sim *simulation) checkStart(f *fakeWorker, c StartCall, s *workflow.Step) {
+	used := s.Reserved()
+	for a := range f.running {
+		used = used.Add(sim.steps[a.Task.Job][a.Task.Step].Reserved())
+	}
+	require.True(sim.t, used.Fits(sim.member(f).Capacity), "worker %s is overcommitted by %s", f.id, c.Task)
+	require.False(sim.t, sim.doneConfirmed[c.Task], "%s starts after its end was confirmed", c.Task)
+	for _, other := range sim.workers {
+		for a := range other.running {
+			require.NotEqual(sim.t, a.Task, c.Task, "%s runs twice: run %d on %s and run %d on %s", c.Task, a.Run,
+				other.id, c.Run, f.id)
+		}
+	}
+	for _, after := range s.After {
+		for i := range sim.steps[c.Task.Job][after].Count {
+			required := workflow.TaskID{Job: c.Task.Job, Round: c.Task.Round, Step: after, Index: i}
+			for _, o := range sim.workers {
+				for a := range o.running {
+					require.NotEqual(sim.t, a.Task, required, "%s starts while %s runs", c.Task, required)
+				}
+			}
+		}
+	}
+}
+
+func (sim *simulation) stop(f *fakeWorker, c StopCall) (CallAnswer, error) {
+	if c.Epoch < f.highestEpoch {
+		return sim.refuse(f, ReasonFenced)
+	}
+	f.highestEpoch = c.Epoch
+	f.highestRun[c.Task] = max(f.highestRun[c.Task], c.Run)
+	if f.running[c.Attempt] != nil {
+		f.end(c.Attempt, EndStopped)
+	}
+	return CallAnswer{Clock: sim.clock(f), StartedAt: f.startedAt}, nil
+}
+
+func (sim *simulation) renew(f *fakeWorker, c LeaseCall) (LeaseAnswer, error) {
+	if c.Epoch < f.highestEpoch {
+		_, err := sim.refuse(f, ReasonFenced)
+		return LeaseAnswer{}, err
+	}
+	f.highestEpoch, f.leaseUntil = c.Epoch, max(f.leaseUntil, c.ExpiresAt)
+	for len(f.ends) > 0 && f.ends[0].Number <= c.LastStoredEnd {
+		if f.ends[0].Outcome == EndDone && f.ends[0].Number > f.lapsedEnd {
+			sim.doneConfirmed[f.ends[0].Task] = true
+		}
+		f.ends = f.ends[1:]
+	}
+	a := LeaseAnswer{StartedAt: f.startedAt, Clock: sim.clock(f), Ends: append([]End(nil), f.ends...)}
+	for attempt, r := range f.running {
+		running := Running{Attempt: attempt, Percent: r.percent(sim.now), Checkpoint: r.checkpoint}
+		if sim.reportedLoad != nil {
+			running.Load = sim.reportedLoad(attempt)
+		}
+		if sim.contention != nil {
+			running.Load = sim.contention.load(f, attempt)
+		}
+		a.Running = append(a.Running, running)
+	}
+	return a, nil
+}
--- a/internal/dispatch/heavy_test.go
+++ b/internal/dispatch/heavy_test.go
@@ -9,7 +9,9 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/workflow"
@@ -249,3 +251,27 @@
 	n := float64(len(sorted))
 	return sorted[int(from*n):int(to*n)]
 }
+
+// The metrics and the log tell why tasks wait.
+func TestSummary(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	registry := prometheus.NewRegistry()
+	sim.core.metrics = NewMetrics(registry)
+	sim.run(200 * time.Millisecond)
+	bestEffort := batchStep(9, 5*time.Second)
+	bestEffort.BestEffort, bestEffort.Image = true, "x"
+	sim.submit("0000000000000001", batchStep(2, 5*time.Second))
+	sim.run(200 * time.Millisecond)
+	sim.submit("0000000000000002", bestEffort)
+	sim.run(3 * time.Second)
+	s := sim.core.newSummary(sim.now)
+	assert.Equal(t, int64(2000), s.reserved.MilliCores)
+	assert.Equal(t, int64(2000), s.bestEffort, "the processors that are left")
+	assert.Equal(t, int64(7000), s.waitingBestEffort)
+	assert.Equal(t, 7, s.waiting)
+	assert.Equal(t, 7, s.waitingByTier["on-time"]+s.waitingByTier["late"])
+	families, err := registry.Gather()
+	require.NoError(t, err)
+	assert.Len(t, families, 2)
+	sim.core.metrics.reset()
+}
--- a/internal/dispatch/outage_test.go
+++ b/internal/dispatch/outage_test.go
@@ -175,7 +175,8 @@
 		{Count: 2, BestEffort: true, Image: "x", Size: resource.Vector{MemoryMB: math.MaxInt64}},
 		{Count: 2, Size: resource.Vector{MilliCores: math.MaxInt64, MemoryMB: math.MaxInt64}},
 		{Count: 2, BestEffort: true, Image: "x", Estimate: math.MaxInt64},
-		{Count: 2, LongRunning: true, Objective: time.Nanosecond, Image: "s", Size: resource.Vector{MilliCores: math.MaxInt64}},
+		{Count: 2, LongRunning: true, Objective: time.Nanosecond, Image: "s",
+			Size: resource.Vector{MilliCores: math.MaxInt64}},
 		{Count: 1, BestEffort: true},
 	} {
 		sim.submit(workflow.JobID(fmt.Sprintf("absurd-%d", i)), s)
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -18,6 +18,8 @@
 	Instance string
 	// Cores is the processor time available to the instance; instances with more of it claim earlier.
 	Cores float64
+	// LinkBytesPerSecond is the bandwidth of the instance's link; 0 if unknown.
+	LinkBytesPerSecond float64
 	// ProgressTopic holds the records of the owner, WorkersTopic the worker list, and SubmissionsTopic the submissions
 	// and cancellations.
 	ProgressTopic, WorkersTopic, SubmissionsTopic string
@@ -60,6 +62,13 @@
 	minStepInterval = 4 * time.Millisecond
 	// minAppendInterval limits the rate of appends; the decisions in between are stored with one append.
 	minAppendInterval = 15 * time.Millisecond
+	// maxRecordBytesPerSecond limits the records that an owner writes while its submissions change fast. Every instance
+	// reads all records, and weak ones have links of 20 Mbit/s, which must also carry the traffic of callers.
+	maxRecordBytesPerSecond = 1 << 20
+	// recordLinkShare is the share of the own link that records may take.
+	recordLinkShare = 0.25
+	// maxAppendInterval limits the time between two appends that maxRecordBytesPerSecond and recordLinkShare cause.
+	maxAppendInterval = 250 * time.Millisecond
 	// modelStoreInterval is how often the interference model is stored, at a few kilobytes each time.
 	modelStoreInterval = 4 * time.Second
 	// Limits of the exponential backoff for an append that was refused or not answered.
@@ -98,6 +107,7 @@
 	views    Views
 	logger   *slog.Logger
 	onRole   func(owner bool)
+	metrics  *Metrics
 	events   chan func(now time.Duration)
 	done     chan struct{}
 
@@ -111,6 +121,8 @@
 	lastConfirmed  time.Duration
 	appendInFlight bool
 	lastAppend     time.Duration
+	// nextAppend is the earliest time of the next append.
+	nextAppend     time.Duration
 	lastModelStore time.Duration
 	lastRemoval    time.Duration
 	// unremovedProgress holds the removed submissions whose records are still to be removed.
@@ -148,6 +160,9 @@
 		done: make(chan struct{})}
 }
 
+// UseMetrics makes the owner set metrics. It is called before Run.
+func (o *Owner) UseMetrics(m *Metrics) { o.metrics = m }
+
 // post queues an event for the goroutine of Run. Events after its end are dropped.
 func (o *Owner) post(f func(now time.Duration)) {
 	select {
--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -228,3 +228,20 @@
 	require.NoError(t, err)
 	eventually(t, "a owns", a.isOwner)
 }
+
+// The records of fast changes must not fill the links of the instances that read them.
+func TestAppendInterval(t *testing.T) {
+	entries := func(bytes int) []eventlog.Entry { return []eventlog.Entry{{Value: make([]byte, bytes)}} }
+	for _, c := range []struct {
+		bytes int
+		link  float64
+		want  time.Duration
+	}{
+		{1000, 0, minAppendInterval}, {64 << 10, 0, 62500 * time.Microsecond}, {1 << 20, 0, maxAppendInterval},
+		{1000, 250e3, 16 * time.Millisecond}, {10000, 250e3, 160 * time.Millisecond},
+		{64 << 10, 125e6, 62500 * time.Microsecond}, {0, 1, minAppendInterval},
+	} {
+		o := &Owner{settings: Settings{LinkBytesPerSecond: c.link}}
+		assert.Equal(t, c.want, o.appendInterval(entries(c.bytes)), "%d bytes, link %v", c.bytes, c.link)
+	}
+}
--- a/internal/dispatch/storing.go
+++ b/internal/dispatch/storing.go
@@ -55,7 +55,7 @@
 
 // flush stores the decisions since the last append, or a heartbeat if there are none.
 func (o *Owner) flush(ctx context.Context, now time.Duration) {
-	if o.appendInFlight || now-o.lastAppend < minAppendInterval {
+	if o.appendInFlight || now < o.nextAppend {
 		return
 	}
 	b := o.core.TakeBatch(now)
@@ -88,7 +88,7 @@
 	}
 	o.unremovedProgress = nil
 	o.sequence++
-	o.appendInFlight, o.lastAppend = true, now
+	o.appendInFlight, o.lastAppend, o.nextAppend = true, now, now+o.appendInterval(entries)
 	core, p := o.core, eventlog.Producer{Name: producerName, Epoch: o.epoch, Sequence: o.sequence}
 	go func() {
 		offset, err := o.appendWithRetry(ctx, &p, entries)
@@ -96,6 +96,19 @@
 	}()
 }
 
+// appendInterval returns the time from an append of the entries to the next one.
+func (o *Owner) appendInterval(entries []eventlog.Entry) time.Duration {
+	rate := float64(maxRecordBytesPerSecond)
+	if o.settings.LinkBytesPerSecond > 0 {
+		rate = min(rate, recordLinkShare*o.settings.LinkBytesPerSecond)
+	}
+	bytes := 0
+	for i := range entries {
+		bytes += len(entries[i].Key) + len(entries[i].Value)
+	}
+	return min(max(minAppendInterval, time.Duration(float64(bytes)/rate*float64(time.Second))), maxAppendInterval)
+}
+
 func (o *Owner) appendDone(sent, now time.Duration, core *Core, batch, offset int64, entries []eventlog.Entry,
 	err error) {
 	if o.core != core {
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -3,45 +3,110 @@
 import (
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"clementinewalk.example/clementinewalk/internal/resource"
 )
 
-// summaryInterval is the time between two summaries in the log.
+// summaryInterval is the time between two summaries in the log and in the metrics.
 const summaryInterval = 2 * time.Second
 
-// summarize logs the number of placed and waiting tasks and the free resources, to explain waiting times afterwards.
-func (c *Core) summarize(now time.Duration) {
-	if now-c.lastSummary < summaryInterval {
-		return
-	}
-	c.lastSummary = now
-	var waiting, services int
-	queues := map[string]int{}
-	var asked, capacity, reserved resource.Vector
+// summary describes the load of an owner, to explain waiting times afterwards.
+type summary struct {
+	workers, usable, silent, placed, waiting, waitingServices int
+	// mixtures is the number of service images on the workers beyond one each.
+	mixtures int
+	// waitingByQueue and waitingByTier count the waiting tasks.
+	waitingByQueue, waitingByTier map[string]int
+	// asked is reserved by the waiting tasks, reserved by the placed ones on usable workers, whose capacity is capacity.
+	asked, reserved, capacity resource.Vector
+	// bestEffort is the thousandths of a core that the placed best-effort tasks request, waitingBestEffort that of the
+	// waiting ones.
+	bestEffort, waitingBestEffort int64
+}
+
+var tierNames = map[int]string{tierRestart: "restart", tierOnTime: "on-time", tierLate: "late",
+	tierLongRunning: "long-running", tierTooLate: "too-late"}
+
+func (c *Core) newSummary(now time.Duration) summary {
+	s := summary{workers: len(c.workers), waitingByQueue: map[string]int{}, waitingByTier: map[string]int{}}
 	for _, t := range c.pending {
-		waiting++
-		asked = asked.Add(t.reserved())
-		queues[t.job().terms.Queue]++
+		s.waiting++
+		s.asked = s.asked.Add(t.reserved())
+		s.waitingByQueue[t.job().terms.Queue]++
+		s.waitingByTier[tierNames[t.tier(now)]]++
 		if t.step.def.LongRunning {
-			services++
+			s.waitingServices++
+		}
+		if t.step.def.BestEffort {
+			s.waitingBestEffort += requestedMilliCores(t.step.def)
 		}
 	}
-	schedulable, silent, placed, mixtures := 0, 0, 0, 0
 	for _, w := range c.workers {
-		placed += len(w.tasks)
+		s.placed += len(w.tasks)
 		if w.failingSince != 0 {
-			silent++
+			s.silent++
 		}
 		if w.unschedulable() {
 			continue
 		}
-		schedulable++
-		mixtures += max(0, len(w.node.Services)-1)
-		capacity, reserved = capacity.Add(w.Capacity), reserved.Add(w.node.Reserved)
+		s.usable++
+		s.mixtures += max(0, len(w.node.Services)-1)
+		s.capacity, s.reserved = s.capacity.Add(w.Capacity), s.reserved.Add(w.node.Reserved)
+		s.bestEffort += w.node.BestEffort
 	}
-	c.logger.Info("placement summary", "epoch", c.epoch, "workers", len(c.workers), "usable", schedulable, "silent", silent,
-		"placed", placed, "waiting", waiting, "image_mixtures", mixtures,
-		"waiting_services", services, "waiting_by_queue", queues, "asked_cores", asked.MilliCores/1000,
-		"asked_mb", asked.MemoryMB, "cores", capacity.MilliCores/1000,
-		"reserved_cores", reserved.MilliCores/1000, "mb", capacity.MemoryMB, "reserved_mb", reserved.MemoryMB)
+	return s
 }
+
+// summarize logs a summary and sets the metrics.
+func (c *Core) summarize(now time.Duration) {
+	if now-c.lastSummary < summaryInterval {
+		return
+	}
+	c.lastSummary = now
+	s := c.newSummary(now)
+	c.metrics.set(&s)
+	c.logger.Info("placement summary", "epoch", c.epoch, "workers", s.workers, "usable", s.usable, "silent", s.silent,
+		"placed", s.placed, "waiting", s.waiting, "image_mixtures", s.mixtures,
+		"waiting_services", s.waitingServices, "waiting_by_queue", s.waitingByQueue,
+		"waiting_by_tier", s.waitingByTier, "best_effort_cores", s.bestEffort/1000,
+		"waiting_best_effort_cores", s.waitingBestEffort/1000, "asked_cores", s.asked.MilliCores/1000,
+		"asked_mb", s.asked.MemoryMB, "cores", s.capacity.MilliCores/1000,
+		"reserved_cores", s.reserved.MilliCores/1000, "mb", s.capacity.MemoryMB, "reserved_mb", s.reserved.MemoryMB)
+}
+
+// Metrics are the metrics of an owner; on other instances they are 0.
+type Metrics struct {
+	waiting *prometheus.GaugeVec
+	cores   *prometheus.GaugeVec
+}
+
+// NewMetrics registers the metrics of an owner.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_waiting_tasks",
+			Help: "Tasks that wait for a worker, by tier within their priority."}, []string{"tier"}),
+		cores: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_cores",
+			Help: "Cores of the usable workers, and what tasks reserve or request of them."}, []string{"use"})}
+	r.MustRegister(m.waiting, m.cores)
+	return m
+}
+
+// millisPerCore converts thousandths of a core to cores.
+const millisPerCore = 1000
+
+func (m *Metrics) set(s *summary) {
+	if m == nil {
+		return
+	}
+	for _, tier := range tierNames {
+		m.waiting.WithLabelValues(tier).Set(float64(s.waitingByTier[tier]))
+	}
+	for use, milliCores := range map[string]int64{"capacity": s.capacity.MilliCores, "reserved": s.reserved.MilliCores,
+		"best-effort": s.bestEffort, "waiting-best-effort": s.waitingBestEffort} {
+		m.cores.WithLabelValues(use).Set(float64(milliCores) / millisPerCore)
+	}
+}
+
+// reset sets the metrics of an instance that is no longer the owner.
+func (m *Metrics) reset() { m.set(&summary{}) }
