Place no best-effort task beside a service near its objective

Change: a worker on which a service reports more than 0.75 of its objective takes no further best-effort task.

--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -121,6 +121,7 @@
 			bestEffort = append(bestEffort, t)
 		}
 	}
+	w.load.TailRatio = w.worstTailRatio
 	c.updateModel(now, w, services, bestEffort)
 	if len(bestEffort) == 0 {
 		return
--- a/internal/headroom/headroom.go
+++ b/internal/headroom/headroom.go
@@ -25,6 +25,11 @@
 // time.
 const negligibleCoefficient = 1.0
 
+// maxTailRatio is the tail latency of a service, as a share of its objective, from which its worker takes no further
+// best-effort task. The latency also rises with the load of the service itself and with all use of the processors, which
+// coefficients of images do not tell.
+const maxTailRatio = 0.75
+
 // Load is what the tasks on a worker request, in thousandths of a core.
 type Load struct {
 	// Capacity is the processors of the worker.
@@ -35,6 +40,8 @@
 	Services int64
 	// BestEffort is requested by best-effort tasks, by image.
 	BestEffort map[string]int64
+	// TailRatio is the highest ratio of tail latency to objective that a service on the worker has reported.
+	TailRatio float64
 }
 
 // Interference is the effect of best-effort tasks on services.
@@ -49,7 +56,8 @@
 // Fits reports whether a best-effort task of the given image and size would run at nearly its full speed beside the
 // tasks of the load and the given services. share is the result of Share for the image.
 func (l *Load) Fits(i Interference, services map[string]int, image string, milliCores int64, share float64) bool {
-	return l.hasProcessors(milliCores) && l.keepsMargins(i, services, image, milliCores, share)
+	return l.TailRatio < maxTailRatio && l.hasProcessors(milliCores) &&
+		l.keepsMargins(i, services, image, milliCores, share)
 }
 
 // hasProcessors reports whether the processors that the other tasks leave unused suffice. A worker without best-effort
--- a/internal/headroom/headroom_test.go
+++ b/internal/headroom/headroom_test.go
@@ -50,6 +50,8 @@
 			cautiousShare, true},
 		{"one of several services is disturbed", Load{Capacity: 32000, Services: 10000},
 			map[string]int{"robust": 2, "sensitive": 1}, "harmful", 4000, cautiousShare, false},
+		{"not beside a service near its objective", Load{Capacity: 32000, Services: 10000, TailRatio: 0.8},
+			map[string]int{"robust": 1}, "harmless", 4000, fullShare, false},
 		{"a task without size", Load{Capacity: 32000, Services: 10000}, map[string]int{"sensitive": 2}, "harmful", 0,
 			cautiousShare, true},
 		{"a worker of unknown capacity takes one task", Load{}, nil, "harmless", 4000, cautiousShare, true},
