Limit records to what all instances can read, and keep quic-go out of the log

Change: records take at most half of the read bandwidth divided by the published instances; the warning is turned off.

--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -93,7 +93,8 @@
 	c *catalog.Catalog, v *node.Views, l *slog.Logger, r *prometheus.Registry,
 ) *dispatch.Owner {
 	settings := dispatch.Settings{Instance: s.Instance, Cores: s.Cores,
-		LinkBytesPerSecond: s.LinkBytesPerSecond, ProgressTopic: t.Progress,
+		LinkBytesPerSecond:    s.LinkBytesPerSecond,
+		LogReadBytesPerSecond: s.LogReadBytesPerSecond, ProgressTopic: t.Progress,
 		WorkersTopic: platform.TopicWorkers, SubmissionsTopic: t.Submissions,
 		Retention: s.StatusRetention + retentionMargin,
 		Params: dispatch.Params{Lease: min(leaseDuration, s.MaxLease), Isolation: isolationLimit,
--- a/internal/catalog/endpoint.go
+++ b/internal/catalog/endpoint.go
@@ -62,6 +62,13 @@
 	return out[:min(n, len(out))]
 }
 
+// CountInstances returns the number of instances with a published endpoint.
+func (c *Catalog) CountInstances() int {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return len(c.endpoints)
+}
+
 var jobKey = regexp.MustCompile(`^[0-9a-f]{16}$`)
 
 // EntryError reports an entry that is neither a submission nor a cancellation.
--- a/internal/catalog/endpoint_test.go
+++ b/internal/catalog/endpoint_test.go
@@ -31,6 +31,7 @@
 	c.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{endpointEntry(t, "self", "1"), endpointEntry(t, "a", "2"),
 		endpointEntry(t, "b", "3"), {Key: endpointPrefix + "bad", Value: []byte("x")}}})
 	assert.ElementsMatch(t, []string{"2", "3"}, addrs(c.Peers("self", 5)))
+	assert.Equal(t, 3, c.CountInstances())
 	owner, err := OwnerEntry(&Ownership{Epoch: 1, Instance: "b"})
 	require.NoError(t, err)
 	c.ApplyProgress([]eventlog.Entry{owner})
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -20,6 +20,8 @@
 	Cores float64
 	// LinkBytesPerSecond is the bandwidth of the instance's link; 0 if unknown.
 	LinkBytesPerSecond float64
+	// LogReadBytesPerSecond is the bandwidth that all instances share for reading the log; 0 if unknown.
+	LogReadBytesPerSecond float64
 	// ProgressTopic holds the records of the owner, WorkersTopic the worker list, and SubmissionsTopic the submissions
 	// and cancellations.
 	ProgressTopic, WorkersTopic, SubmissionsTopic string
@@ -67,6 +69,9 @@
 	maxRecordBytesPerSecond = 1 << 20
 	// recordLinkShare is the share of the own link that records may take.
 	recordLinkShare = 0.25
+	// recordReadShare is the share of the log's read bandwidth that the records may take when all instances read them.
+	// Beyond it every view falls behind, and all instances report that they are not ready.
+	recordReadShare = 0.5
 	// maxAppendInterval limits the time between two appends that maxRecordBytesPerSecond and recordLinkShare cause.
 	maxAppendInterval = 250 * time.Millisecond
 	// modelStoreInterval is how often the interference model is stored, at a few kilobytes each time.
--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -232,16 +233,24 @@
 // The records of fast changes must not fill the links of the instances that read them.
 func TestAppendInterval(t *testing.T) {
 	entries := func(bytes int) []eventlog.Entry { return []eventlog.Entry{{Value: make([]byte, bytes)}} }
+	cat := catalog.New(discardLogger())
+	for i := range 100 {
+		e, err := catalog.EndpointEntry(&catalog.Endpoint{Instance: fmt.Sprint(i)})
+		require.NoError(t, err)
+		cat.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{e}})
+	}
 	for _, c := range []struct {
-		bytes int
-		link  float64
-		want  time.Duration
+		bytes      int
+		link, read float64
+		want       time.Duration
 	}{
-		{1000, 0, minAppendInterval}, {64 << 10, 0, 62500 * time.Microsecond}, {1 << 20, 0, maxAppendInterval},
-		{1000, 250e3, 16 * time.Millisecond}, {10000, 250e3, 160 * time.Millisecond},
-		{64 << 10, 125e6, 62500 * time.Microsecond}, {0, 1, minAppendInterval},
+		{1000, 0, 0, minAppendInterval}, {64 << 10, 0, 0, 62500 * time.Microsecond}, {1 << 20, 0, 0, maxAppendInterval},
+		{1000, 250e3, 0, 16 * time.Millisecond}, {10000, 250e3, 0, 160 * time.Millisecond},
+		{64 << 10, 125e6, 0, 62500 * time.Microsecond}, {0, 1, 1, minAppendInterval},
+		// 100 instances read the records.
+		{40000, 125e6, 80e6, 100 * time.Millisecond},
 	} {
-		o := &Owner{settings: Settings{LinkBytesPerSecond: c.link}}
-		assert.Equal(t, c.want, o.appendInterval(entries(c.bytes)), "%d bytes, link %v", c.bytes, c.link)
+		o := &Owner{settings: Settings{LinkBytesPerSecond: c.link, LogReadBytesPerSecond: c.read}, catalog: cat}
+		assert.Equal(t, c.want, o.appendInterval(entries(c.bytes)), "%+v", c)
 	}
 }
--- a/internal/dispatch/storing.go
+++ b/internal/dispatch/storing.go
@@ -102,6 +102,9 @@
 	if o.settings.LinkBytesPerSecond > 0 {
 		rate = min(rate, recordLinkShare*o.settings.LinkBytesPerSecond)
 	}
+	if o.settings.LogReadBytesPerSecond > 0 {
+		rate = min(rate, recordReadShare*o.settings.LogReadBytesPerSecond/float64(max(1, o.catalog.CountInstances())))
+	}
 	bytes := 0
 	for i := range entries {
 		bytes += len(entries[i].Key) + len(entries[i].Value)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"math/big"
+	"os"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -47,8 +48,15 @@
 	logger   *slog.Logger
 }
 
+// quietBuffers keeps quic-go from writing to standard error, past the log, that the system limits the receive buffer.
+// Relayed calls are few and small, so the default buffer suffices.
+const quietBuffers = "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING"
+
 // Listen opens the socket of the relay and creates its key. Calls are answered while Serve runs.
 func Listen(instance, addr string, l *slog.Logger) (*Server, error) {
+	if err := os.Setenv(quietBuffers, "true"); err != nil {
+		return nil, errors.WithStack(err)
+	}
 	certificate, err := newCertificate()
 	if err != nil {
 		return nil, errors.WithStack(err)
