Keep the other workers as candidates when one is held

Cause: holding a worker replaced the cached candidates that include quarantined workers by an empty list if they had not been collected yet in the plan, so services that had waited for 2 s found no worker in that plan. Found by reading. Change: both lists are collected before the held worker is taken out. Measured: TestHeldWorkerLeavesTheOthers fails without the change (0 instead of 2 candidates).

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -125,6 +125,28 @@
 	assert.NotEqual(t, home.id, task.worker.ID)
 }
 
+// A held worker must not take the other candidates away from the tasks that come after.
+func TestHeldWorkerLeavesTheOthers(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.run(200 * time.Millisecond)
+	large := serviceStep(1)
+	large.Size.MilliCores = 3500
+	filler := batchStep(3, 5*time.Second)
+	filler.MaxPerWorker = 1
+	sim.submit("filler", filler)
+	sim.run(500 * time.Millisecond)
+	sim.submit("large", large)
+	task := sim.core.jobs["large"].rounds[0].steps[0].tasks[0]
+	task.run = 1
+	sim.run(1500 * time.Millisecond)
+	p := sim.core.newPlan(sim.now)
+	task.rank = task.newRank(sim.now)
+	require.False(t, p.place(task), "there is room for no more than 3000")
+	assert.Equal(t, 1, p.held)
+	assert.Len(t, p.candidates("pool"), 2)
+	assert.Len(t, p.candidatesWithQuarantined("pool"), 2)
+}
+
 func TestSilenceOutlivesTheOwner(t *testing.T) {
 	sim := newSimulation(t, 1, 2)
 	sim.submit("0000000000000001", serviceStep(4))
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -33,9 +33,8 @@
 		return
 	}
 	p.held++
-	for _, cache := range []map[string][]*assign.Node{p.healthy, p.all} {
-		cache[pool] = without(cache[pool], best)
-	}
+	p.healthy[pool] = without(p.candidates(pool), best)
+	p.all[pool] = without(p.candidatesWithQuarantined(pool), best)
 }
 
 func without(nodes []*assign.Node, n *assign.Node) []*assign.Node {
