Benchmark a plan with many waiting best-effort tasks

Cause: the cost of a decision at 20,000 waiting tasks was not measured. Change: a benchmark that fills 350 workers and plans with the rest waiting.

--- a/internal/dispatch/heavy_test.go
+++ b/internal/dispatch/heavy_test.go
@@ -13,6 +13,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/interference"
 	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
@@ -275,3 +277,40 @@
 	assert.Len(t, families, 2)
 	sim.core.metrics.reset()
 }
+
+// Measures a plan with many waiting best-effort tasks on a pool without headroom. The time for each waiting task is the
+// cost of its decision.
+func BenchmarkPlanWithWaitingTasks(b *testing.B) {
+	const workers, submissions, tasksEach = 350, 1000, 20
+	config := testConfig()
+	now := time.Minute
+	c := New(Params{Lease: 6 * time.Second, Isolation: 5 * time.Second}, 1, now, func() time.Time { return time.Unix(60, 0) },
+		discardLogger(), config, nil, nil, interference.State{})
+	for i := range workers {
+		id := fmt.Sprintf("w%03d", i)
+		c.SetMember(now, Member{Incarnation: Incarnation{ID: id, StartedAt: 1}, Pool: "pool", Addr: "addr",
+			Capacity: resource.Vector{MilliCores: 37000, MemoryMB: 128000}})
+		c.worker(id).fenced = true
+	}
+	for i := range submissions {
+		s := &workflow.Submission{Job: workflow.JobID(fmt.Sprintf("layout-%d", i)), Terms: config.Queues[0].Terms,
+			Accepted: time.Unix(60, 0), Steps: []workflow.Step{{Count: tasksEach, BestEffort: true,
+				Image: fmt.Sprintf("b%d", i%18), Estimate: 1700 * time.Millisecond,
+				Size: resource.Vector{MilliCores: 2500 + int64(i%20)*100, MemoryMB: 6400}}}}
+		c.Submit(now, &catalog.Job{Submission: s, Offset: int64(i)})
+	}
+	// Fill the pool.
+	for range workers {
+		now += 20 * time.Millisecond
+		c.planNeeded = true
+		c.Plan(now)
+	}
+	waiting := len(c.pending)
+	for b.Loop() {
+		now += 20 * time.Millisecond
+		c.planNeeded = true
+		c.Plan(now)
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(waiting), "ns/waiting-task")
+	b.ReportMetric(float64(waiting), "waiting")
+}
