Read the entries of the relay test under their lock

An answer over UDP orders the two accesses, but the race detector does not see that. The product is not affected. Change: the test reads through a method that takes the lock.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -42,6 +42,12 @@
 	return nil
 }
 
+func (h *fakeHandler) stored() []eventlog.Entry {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.entries
+}
+
 func (h *fakeHandler) State(_ context.Context, id workflow.JobID) (State, bool) {
 	switch id {
 	case "stale":
@@ -74,7 +80,7 @@
 	ctx := callContext(t, 5*time.Second)
 	e := eventlog.Entry{Key: "5c0e7a21d94b36f8", Value: bytes.Repeat([]byte("x"), 300<<10)}
 	require.NoError(t, c.Append(ctx, to, e))
-	assert.Equal(t, []eventlog.Entry{e}, h.entries)
+	assert.Equal(t, []eventlog.Entry{e}, h.stored())
 
 	var refused *RefusedError
 	var noAnswer *NoAnswerError
@@ -131,7 +137,7 @@
 	err := NewClient().Append(callContext(t, 2*time.Second), to, eventlog.Entry{Key: "x"})
 	assert.ErrorAs(t, err, &unreachable)
 	assert.ErrorContains(t, err, (&CertificateError{Peer: "peer"}).Error())
-	assert.Empty(t, h.entries)
+	assert.Empty(t, h.stored())
 }
 
 func TestUnreachablePeer(t *testing.T) {
