--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -1,23 +1,16 @@
 package dispatch
 
 import (
-	"time"
-
 	"clementinewalk.example/clementinewalk/internal/assign"
 )
 
-const (
-	// maxHeldShare is the share of a pool's workers that are held at the same time. At least one may be.
-	maxHeldShare = 0.02
-	// minHoldWait is how long a task waits before a worker is held for it. Most find room before that, and a held worker
-	// runs fewer short tasks.
-	minHoldWait = time.Second
-)
+// maxHeldShare is the share of a pool's workers that are held at the same time. At least one may be.
+const maxHeldShare = 0.02
 
 // hold keeps the worker with the most free processors for a long-running task that has run before and finds no room.
 // Without that, smaller tasks would take each part of a worker that becomes free.
 func (p *plan) hold(t *task) {
-	if t.rank.tier != tierRestart || t.step.def.BestEffort || p.now-t.queuedAt < minHoldWait {
+	if t.rank.tier != tierRestart || t.step.def.BestEffort {
 		return
 	}
 	pool := t.job().terms.Pool
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -9,8 +9,12 @@
 // lateFactor is the multiple of the latency objective after which a result has no value.
 const lateFactor = 3
 
+// restartWait is how long a long-running task that has run before waits behind short tasks. It must run again within
+// 3 s while there is room; most find room before.
+const restartWait = 1500 * time.Millisecond
+
 // Tiers within one priority, in order of placement. A long-running task that has run before is an outage of its service
-// until it runs again. Late work that still has value takes its room for a short time only, so it comes before other
+// until it runs again, so it comes first after restartWait. Late work that still has value takes its room for a short time only, so it comes before other
 // long-running tasks.
 const (
 	tierRestart = iota
@@ -32,7 +36,7 @@
 		end += time.Duration(pathMargin * float64(t.step.path))
 	}
 	switch {
-	case t.step.def.LongRunning && t.run > 0:
+	case t.step.def.LongRunning && t.run > 0 && now-t.queuedAt >= restartWait:
 		return tierRestart
 	case t.step.def.LongRunning:
 		return tierLongRunning
@@ -64,8 +68,8 @@
 	return c.lastShortage != 0 && now-c.lastShortage < scarcityDuration
 }
 
-// mustWait reports whether a long-running task has to wait so that short tasks find room. One that has run before does
-// not.
+// mustWait reports whether a long-running task has to wait so that short tasks find room. One that has run before waits
+// for restartWait at most.
 func (c *Core) mustWait(now time.Duration, t *task) bool {
 	// Tasks that were pending at the takeover do not wait: how long they have waited already is unknown.
 	return c.scarce(now) && t.tier(now) == tierLongRunning && t.queuedAt > c.ownerSince && !t.waitExpired(now)
