Log what is known of the end of a worker

Cause: an attempt that is lost with its worker leaves the same lines whether the worker crashed or was cut off, and nothing tells whether the worker had worked on after the start. Change: a line when another incarnation answers at a worker's address, and the time by which the worker outlived the start with each lost attempt. The clock reading of a restarted worker is reset after its attempts are lost instead of before.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -267,6 +267,7 @@
 			return
 		case ReasonRestarted:
 			w.fenced = false
+			c.noteSuccessor(now, w)
 		}
 	}
 	if w.failingSince == 0 {
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -239,7 +239,8 @@
 	if t.phase != workflow.Placed {
 		return
 	}
-	c.logger.Info("attempt lost", "task", t.id, "run", t.run, "worker", t.worker.ID, "reason", reason)
+	c.logger.Info("attempt lost", "task", t.id, "run", t.run, "worker", t.worker.ID, "reason", reason,
+		"outlived_start_ms", t.outlivedStart().Milliseconds())
 	c.requeue(now, t, EndLapsed)
 }
 
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -45,6 +45,8 @@
 	failingSince time.Duration
 	// retryInterval is the time between two lease calls while they fail; 0 otherwise.
 	retryInterval time.Duration
+	// succeeded is set once another incarnation has answered at the worker's address.
+	succeeded bool
 	// The following fields influence the choice of workers.
 	consecutiveFailures int
 	quarantinedUntil    time.Duration
@@ -269,12 +271,13 @@
 func (c *Core) workerRestarted(now time.Duration, w *worker, startedAt int64) {
 	c.logger.Info("worker restarted", "worker", w.ID, "before", w.StartedAt, "born", startedAt, "tasks", len(w.tasks))
 	w.StartedAt, w.fenced = startedAt, false
-	w.clockReading, w.clockReadAt, w.appliedEnd, w.confirmedEnd, w.sentConfirmation, w.endMarks = 0, 0, 0, 0, 0, nil
 	// The recorded silence concerns the earlier incarnation.
 	w.silence = silenceNone
+	w.succeeded = false
 	w.failingSince, w.retryInterval, w.consecutiveFailures, w.quarantinedUntil = 0, 0, 0, 0
 	// Tasks that remain were placed on the new incarnation by an earlier owner, which may have granted it a lease.
 	c.loseEarlierIncarnations(now, w)
+	w.clockReading, w.clockReadAt, w.appliedEnd, w.confirmedEnd, w.sentConfirmation, w.endMarks = 0, 0, 0, 0, 0, nil
 	if len(w.tasks) == 0 {
 		w.leaseEnd = now
 	}
