Reproduce a task that crashes worker after worker

Change: workers of the simulation can be crashed by a task and return under the same or a new id at their address.

--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -30,6 +30,8 @@
 	stalled bool
 	// failsAttempts makes every attempt fail at its end.
 	failsAttempts bool
+	// addr is the address, which a successor takes over.
+	addr string
 }
 
 type fakeRun struct {
@@ -89,6 +91,14 @@
 	if step.LongRunning {
 		f.running[c.Attempt].endsAt = sim.now + time.Hour
 	}
+	if delay, ok := sim.crashDelays[c.Task]; ok {
+		sim.schedule(delay, func() {
+			if sim.workers[f.id] == f && f.running[c.Attempt] != nil {
+				sim.crashes[c.Task]++
+				sim.crash(f)
+			}
+		})
+	}
 	return CallAnswer{Clock: sim.clock(f), StartedAt: f.startedAt}, nil
 }
 
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -53,6 +53,15 @@
 	callLossShare float64
 	// doneConfirmed holds the tasks whose successful end was confirmed to a worker, except ends up to lapsedEnd.
 	doneConfirmed map[workflow.TaskID]bool
+	// crashDelays holds the tasks that crash each worker, with the time from their start to the crash; crashes counts
+	// the workers that crashed under each.
+	crashDelays map[workflow.TaskID]time.Duration
+	crashes     map[workflow.TaskID]int
+	// downtime is how long a crashed worker is away. It returns under a new id unless keepsID is set.
+	downtime time.Duration
+	keepsID  bool
+	// generation numbers the workers that returned under new ids.
+	generation int
 }
 
 type event struct {
@@ -65,6 +74,7 @@
 		steps:   map[workflow.JobID][]workflow.Step{},
 		params:  Params{Lease: 6 * time.Second, Isolation: 5 * time.Second, ObjectiveTolerance: 4 * time.Second},
 		catalog: catalog.New(discardLogger()), doneConfirmed: map[workflow.TaskID]bool{},
+		crashes: map[workflow.TaskID]int{}, downtime: 3300 * time.Millisecond,
 		capacity: resource.Vector{MilliCores: 4000, MemoryMB: 8000}}
 	for i := range workers {
 		sim.addWorker(string(rune('a' + i)))
@@ -81,14 +91,14 @@
 }
 
 func (sim *simulation) addWorker(id string) *fakeWorker {
-	f := &fakeWorker{id: id, startedAt: int64(sim.now/time.Millisecond) + 1, bornAt: sim.now,
+	f := &fakeWorker{id: id, addr: "addr-" + id, startedAt: int64(sim.now/time.Millisecond) + 1, bornAt: sim.now,
 		running: map[Attempt]*fakeRun{}, highestRun: map[workflow.TaskID]int{}}
 	sim.workers[id] = f
 	return f
 }
 
 func (sim *simulation) member(f *fakeWorker) Member {
-	return Member{Incarnation: Incarnation{ID: f.id, StartedAt: f.startedAt}, Pool: "pool", Addr: "addr-" + f.id,
+	return Member{Incarnation: Incarnation{ID: f.id, StartedAt: f.startedAt}, Pool: "pool", Addr: f.addr,
 		Capacity: sim.capacity}
 }
 
@@ -283,7 +293,13 @@
 		return
 	}
 	sim.schedule(oneWayDelay, func() {
-		if f := sim.workers[member.ID]; f == nil || f.disconnected {
+		f := sim.workers[member.ID]
+		if successor := sim.successor(member); f == nil && successor != nil {
+			_, err := sim.refuse(successor, ReasonRestarted)
+			answer(func() { sim.reportError(core, o, err) })
+			return
+		}
+		if f == nil || f.disconnected {
 			sim.schedule(250*time.Millisecond, func() { answer(func() { sim.reportNoAnswer(core, o) }) })
 			return
 		}
@@ -396,6 +412,32 @@
 	sim.core.SetMember(sim.now, sim.member(f))
 }
 
+// successor returns the worker that has taken over the address of another one; nil if none has.
+func (sim *simulation) successor(m Member) *fakeWorker {
+	for _, f := range sim.workers {
+		if f.addr == m.Addr && f.id != m.ID {
+			return f
+		}
+	}
+	return nil
+}
+
+// crash ends a worker with all its attempts. It returns after the downtime, when the old entry has expired.
+func (sim *simulation) crash(f *fakeWorker) {
+	delete(sim.workers, f.id)
+	sim.schedule(sim.downtime, func() {
+		id := f.id
+		if !sim.keepsID {
+			sim.core.DropMember(f.id)
+			sim.generation++
+			id = fmt.Sprintf("%s%d", f.addr[len("addr-"):], sim.generation)
+		}
+		returned := sim.addWorker(id)
+		returned.addr = f.addr
+		sim.core.SetMember(sim.now, sim.member(returned))
+	})
+}
+
 func (sim *simulation) runningTasks() int {
 	n := 0
 	for _, f := range sim.workers {
