Test placement while the capacity of workers changes

Seen: nothing covered a worker whose capacity shrinks and grows while it runs. Cause: the fake workers all had the same constant capacity.

--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -32,6 +33,11 @@
 	failsAttempts bool
 	// addr is the address, which a successor takes over.
 	addr string
+	capacity      resource.Vector
+	// enforcesCapacity makes the worker refuse starts for which it has no room.
+	enforcesCapacity bool
+	// noRoomRefusals counts the starts refused for lack of room.
+	noRoomRefusals int
 }
 
 type fakeRun struct {
@@ -84,6 +90,10 @@
 	}
 	f.highestEpoch, f.leaseUntil = c.Epoch, max(f.leaseUntil, c.Deadline)
 	step := sim.steps[c.Task.Job][c.Task.Step]
+	if f.enforcesCapacity && !sim.reservedWith(f, &step).Fits(f.capacity) {
+		f.noRoomRefusals++
+		return sim.refuse(f, ReasonNoRoom)
+	}
 	sim.checkStart(f, c, &step)
 	f.highestRun[c.Task] = c.Run
 	f.running[c.Attempt] = &fakeRun{started: sim.now, endsAt: sim.now + step.Estimate, workTime: step.Estimate,
@@ -102,13 +112,18 @@
 	return CallAnswer{Clock: sim.clock(f), StartedAt: f.startedAt}, nil
 }
 
-// checkStart asserts the invariants that hold when a task starts.
-func (sim *simulation) checkStart(f *fakeWorker, c StartCall, s *workflow.Step) {
+// reservedWith returns what the tasks of a worker reserve together with another one.
+func (sim *simulation) reservedWith(f *fakeWorker, s *workflow.Step) resource.Vector {
 	used := s.Reserved()
 	for a := range f.running {
 		used = used.Add(sim.steps[a.Task.Job][a.Task.Step].Reserved())
 	}
-	require.True(sim.t, used.Fits(sim.member(f).Capacity), "worker %s is overcommitted by %s", f.id, c.Task)
+	return used
+}
+
+// checkStart asserts the invariants that hold when a task starts.
+func (sim *simulation) checkStart(f *fakeWorker, c StartCall, s *workflow.Step) {
+	require.True(sim.t, sim.reservedWith(f, s).Fits(f.capacity), "worker %s is overcommitted by %s", f.id, c.Task)
 	require.False(sim.t, sim.doneConfirmed[c.Task], "%s starts after its end was confirmed", c.Task)
 	for _, other := range sim.workers {
 		for a := range other.running {
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -43,7 +43,7 @@
 	ticketValidity time.Duration
 	// adviceCalls counts the calls to the advisor, ticketsRefused the starts that were refused without a valid ticket.
 	adviceCalls, ticketsRefused int
-	// capacity is the capacity of each worker.
+	// capacity is the capacity of each new worker.
 	capacity resource.Vector
 	// contention makes the tasks of a worker share its processors; nil for none.
 	contention *contention
@@ -92,6 +92,7 @@
 
 func (sim *simulation) addWorker(id string) *fakeWorker {
 	f := &fakeWorker{id: id, addr: "addr-" + id, startedAt: int64(sim.now/time.Millisecond) + 1, bornAt: sim.now,
+		capacity: sim.capacity,
 		running: map[Attempt]*fakeRun{}, highestRun: map[workflow.TaskID]int{}}
 	sim.workers[id] = f
 	return f
@@ -99,7 +100,7 @@
 
 func (sim *simulation) member(f *fakeWorker) Member {
 	return Member{Incarnation: Incarnation{ID: f.id, StartedAt: f.startedAt}, Pool: "pool", Addr: f.addr,
-		Capacity: sim.capacity}
+		Capacity: f.capacity}
 }
 
 // takeOver replaces the owner by one that knows only what is stored. Calls of the previous owner that are in flight
@@ -438,6 +439,15 @@
 	})
 }
 
+// resize changes the processors of a worker and its entry in the worker list. Starts in flight still arrive before.
+func (sim *simulation) resize(id string, milliCores int64) {
+	f := sim.workers[id]
+	m := sim.member(f)
+	m.Capacity.MilliCores = milliCores
+	sim.core.SetMember(sim.now, m)
+	sim.schedule(2*oneWayDelay, func() { f.capacity = m.Capacity })
+}
+
 func (sim *simulation) runningTasks() int {
 	n := 0
 	for _, f := range sim.workers {
@@ -445,3 +455,19 @@
 	}
 	return n
 }
+
+// countRuns counts the running attempts of a submission and ends them if fail is set.
+func (sim *simulation) countRuns(id workflow.JobID, fail bool) int {
+	n := 0
+	for _, f := range sim.workers {
+		for a := range f.running {
+			if a.Task.Job != id {
+				continue
+			}
+			if n++; fail {
+				f.end(a, EndFailed)
+			}
+		}
+	}
+	return n
+}
