Send no start to a worker whose capacity has shrunk below what is placed there

Seen: starts took a worker over a capacity that the owner had read before it sent them: 8 cases of TestCapacityShrinksAndNoStartExceedsIt, and TestCapacityBelowServicesKeepsBestEffortTasksAway. Cause: room was checked when a task was placed, not when its placement was stored, nor when an unanswered start was repeated. Change: while the tasks of a worker reserve more than its capacity, stored placements there are revoked, and an unanswered start is followed by a stop instead of another start. Measured: both tests pass; they failed before.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -115,7 +115,7 @@
 		case t.startState != startUncommitted:
 		case t.commitBatch == 0 || t.commitBatch > id:
 			rest = append(rest, t)
-		case t.worker.unschedulable() || t.job().state.Over():
+		case t.worker.unschedulable() || t.worker.overcommitted() || t.job().state.Over():
 			c.revokePlacement(now, t)
 		default:
 			c.sendStart(now, t)
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -117,7 +117,8 @@
 		case t.worker.failingSince != 0 && now-t.worker.failingSince > time.Second:
 			// The worker has not answered for a second, so no order is sent. If it does not answer again, the attempt
 			// is lost when its lease expires.
-		case t.stopWanted || t.startState == startUnanswered && t.startCalls >= maxStartCalls:
+		case t.stopWanted || t.startState == startUnanswered &&
+			(t.startCalls >= maxStartCalls || t.worker.overcommitted()):
 			t.stopInFlight = true
 			c.orders = append(c.orders, StopOrder{Member: t.worker.Member, task: t,
 				Call: StopCall{Attempt: t.attempt(), Epoch: c.epoch}})
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -180,6 +180,9 @@
 	return !w.listed || w.Leaving || !w.fenced || w.silence != silenceNone
 }
 
+// overcommitted reports whether the tasks of the worker reserve more than its capacity, which may shrink.
+func (w *worker) overcommitted() bool { return !w.node.Reserved.Fits(w.Capacity) }
+
 // grantLease extends the lease that the worker is assumed to hold, and returns the reading of its clock at which a
 // lease granted by a call sent now ends.
 func (w *worker) grantLease(now, lease time.Duration) time.Duration {
