Keep the waiting time of a task whose start was refused

Seen: TestCapacityRefusalsDoNotRestartTheWait: a service that had waited for 6 s did not run for another 3 s beside a worker with room, because two others whose entries were out of date refused it in turn. Cause: a revoked placement set the start of the wait anew, so that the service waited for restartWait behind short tasks each time. Change: a task whose placement is revoked has waited since it was queued before. Measured: the test passes; it failed before.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -127,7 +127,8 @@
 	}
 }
 
-// revokePlacement makes a task pending again whose start was never sent or was refused.
+// revokePlacement makes a task pending again whose start was never sent or was refused. The task has waited since it was
+// queued before.
 func (c *Core) revokePlacement(now time.Duration, t *task) {
 	c.logger.Info("placement revoked", "task", t.id, "run", t.run, "worker", t.worker.ID)
 	gang := t.step.def.Gang
@@ -136,5 +137,7 @@
 		c.restartGang(now, t.step)
 		return
 	}
+	queuedAt := t.queuedAt
 	c.enqueue(now, t)
+	t.queuedAt = queuedAt
 }
