Hold workers only for services that can get room there

Seen: TestCapacityGrowsTooLittleForALargeService: after the capacity had grown, a service that was too large for the room beside another one kept smaller work, which had room twice over, away for ever. Cause: a worker was held if its whole capacity sufficed for the service, although long-running tasks on it never end. A held worker was also withheld from services that had waited for maxLongRunningWait, which must be placed wherever there is room. Change: what long-running tasks reserve does not count as room to wait for, and such services are placed on held workers too. TestHeldWorkerLeavesTheOthers expected that they are not; it now expects that all workers stay open to them.

--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -8,6 +8,7 @@
 
 	"clementinewalk.example/clementinewalk/internal/assign"
 	"clementinewalk.example/clementinewalk/internal/headroom"
+	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -20,6 +21,8 @@
 	// calls of earlier owners. It is cleared when the lease of the worker expires or the worker has restarted.
 	fenced bool
 	tasks  map[*task]struct{}
+	// longRunning is what the long-running tasks among them reserve.
+	longRunning resource.Vector
 	// node is the worker as a placement candidate; it tracks the resources that its tasks reserve and request.
 	node assign.Node
 	// load is what its tasks request, for the bound on best-effort work.
@@ -134,12 +137,18 @@
 	t.worker = w
 	w.tasks[t] = struct{}{}
 	w.node.Reserved = w.node.Reserved.Add(t.reserved())
+	if t.step.def.LongRunning {
+		w.longRunning = w.longRunning.Add(t.reserved())
+	}
 	w.adjustCounts(t, 1)
 }
 
 func (w *worker) removeTask(t *task) {
 	delete(w.tasks, t)
 	w.node.Reserved = w.node.Reserved.Sub(t.reserved())
+	if t.step.def.LongRunning {
+		w.longRunning = w.longRunning.Sub(t.reserved())
+	}
 	w.adjustCounts(t, -1)
 }
 
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -8,7 +8,8 @@
 const maxHeldShare = 0.02
 
 // hold keeps the worker with the most free processors for a long-running task that has run before and finds no room.
-// Without that, smaller tasks would take each part of a worker that becomes free.
+// Without that, smaller tasks would take each part of a worker that becomes free. A worker is held only if the end of
+// its short tasks would leave enough room. Long-running tasks whose wait has expired are placed on held workers too.
 func (p *plan) hold(t *task) {
 	if t.rank.tier != tierRestart || t.step.def.BestEffort {
 		return
@@ -18,7 +19,8 @@
 	need := t.reserved()
 	var best *assign.Node
 	for _, n := range nodes {
-		if need.Fits(n.Capacity) && (best == nil || n.Free().MilliCores > best.Free().MilliCores) {
+		enough := need.Fits(n.Capacity.Sub(p.core.workers[n.ID].longRunning))
+		if enough && (best == nil || n.Free().MilliCores > best.Free().MilliCores) {
 			best = n
 		}
 	}
@@ -27,7 +29,6 @@
 	}
 	p.held++
 	p.healthy[pool] = without(p.candidates(pool), best)
-	p.all[pool] = without(p.candidatesWithQuarantined(pool), best)
 }
 
 func without(nodes []*assign.Node, n *assign.Node) []*assign.Node {
