Treat a negative capacity of a worker as none

Seen: an entry with a capacity of -2^63 made the owner place tasks on the worker and revoke the placements 202 times in 8 s; before starts were checked against the capacity, they were sent. Cause: the subtraction of what is reserved overflows. Change: a negative part of the capacity counts as 0; TestCapacityOfAListEntryReachesThePlan also checks that nothing is placed in vain.

--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -192,6 +192,7 @@
 			assert.Equal(t, want, sim.runningTasks())
 			sim.run(8 * time.Second)
 			assert.Equal(t, want, sim.runningTasks())
+			assert.LessOrEqual(t, sim.core.jobs["next"].rounds[0].steps[0].tasks[2].run, 1, "placed in vain")
 		})
 	}
 }
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -247,6 +247,8 @@
 		c.logger.Info("worker listed", "worker", m.ID, "born", m.StartedAt, "data_centre", m.DataCentre)
 		w.retryInterval = 0
 	}
+	// Free room is computed without overflow from a capacity that is not negative.
+	m.Capacity = m.Capacity.Max(resource.Vector{})
 	w.Member, w.listed, c.planNeeded = m, true, true
 	c.loseEarlierIncarnations(now, w)
 }
