--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -32,8 +32,8 @@
 	// failsAttempts makes every attempt fail at its end.
 	failsAttempts bool
 	// addr is the address, which a successor takes over.
-	addr string
-	capacity      resource.Vector
+	addr     string
+	capacity resource.Vector
 	// enforcesCapacity makes the worker refuse starts for which it has no room.
 	enforcesCapacity bool
 	// noRoomRefusals counts the starts refused for lack of room.
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -93,7 +93,7 @@
 func (sim *simulation) addWorker(id string) *fakeWorker {
 	f := &fakeWorker{id: id, addr: "addr-" + id, startedAt: int64(sim.now/time.Millisecond) + 1, bornAt: sim.now,
 		capacity: sim.capacity,
-		running: map[Attempt]*fakeRun{}, highestRun: map[workflow.TaskID]int{}}
+		running:  map[Attempt]*fakeRun{}, highestRun: map[workflow.TaskID]int{}}
 	sim.workers[id] = f
 	return f
 }
