Count the leases of a predecessor from its last record

Cause: a successor that finds no record of the worker's silence waits for the isolation limit and a lease, counted from its own takeover. The predecessor had stopped acting at the latest the isolation limit after its last record in the log, 1 to 2 s earlier. After a planned release it waited for the isolation limit too. Change: the wait counts from when the last record of another owner was read, and from the release if the releasing owner had been one for longer than the isolation limit, so that owners before it cannot act any more. Measured: TestServiceOfAWorkerLostBeforeItsOwnerRunsAgain failed before (11.98 s, the bound is 11.32 s). TestLeasesOfAPredecessorCountFromItsLastRecord covers the cases.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -51,6 +51,9 @@
 	Released bool
 }
 
+// IsClaimOf reports whether the record is a claim of an instance.
+func (o *Ownership) IsClaimOf(instance string) bool { return o.Claim != "" && o.Instance == instance }
+
 // OwnerEntry returns the entry with an ownership. Its error is a *workflow.EncodeError.
 func OwnerEntry(o *Ownership) (eventlog.Entry, error) {
 	b, err := workflow.Encode("ownership", o)
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -17,9 +17,9 @@
 var workerListPollIntervals = eventlog.PollIntervals{Wait: 600 * time.Millisecond, Pause: 250 * time.Millisecond}
 
 // observeOwnership applies the newest ownership in the log, and steps down if a later owner has claimed.
-func (o *Owner) observeOwnership(newest catalog.Ownership) {
+func (o *Owner) observeOwnership(now time.Duration, newest catalog.Ownership) {
 	if newest.Epoch > o.newestEpoch {
-		o.newestEpoch = newest.Epoch
+		o.newestEpoch, o.claimedEpochRead = newest.Epoch, now
 		o.logger.Info("newer ownership read from the log", "epoch", newest.Epoch, "owner", newest.Instance)
 	}
 	if o.core != nil && newest.Epoch > o.epoch {
@@ -92,6 +92,7 @@
 
 func (o *Owner) claim(ctx context.Context, now time.Duration, previous catalog.Ownership) {
 	o.claimInFlight = true
+	o.noteRelease(now, previous)
 	// The log accepts one claim for each epoch: the random sequence number of any other claim does not follow it.
 	p := eventlog.Producer{Name: producerName, Epoch: previous.Epoch + 1, Sequence: rand.Int64N(1<<40) + 1}
 	own := catalog.Ownership{Epoch: p.Epoch, Instance: o.settings.Instance, Claim: uuid.NewString()}
@@ -119,6 +120,11 @@
 	}()
 }
 
+// noteRelease notes whether the predecessor of a claim has released an ownership that was older than the isolation limit.
+func (o *Owner) noteRelease(now time.Duration, previous catalog.Ownership) {
+	o.releasedLate = previous.Released && now-o.claimedEpochRead >= o.settings.Isolation
+}
+
 // takeOver starts the tenure: everything that was stored before the claim has been read.
 func (o *Owner) takeOver(ctx context.Context, now time.Duration) {
 	o.claimOffset = 0
@@ -126,8 +132,8 @@
 		o.logger.Info("claim superseded by a later one", "epoch", o.epoch, "newest", newest.Epoch)
 		return
 	}
-	o.core = New(o.settings.Params, o.epoch, now, time.Now, o.logger, o.config.Load(), o.catalog.All(),
-		o.catalog.SilentLeases(), o.catalog.InterferenceState())
+	o.core = New(o.settings.Params, o.epoch, now, o.predecessorUntil(), time.Now, o.logger, o.config.Load(),
+		o.catalog.All(), o.catalog.SilentLeases(), o.catalog.InterferenceState())
 	o.core.metrics = o.metrics
 	o.lastAppend, o.nextAppend, o.lastModelStore, o.lastRemoval, o.unremovedProgress = now, now, now, now, nil
 	// Calls and appends of an earlier tenure may still be in flight; they do not count in this one.
--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/eventlog"
 )
 
 // fixedView is a current view of the log with a fixed round-trip time, which is unknown if it is 0.
@@ -15,6 +16,42 @@
 func (v fixedView) AsOf() (time.Duration, bool)      { return 0, true }
 func (v fixedView) RoundTrip() (time.Duration, bool) { return v.roundTrip, v.roundTrip > 0 }
 
+func TestLeasesOfAPredecessorCountFromItsLastRecord(t *testing.T) {
+	const isolation = 5 * time.Second
+	old, claim := catalog.Ownership{Epoch: 3, Instance: "x"}, catalog.Ownership{Epoch: 4, Instance: "i", Claim: "c"}
+	released := catalog.Ownership{Epoch: 3, Instance: "x", Released: true}
+	type read struct {
+		at      time.Duration
+		entries int
+		newest  catalog.Ownership
+	}
+	for name, test := range map[string]struct {
+		reads []read
+		want  time.Duration
+	}{
+		"own claim": {want: 7 * time.Second,
+			reads: []read{{time.Second, 5, old}, {2 * time.Second, 1, old}, {4 * time.Second, 1, claim}}},
+		"records before the claim": {want: 9 * time.Second,
+			reads: []read{{time.Second, 5, old}, {4 * time.Second, 2, claim}}},
+		"nothing new":               {want: 6 * time.Second, reads: []read{{time.Second, 5, old}, {3 * time.Second, 0, old}}},
+		"released":                  {want: 9 * time.Second, reads: []read{{time.Second, 5, old}, {9 * time.Second, 1, released}}},
+		"released soon":             {want: 8 * time.Second, reads: []read{{time.Second, 5, old}, {3 * time.Second, 1, released}}},
+		"released before the start": {want: 6 * time.Second, reads: []read{{time.Second, 5, released}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := &Owner{settings: Settings{Instance: "i", Params: Params{Isolation: isolation}},
+				events: make(chan func(time.Duration), 1), logger: discardLogger()}
+			for _, r := range test.reads {
+				o.ProgressRead(eventlog.Batch{Entries: make([]eventlog.Entry, r.entries)}, r.newest)
+				(<-o.events)(r.at)
+			}
+			last := test.reads[len(test.reads)-1]
+			o.noteRelease(last.at, last.newest)
+			assert.Equal(t, test.want, o.predecessorUntil())
+		})
+	}
+}
+
 // Guards against an owner that is far from the log or short of processor time while a better instance could claim.
 func TestOrderOfClaims(t *testing.T) {
 	instance := func(cores float64, roundTrip time.Duration) *Owner {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -71,6 +71,8 @@
 	orders         []Order
 	superseded     bool
 	ownerSince     time.Duration
+	// predecessorUntil is the time until which previous owners may have granted leases.
+	predecessorUntil time.Duration
 	// silentLeases holds, for each worker that the previous owner recorded as silent, the time at which its lease
 	// ends.
 	silentLeases map[catalog.Incarnation]time.Duration
@@ -81,13 +83,14 @@
 	objectives map[string]time.Duration
 }
 
-// New returns the Core of an owner that has just claimed the epoch. jobs, silentLeases and modelState are read from the
+// New returns the Core of an owner that has just claimed the epoch. Previous owners may have granted leases until
+// predecessorUntil. jobs, silentLeases and modelState are read from the
 // log.
-func New(p Params, epoch int64, now time.Duration, wallClock func() time.Time, l *slog.Logger, config *queue.Config,
+func New(p Params, epoch int64, now, predecessorUntil time.Duration, wallClock func() time.Time, l *slog.Logger, config *queue.Config,
 	jobs []*catalog.Job, silentLeases map[catalog.Incarnation]time.Duration, modelState interference.State) *Core {
 	c := &Core{params: p, logger: l, epoch: epoch, config: config, wallClock: wallClock,
 		jobs: map[workflow.JobID]*job{}, workers: map[string]*worker{},
-		dirty: map[*job]struct{}{}, needsOrder: map[*task]struct{}{}, ownerSince: now, silentLeases: silentLeases,
+		dirty: map[*job]struct{}{}, needsOrder: map[*task]struct{}{}, ownerSince: now, predecessorUntil: predecessorUntil, silentLeases: silentLeases,
 		model: interference.Restore(now, modelState), objectives: map[string]time.Duration{}}
 	for l := range silentLeases {
 		// The recorded silence holds until this owner has stored an update.
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -235,7 +235,7 @@
 		return
 	}
 	// The earlier owner may have renewed the lease for as long as it was allowed to act.
-	w.extendLease(c.ownerSince + c.params.Isolation + withDrift(c.params.Lease))
+	w.extendLease(c.predecessorUntil + withDrift(c.params.Lease))
 }
 
 // activateRound makes the steps of a round ready whose dependencies have ended. A round that is not due yet is kept in
--- /dev/null
+++ b/internal/dispatch/lost_test.go
@@ -0,0 +1,38 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+func TestServiceOfAWorkerLostBeforeItsOwnerRunsAgain(t *testing.T) {
+	const claimed = 800 * time.Millisecond
+	for _, scarce := range []bool{false} {
+		sim := newSimulation(t, 1, 3)
+		sim.submit("service", workflow.Step{Count: 3, Size: smallTask, Estimate: time.Second, LongRunning: true})
+		sim.run(6 * time.Second)
+		lost := sim.workers["a"]
+		assert.NotEmpty(t, lost.running)
+		delete(sim.workers, "a")
+		sim.run(300 * time.Millisecond)
+		if scarce {
+			large := batchStep(1, time.Minute)
+			large.Size.MilliCores = 2 * sim.capacity.MilliCores
+			sim.submit("large", large)
+		}
+		killed := sim.now
+		sim.predecessorUntil = killed + sim.params.Isolation
+		sim.now += claimed
+		sim.takeOver()
+		sim.core.DropMember("a")
+		for sim.runningTasks() < 3 && sim.now < killed+time.Minute {
+			sim.run(10 * time.Millisecond)
+		}
+		const placing = 200 * time.Millisecond
+		assert.LessOrEqual(t, sim.now-killed, sim.params.Isolation+withDrift(sim.params.Lease)+placing)
+	}
+}
--- a/internal/dispatch/outage_test.go
+++ b/internal/dispatch/outage_test.go
@@ -138,7 +138,7 @@
 			Steps: []workflow.Step{batchStep(2, time.Second), batchStep(1, time.Second, 0)}}, Record: malformedRecord(rng)}
 		job.Submission.Steps[1].Gang = seed%2 == 0
 		sim := newSimulation(t, seed, 2)
-		core := New(sim.params, 2, sim.now, func() time.Time { return time.Unix(0, int64(sim.now)) }, discardLogger(),
+		core := New(sim.params, 2, sim.now, sim.now, func() time.Time { return time.Unix(0, int64(sim.now)) }, discardLogger(),
 			testConfig(), []*catalog.Job{job}, nil, interference.State{})
 		sim.core = core
 		sim.steps[job.Submission.Job] = job.Submission.Steps
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -144,6 +144,12 @@
 	// again after an interruption, or this instance ceased to be the owner. lastLogRead is when the log was last read.
 	lastOwnerWrite time.Duration
 	lastLogRead    time.Duration
+	// predecessorRead is when the newest record of another owner was read; claimedEpochRead is when the ownership of the
+	// newest epoch was. releasedLate is set if the predecessor of this instance's claim had released an ownership that
+	// was older than the isolation limit.
+	predecessorRead  time.Duration
+	claimedEpochRead time.Duration
+	releasedLate     bool
 	// progressOffset is the offset up to which the owner's records have been read.
 	progressOffset int64
 	claimInFlight  bool
@@ -197,14 +203,27 @@
 		if now-o.lastLogRead > claimSilence {
 			o.lastOwnerWrite = now
 		}
+		if n > 0 && !(n == 1 && newest.IsClaimOf(o.settings.Instance)) || o.lastLogRead == 0 {
+			o.predecessorRead = now
+		}
 		o.lastLogRead = now
 		if n > 0 && !b.Reset {
 			o.lastOwnerWrite = now
 		}
-		o.observeOwnership(newest)
+		o.observeOwnership(now, newest)
 	})
 }
 
+// predecessorUntil returns the time until which previous owners may have granted leases. An owner acts for the isolation
+// limit after the last append that the log confirmed to it, and its last append was stored before it was read here. One
+// that has released its ownership grants none after it, and neither do those before it once the limit has passed.
+func (o *Owner) predecessorUntil() time.Duration {
+	if o.releasedLate {
+		return o.predecessorRead
+	}
+	return o.predecessorRead + o.settings.Isolation
+}
+
 // ConfigChanged reports that a newer configuration is in force.
 func (o *Owner) ConfigChanged() {
 	o.post(func(time.Duration) {
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -26,8 +26,10 @@
 	params  Params
 	workers map[string]*fakeWorker
 	core    *Core
-	epoch   int64
-	catalog *catalog.Catalog
+	// predecessorUntil is the time until which previous owners have acted.
+	predecessorUntil time.Duration
+	epoch            int64
+	catalog          *catalog.Catalog
 	// offset is the offset of the newest entry in the log.
 	offset int64
 	steps  map[workflow.JobID][]workflow.Step
@@ -106,9 +108,10 @@
 // takeOver replaces the owner by one that knows only what is stored. Calls of the previous owner that are in flight
 // still reach the workers; their answers are dropped.
 func (sim *simulation) takeOver() {
+	sim.predecessorUntil = max(sim.predecessorUntil, sim.now)
 	sim.epoch++
 	sim.pendingBatch = nil
-	sim.core = New(sim.params, sim.epoch, sim.now, func() time.Time { return time.Unix(0, int64(sim.now)) },
+	sim.core = New(sim.params, sim.epoch, sim.now, sim.predecessorUntil, func() time.Time { return time.Unix(0, int64(sim.now)) },
 		discardLogger(), testConfig(), sim.catalog.All(), sim.silentLeases(), sim.catalog.InterferenceState())
 	sim.listWorkers()
 }
