Give up a task that crashes the workers that start it

Cause: an attempt that ends with its worker counts as no failure, so max_attempts never binds and nothing else bounds the starts. Evidence: the start is confirmed, the connections to the worker close within 10 ms, and another incarnation answers at its address 3 to 4 s later, before the lease expires; the worker never outlives the start. Sound tasks beside it differ from run to run. Change: a crash raises the blame of the tasks whose start the worker did not outlive by 0.2 s, most if one submission only is concerned; a suspected task is started apart from other recent starts, and given up with its submission after two such crashes or four of any kind. A worker that fell silent instead of closing its connections may have been cut off, which counts less; one that was leaving does not count. Blame is stored, so that it outlives the owner, under a key of its own that earlier builds ignore. What a new owner knows from the log is one argument of New. Why it works: a task that crashes each worker that starts it never outlives a start, while a sound one does.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -20,6 +20,7 @@
 	ownerKey        = "owner"
 	interferenceKey = "interference"
 	silentKey       = "silent"
+	suspectsKey     = "suspects"
 )
 
 // SubmissionEntry returns the entry with which a submission is accepted. Its error is a *workflow.EncodeError.
@@ -81,6 +82,21 @@
 	return eventlog.Entry{Key: silentKey, Value: b}, err
 }
 
+// Crashes counts the workers that crashed while they ran a task.
+type Crashes struct {
+	_     struct{} `cbor:",toarray"`
+	Total int
+	// Blame is the weighted number of crashes right after a start of the task.
+	Blame int
+}
+
+// SuspectsEntry returns the entry with all tasks under which workers have crashed, by the name of the task. Its error is
+// a *workflow.EncodeError.
+func SuspectsEntry(tasks map[string]Crashes) (eventlog.Entry, error) {
+	b, err := workflow.Encode("suspected tasks", tasks)
+	return eventlog.Entry{Key: suspectsKey, Value: b}, err
+}
+
 // Job is the state of one submission. It is shared, and not changed after it is published.
 type Job struct {
 	Submission *workflow.Submission
@@ -123,6 +139,9 @@
 	silentReadAt time.Duration
 	// silentOffset is the offset of silent in the log.
 	silentOffset int64
+	// suspects holds the recorded crashes by the name of the task; suspectsOffset is the offset of the record in the log.
+	suspects       map[string]Crashes
+	suspectsOffset int64
 }
 
 // New returns an empty catalog.
@@ -311,6 +330,9 @@
 		case silentKey:
 			c.applySilent(e)
 			continue
+		case suspectsKey:
+			c.applySuspects(e)
+			continue
 		}
 		if e.Value == nil {
 			delete(c.orphans, workflow.JobID(e.Key))
@@ -389,6 +411,26 @@
 	return out
 }
 
+func (c *Catalog) applySuspects(e eventlog.Entry) {
+	// The owner applies its own records immediately, and may read older ones later.
+	if e.Offset < c.suspectsOffset {
+		return
+	}
+	var suspects map[string]Crashes
+	if err := workflow.Decode("suspected tasks", e.Value, &suspects); err != nil {
+		c.logger.Error("cannot decode suspected tasks, assuming none", "offset", e.Offset, "error", err)
+		suspects = nil
+	}
+	c.suspects, c.suspectsOffset = suspects, e.Offset
+}
+
+// Suspects returns the tasks under which workers have crashed, by the name of the task.
+func (c *Catalog) Suspects() map[string]Crashes {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.suspects
+}
+
 // SilentReadAt returns when the newest record of silent workers was read.
 func (c *Catalog) SilentReadAt() time.Duration {
 	c.mu.RLock()
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -39,7 +39,8 @@
 // TakeBatch returns the changes since the last batch, or nil if there are none. The last batch must be committed.
 func (c *Core) TakeBatch(now time.Duration) *Batch {
 	silenceEntry, silenceChanged := c.recordSilence(now)
-	if len(c.dirty) == 0 && !silenceChanged {
+	suspectsEntry, suspectsChanged := c.recordSuspects()
+	if len(c.dirty) == 0 && !silenceChanged && !suspectsChanged {
 		for _, w := range c.workers {
 			// The ends applied since the last batch belong to earlier attempts and change no record.
 			w.confirmedEnd = w.appliedEnd
@@ -51,6 +52,9 @@
 	if silenceChanged {
 		b.Entries = append(b.Entries, silenceEntry)
 	}
+	if suspectsChanged {
+		b.Entries = append(b.Entries, suspectsEntry)
+	}
 	size := 0
 	for j := range c.dirty {
 		if len(b.Entries) >= maxBatchJobs || size >= maxBatchBytes {
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -186,7 +186,7 @@
 			continue
 		}
 		if !w.listed && len(w.tasks) == 0 && !w.leaseInFlight && w.silence == silenceNone &&
-			(w.confirmedEnd == w.sentConfirmation || w.failingSince != 0) {
+			!w.awaitsCrashEvidence(now) && (w.confirmedEnd == w.sentConfirmation || w.failingSince != 0) {
 			delete(c.workers, id)
 			c.workersByID = nil
 			continue
@@ -212,6 +212,7 @@
 	c.logger.Warn("worker lease expired", "worker", w.ID, "tasks", len(w.tasks),
 		"silent_ms", (now - w.answeredAt).Milliseconds())
 	w.fenced = false
+	c.noteLost(now, w)
 	for t := range w.tasks {
 		c.attemptLost(now, t, "worker lease expired")
 	}
@@ -245,6 +246,9 @@
 			if w.isMixed() {
 				call.Wait = mixedLeaseCallWait
 			}
+			if w.watchesSuspect() {
+				call.Wait = min(call.Wait, startProof)
+			}
 		}
 	}
 	w.sentConfirmation = w.confirmedEnd
@@ -272,7 +276,7 @@
 		}
 	}
 	if w.failingSince == 0 {
-		w.failingSince = now
+		w.failingSince, w.connectionLost = now, connectionLost(err)
 		c.logger.Info("worker does not answer", "worker", w.ID, "error", err, "tasks", len(w.tasks))
 	}
 	w.retryInterval = min(max(2*w.retryInterval, minLeaseRetry), maxLeaseRetry)
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -132,8 +132,9 @@
 		o.logger.Info("claim superseded by a later one", "epoch", o.epoch, "newest", newest.Epoch)
 		return
 	}
-	o.core = New(o.settings.Params, o.epoch, now, o.predecessorUntil(), time.Now, o.logger, o.config.Load(),
-		o.catalog.All(), o.catalog.SilentLeases(), o.catalog.InterferenceState())
+	o.core = New(o.settings.Params, o.epoch, now, time.Now, o.logger, o.config.Load(), Stored{
+		PredecessorUntil: o.predecessorUntil(), Jobs: o.catalog.All(), SilentLeases: o.catalog.SilentLeases(),
+		Suspects: o.catalog.Suspects(), Interference: o.catalog.InterferenceState()})
 	o.core.metrics = o.metrics
 	o.lastAppend, o.nextAppend, o.lastModelStore, o.lastRemoval, o.unremovedProgress = now, now, now, now, nil
 	// Calls and appends of an earlier tenure may still be in flight; they do not count in this one.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -77,28 +77,43 @@
 	// ends.
 	silentLeases map[catalog.Incarnation]time.Duration
 	model        *interference.Model
+	// suspects holds the tasks under which workers have crashed; suspectsChanged is set until they are in a batch.
+	suspects        map[*task]struct{}
+	suspectsChanged bool
+	// storedCrashes holds the crashes that were stored by earlier owners, by the name of the task.
+	storedCrashes map[string]catalog.Crashes
 	// metrics may be nil.
 	metrics *Metrics
 	// objectives holds the latency objective of each service image.
 	objectives map[string]time.Duration
 }
 
-// New returns the Core of an owner that has just claimed the epoch. Previous owners may have granted leases until
-// predecessorUntil. jobs, silentLeases and modelState are read from the
-// log.
-func New(p Params, epoch int64, now, predecessorUntil time.Duration, wallClock func() time.Time, l *slog.Logger, config *queue.Config,
-	jobs []*catalog.Job, silentLeases map[catalog.Incarnation]time.Duration, modelState interference.State) *Core {
+// Stored is what a new owner knows from the log.
+type Stored struct {
+	// PredecessorUntil is the time until which previous owners may have granted leases.
+	PredecessorUntil time.Duration
+	Jobs             []*catalog.Job
+	SilentLeases     map[catalog.Incarnation]time.Duration
+	Suspects         map[string]catalog.Crashes
+	Interference     interference.State
+}
+
+// New returns the Core of an owner that has just claimed the epoch.
+func New(p Params, epoch int64, now time.Duration, wallClock func() time.Time, l *slog.Logger, config *queue.Config,
+	stored Stored) *Core {
 	c := &Core{params: p, logger: l, epoch: epoch, config: config, wallClock: wallClock,
 		jobs: map[workflow.JobID]*job{}, workers: map[string]*worker{},
-		dirty: map[*job]struct{}{}, needsOrder: map[*task]struct{}{}, ownerSince: now, predecessorUntil: predecessorUntil, silentLeases: silentLeases,
-		model: interference.Restore(now, modelState), objectives: map[string]time.Duration{}}
-	for l := range silentLeases {
+		dirty: map[*job]struct{}{}, needsOrder: map[*task]struct{}{}, ownerSince: now,
+		predecessorUntil: stored.PredecessorUntil, silentLeases: stored.SilentLeases,
+		suspects: map[*task]struct{}{}, storedCrashes: stored.Suspects,
+		model: interference.Restore(now, stored.Interference), objectives: map[string]time.Duration{}}
+	for l := range stored.SilentLeases {
 		// The recorded silence holds until this owner has stored an update.
 		w := c.worker(l.ID)
 		w.StartedAt, w.silence = l.StartedAt, silenceRecorded
 	}
-	sort.Slice(jobs, func(i, k int) bool { return jobs[i].Offset < jobs[k].Offset })
-	for _, j := range jobs {
+	sort.Slice(stored.Jobs, func(i, k int) bool { return stored.Jobs[i].Offset < stored.Jobs[k].Offset })
+	for _, j := range stored.Jobs {
 		c.Submit(now, j)
 	}
 	return c
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -11,11 +11,11 @@
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
-// maxCrashes is the number of workers after whose crash a task must not be started again. A submission may be given up
-// after two crashes; usualCrashes allows one more.
+// crashBound is the number of workers after whose crash a task must not be started again. A submission may be given up
+// after two crashes; usualCrashBound allows one more.
 const (
-	maxCrashes   = 5
-	usualCrashes = 3
+	crashBound      = 5
+	usualCrashBound = 3
 )
 
 var smallTask = resource.Vector{MilliCores: 500, MemoryMB: 100}
@@ -44,21 +44,23 @@
 		downtime    time.Duration
 		takeOvers   []time.Duration
 		mostCrashes int
+		silent      bool
 	}{
 		"short":                    {step: step},
 		"long-running":             {step: lasting},
+		"silent":                   {step: step, silent: true, mostCrashes: crashBound},
 		"gang":                     {step: gang},
 		"same id":                  {step: step, keepsID: true},
 		"back after the lease":     {step: step, downtime: 8 * time.Second},
-		"crash after a second":     {step: lasting, delay: time.Second, mostCrashes: maxCrashes},
+		"crash after a second":     {step: lasting, delay: time.Second, mostCrashes: crashBound},
 		"owner lost between":       {step: step, takeOvers: []time.Duration{7 * time.Second}},
 		"owner lost after a crash": {step: step, takeOvers: []time.Duration{100 * time.Millisecond}},
-		"owner lost twice": {step: lasting, mostCrashes: maxCrashes,
+		"owner lost twice": {step: lasting, mostCrashes: crashBound,
 			takeOvers: []time.Duration{100 * time.Millisecond, 9 * time.Second}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			sim := newSimulation(t, 1, 8)
-			sim.keepsID = test.keepsID
+			sim.keepsID, sim.silentCrashes = test.keepsID, test.silent
 			if test.downtime > 0 {
 				sim.downtime = test.downtime
 			}
@@ -74,7 +76,7 @@
 			}
 			sim.run(start + time.Minute - sim.now)
 			assert.Equal(t, workflow.Failed, sim.state("deadly"))
-			assert.LessOrEqual(t, sim.crashes[deadly], max(test.mostCrashes, usualCrashes))
+			assert.LessOrEqual(t, sim.crashes[deadly], max(test.mostCrashes, usualCrashBound))
 			for _, id := range sound {
 				assert.Equal(t, workflow.Done, sim.state(id), "%s must not be blamed", id)
 			}
@@ -101,3 +103,33 @@
 		assert.Equal(t, workflow.Done, sim.state(id), id)
 	}
 }
+
+func TestSuspectsOutliveTheOwner(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	deadly := workflow.TaskID{Job: "deadly"}
+	sim.crashDelays = map[workflow.TaskID]time.Duration{deadly: 10 * time.Millisecond}
+	sim.submit("deadly", workflow.Step{Count: 1, Size: smallTask, Estimate: time.Second})
+	sim.run(5 * time.Second)
+	sim.takeOver()
+	task := sim.core.jobs["deadly"].rounds[0].steps[0].tasks[0]
+	assert.Equal(t, 1, task.crashes.Total)
+	assert.Equal(t, blameAlone, task.crashes.Blame)
+}
+
+func TestTasksOfWorkersThatWereCutOffAreNotGivenUp(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.submit("service", workflow.Step{Count: 1, Size: smallTask, Estimate: time.Second, LongRunning: true})
+	for range 5 {
+		sim.run(time.Second)
+		for _, f := range sim.workers {
+			f.disconnected = len(f.running) > 0
+		}
+		sim.run(8 * time.Second)
+		for id, f := range sim.workers {
+			if f.disconnected {
+				sim.restart(id)
+			}
+		}
+	}
+	assert.Equal(t, workflow.Running, sim.state("service"))
+}
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -31,6 +31,8 @@
 		c.loseEarlierIncarnations(now, w)
 	}
 	w.observeClock(now, a.Clock)
+	// The worker has been cut off and has not crashed.
+	w.lost = nil
 	w.answeredAt, w.failingSince, w.retryInterval = now, 0, 0
 	if !w.fenced {
 		w.fenced, c.planNeeded = true, true
@@ -271,6 +273,7 @@
 		}
 		seen[t] = struct{}{}
 		t.observe(now, r)
+		c.clearSuspicion(t)
 		c.moveStalled(now, t)
 	}
 	for t := range w.tasks {
--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -104,7 +104,6 @@
 	if delay, ok := sim.crashDelays[c.Task]; ok {
 		sim.schedule(delay, func() {
 			if sim.workers[f.id] == f && f.running[c.Attempt] != nil {
-				sim.crashes[c.Task]++
 				sim.crash(f)
 			}
 		})
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -46,10 +46,15 @@
 	answeredAt    time.Duration
 	// failingSince is when a lease call first failed after the last answer; 0 if none has.
 	failingSince time.Duration
+	// connectionLost reports whether that call failed because the connection was closed or refused.
+	connectionLost bool
 	// retryInterval is the time between two lease calls while they fail; 0 otherwise.
 	retryInterval time.Duration
 	// succeeded is set once another incarnation has answered at the worker's address.
 	succeeded bool
+	// lost holds attempts whose lease expired at lostAt while it was unknown whether the worker had crashed.
+	lost   []lostAttempt
+	lostAt time.Duration
 	// The following fields influence the choice of workers.
 	consecutiveFailures int
 	quarantinedUntil    time.Duration
@@ -255,8 +260,13 @@
 
 // loseEarlierIncarnations ends the attempts that records place on an earlier incarnation of the worker.
 func (c *Core) loseEarlierIncarnations(now time.Duration, w *worker) {
+	crashCounted := false
 	for t := range w.tasks {
 		if t.workerStartedAt != 0 && t.workerStartedAt < w.StartedAt {
+			if !crashCounted {
+				crashCounted = true
+				c.workerCrashed(w, w.StartedAt)
+			}
 			c.attemptLost(now, t, "worker restarted")
 		}
 	}
@@ -283,6 +293,7 @@
 
 // workerRestarted applies a restart of a worker: its attempts have ended, and it no longer refuses earlier owners.
 func (c *Core) workerRestarted(now time.Duration, w *worker, startedAt int64) {
+	c.workerCrashed(w, startedAt)
 	c.logger.Info("worker restarted", "worker", w.ID, "before", w.StartedAt, "born", startedAt, "tasks", len(w.tasks))
 	w.StartedAt, w.fenced = startedAt, false
 	// The recorded silence concerns the earlier incarnation.
--- a/internal/dispatch/heavy_test.go
+++ b/internal/dispatch/heavy_test.go
@@ -14,7 +14,6 @@
 	"github.com/stretchr/testify/require"
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
-	"clementinewalk.example/clementinewalk/internal/interference"
 	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
@@ -284,8 +283,8 @@
 	const workers, submissions, tasksEach = 350, 1000, 20
 	config := testConfig()
 	now := time.Minute
-	c := New(Params{Lease: 6 * time.Second, Isolation: 5 * time.Second}, 1, now, now,
-		func() time.Time { return time.Unix(60, 0) }, discardLogger(), config, nil, nil, interference.State{})
+	c := New(Params{Lease: 6 * time.Second, Isolation: 5 * time.Second}, 1, now,
+		func() time.Time { return time.Unix(60, 0) }, discardLogger(), config, Stored{})
 	for i := range workers {
 		id := fmt.Sprintf("w%03d", i)
 		c.SetMember(now, Member{Incarnation: Incarnation{ID: id, StartedAt: 1}, Pool: "pool", Addr: "addr",
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -118,6 +118,11 @@
 	// evictions and stallMoves are how often the task was moved because it was throttled or stalled.
 	evictions  int
 	stallMoves int
+	// crashes counts the workers that crashed under the task; crashedRun is the newest run that was counted.
+	crashes    catalog.Crashes
+	crashedRun int
+	// lostUnproven is set when an attempt was lost before its worker had outlived the start by startProof.
+	lostUnproven bool
 	// objectiveViolation tracks how far the tail latency of a service task is over its objective.
 	objectiveViolation objectiveViolation
 	// avoidWorker is the worker that refused or failed the last attempt, or from which it was moved. Placement
@@ -216,6 +221,9 @@
 // answer of its worker shows whether it is.
 func (c *Core) restoreTask(t *task, r *workflow.TaskRecord) {
 	t.phase, t.run, t.failures, t.checkpoint = r.Phase, r.Run, r.Failures, r.Checkpoint
+	if crashes, ok := c.storedCrashes[t.id.String()]; ok {
+		t.crashes, c.suspects[t] = crashes, struct{}{}
+	}
 	if r.Phase != workflow.Placed {
 		return
 	}
--- a/internal/dispatch/outage_test.go
+++ b/internal/dispatch/outage_test.go
@@ -11,7 +11,6 @@
 	"github.com/stretchr/testify/require"
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
-	"clementinewalk.example/clementinewalk/internal/interference"
 	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
@@ -138,8 +137,8 @@
 			Steps: []workflow.Step{batchStep(2, time.Second), batchStep(1, time.Second, 0)}}, Record: malformedRecord(rng)}
 		job.Submission.Steps[1].Gang = seed%2 == 0
 		sim := newSimulation(t, seed, 2)
-		core := New(sim.params, 2, sim.now, sim.now, func() time.Time { return time.Unix(0, int64(sim.now)) }, discardLogger(),
-			testConfig(), []*catalog.Job{job}, nil, interference.State{})
+		core := New(sim.params, 2, sim.now, func() time.Time { return time.Unix(0, int64(sim.now)) }, discardLogger(),
+			testConfig(), Stored{PredecessorUntil: sim.now, Jobs: []*catalog.Job{job}})
 		sim.core = core
 		sim.steps[job.Submission.Job] = job.Submission.Steps
 		sim.listWorkers()
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -143,8 +143,12 @@
 		return p.placeGang(t.step)
 	}
 	var filter func(*worker) bool
-	if t.lastAttempt() && p.now-t.queuedAt < lastAttemptWait {
-		filter = func(w *worker) bool { return w.consecutiveFailures == 0 }
+	waited := p.now - t.queuedAt
+	spared, apart := t.lastAttempt() && waited < lastAttemptWait, t.suspected() && waited < maxSuspectWait
+	if spared || apart {
+		filter = func(w *worker) bool {
+			return !(spared && w.consecutiveFailures > 0) && !(apart && w.hasUnprovenStart(t.job()))
+		}
 	}
 	node := p.chooseNode(t, filter)
 	if node == nil {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/workflow"
@@ -155,6 +159,17 @@
 // Unwrap returns the cause.
 func (e *NoAnswerError) Unwrap() error { return e.Err }
 
+// connectionLost reports whether a call failed because the connection was closed or refused. A worker that is cut off
+// does neither.
+func connectionLost(err error) bool {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.ECONNREFUSED, syscall.EPIPE} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // Workers sends calls to workers. Each method returns *RefusedError or *NoAnswerError.
 type Workers interface {
 	Start(ctx context.Context, m Member, c StartCall) (CallAnswer, error)
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -56,12 +57,14 @@
 	// doneConfirmed holds the tasks whose successful end was confirmed to a worker, except ends up to lapsedEnd.
 	doneConfirmed map[workflow.TaskID]bool
 	// crashDelays holds the tasks that crash each worker, with the time from their start to the crash; crashes counts
-	// the workers that crashed under each.
+	// the workers that crashed under any task.
 	crashDelays map[workflow.TaskID]time.Duration
 	crashes     map[workflow.TaskID]int
 	// downtime is how long a crashed worker is away. It returns under a new id unless keepsID is set.
 	downtime time.Duration
 	keepsID  bool
+	// silentCrashes makes calls to a crashed worker time out instead of being refused.
+	silentCrashes bool
 	// generation numbers the workers that returned under new ids.
 	generation int
 }
@@ -111,8 +114,10 @@
 	sim.predecessorUntil = max(sim.predecessorUntil, sim.now)
 	sim.epoch++
 	sim.pendingBatch = nil
-	sim.core = New(sim.params, sim.epoch, sim.now, sim.predecessorUntil, func() time.Time { return time.Unix(0, int64(sim.now)) },
-		discardLogger(), testConfig(), sim.catalog.All(), sim.silentLeases(), sim.catalog.InterferenceState())
+	sim.core = New(sim.params, sim.epoch, sim.now, func() time.Time { return time.Unix(0, int64(sim.now)) },
+		discardLogger(), testConfig(), Stored{PredecessorUntil: sim.predecessorUntil, Jobs: sim.catalog.All(),
+			SilentLeases: sim.silentLeases(), Suspects: sim.catalog.Suspects(),
+			Interference: sim.catalog.InterferenceState()})
 	sim.listWorkers()
 }
 
@@ -303,6 +308,10 @@
 			answer(func() { sim.reportError(core, o, err) })
 			return
 		}
+		if f == nil && !sim.silentCrashes {
+			answer(func() { sim.reportError(core, o, &NoAnswerError{Err: io.EOF}) })
+			return
+		}
 		if f == nil || f.disconnected {
 			sim.schedule(250*time.Millisecond, func() { answer(func() { sim.reportNoAnswer(core, o) }) })
 			return
@@ -348,7 +357,7 @@
 }
 
 func (sim *simulation) reportNoAnswer(core *Core, o Order) {
-	sim.reportError(core, o, &NoAnswerError{Err: io.EOF})
+	sim.reportError(core, o, &NoAnswerError{Err: context.DeadlineExceeded})
 }
 
 func (sim *simulation) reportError(core *Core, o Order, err error) {
@@ -412,6 +421,7 @@
 
 // restart gives a worker a new incarnation under its id.
 func (sim *simulation) restart(id string) {
+	sim.countCrashes(sim.workers[id])
 	f := sim.addWorker(id)
 	sim.core.SetMember(sim.now, sim.member(f))
 }
@@ -426,8 +436,16 @@
 	return nil
 }
 
+// countCrashes counts the end of a worker for each task that it runs.
+func (sim *simulation) countCrashes(f *fakeWorker) {
+	for a := range f.running {
+		sim.crashes[a.Task]++
+	}
+}
+
 // crash ends a worker with all its attempts. It returns after the downtime, when the old entry has expired.
 func (sim *simulation) crash(f *fakeWorker) {
+	sim.countCrashes(f)
 	delete(sim.workers, f.id)
 	sim.schedule(sim.downtime, func() {
 		id := f.id
