Blame a task also where its start was not confirmed

Cause: a crash counted only for starts that the worker had confirmed to this owner. One start was cut short by the crash itself, another had been sent by the owner that was killed. Change: such an attempt counts with less weight, because it may not have begun, and not in the number of crashes.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -20,10 +20,11 @@
 	// A crash before that counts with blameAlone if the worker has no other task without proof and did not crash together
 	// with others, and with blameShared otherwise. Tasks of one submission count as one: they are given up together.
 	// When a worker crashed is known only if it closed its connections. One that fell silent may have been cut off first,
-	// and may have crashed after the end of the attempt; that counts with blameSilent.
-	blameAlone  = 8
-	blameShared = 4
-	blameSilent = 3
+	// and may have crashed after the end of the attempt; that counts with blameUncertain, and so does an attempt that may
+	// not have begun.
+	blameAlone     = 8
+	blameShared    = 4
+	blameUncertain = 3
 	// A task is given up when its blame reaches maxBlame, or after maxCrashes crashes at any time after the start.
 	maxBlame   = 12
 	maxCrashes = 4
@@ -47,6 +48,8 @@
 	// startedAt is when the worker confirmed the start, proven whether it is known to have outlived it by startProof.
 	startedAt time.Duration
 	proven    bool
+	// uncertain is set if the worker did not confirm the start.
+	uncertain bool
 }
 
 // outlivedStart returns for how long the worker is known to have worked on after it confirmed the start of the task; 0
@@ -61,7 +64,7 @@
 func (t *task) startProven() bool { return t.outlivedStart() >= startProof }
 
 // suspected reports whether the task may have crashed a worker.
-func (t *task) suspected() bool { return t.crashes.Total > 0 || t.lostUnproven }
+func (t *task) suspected() bool { return t.crashes != catalog.Crashes{} || t.lostUnproven }
 
 // hasUnprovenStart reports whether a task of another submission was placed on the worker recently.
 func (w *worker) hasUnprovenStart(j *job) bool {
@@ -84,10 +87,14 @@
 	return false
 }
 
-// attemptLostWith returns the attempt of a task that is lost with its worker, and false if the worker has not confirmed
-// the start: an attempt that may never have run must not count.
+// attemptLostWith returns the attempt of a task that is lost with its worker, and false if nothing shows that the worker
+// has received the start. It is uncertain if an earlier owner sent the start, or if the connection was closed before the
+// answer.
 func (t *task) attemptLostWith() (lostAttempt, bool) {
-	return lostAttempt{task: t, run: t.run, startedAt: t.startedAt, proven: t.startProven()}, t.startedAt != 0
+	confirmed := t.startedAt != 0
+	adopted := t.startCalls == 0 && t.startState == startSettled
+	return lostAttempt{task: t, run: t.run, startedAt: t.startedAt, proven: t.startProven(), uncertain: !confirmed},
+		confirmed || adopted || t.startCutShort
 }
 
 // noteLost keeps the attempts of a worker whose lease has expired until it is known whether the worker has crashed.
@@ -135,7 +142,7 @@
 	unproven := map[*job]struct{}{}
 	for i := range lost {
 		a := &lost[i]
-		a.proven = a.proven || !silent && w.failingSince-a.startedAt >= startProof
+		a.proven = a.proven || !silent && !a.uncertain && w.failingSince-a.startedAt >= startProof
 		if !a.proven {
 			unproven[a.task.job()] = struct{}{}
 		}
@@ -147,8 +154,8 @@
 		case a.proven && silent:
 			continue
 		case a.proven:
-		case silent:
-			blame = blameSilent
+		case silent, a.uncertain:
+			blame = blameUncertain
 		case len(unproven) == 1 && !together:
 			blame = blameAlone
 		default:
@@ -175,7 +182,9 @@
 		return
 	}
 	t.crashedRun = a.run
-	t.crashes.Total++
+	if !a.uncertain {
+		t.crashes.Total++
+	}
 	t.crashes.Blame += blame
 	c.suspects[t], c.suspectsChanged = struct{}{}, true
 	c.logger.Info("worker crashed under task", "task", t.id, "run", a.run, "worker", w.ID, "blame", blame,
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -49,6 +50,7 @@
 		"short":                    {step: step},
 		"long-running":             {step: lasting},
 		"silent":                   {step: step, silent: true, mostCrashes: crashBound},
+		"before the answer":        {step: step, delay: time.Millisecond, mostCrashes: crashBound},
 		"gang":                     {step: gang},
 		"same id":                  {step: step, keepsID: true},
 		"back after the lease":     {step: step, downtime: 8 * time.Second},
@@ -65,7 +67,7 @@
 				sim.downtime = test.downtime
 			}
 			deadly := workflow.TaskID{Job: "deadly", Index: 1}
-			sim.crashDelays = map[workflow.TaskID]time.Duration{deadly: max(test.delay, 10*time.Millisecond)}
+			sim.crashDelays = map[workflow.TaskID]time.Duration{deadly: cmp.Or(test.delay, 10*time.Millisecond)}
 			sound := sim.sound(60)
 			sim.run(2 * time.Second)
 			start := sim.now
--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -32,7 +32,9 @@
 	// failsAttempts makes every attempt fail at its end.
 	failsAttempts bool
 	// addr is the address, which a successor takes over.
-	addr     string
+	addr string
+	// crashed is set once the worker has closed its connections; answers on their way are lost.
+	crashed  bool
 	capacity resource.Vector
 	// enforcesCapacity makes the worker refuse starts for which it has no room.
 	enforcesCapacity bool
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -121,6 +121,8 @@
 	// crashes counts the workers that crashed under the task; crashedRun is the newest run that was counted.
 	crashes    catalog.Crashes
 	crashedRun int
+	// startCutShort is set when the connection was closed before the worker answered the start.
+	startCutShort bool
 	// lostUnproven is set when an attempt was lost before its worker had outlived the start by startProof.
 	lostUnproven bool
 	// objectiveViolation tracks how far the tail latency of a service task is over its objective.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -249,6 +249,7 @@
 	c := p.core
 	w := c.workers[n.ID]
 	t.run, t.workerStartedAt, t.startState, t.commitBatch, t.startCalls = run, w.StartedAt, startUncommitted, 0, 0
+	t.startCutShort = false
 	w.addTask(t)
 	j := t.job()
 	j.placed++
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -287,8 +287,13 @@
 	}
 	member := orderMember(o)
 	answer := func(do func()) {
+		sender := sim.workers[member.ID]
 		sim.schedule(oneWayDelay, func() {
-			if sim.core == core {
+			switch {
+			case sim.core != core:
+			case sender != nil && sender.crashed && !sim.silentCrashes:
+				sim.reportError(core, o, &NoAnswerError{Err: io.EOF})
+			default:
 				do()
 			}
 		})
@@ -446,6 +451,7 @@
 // crash ends a worker with all its attempts. It returns after the downtime, when the old entry has expired.
 func (sim *simulation) crash(f *fakeWorker) {
 	sim.countCrashes(f)
+	f.crashed = true
 	delete(sim.workers, f.id)
 	sim.schedule(sim.downtime, func() {
 		id := f.id
