Blame tasks for crashes at the same time in different racks

Cause: workers that stopped answering within half a second counted as lost together wherever they were, which lowered the blame. Several such tasks are started at the same moment when the leases of their first workers expire. Change: only others of the same rack count.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -18,8 +18,8 @@
 	// startProof is how long a worker must outlive the start of a task to show that the start does not crash it.
 	startProof = 200 * time.Millisecond
 	// A crash before that counts with blameAlone if the worker has no other task without proof and did not crash together
-	// with others, and with blameShared otherwise. Tasks of one submission count as one: they are given up together.
-	// When a worker crashed is known only if it closed its connections. One that fell silent may have been cut off first,
+	// with others of its rack, and with blameShared otherwise. Tasks of one submission count as one: they are given up
+	// together. When a worker crashed is known only if it closed its connections. One that fell silent may have been cut off first,
 	// and may have crashed after the end of the attempt; that counts with blameUncertain, and so does an attempt that may
 	// not have begun.
 	blameAlone     = 8
@@ -30,7 +30,7 @@
 	maxCrashes = 4
 	// crashMemory is the run time after which earlier crashes no longer count.
 	crashMemory = time.Minute
-	// Workers that stop answering within groupInterval, with at least minGroup others, have crashed together.
+	// Workers that stop answering within groupInterval, with at least minGroup others of their rack, have crashed together.
 	groupInterval = 500 * time.Millisecond
 	minGroup      = 2
 	// maxSuspectWait limits how long a suspected task waits for a worker without another recent start.
@@ -165,11 +165,11 @@
 	}
 }
 
-// crashedTogether reports whether other workers stopped answering at the same time as w, as when a rack is lost.
+// crashedTogether reports whether others of its rack stopped answering at the same time as w, as when a rack is lost.
 func (c *Core) crashedTogether(w *worker) bool {
 	others := 0
 	for _, o := range c.workers {
-		if o != w && o.failingSince != 0 && (o.failingSince-w.failingSince).Abs() <= groupInterval {
+		if o != w && o.Rack == w.Rack && o.failingSince != 0 && (o.failingSince-w.failingSince).Abs() <= groupInterval {
 			others++
 		}
 	}
