Let an owner state when no owner before it acts any more

Cause: a successor cannot know whether owners before a released or restarted one have ended, unless it has watched for as long. Change: an owner stores that once its tenure has lasted for the isolation limit. A successor of a released or restarted owner that has stored it waits for a lease only. Own tenures count from their end. Measured: TestLeasesOfAPredecessorCountFromItsLastRecord covers the cases; TestLeasesOfAnEarlierTenureCountFromItsEnd failed before the last part.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -21,6 +21,7 @@
 	interferenceKey = "interference"
 	silentKey       = "silent"
 	suspectsKey     = "suspects"
+	settledKey      = "settled"
 )
 
 // SubmissionEntry returns the entry with which a submission is accepted. Its error is a *workflow.EncodeError.
@@ -61,6 +62,13 @@
 	return eventlog.Entry{Key: ownerKey, Value: b}, err
 }
 
+// SettledEntry returns the entry with which an owner states that no owner before its epoch acts any more. Its error is a
+// *workflow.EncodeError.
+func SettledEntry(epoch int64) (eventlog.Entry, error) {
+	b, err := workflow.Encode("settled epoch", epoch)
+	return eventlog.Entry{Key: settledKey, Value: b}, err
+}
+
 // InterferenceEntry returns the entry with the state of the interference model. Its error is a *workflow.EncodeError.
 func InterferenceEntry(s interference.State) (eventlog.Entry, error) {
 	b, err := workflow.Encode("interference", s)
@@ -142,6 +150,8 @@
 	// suspects holds the recorded crashes by the name of the task; suspectsOffset is the offset of the record in the log.
 	suspects       map[string]Crashes
 	suspectsOffset int64
+	// settled is the newest epoch whose owner has stated that no owner before it acts any more.
+	settled int64
 }
 
 // New returns an empty catalog.
@@ -333,6 +343,9 @@
 		case suspectsKey:
 			c.applySuspects(e)
 			continue
+		case settledKey:
+			c.applySettled(e)
+			continue
 		}
 		if e.Value == nil {
 			delete(c.orphans, workflow.JobID(e.Key))
@@ -424,6 +437,22 @@
 	c.suspects, c.suspectsOffset = suspects, e.Offset
 }
 
+func (c *Catalog) applySettled(e eventlog.Entry) {
+	var epoch int64
+	if err := workflow.Decode("settled epoch", e.Value, &epoch); err != nil {
+		c.logger.Error("cannot decode settled epoch, ignoring it", "offset", e.Offset, "error", err)
+		return
+	}
+	c.settled = max(c.settled, epoch)
+}
+
+// Settled reports whether the owner of an epoch has stated that no owner before it acts any more.
+func (c *Catalog) Settled(epoch int64) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.settled == epoch
+}
+
 // Suspects returns the tasks under which workers have crashed, by the name of the task.
 func (c *Catalog) Suspects() map[string]Crashes {
 	c.mu.RLock()
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -17,9 +17,9 @@
 var workerListPollIntervals = eventlog.PollIntervals{Wait: 600 * time.Millisecond, Pause: 250 * time.Millisecond}
 
 // observeOwnership applies the newest ownership in the log, and steps down if a later owner has claimed.
-func (o *Owner) observeOwnership(now time.Duration, newest catalog.Ownership) {
+func (o *Owner) observeOwnership(newest catalog.Ownership) {
 	if newest.Epoch > o.newestEpoch {
-		o.newestEpoch, o.claimedEpochRead = newest.Epoch, now
+		o.newestEpoch = newest.Epoch
 		o.logger.Info("newer ownership read from the log", "epoch", newest.Epoch, "owner", newest.Instance)
 	}
 	if o.core != nil && newest.Epoch > o.epoch {
@@ -40,8 +40,7 @@
 		return
 	}
 	owner := o.catalog.Owner()
-	// An owner with the name of this instance was an earlier process, which has ended.
-	ended := owner.Released || owner.Instance == o.settings.Instance
+	ended := o.ended(owner)
 	// Silence counts up to the newest read only: the owner may have written since.
 	readUpTo, _ := o.views.Progress.AsOf()
 	if owner.Epoch > 0 && !ended && readUpTo-o.lastOwnerWrite < claimSilence {
@@ -92,7 +91,7 @@
 
 func (o *Owner) claim(ctx context.Context, now time.Duration, previous catalog.Ownership) {
 	o.claimInFlight = true
-	o.noteRelease(now, previous)
+	o.predecessorsEnded = o.ended(previous) && o.catalog.Settled(previous.Epoch)
 	// The log accepts one claim for each epoch: the random sequence number of any other claim does not follow it.
 	p := eventlog.Producer{Name: producerName, Epoch: previous.Epoch + 1, Sequence: rand.Int64N(1<<40) + 1}
 	own := catalog.Ownership{Epoch: p.Epoch, Instance: o.settings.Instance, Claim: uuid.NewString()}
@@ -120,9 +119,10 @@
 	}()
 }
 
-// noteRelease notes whether the predecessor of a claim has released an ownership that was older than the isolation limit.
-func (o *Owner) noteRelease(now time.Duration, previous catalog.Ownership) {
-	o.releasedLate = previous.Released && now-o.claimedEpochRead >= o.settings.Isolation
+// ended reports whether an owner has certainly stopped acting: it has released the ownership, or it was an earlier process
+// of this instance.
+func (o *Owner) ended(owner catalog.Ownership) bool {
+	return owner.Released || owner.Instance == o.settings.Instance
 }
 
 // takeOver starts the tenure: everything that was stored before the claim has been read.
@@ -136,6 +136,7 @@
 		PredecessorUntil: o.predecessorUntil(), Jobs: o.catalog.All(), SilentLeases: o.catalog.SilentLeases(),
 		Suspects: o.catalog.Suspects(), Interference: o.catalog.InterferenceState()})
 	o.core.metrics = o.metrics
+	o.tenureStart, o.settled = now, false
 	o.lastAppend, o.nextAppend, o.lastModelStore, o.lastRemoval, o.unremovedProgress = now, now, now, now, nil
 	// Calls and appends of an earlier tenure may still be in flight; they do not count in this one.
 	o.appendInFlight, o.callsInFlight = false, 0
@@ -153,7 +154,8 @@
 	o.core = nil
 	o.metrics.reset()
 	o.cancelTenure()
-	o.lastOwnerWrite = clock.Now()
+	now := clock.Now()
+	o.lastOwnerWrite, o.predecessorRead = now, now
 	o.onRole(false)
 }
 
--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/clock"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 )
 
@@ -20,33 +22,41 @@
 	const isolation = 5 * time.Second
 	old, claim := catalog.Ownership{Epoch: 3, Instance: "x"}, catalog.Ownership{Epoch: 4, Instance: "i", Claim: "c"}
 	released := catalog.Ownership{Epoch: 3, Instance: "x", Released: true}
+	restarted := catalog.Ownership{Epoch: 3, Instance: "i"}
 	type read struct {
 		at      time.Duration
 		entries int
 		newest  catalog.Ownership
 	}
 	for name, test := range map[string]struct {
-		reads []read
-		want  time.Duration
+		reads   []read
+		settled int64
+		want    time.Duration
 	}{
 		"own claim": {want: 7 * time.Second,
 			reads: []read{{time.Second, 5, old}, {2 * time.Second, 1, old}, {4 * time.Second, 1, claim}}},
 		"records before the claim": {want: 9 * time.Second,
 			reads: []read{{time.Second, 5, old}, {4 * time.Second, 2, claim}}},
-		"nothing new":               {want: 6 * time.Second, reads: []read{{time.Second, 5, old}, {3 * time.Second, 0, old}}},
-		"released":                  {want: 9 * time.Second, reads: []read{{time.Second, 5, old}, {9 * time.Second, 1, released}}},
-		"released soon":             {want: 8 * time.Second, reads: []read{{time.Second, 5, old}, {3 * time.Second, 1, released}}},
-		"released before the start": {want: 6 * time.Second, reads: []read{{time.Second, 5, released}}},
+		"nothing new": {want: 6 * time.Second, reads: []read{{time.Second, 5, old}, {3 * time.Second, 0, old}}},
+		"released": {want: 9 * time.Second, settled: 3,
+			reads: []read{{time.Second, 5, old}, {9 * time.Second, 1, released}}},
+		"released before others had ended": {want: 14 * time.Second, settled: 2,
+			reads: []read{{time.Second, 5, old}, {9 * time.Second, 1, released}}},
+		"silent":          {want: 6 * time.Second, settled: 3, reads: []read{{time.Second, 5, old}}},
+		"earlier process": {want: time.Second, settled: 3, reads: []read{{time.Second, 5, restarted}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			o := &Owner{settings: Settings{Instance: "i", Params: Params{Isolation: isolation}},
-				events: make(chan func(time.Duration), 1), logger: discardLogger()}
+				events: make(chan func(time.Duration), 1), logger: discardLogger(), catalog: catalog.New(discardLogger())}
+			e, err := catalog.SettledEntry(test.settled)
+			require.NoError(t, err)
+			o.catalog.ApplyProgress([]eventlog.Entry{e})
 			for _, r := range test.reads {
 				o.ProgressRead(eventlog.Batch{Entries: make([]eventlog.Entry, r.entries)}, r.newest)
 				(<-o.events)(r.at)
 			}
 			last := test.reads[len(test.reads)-1]
-			o.noteRelease(last.at, last.newest)
+			o.predecessorsEnded = o.ended(last.newest) && o.catalog.Settled(last.newest.Epoch)
 			assert.Equal(t, test.want, o.predecessorUntil())
 		})
 	}
@@ -69,3 +79,10 @@
 	}
 	assert.Zero(t, instance(0.2, far).claimDelay(catalog.Ownership{Epoch: 3, Instance: "i"}), "its own earlier process")
 }
+
+func TestLeasesOfAnEarlierTenureCountFromItsEnd(t *testing.T) {
+	o := &Owner{predecessorsEnded: true, logger: discardLogger(), cancelTenure: func() {}, onRole: func(bool) {}}
+	before := clock.Now()
+	o.stepDown("test")
+	assert.GreaterOrEqual(t, o.predecessorUntil(), before)
+}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -144,12 +144,13 @@
 	// again after an interruption, or this instance ceased to be the owner. lastLogRead is when the log was last read.
 	lastOwnerWrite time.Duration
 	lastLogRead    time.Duration
-	// predecessorRead is when the newest record of another owner was read; claimedEpochRead is when the ownership of the
-	// newest epoch was. releasedLate is set if the predecessor of this instance's claim had released an ownership that
-	// was older than the isolation limit.
-	predecessorRead  time.Duration
-	claimedEpochRead time.Duration
-	releasedLate     bool
+	// predecessorRead is when the newest record of another owner was read. predecessorsEnded is set if neither the
+	// predecessor of this instance's claim nor any owner before it acts any more.
+	predecessorRead   time.Duration
+	predecessorsEnded bool
+	// tenureStart is when this instance became the owner; settled is set once it has stored that no owner before it acts.
+	tenureStart time.Duration
+	settled     bool
 	// progressOffset is the offset up to which the owner's records have been read.
 	progressOffset int64
 	claimInFlight  bool
@@ -210,15 +211,14 @@
 		if n > 0 && !b.Reset {
 			o.lastOwnerWrite = now
 		}
-		o.observeOwnership(now, newest)
+		o.observeOwnership(newest)
 	})
 }
 
 // predecessorUntil returns the time until which previous owners may have granted leases. An owner acts for the isolation
-// limit after the last append that the log confirmed to it, and its last append was stored before it was read here. One
-// that has released its ownership grants none after it, and neither do those before it once the limit has passed.
+// limit after the last append that the log confirmed to it, and its last append was stored before it was read here.
 func (o *Owner) predecessorUntil() time.Duration {
-	if o.releasedLate {
+	if o.predecessorsEnded {
 		return o.predecessorRead
 	}
 	return o.predecessorRead + o.settings.Isolation
--- a/internal/dispatch/storing.go
+++ b/internal/dispatch/storing.go
@@ -83,6 +83,15 @@
 			entries = append(entries, e)
 		}
 	}
+	if !o.settled && now-o.tenureStart > o.settings.Isolation {
+		o.settled = true
+		e, err := catalog.SettledEntry(o.epoch)
+		if err != nil {
+			o.logger.Error("cannot encode settled epoch", "error", err)
+		} else {
+			entries = append(entries, e)
+		}
+	}
 	for _, id := range o.unremovedProgress {
 		entries = append(entries, catalog.RemoveProgressEntry(id))
 	}
