Count the silence of a worker that returns under its id

Seen by the review: a service whose worker was silent and then returned under its id waited behind short tasks from then on. Cause: the time since which the worker had not answered was reset before its attempts were given up. Change: it is reset afterwards.

--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -299,9 +299,9 @@
 	// The recorded silence concerns the earlier incarnation.
 	w.silence = silenceNone
 	w.succeeded = false
-	w.failingSince, w.retryInterval, w.consecutiveFailures, w.quarantinedUntil = 0, 0, 0, 0
 	// Tasks that remain were placed on the new incarnation by an earlier owner, which may have granted it a lease.
 	c.loseEarlierIncarnations(now, w)
+	w.failingSince, w.retryInterval, w.consecutiveFailures, w.quarantinedUntil = 0, 0, 0, 0
 	w.clockReading, w.clockReadAt, w.appliedEnd, w.confirmedEnd, w.sentConfirmation, w.endMarks = 0, 0, 0, 0, 0, nil
 	if len(w.tasks) == 0 {
 		w.leaseEnd = now
--- a/internal/dispatch/lost_test.go
+++ b/internal/dispatch/lost_test.go
@@ -36,3 +36,17 @@
 		assert.LessOrEqual(t, sim.now-killed, sim.params.Isolation+withDrift(sim.params.Lease)+placing)
 	}
 }
+
+func TestServiceOfARestartedWorkerHasWaitedSinceItsSilence(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.submit("service", workflow.Step{Count: 2, Size: smallTask, Estimate: time.Second, LongRunning: true})
+	sim.run(3 * time.Second)
+	lost := sim.core.jobs["service"].rounds[0].steps[0].tasks[0]
+	w := lost.worker
+	sim.workers[w.ID].disconnected = true
+	sim.run(3 * time.Second)
+	silentSince := w.failingSince
+	assert.NotZero(t, silentSince)
+	sim.restart(w.ID)
+	assert.Equal(t, silentSince, lost.queuedAt)
+}
