Allow for clock drift in the isolation limit of a predecessor

Seen by the review: a successor counted the isolation limit of its predecessor by its own clock, without the drift that leases are counted with. The earlier margin of a second or two had hidden that. Cause: the bound is exact since it counts from the last record. Change: the limit is extended by the same drift as a lease. Measured: TestLeasesOfAPredecessorCountFromItsLastRecord expects it.

--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -221,7 +221,7 @@
 	if o.predecessorsEnded {
 		return o.predecessorRead
 	}
-	return o.predecessorRead + o.settings.Isolation
+	return o.predecessorRead + withDrift(o.settings.Isolation)
 }
 
 // ConfigChanged reports that a newer configuration is in force.
