Keep services off an unhealthy worker for the pause

Cause: since a refused start keeps its waiting time, such a service ignores the quarantine at once. Change: an unhealthy worker also counts as full for the pause. Measured: TestServiceIsNotSentToAnUnhealthyWorkerAgainAndAgain failed before: 120 refusals in 8 s, at most 6 are allowed.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -81,7 +81,8 @@
 	case ReasonNoRoom:
 		w.fullUntil = now + noRoomPause
 	case ReasonUnhealthy:
-		w.quarantinedUntil = now + unhealthyPause
+		// Services that have waited ignore the quarantine, but must not be sent to an unhealthy worker again and again.
+		w.quarantinedUntil, w.fullUntil = now+unhealthyPause, now+unhealthyPause
 	case ReasonStaleAttempt:
 		// The worker has started or stopped this attempt before. Its next list shows whether the attempt is running.
 		t.startState, t.settledAt = startSettled, now
--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -33,6 +33,9 @@
 	failsAttempts bool
 	// addr is the address, which a successor takes over.
 	addr string
+	// unhealthy makes the worker refuse starts, which unhealthyRefusals counts.
+	unhealthy         bool
+	unhealthyRefusals int
 	// crashed is set once the worker has closed its connections; answers on their way are lost.
 	crashed  bool
 	capacity resource.Vector
@@ -79,6 +82,9 @@
 	switch {
 	case c.Epoch < f.highestEpoch:
 		return sim.refuse(f, ReasonFenced)
+	case f.unhealthy:
+		f.unhealthyRefusals++
+		return sim.refuse(f, ReasonUnhealthy)
 	case f.running[c.Attempt] != nil:
 		f.leaseUntil = max(f.leaseUntil, c.Deadline)
 		return CallAnswer{Clock: sim.clock(f), StartedAt: f.startedAt}, nil
--- a/internal/dispatch/lost_test.go
+++ b/internal/dispatch/lost_test.go
@@ -50,3 +50,11 @@
 	sim.restart(w.ID)
 	assert.Equal(t, silentSince, lost.queuedAt)
 }
+
+func TestServiceIsNotSentToAnUnhealthyWorkerAgainAndAgain(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.submit("service", workflow.Step{Count: 1, Size: smallTask, Estimate: time.Second, LongRunning: true})
+	sim.workers["a"].unhealthy = true
+	sim.run(8 * time.Second)
+	assert.LessOrEqual(t, sim.workers["a"].unhealthyRefusals, 1+int(8*time.Second/unhealthyPause))
+}
