Let a service that has waited use quarantined workers beside a task that has not

Seen by the review: a task of the same step that had waited for less hid quarantined workers from one that had waited for long. Cause: the workers without room were remembered for the step, not for what may be considered. Change: the key contains whether the wait has expired. Measured: TestServiceIsNotHiddenByAnotherTaskOfItsStep failed before.

--- a/internal/dispatch/lost_test.go
+++ b/internal/dispatch/lost_test.go
@@ -58,3 +58,19 @@
 	sim.run(8 * time.Second)
 	assert.LessOrEqual(t, sim.workers["a"].unhealthyRefusals, 1+int(8*time.Second/unhealthyPause))
 }
+
+func TestServiceIsNotHiddenByAnotherTaskOfItsStep(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	step := workflow.Step{Count: 2, Size: smallTask, Estimate: time.Second, LongRunning: true, MaxPerWorker: 1}
+	sim.submit("service", step)
+	sim.run(3 * time.Second)
+	tasks := sim.core.jobs["service"].rounds[0].steps[0].tasks
+	for i, waited := range []time.Duration{restartWait + 100*time.Millisecond, maxLongRunningWait + time.Second} {
+		w := tasks[i].worker
+		sim.core.attemptLost(sim.now, tasks[i], "test")
+		tasks[i].queuedAt, w.quarantinedUntil = sim.now-waited, sim.now+10*time.Second
+	}
+	sim.core.planNeeded = true
+	sim.core.Plan(sim.now + 20*time.Millisecond)
+	assert.Equal(t, workflow.Placed, tasks[1].phase)
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -78,7 +78,7 @@
 	// noRoom holds the sizes for which no worker had room. noCandidate holds the steps for which no worker that has the
 	// label and is below the limit of tasks per worker had room.
 	noRoom      map[noRoomKey]struct{}
-	noCandidate map[*step]struct{}
+	noCandidate map[noCandidateKey]struct{}
 	bound       *bestEffortBound
 	// held is the number of workers that get no other task in this plan.
 	held int
@@ -90,9 +90,14 @@
 	waitExpired bool
 }
 
+type noCandidateKey struct {
+	step        *step
+	waitExpired bool
+}
+
 func (c *Core) newPlan(now time.Duration) *plan {
 	return &plan{core: c, now: now, healthy: map[string][]*assign.Node{}, all: map[string][]*assign.Node{},
-		noRoom: map[noRoomKey]struct{}{}, noCandidate: map[*step]struct{}{}, bound: newBestEffortBound(c, now)}
+		noRoom: map[noRoomKey]struct{}{}, noCandidate: map[noCandidateKey]struct{}{}, bound: newBestEffortBound(c, now)}
 }
 
 // candidates returns the workers of a pool that may get tasks.
@@ -176,7 +181,7 @@
 	if _, ok := p.noRoom[key]; ok {
 		return nil
 	}
-	if _, ok := p.noCandidate[t.step]; ok {
+	if _, ok := p.noCandidate[noCandidateKey{t.step, waitExpired}]; ok {
 		return nil
 	}
 	nodes := p.candidates(terms.Pool)
@@ -200,7 +205,7 @@
 	// Filters that depend on the task are not cached. The bound on best-effort work has its own cache.
 	case n != nil || filter != nil || def.BestEffort:
 	case restricted:
-		p.noCandidate[t.step] = struct{}{}
+		p.noCandidate[noCandidateKey{t.step, waitExpired}] = struct{}{}
 	default:
 		p.noRoom[key] = struct{}{}
 	}
