Raise no suspicion for starts to a worker that is already gone

Seen by the review: a start whose connection was refused counted as an attempt during which the worker may have crashed. Cause: a refused connection shows that the worker is gone, but also that it cannot have received the start. Change: only a connection that was closed later counts as a start cut short.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -51,7 +51,7 @@
 		if t.startState == startInFlight {
 			t.startState = startUnanswered
 		}
-		t.hadUnansweredStart, t.startCutShort = true, t.startCutShort || connectionLost(err)
+		t.hadUnansweredStart, t.startCutShort = true, t.startCutShort || cutShort(err)
 		t.retryAt = now + callRetryDelay
 		c.needsOrder[t] = struct{}{}
 	}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -135,3 +135,17 @@
 	}
 	assert.Equal(t, workflow.Running, sim.state("service"))
 }
+
+func TestStartsToADeadWorkerRaiseNoSuspicion(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.run(time.Second)
+	dead := sim.workers["a"]
+	delete(sim.workers, "a")
+	sim.submit("sound", workflow.Step{Count: 1, Size: smallTask, Estimate: time.Second})
+	sim.run(200 * time.Millisecond)
+	task := sim.core.jobs["sound"].rounds[0].steps[0].tasks[0]
+	assert.Equal(t, workflow.Placed, task.phase)
+	sim.workers["a2"] = &fakeWorker{id: "a2", addr: dead.addr, startedAt: dead.startedAt + 5000, bornAt: sim.now}
+	sim.run(2 * time.Second)
+	assert.Zero(t, task.crashes)
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -170,6 +170,9 @@
 	return false
 }
 
+// cutShort reports whether the connection was closed after the call may have been received.
+func cutShort(err error) bool { return connectionLost(err) && !errors.Is(err, syscall.ECONNREFUSED) }
+
 // Workers sends calls to workers. Each method returns *RefusedError or *NoAnswerError.
 type Workers interface {
 	Start(ctx context.Context, m Member, c StartCall) (CallAnswer, error)
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sort"
+	"syscall"
 	"testing"
 	"time"
 
@@ -314,7 +315,7 @@
 			return
 		}
 		if f == nil && !sim.silentCrashes {
-			answer(func() { sim.reportError(core, o, &NoAnswerError{Err: io.EOF}) })
+			answer(func() { sim.reportError(core, o, &NoAnswerError{Err: syscall.ECONNREFUSED}) })
 			return
 		}
 		if f == nil || f.disconnected {
