--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -19,9 +19,9 @@
 	startProof = 200 * time.Millisecond
 	// A crash before that counts with blameAlone if the worker has no other task without proof and did not crash together
 	// with others of its rack, and with blameShared otherwise. Tasks of one submission count as one: they are given up
-	// together. When a worker crashed is known only if it closed its connections. One that fell silent may have been cut off first,
-	// and may have crashed after the end of the attempt; that counts with blameUncertain, and so does an attempt that may
-	// not have begun.
+	// together. When a worker crashed is known only if it closed its connections. One that fell silent may have been cut
+	// off first, and may have crashed after the end of the attempt; that counts with blameUncertain, and so does an
+	// attempt that may not have begun.
 	blameAlone     = 8
 	blameShared    = 4
 	blameUncertain = 3
