Log the phases of a start, and the calls and event delays of the owner

Cause: the logs could not tell an owner that is slow itself from workers that do not answer, nor say where the time from acceptance to start goes. Change: every 2 s a start summary (median and 95th percentile of read, wait, store and start) and a call summary (in flight, unanswered, longest delay of an event), and metrics of the same. Measured: tests of internal/dispatch pass.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -122,6 +122,8 @@
 		case t.worker.unschedulable() || t.worker.overcommitted() || t.job().state.Over():
 			c.revokePlacement(now, t)
 		default:
+			t.storedAt = now
+			c.timing.observe(phaseStore, now-t.placedAt)
 			c.sendStart(now, t)
 		}
 	}
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -40,6 +40,7 @@
 	case err == nil:
 		t.worker.observeClock(now, a.Clock)
 		t.startState, t.settledAt, t.startedAt = startSettled, now, now
+		c.timing.observe(phaseStart, now-t.storedAt)
 		if t.stopWanted {
 			c.needsOrder[t] = struct{}{}
 		}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -84,6 +84,7 @@
 	storedCrashes map[string]catalog.Crashes
 	// metrics may be nil.
 	metrics *Metrics
+	timing  phaseTimes
 	// objectives holds the latency objective of each service image.
 	objectives map[string]time.Duration
 }
@@ -139,6 +140,9 @@
 	j := c.jobs[stored.Submission.Job]
 	if j == nil {
 		j = c.addJob(now, stored)
+		if stored.Record == nil {
+			c.timing.observe(phaseRead, c.wallClock().Sub(stored.Submission.Accepted))
+		}
 	}
 	if stored.Cancelled && !j.cancelled && !j.state.Over() {
 		c.cancel(j)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -92,6 +92,8 @@
 	settledAt  time.Duration
 	startCalls int
 	retryAt    time.Duration
+	// placedAt is when the task was placed; storedAt is when its placement was stored.
+	placedAt, storedAt time.Duration
 	// hadUnansweredStart is set when a start call of this run had no answer or arrived after its deadline. The refusal
 	// of a later one then does not prove that the task is not running.
 	hadUnansweredStart bool
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -134,6 +134,7 @@
 	unremovedProgress []workflow.JobID
 	// callsInFlight counts the calls for whose outcome a hand-over waits.
 	callsInFlight int
+	load          callLoad
 	stopping      bool
 	// tenure is the context of the calls that this instance makes as owner. It is cancelled when the ownership ends.
 	tenure       context.Context
@@ -302,6 +303,7 @@
 	}
 	o.flush(o.tenure, now)
 	o.removeExpired(o.tenure, now)
+	o.load.log(now, o.logger, o.metrics)
 }
 
 // viewsFresh reports whether the views are new enough to place tasks.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -255,6 +255,8 @@
 	w := c.workers[n.ID]
 	t.run, t.workerStartedAt, t.startState, t.commitBatch, t.startCalls = run, w.StartedAt, startUncommitted, 0, 0
 	t.startCutShort = false
+	t.placedAt = p.now
+	c.timing.observe(phaseWait, p.now-t.queuedAt)
 	w.addTask(t)
 	j := t.job()
 	j.placed++
--- a/internal/dispatch/sending.go
+++ b/internal/dispatch/sending.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"clementinewalk.example/clementinewalk/internal/clock"
 )
 
 // sendOrders starts the calls for the core's orders.
@@ -16,10 +18,14 @@
 			counted = 0
 		}
 		o.callsInFlight += counted
+		o.load.started()
 		core := o.core
 		go func() {
-			report := o.executeOrder(ctx, core, now, order)
+			report, err := o.executeOrder(ctx, core, now, order)
+			answered := clock.Now()
 			o.post(func(now time.Duration) {
+				o.load.ended(err)
+				o.load.maxEventDelay = max(o.load.maxEventDelay, now-answered)
 				if o.core == core {
 					o.callsInFlight -= counted
 					report(now)
@@ -29,7 +35,8 @@
 	}
 }
 
-func (o *Owner) executeOrder(ctx context.Context, core *Core, sent time.Duration, order Order) func(time.Duration) {
+// executeOrder sends an order and returns the report of its outcome to the core, with the error of the call.
+func (o *Owner) executeOrder(ctx context.Context, core *Core, sent time.Duration, order Order) (func(time.Duration), error) {
 	switch c := order.(type) {
 	case AdviceOrder:
 		ids := make([]string, len(c.Workers))
@@ -37,22 +44,22 @@
 			ids[i] = l.ID
 		}
 		a, err := o.advisor.Advise(ctx, c.Step, ids, c.Takes)
-		return func(now time.Duration) { core.AdviceReturned(now, c, a, err) }
+		return func(now time.Duration) { core.AdviceReturned(now, c, a, err) }, err
 	case StartOrder:
 		a, err := o.workers.Start(ctx, c.Member, c.Call)
-		return func(now time.Duration) { core.StartReturned(now, c, a, err) }
+		return func(now time.Duration) { core.StartReturned(now, c, a, err) }, err
 	case StopOrder:
 		a, err := o.workers.Stop(ctx, c.Member, c.Call)
-		return func(now time.Duration) { core.StopReturned(now, c, a, err) }
+		return func(now time.Duration) { core.StopReturned(now, c, a, err) }, err
 	case CPULimitOrder:
 		a, err := o.workers.LimitCPU(ctx, c.Member, c.Call)
-		return func(now time.Duration) { core.CPULimitReturned(now, c, a, err) }
+		return func(now time.Duration) { core.CPULimitReturned(now, c, a, err) }, err
 	case LeaseOrder:
 		a, err := o.workers.Renew(ctx, c.Member, c.Call)
 		if err != nil {
-			return func(now time.Duration) { core.LeaseFailed(now, c, err) }
+			return func(now time.Duration) { core.LeaseFailed(now, c, err) }, err
 		}
-		return func(now time.Duration) { core.LeaseAnswered(now, sent, c, a) }
+		return func(now time.Duration) { core.LeaseAnswered(now, sent, c, a) }, nil
 	}
-	return func(time.Duration) {}
+	return func(time.Duration) {}, nil
 }
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -66,6 +66,7 @@
 	c.lastSummary = now
 	s := c.newSummary(now)
 	c.metrics.set(&s)
+	c.logger.Info("start summary", c.timing.take()...)
 	c.logger.Info("placement summary", "epoch", c.epoch, "workers", s.workers, "usable", s.usable, "silent", s.silent,
 		"placed", s.placed, "waiting", s.waiting, "image_mixtures", s.mixtures,
 		"waiting_services", s.waitingServices, "waiting_by_queue", s.waitingByQueue,
@@ -79,6 +80,9 @@
 type Metrics struct {
 	waiting *prometheus.GaugeVec
 	cores   *prometheus.GaugeVec
+	// calls holds the calls in flight and the longest delay of an event; answers counts the calls.
+	calls   *prometheus.GaugeVec
+	answers *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of an owner.
@@ -87,8 +91,12 @@
 		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_waiting_tasks",
 			Help: "Tasks that wait for a worker, by tier within their priority."}, []string{"tier"}),
 		cores: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_cores",
-			Help: "Cores of the usable workers, and what tasks reserve or request of them."}, []string{"use"})}
-	r.MustRegister(m.waiting, m.cores)
+			Help: "Cores of the usable workers, and what tasks reserve or request of them."}, []string{"use"}),
+		calls: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_load",
+			Help: "Calls to workers in flight, and the longest delay of an event in milliseconds."}, []string{"what"}),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_calls_total",
+			Help: "Calls to workers, by whether they were answered."}, []string{"outcome"})}
+	r.MustRegister(m.waiting, m.cores, m.calls, m.answers)
 	return m
 }
 
@@ -108,5 +116,18 @@
 	}
 }
 
+func (m *Metrics) setCalls(l *callLoad) {
+	if m == nil {
+		return
+	}
+	m.calls.WithLabelValues("in-flight").Set(float64(l.maxInFlight))
+	m.calls.WithLabelValues("event-delay-ms").Set(float64(l.maxEventDelay.Milliseconds()))
+	m.answers.WithLabelValues("answered").Add(float64(l.sent - l.unanswered))
+	m.answers.WithLabelValues("unanswered").Add(float64(l.unanswered))
+}
+
 // reset sets the metrics of an instance that is no longer the owner.
-func (m *Metrics) reset() { m.set(&summary{}) }
+func (m *Metrics) reset() {
+	m.set(&summary{})
+	m.setCalls(&callLoad{})
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -173,6 +173,12 @@
 // cutShort reports whether the connection was closed after the call may have been received.
 func cutShort(err error) bool { return connectionLost(err) && !errors.Is(err, syscall.ECONNREFUSED) }
 
+// isUnanswered reports whether a call had no answer.
+func isUnanswered(err error) bool {
+	var noAnswer *NoAnswerError
+	return errors.As(err, &noAnswer)
+}
+
 // Workers sends calls to workers. Each method returns *RefusedError or *NoAnswerError.
 type Workers interface {
 	Start(ctx context.Context, m Member, c StartCall) (CallAnswer, error)
