Make the owner's calls to workers through agents on other instances

What callers saw: on the large deployment first starts came 1.9 s after the hand-in and most cavity-cost answers late; in the small twin most starts had no answer. Cause: one instance made all calls to all workers; its processor (large) or link (small) was saturated, its calls waited there until their time limit was over, and their repetitions added load. Change: package agent.

--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"clementinewalk.example/clementinewalk/internal/agent"
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/dispatch"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
@@ -42,7 +43,23 @@
 	return platform.NewStore(s.StoreAddr, platform.NewTransport())
 }
 
-func newWorkers() dispatch.Workers { return platform.NewWorkerClient(platform.NewWorkerTransport()) }
+// newWorkers returns the calls that this instance makes itself, for its own ownership and for that of others.
+func newWorkers(s *platform.Settings) *agent.Limited {
+	return agent.NewLimited(platform.NewWorkerClient(platform.NewWorkerTransport()), s.LinkBytesPerSecond)
+}
+
+// newPool returns the calls of the owner.
+func newPool(s *platform.Settings, w *agent.Limited, c *catalog.Catalog, l *slog.Logger,
+	r *prometheus.Registry) *agent.Pool {
+	self := agent.Instance{Name: s.Instance, DataCentre: s.DataCentre, Cores: s.Cores,
+		LinkBytesPerSecond: s.LinkBytesPerSecond}
+	return agent.NewPool(self, w, agent.Limits{Task: platform.TaskCallTimeout, Lease: platform.LeaseCallTimeout},
+		relay.DialSession, c.Endpoints, process.WithPrefix(l, "agents"), r)
+}
+
+func newAgent(s *platform.Settings, w *agent.Limited, l *slog.Logger) *agent.Server {
+	return agent.NewServer(w, s.LinkBytesPerSecond, process.WithPrefix(l, "agent"))
+}
 
 func newAdvisor(s *platform.Settings) dispatch.Advisor {
 	return platform.NewAdvisor(s.AdvisorAddr, platform.NewTransport())
@@ -83,13 +100,15 @@
 	return api
 }
 
-func newRelay(s *platform.Settings, b *eventlog.Batcher, api *intake.API, l *slog.Logger) *node.Relay {
+func newRelay(s *platform.Settings, b *eventlog.Batcher, api *intake.API, a *agent.Server,
+	l *slog.Logger) *node.Relay {
 	return &node.Relay{Instance: s.Instance, Addr: s.RelayAddr, Log: b, Handler: intake.NewPeerHandler(b, api),
-		Logger: process.WithPrefix(l, "relay")}
+		Sessions: a, Published: catalog.Endpoint{DataCentre: s.DataCentre, Cores: s.Cores,
+			LinkBytesPerSecond: s.LinkBytesPerSecond}, Logger: process.WithPrefix(l, "relay")}
 }
 
 func newOwner(
-	s *platform.Settings, log eventlog.Log, w dispatch.Workers, a dispatch.Advisor, t node.Topics, q *queue.Current,
+	s *platform.Settings, log eventlog.Log, w *agent.Pool, a dispatch.Advisor, t node.Topics, q *queue.Current,
 	c *catalog.Catalog, v *node.Views, l *slog.Logger, r *prometheus.Registry,
 ) *dispatch.Owner {
 	settings := dispatch.Settings{Instance: s.Instance, Cores: s.Cores,
--- a/cmd/clementine-node/wire_gen.go
+++ b/cmd/clementine-node/wire_gen.go
@@ -22,11 +22,13 @@
 	catalog := newCatalog(l)
 	views := newViews(s, log, topics, catalog, current, l)
 	batcher := newBatcher(log, topics, l)
-	workers := newWorkers()
+	limited := newWorkers(s)
+	pool := newPool(s, limited, catalog, l, r)
 	advisor := newAdvisor(s)
-	owner := newOwner(s, log, workers, advisor, topics, current, catalog, views, l, r)
+	owner := newOwner(s, log, pool, advisor, topics, current, catalog, views, l, r)
 	api := newIntakeAPI(s, batcher, catalog, current, views, l, r)
-	relay := newRelay(s, batcher, api, l)
+	server := newAgent(s, limited, l)
+	relay := newRelay(s, batcher, api, server, l)
 	nodeNode := newNode(o, s, topics, current, views, batcher, owner, api, relay, l, r)
 	return nodeNode
 }
--- a/internal/catalog/endpoint.go
+++ b/internal/catalog/endpoint.go
@@ -17,6 +17,9 @@
 	Addr string
 	// Fingerprint is the SHA-256 hash of the relay's certificate.
 	Fingerprint []byte
+	DataCentre  string
+	// Cores is the processor time of the instance; LinkBytesPerSecond the bandwidth of its link, 0 if unknown.
+	Cores, LinkBytesPerSecond float64
 }
 
 // EndpointEntry returns the entry that publishes an endpoint. Its error is a *workflow.EncodeError.
@@ -62,6 +65,17 @@
 	return out[:min(n, len(out))]
 }
 
+// Endpoints returns the published endpoints.
+func (c *Catalog) Endpoints() []Endpoint {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	out := make([]Endpoint, 0, len(c.endpoints))
+	for _, e := range c.endpoints {
+		out = append(out, e)
+	}
+	return out
+}
+
 // CountInstances returns the number of instances with a published endpoint.
 func (c *Catalog) CountInstances() int {
 	c.mu.RLock()
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -278,7 +278,7 @@
 		}
 	}
 	if w.failingSince == 0 {
-		w.failingSince, w.connectionLost = now, connectionLost(err)
+		w.failingSince, w.connectionLost = now, ConnectionLost(err)
 		c.logger.Info("worker does not answer", "worker", w.ID, "error", err, "tasks", len(w.tasks))
 	}
 	w.retryInterval = min(max(2*w.retryInterval, minLeaseRetry), maxLeaseRetry)
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -154,6 +154,9 @@
 	o.core = nil
 	o.metrics.reset()
 	o.cancelTenure()
+	if r, ok := o.workers.(Router); ok {
+		r.Release()
+	}
 	now := clock.Now()
 	o.lastOwnerWrite, o.predecessorRead = now, now
 	o.onRole(false)
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -291,6 +291,17 @@
 	return ids
 }
 
+// Members returns the entries of the listed workers.
+func (c *Core) Members() []Member {
+	out := make([]Member, 0, len(c.workers))
+	for _, w := range c.workers {
+		if w.listed {
+			out = append(out, w.Member)
+		}
+	}
+	return out
+}
+
 // workerRestarted applies a restart of a worker: its attempts have ended, and it no longer refuses earlier owners.
 func (c *Core) workerRestarted(now time.Duration, w *worker, startedAt int64) {
 	c.workerCrashed(w, startedAt)
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -354,5 +354,8 @@
 		for _, m := range members {
 			o.core.SetMember(now, m)
 		}
+		if r, ok := o.workers.(Router); ok {
+			r.Route(o.core.Members())
+		}
 	})
 }
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -122,7 +122,7 @@
 	}
 	m.calls.WithLabelValues("in-flight").Set(float64(l.maxInFlight))
 	m.calls.WithLabelValues("event-delay-ms").Set(float64(l.maxEventDelay.Milliseconds()))
-	m.answers.WithLabelValues("answered").Add(float64(l.sent - l.unanswered))
+	m.answers.WithLabelValues("answered").Add(float64(l.answered))
 	m.answers.WithLabelValues("unanswered").Add(float64(l.unanswered))
 }
 
--- a/internal/dispatch/timing.go
+++ b/internal/dispatch/timing.go
@@ -59,14 +59,14 @@
 // itself, whose events and calls wait, from workers that do not answer.
 type callLoad struct {
 	inFlight, maxInFlight int
-	sent, unanswered      int
+	// answered and unanswered count the calls that have ended.
+	answered, unanswered int
 	// maxEventDelay is the longest time that an event has waited for the owner's goroutine.
 	maxEventDelay time.Duration
 	since         time.Duration
 }
 
 func (l *callLoad) started() {
-	l.sent++
 	l.inFlight++
 	l.maxInFlight = max(l.maxInFlight, l.inFlight)
 }
@@ -75,7 +75,9 @@
 	l.inFlight--
 	if isUnanswered(err) {
 		l.unanswered++
+		return
 	}
+	l.answered++
 }
 
 // log writes a summary once in each summaryInterval.
@@ -84,7 +86,7 @@
 		return
 	}
 	m.setCalls(l)
-	logger.Info("call summary", "in_flight", l.inFlight, "max_in_flight", l.maxInFlight, "sent", l.sent,
+	logger.Info("call summary", "in_flight", l.inFlight, "max_in_flight", l.maxInFlight, "answered", l.answered,
 		"unanswered", l.unanswered, "max_event_delay_ms", l.maxEventDelay.Milliseconds())
 	*l = callLoad{inFlight: l.inFlight, maxInFlight: l.inFlight, since: now}
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -159,9 +159,9 @@
 // Unwrap returns the cause.
 func (e *NoAnswerError) Unwrap() error { return e.Err }
 
-// connectionLost reports whether a call failed because the connection was closed or refused. A worker that is cut off
+// ConnectionLost reports whether a call failed because the connection was closed or refused. A worker that is cut off
 // does neither.
-func connectionLost(err error) bool {
+func ConnectionLost(err error) bool {
 	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.ECONNREFUSED, syscall.EPIPE} {
 		if errors.Is(err, cause) {
 			return true
@@ -171,7 +171,7 @@
 }
 
 // cutShort reports whether the connection was closed after the call may have been received.
-func cutShort(err error) bool { return connectionLost(err) && !errors.Is(err, syscall.ECONNREFUSED) }
+func cutShort(err error) bool { return ConnectionLost(err) && !errors.Is(err, syscall.ECONNREFUSED) }
 
 // isUnanswered reports whether a call had no answer.
 func isUnanswered(err error) bool {
@@ -179,6 +179,14 @@
 	return errors.As(err, &noAnswer)
 }
 
+// Router may be implemented by Workers that make calls through other instances.
+type Router interface {
+	// Route prepares the calls to the given workers, which are all that are listed.
+	Route(workers []Member)
+	// Release ends what Route has begun. Calls in progress end without an answer.
+	Release()
+}
+
 // Workers sends calls to workers. Each method returns *RefusedError or *NoAnswerError.
 type Workers interface {
 	Start(ctx context.Context, m Member, c StartCall) (CallAnswer, error)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -17,7 +17,11 @@
 	Addr    string
 	Log     *eventlog.Batcher
 	Handler relay.Handler
-	Logger  *slog.Logger
+	// Sessions serves the owner, which calls workers through this instance.
+	Sessions relay.Sessions
+	// Published is what the endpoint tells about the instance, beside its address.
+	Published catalog.Endpoint
+	Logger    *slog.Logger
 }
 
 const (
@@ -38,8 +42,11 @@
 		r.Logger.Warn("cannot listen, other instances cannot use this one", "addr", r.Addr, "error", err)
 		return
 	}
-	go r.publish(stopping, server.Endpoint())
-	server.Serve(serving, r.Handler)
+	endpoint := r.Published
+	served := server.Endpoint()
+	endpoint.Instance, endpoint.Addr, endpoint.Fingerprint = served.Instance, served.Addr, served.Fingerprint
+	go r.publish(stopping, endpoint)
+	server.Serve(serving, r.Handler, r.Sessions)
 }
 
 func (r *Relay) publish(stopping context.Context, endpoint catalog.Endpoint) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -63,7 +63,7 @@
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { defer close(done); s.Serve(ctx, h) }()
+	go func() { defer close(done); s.Serve(ctx, h, nil) }()
 	t.Cleanup(func() { cancel(); <-done })
 	return s
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -24,6 +24,8 @@
 
 const (
 	alpnProtocol = "clementine-relay"
+	// sessionProtocol is the protocol of connections that carry one long session instead of calls.
+	sessionProtocol = "clementine-session"
 	// maxStreams limits the concurrent calls of one peer.
 	maxStreams = 128
 	// requestTimeout limits the time to receive a request, answerTimeout that to carry it out and to answer.
@@ -61,7 +63,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	listener, err := quic.ListenAddr(addr, &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: []string{alpnProtocol},
+	listener, err := quic.ListenAddr(addr, &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: []string{alpnProtocol, sessionProtocol},
 		Certificates: []tls.Certificate{certificate}, SessionTicketsDisabled: true}, quicConfig())
 	if err != nil {
 		return nil, errors.WithStack(err)
@@ -89,8 +91,13 @@
 // Endpoint returns what peers need to call this server.
 func (s *Server) Endpoint() catalog.Endpoint { return s.endpoint }
 
+// Sessions serves sessions of other instances. Serve returns when the stream has ended.
+type Sessions interface {
+	Serve(ctx context.Context, peer string, stream Stream)
+}
+
 // Serve answers calls until ctx ends.
-func (s *Server) Serve(ctx context.Context, h Handler) {
+func (s *Server) Serve(ctx context.Context, h Handler, sessions Sessions) {
 	defer context.AfterFunc(ctx, func() { _ = s.listener.Close() })()
 	for {
 		conn, err := s.listener.Accept(ctx)
@@ -100,6 +107,10 @@
 			}
 			return
 		}
+		if conn.ConnectionState().TLS.NegotiatedProtocol == sessionProtocol {
+			go s.serveSession(ctx, conn, sessions)
+			continue
+		}
 		go s.serveConn(ctx, conn, h)
 	}
 }
@@ -115,6 +126,16 @@
 	}
 }
 
+func (s *Server) serveSession(ctx context.Context, conn *quic.Conn, sessions Sessions) {
+	stream, err := conn.AcceptStream(ctx)
+	if err != nil {
+		s.logger.Info("session without stream", "peer", conn.RemoteAddr(), "error", err)
+		_ = conn.CloseWithError(0, "no stream")
+		return
+	}
+	sessions.Serve(ctx, conn.RemoteAddr().String(), &sessionStream{Stream: stream, conn: conn})
+}
+
 func (s *Server) serveStream(ctx context.Context, stream *quic.Stream, h Handler) {
 	defer func() {
 		// A fault in the handling of one call must not end the process.
--- /dev/null
+++ b/internal/relay/session.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"clementinewalk.example/clementinewalk/internal/catalog"
+)
+
+const (
+	// A session whose peer is not heard from for sessionIdleTimeout has ended. keepAlive keeps idle ones open.
+	sessionIdleTimeout = 900 * time.Millisecond
+	keepAlive          = 250 * time.Millisecond
+)
+
+// Stream is one end of a session.
+type Stream interface {
+	io.ReadWriteCloser
+	SetWriteDeadline(time.Time) error
+}
+
+// sessionStream is the only stream of a connection, which it closes.
+type sessionStream struct {
+	*quic.Stream
+	conn *quic.Conn
+}
+
+// Close implements io.Closer.
+func (s *sessionStream) Close() error { return s.conn.CloseWithError(0, "session ended") }
+
+// DialSession opens a session with an instance. It returns *UnreachableError. The peer takes part once the first bytes
+// have arrived there.
+func DialSession(ctx context.Context, to catalog.Endpoint) (Stream, error) {
+	c := quicConfig()
+	c.MaxIdleTimeout, c.KeepAlivePeriod = sessionIdleTimeout, keepAlive
+	tls := clientTLS(to)
+	tls.NextProtos = []string{sessionProtocol}
+	conn, err := quic.DialAddr(ctx, to.Addr, tls, c)
+	if err != nil {
+		return nil, &UnreachableError{Peer: to.Instance, Err: err}
+	}
+	stream, err := conn.OpenStream()
+	if err != nil {
+		_ = conn.CloseWithError(0, "no stream")
+		return nil, &UnreachableError{Peer: to.Instance, Err: err}
+	}
+	return &sessionStream{Stream: stream, conn: conn}, nil
+}
