Test sessions, agents and the assignment of workers

Cause: calls through agents had no tests. Change: tests of frames, lists, sessions over pipes and QUIC, loss and silence of agents, the bound on calls in flight. A test found that the end of a session looked like a closed connection of the worker, which counts as its crash; LostError no longer unwraps.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -41,7 +41,7 @@
 }
 
 // LostError reports that the session with an agent ended before the answer to a call arrived. The call may have been
-// carried out.
+// carried out. It does not unwrap: the end of the session says nothing about the connection to the worker.
 type LostError struct {
 	Instance string
 	Err      error
@@ -52,9 +52,6 @@
 	return fmt.Sprintf("session with agent %s ended: %v", e.Instance, e.Err)
 }
 
-// Unwrap returns the cause.
-func (e *LostError) Unwrap() error { return e.Err }
-
 // FrameError reports bytes that are not a frame of this package.
 type FrameError struct{ Problem string }
 
--- /dev/null
+++ b/internal/agent/pool_test.go
@@ -0,0 +1,383 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/dispatch"
+	"clementinewalk.example/clementinewalk/internal/relay"
+)
+
+// recorder answers calls and counts them. While blocked is open, calls wait for it.
+type recorder struct {
+	name    string
+	mu      sync.Mutex
+	starts  []dispatch.StartCall
+	leases  int
+	most    int
+	now     int
+	blocked chan struct{}
+}
+
+func (r *recorder) enter() func() {
+	r.mu.Lock()
+	r.now++
+	r.most = max(r.most, r.now)
+	blocked := r.blocked
+	r.mu.Unlock()
+	if blocked != nil {
+		<-blocked
+	}
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.now--
+	}
+}
+
+func (r *recorder) block(c chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.blocked = c
+}
+
+func (r *recorder) started() []dispatch.StartCall {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.starts
+}
+
+func (r *recorder) Start(_ context.Context, m dispatch.Member, c dispatch.StartCall) (dispatch.CallAnswer, error) {
+	defer r.enter()()
+	if c.Spec == "panic" {
+		panic("fault in a call")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.starts = append(r.starts, c)
+	if m.ID == "full" {
+		return dispatch.CallAnswer{}, &dispatch.RefusedError{Reason: dispatch.ReasonNoRoom}
+	}
+	return dispatch.CallAnswer{StartedAt: 3, Clock: time.Second}, nil
+}
+
+func (r *recorder) Stop(context.Context, dispatch.Member, dispatch.StopCall) (dispatch.CallAnswer, error) {
+	defer r.enter()()
+	return dispatch.CallAnswer{Clock: 2 * time.Second}, nil
+}
+
+func (r *recorder) LimitCPU(_ context.Context, _ dispatch.Member, c dispatch.CPULimitCall) (dispatch.CallAnswer, error) {
+	return dispatch.CallAnswer{Clock: time.Duration(c.Percent) * time.Millisecond}, nil
+}
+
+func (r *recorder) Renew(_ context.Context, m dispatch.Member, c dispatch.LeaseCall) (dispatch.LeaseAnswer, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leases++
+	return dispatch.LeaseAnswer{StartedAt: 5, Clock: c.ExpiresAt + c.Wait,
+		Running: []dispatch.Running{{Attempt: attempt("a", r.leases, 1), Checkpoint: m.ID, Percent: 40, Load: 7}},
+		Ends:    []dispatch.End{{Number: c.LastStoredEnd + 1, Attempt: attempt("b", 2, 9), Outcome: dispatch.EndDone}}}, nil
+}
+
+func discard() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// deployment has a pool and agents that it reaches over pipes.
+type deployment struct {
+	t     *testing.T
+	pool  *Pool
+	local *recorder
+	mu    sync.Mutex
+	// agents holds the recorders of the agents; a missing one cannot be dialled.
+	agents map[string]*recorder
+	// conns holds the agents' ends of the newest sessions.
+	conns map[string]net.Conn
+	dials map[string]int
+}
+
+func newDeployment(t *testing.T, agents ...string) *deployment {
+	d := &deployment{t: t, local: &recorder{name: "local"}, agents: map[string]*recorder{}, conns: map[string]net.Conn{},
+		dials: map[string]int{}}
+	for _, name := range agents {
+		d.agents[name] = &recorder{name: name}
+	}
+	endpoints := func() []catalog.Endpoint {
+		var out []catalog.Endpoint
+		for _, name := range agents {
+			out = append(out, catalog.Endpoint{Instance: name, DataCentre: "dc0", Cores: 0.1})
+		}
+		return append(out, catalog.Endpoint{Instance: "self", DataCentre: "dc0", Cores: 8})
+	}
+	d.pool = NewPool(Instance{Name: "self", DataCentre: "dc0", Cores: 0.1}, d.local,
+		Limits{Task: 100 * time.Millisecond, Lease: 100 * time.Millisecond}, d.dial, endpoints, discard(),
+		prometheus.NewRegistry())
+	t.Cleanup(d.pool.Release)
+	return d
+}
+
+func (d *deployment) dial(_ context.Context, to catalog.Endpoint) (relay.Stream, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dials[to.Instance]++
+	r := d.agents[to.Instance]
+	if r == nil {
+		return nil, &relay.UnreachableError{Peer: to.Instance}
+	}
+	near, far := net.Pipe()
+	d.conns[to.Instance] = far
+	go NewServer(r, 0, discard()).Serve(context.Background(), "owner", far)
+	return near, nil
+}
+
+func (d *deployment) assigned(m dispatch.Member) string {
+	d.pool.mu.Lock()
+	defer d.pool.mu.Unlock()
+	return d.pool.assigned[m.ID]
+}
+
+func members(n int) []dispatch.Member {
+	var out []dispatch.Member
+	for _, w := range fleet(1, n) {
+		out = append(out, dispatch.Member{Incarnation: dispatch.Incarnation{ID: w.ID, StartedAt: 1}, DataCentre: "dc0",
+			Addr: "addr-" + w.ID})
+	}
+	return out
+}
+
+func start(job, spec string) dispatch.StartCall {
+	return dispatch.StartCall{Attempt: attempt(job, 1, 2), Spec: spec, Checkpoint: "c", Ticket: "t", Epoch: 4,
+		Deadline: 9 * time.Second}
+}
+
+func (d *deployment) startAll(all []dispatch.Member, job string) {
+	for _, m := range all {
+		_, err := d.pool.Start(context.Background(), m, start(job, "spec of "+job))
+		require.NoError(d.t, err)
+	}
+}
+
+func TestSmallFleetIsCalledDirectly(t *testing.T) {
+	d := newDeployment(t, "a")
+	all := members(20)
+	d.pool.Route(all)
+	d.startAll(all, "j")
+	assert.Len(t, d.local.started(), 20)
+	assert.Empty(t, d.dials)
+}
+
+func TestCallsOfALargeFleetGoThroughAgents(t *testing.T) {
+	d := newDeployment(t, "a", "b", "c")
+	all := members(60)
+	d.pool.Route(all)
+	d.startAll(all, "j")
+	d.startAll(all, "k")
+	assert.Empty(t, d.local.started())
+	total := 0
+	for _, r := range d.agents {
+		assert.NotEmpty(t, r.started(), r.name)
+		for _, c := range r.started() {
+			assert.Equal(t, start(string(c.Task.Job), "spec of "+string(c.Task.Job)), c)
+		}
+		total += len(r.started())
+	}
+	assert.Equal(t, 120, total)
+	m := all[0]
+	for i := range 3 {
+		a, err := d.pool.Renew(context.Background(), m, dispatch.LeaseCall{Epoch: 4, ExpiresAt: time.Second, LastStoredEnd: 6,
+			Wait: 40 * time.Millisecond})
+		require.NoError(t, err)
+		assert.Equal(t, int64(5), a.StartedAt)
+		assert.Equal(t, 1040*time.Millisecond, a.Clock)
+		require.Len(t, a.Running, 1, i)
+		assert.Equal(t, m.ID, a.Running[0].Checkpoint)
+		assert.Equal(t, []dispatch.End{{Number: 7, Attempt: attempt("b", 2, 9), Outcome: dispatch.EndDone}}, a.Ends)
+	}
+	a, err := d.pool.Stop(context.Background(), m, dispatch.StopCall{Attempt: attempt("j", 1, 2), Epoch: 4})
+	require.NoError(t, err)
+	assert.Equal(t, 2*time.Second, a.Clock)
+	a, err = d.pool.LimitCPU(context.Background(), m, dispatch.CPULimitCall{Attempt: attempt("j", 1, 2), Percent: 30})
+	require.NoError(t, err)
+	assert.Equal(t, 30*time.Millisecond, a.Clock)
+	full := m
+	full.ID = "full"
+	d.pool.Route(append(all, full))
+	_, err = d.pool.Start(context.Background(), full, start("j", "s"))
+	var refused *dispatch.RefusedError
+	require.ErrorAs(t, err, &refused)
+	assert.Equal(t, dispatch.ReasonNoRoom, refused.Reason)
+}
+
+// Guards against workers that nobody calls after their agent has gone.
+func TestWorkersOfALostAgentMoveToOthers(t *testing.T) {
+	d := newDeployment(t, "a", "b", "c")
+	all := members(60)
+	d.pool.Route(all)
+	d.startAll(all, "j")
+	hold := make(chan struct{})
+	d.agents["a"].block(hold)
+	var mine dispatch.Member
+	for _, m := range all {
+		if d.assigned(m) == "a" {
+			mine = m
+		}
+	}
+	lost := make(chan error, 1)
+	go func() {
+		_, err := d.pool.Start(context.Background(), mine, start("k", "s"))
+		lost <- err
+	}()
+	require.Eventually(t, func() bool { r := d.agents["a"]; r.mu.Lock(); defer r.mu.Unlock(); return r.now > 0 }, time.Second,
+		time.Millisecond)
+	d.mu.Lock()
+	delete(d.agents, "a")
+	_ = d.conns["a"].Close()
+	d.mu.Unlock()
+	var noAnswer *dispatch.NoAnswerError
+	err := <-lost
+	require.ErrorAs(t, err, &noAnswer)
+	assert.True(t, isLost(err))
+	assert.False(t, dispatch.ConnectionLost(err), "the end of a session is no sign of a crashed worker")
+	close(hold)
+	require.Eventually(t, func() bool {
+		_, err := d.pool.Start(context.Background(), mine, start("l", "s"))
+		return err == nil
+	}, time.Second, 5*time.Millisecond)
+	d.startAll(all, "m")
+	assert.Empty(t, d.local.started())
+}
+
+// Guards against a frozen agent that keeps its workers, and against giving up agents because the owner itself is slow.
+func TestOnlyTheSilentAgentIsGivenUp(t *testing.T) {
+	d := newDeployment(t, "a", "b", "c")
+	all := members(60)
+	d.pool.Route(all)
+	d.startAll(all, "j")
+	hold := make(chan struct{})
+	defer close(hold)
+	for _, r := range d.agents {
+		r.block(hold)
+	}
+	call := func(agent string) error {
+		for _, m := range all {
+			if d.assigned(m) == agent {
+				_, err := d.pool.Start(context.Background(), m, start("k", "s"))
+				return err
+			}
+		}
+		return errors.New("no worker")
+	}
+	assert.True(t, isLost(call("a")))
+	assert.Len(t, d.pool.table.Load().sessions, 60)
+	assert.Equal(t, 1, d.dials["a"], "no agent answered, so none is given up")
+	stop := make(chan struct{})
+	defer close(stop)
+	d.agents["b"].block(nil)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+				_ = call("b")
+			}
+		}
+	}()
+	assert.True(t, isLost(call("a")))
+	require.Eventually(t, func() bool {
+		d.pool.mu.Lock()
+		defer d.pool.mu.Unlock()
+		return d.pool.avoided["a"].span > 0
+	}, time.Second, 5*time.Millisecond)
+}
+
+func TestAFaultInACallEndsNeitherSessionNorProcess(t *testing.T) {
+	d := newDeployment(t, "a")
+	all := members(30)
+	d.pool.Route(all)
+	_, err := d.pool.Start(context.Background(), all[0], start("p", "panic"))
+	require.Error(t, err)
+	d.startAll(all, "j")
+	assert.Equal(t, 1, d.dials["a"])
+}
+
+func TestMalformedFrameEndsTheSessionOnly(t *testing.T) {
+	for _, b := range [][]byte{{0, 0, 0, 1, 0xff}, {255, 255, 255, 255}, {0, 0, 0, 0}} {
+		near, far := net.Pipe()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			NewServer(&recorder{}, 0, discard()).Serve(context.Background(), "owner", far)
+		}()
+		_, err := near.Write(b)
+		require.NoError(t, err)
+		<-done
+	}
+}
+
+func TestStartsWithoutAgentsAreCalledDirectly(t *testing.T) {
+	d := newDeployment(t)
+	all := members(60)
+	d.pool.Route(all)
+	d.startAll(all, "j")
+	assert.Len(t, d.local.started(), 60)
+}
+
+func TestReleaseEndsTheSessions(t *testing.T) {
+	d := newDeployment(t, "a", "b", "c")
+	all := members(60)
+	d.pool.Route(all)
+	d.startAll(all, "j")
+	d.pool.Release()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, c := range d.conns {
+		_ = c.SetWriteDeadline(time.Now().Add(time.Second))
+		_, err := c.Write([]byte{0})
+		assert.Error(t, err, name)
+	}
+	d.startAll(all, "k")
+	assert.Len(t, d.local.started(), 60)
+}
+
+func TestCallsInFlightAreBounded(t *testing.T) {
+	r := &recorder{blocked: make(chan struct{})}
+	l := NewLimited(r, 250e3)
+	var done sync.WaitGroup
+	var answered atomic.Int64
+	for range 70 {
+		done.Go(func() {
+			_, err := l.Start(context.Background(), dispatch.Member{}, dispatch.StartCall{})
+			assert.NoError(t, err)
+			answered.Add(1)
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	_, err := l.Renew(context.Background(), dispatch.Member{}, dispatch.LeaseCall{})
+	assert.NoError(t, err, "a lease call does not wait behind others")
+	close(r.blocked)
+	done.Wait()
+	assert.Equal(t, int64(70), answered.Load())
+	assert.LessOrEqual(t, r.most, int(250e3*linkQueue.Seconds()/callBytes))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	r.block(make(chan struct{}))
+	for range maxInFlight + 1 {
+		go func() { _, _ = l.Stop(context.Background(), dispatch.Member{}, dispatch.StopCall{}) }()
+	}
+	time.Sleep(20 * time.Millisecond)
+	var noAnswer *dispatch.NoAnswerError
+	_, err = l.Stop(ctx, dispatch.Member{}, dispatch.StopCall{})
+	assert.ErrorAs(t, err, &noAnswer)
+	close(r.blocked)
+}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -125,7 +125,13 @@
 		return
 	}
 	go func() {
-		defer func() { <-v.slots }()
+		defer func() {
+			// The owner gives up a call without an answer.
+			if p := recover(); p != nil {
+				v.server.logger.Error("call failed", "panic", p)
+			}
+			<-v.slots
+		}()
 		v.answers.add(do())
 	}()
 }
--- /dev/null
+++ b/internal/relay/session_test.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// echo returns what a session sends, until it ends.
+type echo struct{ ended chan struct{} }
+
+func (e *echo) Serve(_ context.Context, _ string, s Stream) {
+	_, _ = io.Copy(s, s)
+	_ = s.Close()
+	e.ended <- struct{}{}
+}
+
+func startSessions(t *testing.T) (*Server, *echo) {
+	s, err := Listen("peer", "127.0.0.1:0", slog.New(slog.NewTextHandler(io.Discard, nil)))
+	require.NoError(t, err)
+	e := &echo{ended: make(chan struct{}, 8)}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); s.Serve(ctx, &fakeHandler{}, e) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return s, e
+}
+
+func TestSession(t *testing.T) {
+	server, e := startSessions(t)
+	s, err := DialSession(callContext(t, time.Second), server.Endpoint())
+	require.NoError(t, err)
+	b := make([]byte, 3)
+	for _, text := range []string{"one", "two"} {
+		_, err = s.Write([]byte(text))
+		require.NoError(t, err)
+		_, err = io.ReadFull(s, b)
+		require.NoError(t, err)
+		assert.Equal(t, text, string(b))
+	}
+	// An idle session stays open.
+	time.Sleep(2 * sessionIdleTimeout)
+	_, err = s.Write([]byte("end"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(s, b)
+	require.NoError(t, err)
+	require.NoError(t, s.Close())
+	select {
+	case <-e.ended:
+	case <-time.After(time.Second):
+		assert.Fail(t, "the peer does not notice the end")
+	}
+	// Calls go over the same port.
+	_, err = NewClient().State(callContext(t, time.Second), server.Endpoint(), "x")
+	assert.NoError(t, err)
+}
+
+func TestSessionNeedsThePublishedCertificate(t *testing.T) {
+	server, _ := startSessions(t)
+	to := server.Endpoint()
+	to.Fingerprint = make([]byte, len(to.Fingerprint))
+	_, err := DialSession(callContext(t, time.Second), to)
+	var unreachable *UnreachableError
+	assert.ErrorAs(t, err, &unreachable)
+}
