Score the workers once for equal tasks of a plan

Each task of a step went through all workers. A plan now keeps their scores and scores only the workers that have taken a task since.

--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -3,12 +3,16 @@
 package assign
 
 import (
+	"slices"
+
 	"clementinewalk.example/clementinewalk/internal/resource"
 )
 
 // Node is a candidate worker.
 type Node struct {
 	ID, Rack string
+	// Index is the position of the worker among all workers; candidates are passed in its order.
+	Index    int
 	Capacity resource.Vector
 	// Reserved is the sum of the resources that the tasks on the worker hold exclusively.
 	Reserved resource.Vector
@@ -114,6 +118,64 @@
 	return result
 }
 
+// Ranking holds the scores of the nodes that can take one of several equal tasks, so that only the nodes that have taken
+// a task since the last choice are scored again.
+type Ranking struct {
+	task *Task
+	// admits may be nil.
+	admits func(*Node) bool
+	nodes  []*Node
+	scores []float64
+}
+
+// NewRanking returns the ranking of nodes, in the order of Index, for tasks like t. admits reports whether a node may
+// take a task for which it has room; nil admits every node. A node that cannot take a task must not become able to
+// during the use of the ranking.
+func NewRanking(nodes []*Node, t *Task, admits func(*Node) bool) *Ranking {
+	r := &Ranking{task: t, admits: admits}
+	for _, n := range nodes {
+		if s, ok := r.score(n); ok {
+			r.nodes, r.scores = append(r.nodes, n), append(r.scores, s)
+		}
+	}
+	return r
+}
+
+func (r *Ranking) score(n *Node) (float64, bool) {
+	if !r.task.Reserved().Fits(n.Free()) || r.admits != nil && !r.admits(n) {
+		return 0, false
+	}
+	return score(n, r.task), true
+}
+
+// Update scores a node again that has taken a task.
+func (r *Ranking) Update(n *Node) {
+	i, ok := slices.BinarySearchFunc(r.nodes, n.Index, func(o *Node, index int) int { return o.Index - index })
+	if !ok {
+		return
+	}
+	s, ok := r.score(n)
+	if !ok {
+		r.nodes, r.scores = slices.Delete(r.nodes, i, i+1), slices.Delete(r.scores, i, i+1)
+		return
+	}
+	r.scores[i] = s
+}
+
+// Best returns the node that Choose would return among the admitted nodes, or nil.
+func (r *Ranking) Best() *Node {
+	best := -1
+	for i, s := range r.scores {
+		if best < 0 || s > r.scores[best] {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return r.nodes[best]
+}
+
 func sumCounts(counts map[string]int) int {
 	n := 0
 	for _, v := range counts {
--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -39,30 +39,48 @@
 	return &bestEffortBound{core: c, now: now, margins: map[string]float64{}, pools: map[string]*poolBound{}}
 }
 
-// admit returns the nodes that can take a best-effort task. nodes are all candidates of its pool.
-func (b *bestEffortBound) admit(t *task, nodes []*assign.Node) []*assign.Node {
-	pool := b.pool(t.job().terms.Pool, nodes)
-	if pool.idle && t.job().placed == 0 && b.now-t.queuedAt >= maxIdleWait {
-		return nodes
-	}
+// exempts reports whether the bound does not apply to a task. nodes are all candidates of its pool.
+func (b *bestEffortBound) exempts(t *task, nodes []*assign.Node) bool {
+	return b.pool(t.job().terms.Pool, nodes).idle && t.job().placed == 0 && b.now-t.queuedAt >= maxIdleWait
+}
+
+// full reports whether no worker could take a task like t earlier in the plan.
+func (b *bestEffortBound) full(t *task, nodes []*assign.Node) bool {
 	def := t.step.def
-	for _, size := range pool.noHeadroom[def.Image] {
+	for _, size := range b.pool(t.job().terms.Pool, nodes).noHeadroom[def.Image] {
 		if size.Fits(def.Size) {
-			return nil
+			return true
 		}
 	}
-	share := b.share(pool, nodes, def.Image)
-	need, size := def.Reserved(), requestedMilliCores(def)
+	return false
+}
+
+// noteFull notes that no worker can take a task like t.
+func (b *bestEffortBound) noteFull(t *task, nodes []*assign.Node) {
+	pool, def := b.pool(t.job().terms.Pool, nodes), t.step.def
+	pool.noHeadroom[def.Image] = append(pool.noHeadroom[def.Image], def.Size)
+}
+
+// admits returns a function that reports whether a node with enough free resources can take a task like t.
+func (b *bestEffortBound) admits(t *task, nodes []*assign.Node) func(*assign.Node) bool {
+	def := t.step.def
+	share := b.share(b.pool(t.job().terms.Pool, nodes), nodes, def.Image)
+	size := requestedMilliCores(def)
+	return func(n *assign.Node) bool {
+		w := b.core.workersByID[n.Index]
+		return w.load.Fits(b, n.Services, def.Image, size, share)
+	}
+}
+
+// admit returns the nodes that can take a task like t.
+func (b *bestEffortBound) admit(t *task, nodes []*assign.Node) []*assign.Node {
+	admits, need := b.admits(t, nodes), t.reserved()
 	var out []*assign.Node
 	for _, n := range nodes {
-		w := b.core.workers[n.ID]
-		if need.Fits(n.Free()) && w.load.Fits(b, n.Services, def.Image, size, share) {
+		if need.Fits(n.Free()) && admits(n) {
 			out = append(out, n)
 		}
 	}
-	if len(out) == 0 {
-		pool.noHeadroom[def.Image] = append(pool.noHeadroom[def.Image], def.Size)
-	}
 	return out
 }
 
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -29,6 +29,8 @@
 	}
 	p.held++
 	p.healthy[pool] = without(p.candidates(pool), best)
+	// The rankings contain the held worker.
+	clear(p.rankings)
 }
 
 func without(nodes []*assign.Node, n *assign.Node) []*assign.Node {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -80,10 +80,26 @@
 	noRoom      map[noRoomKey]struct{}
 	noCandidate map[noCandidateKey]struct{}
 	bound       *bestEffortBound
+	rankings    map[rankingKey]*planRanking
+	// changed holds the nodes that have taken a task, in order.
+	changed []*assign.Node
 	// held is the number of workers that get no other task in this plan.
 	held int
 }
 
+// rankingKey holds what the choice of a worker depends on for tasks without a filter.
+type rankingKey struct {
+	pool, image, dataRack                             string
+	size                                              resource.Vector
+	bestEffort, latencyCritical, waitExpired, bounded bool
+}
+
+// planRanking is a ranking and the number of changed nodes that it contains.
+type planRanking struct {
+	*assign.Ranking
+	seen int
+}
+
 type noRoomKey struct {
 	pool, label string
 	size        resource.Vector
@@ -97,7 +113,8 @@
 
 func (c *Core) newPlan(now time.Duration) *plan {
 	return &plan{core: c, now: now, healthy: map[string][]*assign.Node{}, all: map[string][]*assign.Node{},
-		noRoom: map[noRoomKey]struct{}{}, noCandidate: map[noCandidateKey]struct{}{}, bound: newBestEffortBound(c, now)}
+		noRoom: map[noRoomKey]struct{}{}, noCandidate: map[noCandidateKey]struct{}{}, bound: newBestEffortBound(c, now),
+		rankings: map[rankingKey]*planRanking{}}
 }
 
 // candidates returns the workers of a pool that may get tasks.
@@ -116,12 +133,12 @@
 		return n
 	}
 	var out []*assign.Node
-	for _, w := range p.core.sortedWorkers() {
+	for i, w := range p.core.sortedWorkers() {
 		if w.Pool != pool || w.unschedulable() || skipQuarantined && w.quarantinedUntil > p.now ||
 			w.fullUntil > p.now || w.failingSince != 0 {
 			continue
 		}
-		w.node.ID, w.node.Rack, w.node.Capacity = w.ID, w.Rack, w.Capacity
+		w.node.ID, w.node.Rack, w.node.Index, w.node.Capacity = w.ID, w.Rack, i, w.Capacity
 		w.load.Capacity = w.Capacity.MilliCores
 		w.node.Slack, w.node.RecentlyFailed = 1-w.worstTailRatio, w.consecutiveFailures > 0
 		out = append(out, &w.node)
@@ -189,18 +206,30 @@
 		nodes = p.candidatesWithQuarantined(terms.Pool)
 	}
 	// The tasks of a gang need room at the same time, for which they could wait forever under a bound.
-	if def.BestEffort && !def.Gang {
-		if nodes = p.bound.admit(t, nodes); len(nodes) == 0 {
-			return nil
-		}
+	bounded := def.BestEffort && !def.Gang && !p.bound.exempts(t, nodes)
+	if bounded && p.bound.full(t, nodes) {
+		return nil
 	}
 	restricted := def.Label != "" || def.MaxPerWorker > 0 || filter != nil
-	if restricted {
-		nodes = p.filterNodes(nodes, t, filter)
+	var n *assign.Node
+	if !restricted && t.avoidWorker == "" {
+		n = p.ranking(t, nodes, waitExpired, bounded).Best()
+		if n == nil && bounded {
+			p.bound.noteFull(t, nodes)
+		}
+	} else {
+		if bounded {
+			all := nodes
+			if nodes = p.bound.admit(t, all); len(nodes) == 0 {
+				p.bound.noteFull(t, all)
+				return nil
+			}
+		}
+		if restricted {
+			nodes = p.filterNodes(nodes, t, filter)
+		}
+		n = assign.Choose(nodes, p.core.placement(p.now, t))
 	}
-	n := assign.Choose(nodes, &assign.Task{Size: def.Size, BestEffort: def.BestEffort,
-		LatencyCritical: latencyCritical(def), Image: def.Image, DataRack: def.DataRack, AvoidWorker: t.avoidWorker,
-		TailRise: p.core.tailRise(p.now, t)})
 	switch {
 	// Filters that depend on the task are not cached. The bound on best-effort work has its own cache.
 	case n != nil || filter != nil || def.BestEffort:
@@ -212,6 +241,34 @@
 	return n
 }
 
+// ranking returns the ranking of the nodes for a task.
+func (p *plan) ranking(t *task, nodes []*assign.Node, waitExpired, bounded bool) *assign.Ranking {
+	def := t.step.def
+	key := rankingKey{pool: t.job().terms.Pool, image: def.Image, dataRack: def.DataRack, size: def.Size,
+		bestEffort: def.BestEffort, latencyCritical: latencyCritical(def), waitExpired: waitExpired, bounded: bounded}
+	r := p.rankings[key]
+	if r == nil {
+		var admits func(*assign.Node) bool
+		if bounded {
+			admits = p.bound.admits(t, nodes)
+		}
+		r = &planRanking{Ranking: assign.NewRanking(nodes, p.core.placement(p.now, t), admits), seen: len(p.changed)}
+		p.rankings[key] = r
+	}
+	for _, n := range p.changed[r.seen:] {
+		r.Update(n)
+	}
+	r.seen = len(p.changed)
+	return r.Ranking
+}
+
+// placement returns the description of a task for the choice of its worker.
+func (c *Core) placement(now time.Duration, t *task) *assign.Task {
+	def := t.step.def
+	return &assign.Task{Size: def.Size, BestEffort: def.BestEffort, LatencyCritical: latencyCritical(def),
+		Image: def.Image, DataRack: def.DataRack, AvoidWorker: t.avoidWorker, TailRise: c.tailRise(now, t)}
+}
+
 func (p *plan) filterNodes(nodes []*assign.Node, t *task, filter func(*worker) bool) []*assign.Node {
 	out := make([]*assign.Node, 0, len(nodes))
 	for _, n := range nodes {
@@ -253,6 +310,7 @@
 func (p *plan) assignTask(t *task, n *assign.Node, run int) {
 	c := p.core
 	w := c.workers[n.ID]
+	p.changed = append(p.changed, n)
 	t.run, t.workerStartedAt, t.startState, t.commitBatch, t.startCalls = run, w.StartedAt, startUncommitted, 0, 0
 	t.startCutShort = false
 	w.addTask(t)
