--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -24,6 +24,8 @@
 	shares map[string]float64
 	// noHeadroom holds, for each image, the smallest tasks that no worker could take.
 	noHeadroom map[string][]resource.Vector
+	// services holds the service images of each worker.
+	services []map[string]int
 	// idle reports whether tasks request less than idleShare of the processors of the pool.
 	idle bool
 }
@@ -68,7 +70,7 @@
 	size := requestedMilliCores(def)
 	return func(n *assign.Node) bool {
 		w := b.core.workersByID[n.Index]
-		return w.load.Fits(b, n.Services, def.Image, size, share)
+		return w.load.HasProcessors(n.BestEffort, size) && w.load.Fits(b, n.Services, def.Image, size, share)
 	}
 }
 
@@ -103,11 +105,13 @@
 	if s, ok := p.shares[image]; ok {
 		return s
 	}
-	services := make([]map[string]int, len(nodes))
-	for i, n := range nodes {
-		services[i] = n.Services
+	if p.services == nil {
+		p.services = make([]map[string]int, len(nodes))
+		for i, n := range nodes {
+			p.services[i] = n.Services
+		}
 	}
-	p.shares[image] = headroom.Share(b, services, image)
+	p.shares[image] = headroom.Share(b, p.services, image)
 	return p.shares[image]
 }
 
--- a/internal/headroom/headroom.go
+++ b/internal/headroom/headroom.go
@@ -56,19 +56,19 @@
 // Fits reports whether a best-effort task of the given image and size would run at nearly its full speed beside the
 // tasks of the load and the given services. share is the result of Share for the image.
 func (l *Load) Fits(i Interference, services map[string]int, image string, milliCores int64, share float64) bool {
-	return l.TailRatio < maxTailRatio && l.hasProcessors(milliCores) &&
-		l.keepsMargins(i, services, image, milliCores, share)
-}
-
-// hasProcessors reports whether the processors that the other tasks leave unused suffice. A worker without best-effort
-// tasks takes any one, because a task may be larger than what is ever left.
-func (l *Load) hasProcessors(milliCores int64) bool {
 	requested := int64(0)
 	for _, m := range l.BestEffort {
 		requested += m
 	}
+	return l.HasProcessors(requested, milliCores) && l.keepsMargins(i, services, image, milliCores, share)
+}
+
+// HasProcessors reports the conditions of Fits that do not depend on images: no service is near its objective, and the
+// processors that the other tasks leave unused suffice. A worker without best-effort tasks takes any one, because a task
+// may be larger than what is ever left. requested is the sum of BestEffort.
+func (l *Load) HasProcessors(requested, milliCores int64) bool {
 	left := l.Capacity - l.Exclusive - int64(serviceUse*float64(l.Services))
-	return requested == 0 || requested+milliCores <= left
+	return l.TailRatio < maxTailRatio && (requested == 0 || requested+milliCores <= left)
 }
 
 func (l *Load) keepsMargins(i Interference, services map[string]int, image string, milliCores int64,
@@ -92,13 +92,17 @@
 // Share returns the share of the services' margins that an image may use up: cautiousShare if enough workers run only
 // services that the image hardly disturbs, otherwise fullShare. services holds the service images of each worker.
 func Share(i Interference, services []map[string]int, image string) float64 {
+	enough := minCompatibleShare * float64(len(services))
 	compatible := 0
 	for _, s := range services {
+		if float64(compatible) >= enough {
+			break
+		}
 		if isCompatible(i, s, image) {
 			compatible++
 		}
 	}
-	if float64(compatible) < minCompatibleShare*float64(len(services)) {
+	if float64(compatible) < enough {
 		return fullShare
 	}
 	return cautiousShare
