--- /dev/null
+++ b/internal/dispatch/exhaustive_test.go
@@ -0,0 +1,232 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/assign"
+	"clementinewalk.example/clementinewalk/internal/headroom"
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+// exhaustivePlan repeats a plan on copies of the workers. It goes through all workers for each task and keeps no result.
+type exhaustivePlan struct {
+	core    *Core
+	now     time.Duration
+	pending []*task
+	workers map[string]*worker
+	// placed holds the placed tasks of each submission that has pending ones.
+	placed       map[*job]int
+	lastShortage time.Duration
+	held         map[string]bool
+	holds        int
+	bound        *bestEffortBound
+	idle         *bool
+	shares       map[string]float64
+	placements   int
+	// uncommitted is the number of uncommitted placements before the plan.
+	uncommitted int
+	lastPlan    time.Duration
+}
+
+func newExhaustivePlan(c *Core, now time.Duration) *exhaustivePlan {
+	x := &exhaustivePlan{core: c, now: now, pending: slices.Clone(c.pending), workers: map[string]*worker{},
+		placed: map[*job]int{}, lastShortage: c.lastShortage, held: map[string]bool{}, bound: newBestEffortBound(c, now),
+		shares: map[string]float64{}, uncommitted: len(c.uncommitted), lastPlan: c.lastPlan}
+	for id, w := range c.workers {
+		o := *w
+		o.tasks, o.node.Services, o.load.BestEffort = maps.Clone(w.tasks), maps.Clone(w.node.Services),
+			maps.Clone(w.load.BestEffort)
+		o.node.ID, o.node.Rack, o.node.Capacity = w.ID, w.Rack, w.Capacity
+		o.load.Capacity = w.Capacity.MilliCores
+		o.node.Slack, o.node.RecentlyFailed = 1-w.worstTailRatio, w.consecutiveFailures > 0
+		x.workers[id] = &o
+	}
+	for _, t := range x.pending {
+		x.placed[t.job()] = t.job().placed
+	}
+	return x
+}
+
+func (x *exhaustivePlan) candidates(quarantined bool) []*assign.Node {
+	var out []*assign.Node
+	for _, id := range slices.Sorted(maps.Keys(x.workers)) {
+		w := x.workers[id]
+		if w.unschedulable() || w.fullUntil > x.now || w.failingSince != 0 ||
+			!quarantined && (w.quarantinedUntil > x.now || x.held[id]) {
+			continue
+		}
+		out = append(out, &w.node)
+	}
+	return out
+}
+
+func (x *exhaustivePlan) admits(t *task, nodes []*assign.Node) func(n *assign.Node) bool {
+	def := t.step.def
+	if x.idle == nil {
+		requested, capacity := int64(0), int64(0)
+		for _, n := range nodes {
+			requested += n.Reserved.MilliCores + n.BestEffort
+			capacity += n.Capacity.MilliCores
+		}
+		idle := float64(requested) < idleShare*float64(capacity)
+		x.idle = &idle
+	}
+	if *x.idle && x.placed[t.job()] == 0 && x.now-t.queuedAt >= maxIdleWait {
+		return func(*assign.Node) bool { return true }
+	}
+	if _, ok := x.shares[def.Image]; !ok {
+		var services []map[string]int
+		for _, n := range nodes {
+			services = append(services, n.Services)
+		}
+		x.shares[def.Image] = headroom.Share(x.bound, services, def.Image)
+	}
+	return func(n *assign.Node) bool {
+		return x.workers[n.ID].load.Fits(x.bound, n.Services, def.Image, requestedMilliCores(def), x.shares[def.Image])
+	}
+}
+
+// tailRise predicts the rise on a copy of a worker. The sums of services depend on the order of tasks by rounding
+// errors, so actual, the worker that the plan chose, gets an advantage above these.
+func (x *exhaustivePlan) tailRise(t *task, actual string) func(n *assign.Node) float64 {
+	def := t.step.def
+	switch {
+	case def.BestEffort:
+		return x.core.tailRise(x.now, t)
+	case latencyCritical(def):
+		return func(n *assign.Node) float64 {
+			sum, w := 0.0, x.workers[n.ID]
+			for o := range w.tasks {
+				if o.step.def.BestEffort {
+					sum += x.core.model.Coefficient(x.now, def.Image, o.step.def.Image) * w.requestedShare(o)
+				}
+			}
+			if n.ID == actual {
+				sum -= 1e-9
+			}
+			return sum
+		}
+	}
+	return nil
+}
+
+func (x *exhaustivePlan) choose(t *task, actual string) *assign.Node {
+	def := t.step.def
+	nodes := x.candidates(t.waitExpired(x.now))
+	if def.BestEffort {
+		admits := x.admits(t, nodes)
+		nodes = slices.DeleteFunc(slices.Clone(nodes), func(n *assign.Node) bool { return !admits(n) })
+	}
+	spared := t.lastAttempt() && x.now-t.queuedAt < lastAttemptWait
+	nodes = slices.DeleteFunc(nodes, func(n *assign.Node) bool {
+		w := x.workers[n.ID]
+		return def.MaxPerWorker > 0 && w.countStepTasks(t.step) >= def.MaxPerWorker || spared && w.consecutiveFailures > 0
+	})
+	return assign.Choose(nodes, &assign.Task{Size: def.Size, BestEffort: def.BestEffort,
+		LatencyCritical: latencyCritical(def), Image: def.Image, AvoidWorker: t.avoidWorker,
+		TailRise: x.tailRise(t, actual)})
+}
+
+func (x *exhaustivePlan) hold(t *task) {
+	if t.rank.tier != tierRestart {
+		return
+	}
+	var best *assign.Node
+	nodes := x.candidates(false)
+	for _, n := range nodes {
+		if t.reserved().Fits(n.Capacity.Sub(x.workers[n.ID].longRunning)) &&
+			(best == nil || n.Free().MilliCores > best.Free().MilliCores) {
+			best = n
+		}
+	}
+	if best != nil && x.holds < max(1, int(maxHeldShare*float64(len(nodes)))) {
+		x.holds++
+		x.held[best.ID] = true
+	}
+}
+
+func (x *exhaustivePlan) add(t *task, n *assign.Node) {
+	w := x.workers[n.ID]
+	w.tasks[t] = struct{}{}
+	w.node.Reserved = w.node.Reserved.Add(t.reserved())
+	if t.step.def.LongRunning {
+		w.longRunning = w.longRunning.Add(t.reserved())
+	}
+	w.adjustCounts(t, 1)
+	x.placed[t.job()]++
+	x.placements++
+}
+
+// check requires that the plan has placed the tasks like the exhaustive one.
+func (x *exhaustivePlan) check(tb testing.TB) {
+	if x.core.lastPlan == x.lastPlan {
+		return
+	}
+	actual := map[*task]string{}
+	for _, t := range x.core.uncommitted[x.uncommitted:] {
+		actual[t] = t.worker.ID
+	}
+	sortTasks(x.now, x.pending)
+	for _, t := range x.pending {
+		if t.job().state.Over() {
+			continue
+		}
+		scarce := x.lastShortage != 0 && x.now-x.lastShortage < scarcityDuration
+		mustWait := scarce && t.tier(x.now) == tierLongRunning && t.queuedAt > x.core.ownerSince &&
+			!t.waitExpired(x.now)
+		if x.placements < maxPlacements && t.notBefore <= x.now && !mustWait {
+			n := x.choose(t, actual[t])
+			if n != nil {
+				require.Equal(tb, n.ID, actual[t], "worker of %s at %s", t.id, x.now)
+				x.add(t, n)
+				continue
+			}
+			x.hold(t)
+		}
+		require.Empty(tb, actual[t], "worker of %s at %s, which finds no room", t.id, x.now)
+		if d := t.step.def; !d.LongRunning && !d.BestEffort && t.notBefore <= x.now && t.tier(x.now) == tierOnTime {
+			x.lastShortage = x.now
+		}
+	}
+}
+
+// Guards against a plan whose cached scores lead to other workers than a search through all of them for each task.
+func TestPlanChoosesLikeAnExhaustiveSearch(t *testing.T) {
+	load := fleetLoad{workers: 60, serviceJobs: 10, batchRate: 1.4, quickRate: 1, exclusiveRate: 20, failShare: 0.03,
+		warmUp: 2 * time.Second, steady: 3 * time.Second, burst: 3 * time.Second, end: time.Second}
+	placements, holds, avoided := 0, 0, 0
+	for seed := range uint64(3) {
+		f := newFleet(seed, load)
+		var x *exhaustivePlan
+		steps := 0
+		f.beforePlan = func() {
+			x = nil
+			// The search is slow, so not every plan is checked.
+			if steps++; steps%11 == 0 {
+				x = newExhaustivePlan(f.core, f.now)
+			}
+		}
+		f.afterPlan = func() {
+			if x == nil {
+				return
+			}
+			x.check(t)
+			placements, holds = placements+x.placements, holds+x.holds
+			for _, p := range f.core.pending {
+				if p.avoidWorker != "" && p.phase == workflow.Pending {
+					avoided++
+				}
+			}
+		}
+		f.play(load)
+	}
+	assert.Greater(t, placements, 500)
+	assert.Positive(t, holds, "no worker was held")
+	assert.Positive(t, avoided, "no task avoided a worker")
+}
--- a/internal/dispatch/largefleet_test.go
+++ b/internal/dispatch/largefleet_test.go
@@ -22,8 +22,12 @@
 	workers, serviceJobs int
 	// batchRate and quickRate are submissions a second; the rates double during the burst.
 	batchRate, quickRate float64
-	warmUp, steady       time.Duration
-	burst, end           time.Duration
+	// exclusiveRate is submissions a second of tasks that reserve processors.
+	exclusiveRate float64
+	// failShare is the share of the attempts that fail. Services fail serviceFailFactor times as often, after 2 s.
+	failShare      float64
+	warmUp, steady time.Duration
+	burst, end     time.Duration
 }
 
 var largeFleet = fleetLoad{workers: 890, serviceJobs: 173, batchRate: 16.5, quickRate: 11.6,
@@ -35,15 +39,17 @@
 	fleetServiceImages = 8
 	fleetBatchImages   = 20
 	// fleetCallDelay is the time from a call to its answer, fleetAppendDelay the time until a batch is stored.
-	fleetCallDelay   = 4 * time.Millisecond
-	fleetAppendDelay = 12 * time.Millisecond
-	fleetStep        = 4 * time.Millisecond
+	fleetCallDelay    = 4 * time.Millisecond
+	fleetAppendDelay  = 12 * time.Millisecond
+	fleetStep         = 4 * time.Millisecond
+	serviceFailFactor = 5
 )
 
-// fleet plays a load against a Core in virtual time. Its workers answer every call, and no attempt fails.
+// fleet plays a load against a Core in virtual time. Its workers answer every call.
 type fleet struct {
 	core         *Core
 	rng          *rand.Rand
+	failShare    float64
 	now          time.Duration
 	events       fleetEvents
 	nextEvent    int64
@@ -140,6 +146,7 @@
 // play plays the load and returns the time at which the burst began.
 func (f *fleet) play(l fleetLoad) {
 	start := f.now
+	f.failShare = l.failShare
 	for i := range l.serviceJobs {
 		f.schedule(time.Duration(i)*5*time.Millisecond, func() {
 			f.submit(workflow.Step{Count: 24, LongRunning: true, Size: resource.Vector{MilliCores: 13000, MemoryMB: 26000},
@@ -149,6 +156,10 @@
 	f.scheduleSteps(start + l.warmUp + l.steady + l.burst + l.end)
 	f.runUntil(start + l.warmUp)
 	f.spent, f.starts = [fleetMethods]time.Duration{}, 0
+	f.scheduleRate(l.steady+l.burst, l.exclusiveRate, func() {
+		f.submit(workflow.Step{Count: 16, Size: resource.Vector{MilliCores: 4000, MemoryMB: 8000},
+			Estimate: time.Second, MaxPerWorker: f.rng.IntN(3)})
+	})
 	f.scheduleArrivals(l.steady, l.batchRate, l.quickRate)
 	f.runUntil(f.now + l.steady)
 	f.scheduleArrivals(l.burst, 2*l.batchRate, 2*l.quickRate)
@@ -292,6 +303,13 @@
 	f.starts++
 	r := &fleetRun{attempt: a, step: &f.steps[a.Task.Job][a.Task.Step], percent: noLimitPercent}
 	w.running = append(w.running, r)
+	failure := f.rng.Float64()
+	switch {
+	case r.step.LongRunning && failure < serviceFailFactor*f.failShare:
+		f.schedule(2*time.Second, func() { f.end(w, a, EndFailed) })
+	case failure < f.failShare:
+		f.schedule(r.step.Estimate/2, func() { f.end(w, a, EndFailed) })
+	}
 	if !r.step.LongRunning {
 		d := time.Duration((0.8 + 0.4*f.rng.Float64()) * float64(r.step.Estimate))
 		r.endsAt = f.now + d
