Use the scores of a plan for tasks with filters too

Tasks that avoid a worker, that are suspected or that need an approval went through all workers each. The filter is now asked only for workers with a better score than the best so far.

--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -128,7 +128,7 @@
 	scores []float64
 }
 
-// NewRanking returns the ranking of nodes, in the order of Index, for tasks like t. admits reports whether a node may
+// NewRanking returns the ranking of nodes, in the order of Index, for tasks like t, which avoids no worker. admits reports whether a node may
 // take a task for which it has room; nil admits every node. A node that cannot take a task must not become able to
 // during the use of the ranking.
 func NewRanking(nodes []*Node, t *Task, admits func(*Node) bool) *Ranking {
@@ -162,18 +162,32 @@
 	r.scores[i] = s
 }
 
-// Best returns the node that Choose would return among the admitted nodes, or nil.
-func (r *Ranking) Best() *Node {
-	best := -1
+// Empty reports whether no node can take a task.
+func (r *Ranking) Empty() bool { return len(r.nodes) == 0 }
+
+// Best returns the node that Choose would return for a task that avoids a worker, among the admitted nodes that accept
+// allows, or nil. An empty avoidWorker and a nil accept stand for none.
+func (r *Ranking) Best(avoidWorker string, accept func(*Node) bool) *Node {
+	var best *Node
+	bestScore := 0.0
 	for i, s := range r.scores {
-		if best < 0 || s > r.scores[best] {
-			best = i
+		if best != nil && s <= bestScore {
+			// A score is lower on the worker to avoid.
+			continue
+		}
+		n := r.nodes[i]
+		if avoidWorker != "" && n.ID == avoidWorker {
+			t := *r.task
+			t.AvoidWorker = avoidWorker
+			if s = score(n, &t); best != nil && s <= bestScore {
+				continue
+			}
+		}
+		if accept == nil || accept(n) {
+			best, bestScore = n, s
 		}
 	}
-	if best < 0 {
-		return nil
-	}
-	return r.nodes[best]
+	return best
 }
 
 func sumCounts(counts map[string]int) int {
--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -74,18 +74,6 @@
 	}
 }
 
-// admit returns the nodes that can take a task like t.
-func (b *bestEffortBound) admit(t *task, nodes []*assign.Node) []*assign.Node {
-	admits, need := b.admits(t, nodes), t.reserved()
-	var out []*assign.Node
-	for _, n := range nodes {
-		if need.Fits(n.Free()) && admits(n) {
-			out = append(out, n)
-		}
-	}
-	return out
-}
-
 func (b *bestEffortBound) pool(name string, nodes []*assign.Node) *poolBound {
 	if p, ok := b.pools[name]; ok {
 		return p
--- a/internal/dispatch/largefleet_test.go
+++ b/internal/dispatch/largefleet_test.go
@@ -47,16 +47,17 @@
 
 // fleet plays a load against a Core in virtual time. Its workers answer every call.
 type fleet struct {
-	core         *Core
-	rng          *rand.Rand
-	failShare    float64
-	now          time.Duration
-	events       fleetEvents
-	nextEvent    int64
-	workers      map[string]*fleetWorker
-	steps        map[workflow.JobID][]workflow.Step
-	coefficients map[[2]string]float64
-	jobs         int64
+	core *Core
+	// arrivals draws the submissions, rng all else, because the order of events varies with that of Go maps.
+	arrivals, rng *rand.Rand
+	failShare     float64
+	now           time.Duration
+	events        fleetEvents
+	nextEvent     int64
+	workers       map[string]*fleetWorker
+	steps         map[workflow.JobID][]workflow.Step
+	coefficients  map[[2]string]float64
+	jobs          int64
 	// spent is the time inside of the methods of the Core, by method.
 	spent  [fleetMethods]time.Duration
 	starts int
@@ -122,7 +123,7 @@
 func newFleet(seed uint64, l fleetLoad) *fleet {
 	logger := process.WithPrefix(process.LogSettings{LogLevel: "info", LogFormat: "json"}.NewLogger(io.Discard).With(
 		"instance", "front-1"), "owner")
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 3)), now: time.Minute, workers: map[string]*fleetWorker{},
+	f := &fleet{arrivals: rand.New(rand.NewPCG(seed, 2)), rng: rand.New(rand.NewPCG(seed, 3)), now: time.Minute, workers: map[string]*fleetWorker{},
 		steps: map[workflow.JobID][]workflow.Step{}, coefficients: map[[2]string]float64{}}
 	f.core = New(Params{Lease: 6 * time.Second, Isolation: 5 * time.Second, ObjectiveTolerance: 4 * time.Second}, 1, f.now,
 		func() time.Time { return time.Unix(0, int64(f.now)) }, logger, testConfig(), Stored{PredecessorUntil: f.now})
@@ -158,7 +159,7 @@
 	f.spent, f.starts = [fleetMethods]time.Duration{}, 0
 	f.scheduleRate(l.steady+l.burst, l.exclusiveRate, func() {
 		f.submit(workflow.Step{Count: 16, Size: resource.Vector{MilliCores: 4000, MemoryMB: 8000},
-			Estimate: time.Second, MaxPerWorker: f.rng.IntN(3)})
+			Estimate: time.Second, MaxPerWorker: f.arrivals.IntN(3)})
 	})
 	f.scheduleArrivals(l.steady, l.batchRate, l.quickRate)
 	f.runUntil(f.now + l.steady)
@@ -170,14 +171,14 @@
 
 func (f *fleet) scheduleArrivals(d time.Duration, batchRate, quickRate float64) {
 	f.scheduleRate(d, batchRate, func() {
-		image := fmt.Sprintf("batch-%d", f.rng.IntN(fleetBatchImages))
+		image := fmt.Sprintf("batch-%d", f.arrivals.IntN(fleetBatchImages))
 		f.submit(f.bestEffort(39, 7000, 13000, 1900*time.Millisecond, image),
 			f.bestEffort(39, 7000, 13000, 1900*time.Millisecond, image, 0))
 	})
 	f.scheduleRate(d, quickRate, func() {
-		image := fmt.Sprintf("batch-%d", f.rng.IntN(fleetBatchImages))
+		image := fmt.Sprintf("batch-%d", f.arrivals.IntN(fleetBatchImages))
 		steps := []workflow.Step{f.bestEffort(9, 21000, 42000, 680*time.Millisecond, image)}
-		if f.rng.Float64() < 0.6 {
+		if f.arrivals.Float64() < 0.6 {
 			steps = append(steps, f.bestEffort(9, 21000, 42000, 680*time.Millisecond, image, 0))
 		}
 		f.submit(steps...)
@@ -185,8 +186,8 @@
 }
 
 func (f *fleet) scheduleRate(d time.Duration, rate float64, do func()) {
-	for at := time.Duration(0); ; {
-		at += time.Duration(f.rng.ExpFloat64() / rate * float64(time.Second))
+	for at := time.Duration(0); rate > 0; {
+		at += time.Duration(f.arrivals.ExpFloat64() / rate * float64(time.Second))
 		if at >= d {
 			return
 		}
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -293,7 +293,7 @@
 func (c *Core) hasBetterWorker(now time.Duration, t *task) bool {
 	def := t.step.def
 	tailRise := c.tailRise(now, t)
-	for _, w := range c.workers {
+	for _, w := range c.sortedWorkers() {
 		if w == t.worker || w.Pool != t.job().terms.Pool || w.unschedulable() || w.failingSince != 0 ||
 			w.quarantinedUntil > now {
 			continue
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -87,7 +87,7 @@
 	held int
 }
 
-// rankingKey holds what the choice of a worker depends on for tasks without a filter.
+// rankingKey holds what the scores of the workers depend on.
 type rankingKey struct {
 	pool, image, dataRack                             string
 	size                                              resource.Vector
@@ -212,23 +212,20 @@
 	}
 	restricted := def.Label != "" || def.MaxPerWorker > 0 || filter != nil
 	var n *assign.Node
-	if !restricted && t.avoidWorker == "" {
-		n = p.ranking(t, nodes, waitExpired, bounded).Best()
-		if n == nil && bounded {
+	switch {
+	case def.Gang:
+		// What the other tasks of the gang reserve is not in the rankings.
+		n = assign.Choose(p.filterNodes(nodes, t, filter), p.core.placement(p.now, t, t.avoidWorker))
+	default:
+		r := p.ranking(t, nodes, waitExpired, bounded)
+		if bounded && r.Empty() {
 			p.bound.noteFull(t, nodes)
 		}
-	} else {
-		if bounded {
-			all := nodes
-			if nodes = p.bound.admit(t, all); len(nodes) == 0 {
-				p.bound.noteFull(t, all)
-				return nil
-			}
-		}
+		var accept func(*assign.Node) bool
 		if restricted {
-			nodes = p.filterNodes(nodes, t, filter)
+			accept = func(n *assign.Node) bool { return p.allows(n, t, filter) }
 		}
-		n = assign.Choose(nodes, p.core.placement(p.now, t))
+		n = r.Best(t.avoidWorker, accept)
 	}
 	switch {
 	// Filters that depend on the task are not cached. The bound on best-effort work has its own cache.
@@ -252,7 +249,7 @@
 		if bounded {
 			admits = p.bound.admits(t, nodes)
 		}
-		r = &planRanking{Ranking: assign.NewRanking(nodes, p.core.placement(p.now, t), admits), seen: len(p.changed)}
+		r = &planRanking{Ranking: assign.NewRanking(nodes, p.core.placement(p.now, t, ""), admits), seen: len(p.changed)}
 		p.rankings[key] = r
 	}
 	for _, n := range p.changed[r.seen:] {
@@ -263,30 +260,30 @@
 }
 
 // placement returns the description of a task for the choice of its worker.
-func (c *Core) placement(now time.Duration, t *task) *assign.Task {
+func (c *Core) placement(now time.Duration, t *task, avoidWorker string) *assign.Task {
 	def := t.step.def
 	return &assign.Task{Size: def.Size, BestEffort: def.BestEffort, LatencyCritical: latencyCritical(def),
-		Image: def.Image, DataRack: def.DataRack, AvoidWorker: t.avoidWorker, TailRise: c.tailRise(now, t)}
+		Image: def.Image, DataRack: def.DataRack, AvoidWorker: avoidWorker, TailRise: c.tailRise(now, t)}
 }
 
 func (p *plan) filterNodes(nodes []*assign.Node, t *task, filter func(*worker) bool) []*assign.Node {
 	out := make([]*assign.Node, 0, len(nodes))
 	for _, n := range nodes {
-		w := p.core.workers[n.ID]
-		if l := t.step.def.Label; l != "" && !w.hasLabel(l) {
-			continue
+		if p.allows(n, t, filter) {
+			out = append(out, n)
 		}
-		if m := t.step.def.MaxPerWorker; m > 0 && w.countStepTasks(t.step) >= m {
-			continue
-		}
-		if filter != nil && !filter(w) {
-			continue
-		}
-		out = append(out, n)
 	}
 	return out
 }
 
+// allows reports whether a worker satisfies the filter, which may be nil, and what the step asks for.
+func (p *plan) allows(n *assign.Node, t *task, filter func(*worker) bool) bool {
+	w, def := p.core.workersByID[n.Index], t.step.def
+	return (def.Label == "" || w.hasLabel(def.Label)) &&
+		(def.MaxPerWorker <= 0 || w.countStepTasks(t.step) < def.MaxPerWorker) &&
+		(filter == nil || filter(w))
+}
+
 func (w *worker) hasLabel(label string) bool {
 	for _, l := range w.Labels {
 		if l == label {
