--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"syscall"
 	"time"
 
@@ -86,6 +87,9 @@
 // Outcome is the way in which an attempt ended on a worker.
 type Outcome string
 
+// LogValue implements slog.LogValuer.
+func (o Outcome) LogValue() slog.Value { return slog.StringValue(string(o)) }
+
 // Values of Outcome.
 const (
 	EndDone    Outcome = "done"
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -44,6 +44,9 @@
 // shortenError replaces an error attribute by its message, because the text handler prints the stack trace of a wrapped
 // error.
 func shortenError(_ []string, a slog.Attr) slog.Attr {
+	if a.Value.Kind() != slog.KindAny {
+		return a
+	}
 	if err, ok := a.Value.Any().(error); ok {
 		a.Value = slog.StringValue(err.Error())
 	}
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -31,6 +32,9 @@
 // MarshalText implements encoding.TextMarshaler.
 func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// LogValue implements slog.LogValuer.
+func (s State) LogValue() slog.Value { return slog.StringValue(s.String()) }
+
 // Over reports whether the state is final.
 func (s State) Over() bool { return s >= Done }
 
--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"strconv"
 	"strings"
 	"time"
@@ -200,9 +201,12 @@
 // String returns the step name that is sent to the advisor.
 func (s StepID) String() string { return joinDotted(s.Job, s.Round, s.Step) }
 
-// MarshalText implements encoding.TextMarshaler, so that logs contain the name.
+// MarshalText implements encoding.TextMarshaler.
 func (s StepID) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// LogValue implements slog.LogValuer, so that logs contain the name.
+func (s StepID) LogValue() slog.Value { return slog.StringValue(s.String()) }
+
 func joinDotted(j JobID, numbers ...int) string {
 	b := make([]byte, 0, len(j)+12)
 	b = append(b, j...)
@@ -212,9 +216,12 @@
 	return string(b)
 }
 
-// MarshalText implements encoding.TextMarshaler, so that logs contain the name.
+// MarshalText implements encoding.TextMarshaler.
 func (t TaskID) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
 
+// LogValue implements slog.LogValuer, so that logs contain the name.
+func (t TaskID) LogValue() slog.Value { return slog.StringValue(t.String()) }
+
 // TaskNameError reports a task name that is not of the form JOB.ROUND.STEP.INDEX.
 type TaskNameError struct{ Name string }
 
