--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -41,7 +41,7 @@
 	silenceEntry, silenceChanged := c.recordSilence(now)
 	suspectsEntry, suspectsChanged := c.recordSuspects()
 	if len(c.dirty) == 0 && !silenceChanged && !suspectsChanged {
-		for _, w := range c.workers {
+		for w := range c.unconfirmed {
 			// The ends applied since the last batch belong to earlier attempts and change no record.
 			w.confirmedEnd = w.appliedEnd
 		}
@@ -75,10 +75,14 @@
 			}
 		}
 	}
-	for _, w := range c.workers {
+	for w := range c.unconfirmed {
 		w.markBatch(b.ID, c.dirty)
-		if silenceChanged && w.silence == silenceClearing {
-			w.silenceBatch = b.ID
+	}
+	if silenceChanged {
+		for w := range c.unresponsive {
+			if w.silence == silenceClearing {
+				w.silenceBatch = b.ID
+			}
 		}
 	}
 	return b
@@ -126,9 +130,7 @@
 		}
 	}
 	c.uncommitted = rest
-	for _, w := range c.workers {
-		w.confirmEnds(id)
-	}
+	c.confirmEnds(id)
 }
 
 // revokePlacement makes a task pending again whose start was never sent or was refused. The task has waited since it was
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -182,23 +182,52 @@
 
 // renewLeases sends the lease calls that are due, and removes workers that are neither listed nor in use.
 func (c *Core) renewLeases(now time.Duration) {
-	for id, w := range c.workers {
-		if c.expireLease(now, w) {
+	expired := c.expireLeases(now)
+	for w := range c.callable {
+		if _, ok := expired[w]; ok {
 			continue
 		}
-		if !w.listed && len(w.tasks) == 0 && !w.leaseInFlight && w.silence == silenceNone &&
+		if !w.listed && len(w.tasks) == 0 && w.silence == silenceNone &&
 			!w.awaitsCrashEvidence(now) && (w.confirmedEnd == w.sentConfirmation || w.failingSince != 0) {
-			delete(c.workers, id)
-			c.workersByID = nil
+			c.removeWorker(w)
 			continue
 		}
-		if w.leaseInFlight || w.Addr == "" || now < w.leaseSentAt+c.renewInterval(w) {
+		if w.Addr == "" || now < w.leaseSentAt+c.renewInterval(w) {
 			continue
 		}
 		c.sendLease(now, w)
 	}
 }
 
+func (c *Core) removeWorker(w *worker) {
+	delete(c.workers, w.ID)
+	delete(c.callable, w)
+	delete(c.unconfirmed, w)
+	delete(c.unresponsive, w)
+	c.workersByID = nil
+}
+
+// expireLeases gives up the attempts on the workers whose leases have certainly expired, and returns these workers.
+func (c *Core) expireLeases(now time.Duration) map[*worker]struct{} {
+	if now <= c.nextExpiry {
+		return nil
+	}
+	expired := map[*worker]struct{}{}
+	for _, w := range c.workers {
+		if c.expireLease(now, w) {
+			expired[w] = struct{}{}
+		}
+	}
+	// Leases are only ever extended, and assignTask and restoreTask consider those of workers that had no tasks.
+	c.nextExpiry = now + c.params.Lease
+	for _, w := range c.workers {
+		if len(w.tasks) > 0 {
+			c.nextExpiry = min(c.nextExpiry, w.leaseEnd)
+		}
+	}
+	return expired
+}
+
 // expireLease gives up the attempts on a worker whose lease has certainly expired, and reports whether it did so.
 func (c *Core) expireLease(now time.Duration, w *worker) bool {
 	if len(w.tasks) == 0 || now <= w.leaseEnd || w.leaseEnd == 0 {
@@ -253,14 +282,15 @@
 		}
 	}
 	w.sentConfirmation = w.confirmedEnd
-	w.leaseInFlight, w.leaseSentAt = true, now
+	w.leaseSentAt = now
+	delete(c.callable, w)
 	c.orders = append(c.orders, LeaseOrder{Member: w.Member, Call: call, worker: w})
 }
 
 // LeaseFailed applies the refusal of a lease call, or the lack of an answer.
 func (c *Core) LeaseFailed(now time.Duration, o LeaseOrder, err error) {
 	w := o.worker
-	w.leaseInFlight = false
+	c.callable[w], c.unresponsive[w] = struct{}{}, struct{}{}
 	if o.Call.LastStoredEnd > 0 && w.sentConfirmation == o.Call.LastStoredEnd {
 		// The worker may not have received the confirmation, so it is sent again.
 		w.sentConfirmation = 0
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -57,6 +57,14 @@
 	lastShortage time.Duration
 	lastSummary  time.Duration
 	workersByID  []*worker
+	// callable holds the workers without a lease call in flight.
+	callable map[*worker]struct{}
+	// unconfirmed holds the workers with ends whose storage is not confirmed to this core yet.
+	unconfirmed map[*worker]struct{}
+	// unresponsive holds the workers whose last lease call failed or whose silence is recorded.
+	unresponsive map[*worker]struct{}
+	// nextExpiry is a time before which no lease of a worker with tasks expires.
+	nextExpiry time.Duration
 	// scheduledRounds holds the rounds whose due time has not come.
 	scheduledRounds []*round
 	// uncommitted holds the placements that are not stored yet, in the order of their batches.
@@ -103,6 +111,7 @@
 	stored Stored) *Core {
 	c := &Core{params: p, logger: l, epoch: epoch, config: config, wallClock: wallClock,
 		jobs: map[workflow.JobID]*job{}, workers: map[string]*worker{},
+		callable: map[*worker]struct{}{}, unconfirmed: map[*worker]struct{}{}, unresponsive: map[*worker]struct{}{},
 		dirty: map[*job]struct{}{}, needsOrder: map[*task]struct{}{}, ownerSince: now,
 		predecessorUntil: stored.PredecessorUntil, silentLeases: stored.SilentLeases,
 		suspects: map[*task]struct{}{}, storedCrashes: stored.Suspects,
@@ -111,6 +120,7 @@
 		// The recorded silence holds until this owner has stored an update.
 		w := c.worker(l.ID)
 		w.StartedAt, w.silence = l.StartedAt, silenceRecorded
+		c.unresponsive[w] = struct{}{}
 	}
 	sort.Slice(stored.Jobs, func(i, k int) bool { return stored.Jobs[i].Offset < stored.Jobs[k].Offset })
 	for _, j := range stored.Jobs {
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -19,7 +19,7 @@
 func (c *Core) LeaseAnswered(now, sent time.Duration, o LeaseOrder, a LeaseAnswer) {
 	c.eventTime = now
 	w := o.worker
-	w.leaseInFlight = false
+	c.callable[w] = struct{}{}
 	if a.StartedAt < w.StartedAt {
 		return
 	}
@@ -51,6 +51,7 @@
 		return
 	}
 	w.appliedEnd = e.Number
+	c.unconfirmed[w] = struct{}{}
 	t := c.findTask(e.Task)
 	if t != nil && c.doneBefore(t, w, e) {
 		c.logger.Info("earlier attempt had ended as done", "task", t.id, "run", e.Run, "worker", w.ID)
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -39,11 +39,10 @@
 	endMarks                                   []endMark
 	// silence is the state of the record that the worker does not answer; silenceBatch is the batch that removes the
 	// record.
-	silence       silence
-	silenceBatch  int64
-	leaseInFlight bool
-	leaseSentAt   time.Duration
-	answeredAt    time.Duration
+	silence      silence
+	silenceBatch int64
+	leaseSentAt  time.Duration
+	answeredAt   time.Duration
 	// failingSince is when a lease call first failed after the last answer; 0 if none has.
 	failingSince time.Duration
 	// connectionLost reports whether that call failed because the connection was closed or refused.
@@ -88,16 +87,18 @@
 func (c *Core) recordSilence(now time.Duration) (eventlog.Entry, bool) {
 	silent := map[string]catalog.SilentWorker{}
 	changed := false
-	for id, w := range c.workers {
+	for w := range c.unresponsive {
 		unresponsive := w.failingSince != 0 && now-w.failingSince >= silenceThreshold && len(w.tasks) > 0
 		switch {
 		case w.silence == silenceNone && unresponsive:
 			w.silence, changed = silenceRecorded, true
 		case w.silence == silenceRecorded && (w.failingSince == 0 && w.fenced || len(w.tasks) == 0):
 			w.silence, changed = silenceClearing, true
+		case w.silence == silenceNone && w.failingSince == 0:
+			delete(c.unresponsive, w)
 		}
 		if w.silence == silenceRecorded {
-			silent[id] = catalog.SilentWorker{StartedAt: w.StartedAt, Remaining: max(0, w.leaseEnd-now)}
+			silent[w.ID] = catalog.SilentWorker{StartedAt: w.StartedAt, Remaining: max(0, w.leaseEnd-now)}
 		}
 	}
 	if !changed {
@@ -115,7 +116,7 @@
 // clearSilence allows leases again for the workers whose record of silence was removed with the batch or an earlier
 // one.
 func (c *Core) clearSilence(batch int64) {
-	for _, w := range c.workers {
+	for w := range c.unresponsive {
 		if w.silence == silenceClearing && w.silenceBatch <= batch {
 			w.silence = silenceNone
 		}
@@ -133,6 +134,7 @@
 		w = &worker{Member: Member{Incarnation: Incarnation{ID: id}}, tasks: map[*task]struct{}{},
 			node: assign.Node{Services: map[string]int{}}, load: headroom.Load{BestEffort: map[string]int64{}}}
 		c.workers[id] = w
+		c.callable[w] = struct{}{}
 	}
 	return w
 }
@@ -235,6 +237,16 @@
 	}
 }
 
+// confirmEnds notes that a batch is stored on all workers with unconfirmed ends.
+func (c *Core) confirmEnds(batch int64) {
+	for w := range c.unconfirmed {
+		w.confirmEnds(batch)
+		if len(w.endMarks) == 0 && w.confirmedEnd == w.appliedEnd {
+			delete(c.unconfirmed, w)
+		}
+	}
+}
+
 // SetMember applies an entry of the worker list.
 func (c *Core) SetMember(now time.Duration, m Member) {
 	w := c.worker(m.ID)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -238,6 +238,7 @@
 	}
 	t.workerStartedAt = r.WorkerStartedAt
 	w.addTask(t)
+	c.nextExpiry = min(c.nextExpiry, w.leaseEnd)
 	t.job().placed++
 	if end, ok := c.silentLeases[catalog.Incarnation{ID: r.Worker, StartedAt: r.WorkerStartedAt}]; ok {
 		// The earlier owner granted no lease after it had recorded the worker as silent.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -308,6 +308,7 @@
 	c := p.core
 	w := c.workers[n.ID]
 	p.changed = append(p.changed, n)
+	c.nextExpiry = min(c.nextExpiry, w.leaseEnd)
 	t.run, t.workerStartedAt, t.startState, t.commitBatch, t.startCalls = run, w.StartedAt, startUncommitted, 0, 0
 	t.startCutShort = false
 	w.addTask(t)
