--- a/internal/dispatch/sets_test.go
+++ b/internal/dispatch/sets_test.go
@@ -56,12 +56,16 @@
 				sim.core.DropMember(id)
 				sim.schedule(time.Second, sim.listWorkers)
 			case 5:
+				sim.logDown = !sim.logDown
+			case 6:
 				if sim.rng.IntN(4) == 0 {
 					sim.takeOver()
 				}
 			}
-			sim.run(50 * time.Millisecond)
-			requireCompleteSets(t, sim.core)
+			for range 10 {
+				sim.run(tick)
+				requireCompleteSets(t, sim.core)
+			}
 		}
 	}
 }
