--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -24,6 +24,8 @@
 	shares map[string]float64
 	// noHeadroom holds, for each image, the smallest tasks that no worker could take.
 	noHeadroom map[string][]resource.Vector
+	// withRoom holds, for each size, the workers that had room for it when the first such task was considered.
+	withRoom map[resource.Vector][]*assign.Node
 	// services holds the service images of each worker.
 	services []map[string]int
 	// idle reports whether tasks request less than idleShare of the processors of the pool.
@@ -63,6 +65,30 @@
 	pool.noHeadroom[def.Image] = append(pool.noHeadroom[def.Image], def.Size)
 }
 
+// withRoom returns the nodes that have the resources and processors for a task like t, whatever its image.
+func (b *bestEffortBound) withRoom(t *task, nodes []*assign.Node) []*assign.Node {
+	pool, def := b.pool(t.job().terms.Pool, nodes), t.step.def
+	if out, ok := pool.withRoom[def.Size]; ok {
+		return out
+	}
+	need, size := def.Reserved(), requestedMilliCores(def)
+	var out []*assign.Node
+	for _, n := range nodes {
+		if need.Fits(n.Free()) && b.core.workersByID[n.Index].load.HasProcessors(n.BestEffort, size) {
+			out = append(out, n)
+		}
+	}
+	pool.withRoom[def.Size] = out
+	return out
+}
+
+// forgetRoom drops the results of withRoom, because a worker is no longer among the candidates.
+func (b *bestEffortBound) forgetRoom(pool string) {
+	if p := b.pools[pool]; p != nil {
+		clear(p.withRoom)
+	}
+}
+
 // admits returns a function that reports whether a node with enough free resources can take a task like t.
 func (b *bestEffortBound) admits(t *task, nodes []*assign.Node) func(*assign.Node) bool {
 	def := t.step.def
@@ -84,7 +110,8 @@
 		capacity += n.Capacity.MilliCores
 	}
 	p := &poolBound{shares: map[string]float64{}, noHeadroom: map[string][]resource.Vector{},
-		idle: float64(requested) < idleShare*float64(capacity)}
+		withRoom: map[resource.Vector][]*assign.Node{},
+		idle:     float64(requested) < idleShare*float64(capacity)}
 	b.pools[name] = p
 	return p
 }
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -31,6 +31,7 @@
 	p.healthy[pool] = without(p.candidates(pool), best)
 	// The rankings contain the held worker.
 	clear(p.rankings)
+	p.bound.forgetRoom(pool)
 }
 
 func without(nodes []*assign.Node, n *assign.Node) []*assign.Node {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -132,8 +132,9 @@
 	if n, ok := cache[pool]; ok {
 		return n
 	}
-	var out []*assign.Node
-	for i, w := range p.core.sortedWorkers() {
+	workers := p.core.sortedWorkers()
+	out := make([]*assign.Node, 0, len(workers))
+	for i, w := range workers {
 		if w.Pool != pool || w.unschedulable() || skipQuarantined && w.quarantinedUntil > p.now ||
 			w.fullUntil > p.now || w.failingSince != 0 {
 			continue
@@ -247,7 +248,14 @@
 	if r == nil {
 		var admits func(*assign.Node) bool
 		if bounded {
-			admits = p.bound.admits(t, nodes)
+			all := nodes
+			// A long-running task that has waited has other candidates.
+			if !waitExpired {
+				nodes = p.bound.withRoom(t, all)
+			}
+			if len(nodes) > 0 {
+				admits = p.bound.admits(t, all)
+			}
 		}
 		r = &planRanking{Ranking: assign.NewRanking(nodes, p.core.placement(p.now, t, ""), admits), seen: len(p.changed)}
 		p.rankings[key] = r
