--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -24,6 +24,10 @@
 	shares map[string]float64
 	// noHeadroom holds, for each image, the smallest tasks that no worker could take.
 	noHeadroom map[string][]resource.Vector
+	// withRoom holds, for each size, the workers that had room for it when the first such task was considered.
+	withRoom map[resource.Vector][]*assign.Node
+	// services holds the service images of each worker.
+	services []map[string]int
 	// idle reports whether tasks request less than idleShare of the processors of the pool.
 	idle bool
 }
@@ -39,33 +43,63 @@
 	return &bestEffortBound{core: c, now: now, margins: map[string]float64{}, pools: map[string]*poolBound{}}
 }
 
-// admit returns the nodes that can take a best-effort task. nodes are all candidates of its pool.
-func (b *bestEffortBound) admit(t *task, nodes []*assign.Node) []*assign.Node {
-	pool := b.pool(t.job().terms.Pool, nodes)
-	if pool.idle && t.job().placed == 0 && b.now-t.queuedAt >= maxIdleWait {
-		return nodes
-	}
+// exempts reports whether the bound does not apply to a task. nodes are all candidates of its pool.
+func (b *bestEffortBound) exempts(t *task, nodes []*assign.Node) bool {
+	return b.pool(t.job().terms.Pool, nodes).idle && t.job().placed == 0 && b.now-t.queuedAt >= maxIdleWait
+}
+
+// full reports whether no worker could take a task like t earlier in the plan.
+func (b *bestEffortBound) full(t *task, nodes []*assign.Node) bool {
 	def := t.step.def
-	for _, size := range pool.noHeadroom[def.Image] {
+	for _, size := range b.pool(t.job().terms.Pool, nodes).noHeadroom[def.Image] {
 		if size.Fits(def.Size) {
-			return nil
+			return true
 		}
 	}
-	share := b.share(pool, nodes, def.Image)
+	return false
+}
+
+// noteFull notes that no worker can take a task like t.
+func (b *bestEffortBound) noteFull(t *task, nodes []*assign.Node) {
+	pool, def := b.pool(t.job().terms.Pool, nodes), t.step.def
+	pool.noHeadroom[def.Image] = append(pool.noHeadroom[def.Image], def.Size)
+}
+
+// withRoom returns the nodes that have the resources and processors for a task like t, whatever its image.
+func (b *bestEffortBound) withRoom(t *task, nodes []*assign.Node) []*assign.Node {
+	pool, def := b.pool(t.job().terms.Pool, nodes), t.step.def
+	if out, ok := pool.withRoom[def.Size]; ok {
+		return out
+	}
 	need, size := def.Reserved(), requestedMilliCores(def)
 	var out []*assign.Node
 	for _, n := range nodes {
-		w := b.core.workers[n.ID]
-		if need.Fits(n.Free()) && w.load.Fits(b, n.Services, def.Image, size, share) {
+		if need.Fits(n.Free()) && b.core.workersByID[n.Index].load.HasProcessors(n.BestEffort, size) {
 			out = append(out, n)
 		}
 	}
-	if len(out) == 0 {
-		pool.noHeadroom[def.Image] = append(pool.noHeadroom[def.Image], def.Size)
-	}
+	pool.withRoom[def.Size] = out
 	return out
 }
 
+// forgetRoom drops the results of withRoom, because a worker is no longer among the candidates.
+func (b *bestEffortBound) forgetRoom(pool string) {
+	if p := b.pools[pool]; p != nil {
+		clear(p.withRoom)
+	}
+}
+
+// admits returns a function that reports whether a node with enough free resources can take a task like t.
+func (b *bestEffortBound) admits(t *task, nodes []*assign.Node) func(*assign.Node) bool {
+	def := t.step.def
+	share := b.share(b.pool(t.job().terms.Pool, nodes), nodes, def.Image)
+	size := requestedMilliCores(def)
+	return func(n *assign.Node) bool {
+		w := b.core.workersByID[n.Index]
+		return w.load.HasProcessors(n.BestEffort, size) && w.load.Fits(b, n.Services, def.Image, size, share)
+	}
+}
+
 func (b *bestEffortBound) pool(name string, nodes []*assign.Node) *poolBound {
 	if p, ok := b.pools[name]; ok {
 		return p
@@ -76,7 +110,8 @@
 		capacity += n.Capacity.MilliCores
 	}
 	p := &poolBound{shares: map[string]float64{}, noHeadroom: map[string][]resource.Vector{},
-		idle: float64(requested) < idleShare*float64(capacity)}
+		withRoom: map[resource.Vector][]*assign.Node{},
+		idle:     float64(requested) < idleShare*float64(capacity)}
 	b.pools[name] = p
 	return p
 }
@@ -85,11 +120,13 @@
 	if s, ok := p.shares[image]; ok {
 		return s
 	}
-	services := make([]map[string]int, len(nodes))
-	for i, n := range nodes {
-		services[i] = n.Services
+	if p.services == nil {
+		p.services = make([]map[string]int, len(nodes))
+		for i, n := range nodes {
+			p.services[i] = n.Services
+		}
 	}
-	p.shares[image] = headroom.Share(b, services, image)
+	p.shares[image] = headroom.Share(b, p.services, image)
 	return p.shares[image]
 }
 
