--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -94,7 +94,7 @@
 ) *dispatch.Owner {
 	settings := dispatch.Settings{Instance: s.Instance, Cores: s.Cores,
 		LinkBytesPerSecond:    s.LinkBytesPerSecond,
-		LogReadBytesPerSecond: s.LogReadBytesPerSecond, ProgressTopic: t.Progress,
+		LogReadBytesPerSecond: s.LogReadBytesPerSecond, ProgressTopic: t.Progress, TasksTopic: platform.TopicTasks,
 		WorkersTopic: platform.TopicWorkers, SubmissionsTopic: t.Submissions,
 		Retention: s.StatusRetention + retentionMargin,
 		Params: dispatch.Params{Lease: min(leaseDuration, s.MaxLease), Isolation: isolationLimit,
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -13,7 +13,7 @@
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
-// Keys in the topics of submissions and progress. The key of a submission, and of its record, is its id.
+// Keys in the topics of submissions, progress and tasks. The key of a submission, and of its records, is its id.
 const (
 	cancelPrefix    = "cancel/"
 	endpointPrefix  = "endpoint/"
@@ -35,9 +35,17 @@
 	return eventlog.Entry{Key: cancelPrefix + string(id), Value: []byte{1}}
 }
 
-// ProgressEntry returns the entry with the record of a submission. Its error is a *workflow.EncodeError.
-func ProgressEntry(id workflow.JobID, r *workflow.Record) (eventlog.Entry, error) {
-	b, err := workflow.Encode("progress", r)
+// StateEntry returns the entry of the progress topic with the state of a submission. Its error is a
+// *workflow.EncodeError.
+func StateEntry(id workflow.JobID, s workflow.State) (eventlog.Entry, error) {
+	b, err := workflow.Encode("progress", &workflow.Record{State: s})
+	return eventlog.Entry{Key: string(id), Value: b}, err
+}
+
+// TasksEntry returns the entry of the tasks topic with the record of a submission and its tasks. Its error is a
+// *workflow.EncodeError.
+func TasksEntry(id workflow.JobID, r *workflow.Record) (eventlog.Entry, error) {
+	b, err := workflow.Encode("task record", r)
 	return eventlog.Entry{Key: string(id), Value: b}, err
 }
 
@@ -109,8 +117,10 @@
 type Job struct {
 	Submission *workflow.Submission
 	Cancelled  bool
-	// Record is nil before an owner has stored one.
+	// Record holds the published state, without tasks. It is nil before an owner has published one.
 	Record *workflow.Record
+	// Tasks is the record with the tasks. Only the jobs that Restore returns have one.
+	Tasks *workflow.Record
 	// RecordOffset is the offset of Record in the log.
 	RecordOffset int64
 	// Offset is the offset of the submission in the log; it orders submissions by acceptance.
@@ -138,20 +148,14 @@
 	// endpoints holds the published relays by instance.
 	endpoints map[string]Endpoint
 	// orphans holds the cancellations and records whose submission has not been read or was removed.
-	orphans      map[workflow.JobID]*Job
-	owner        Ownership
-	interference []byte
+	orphans map[workflow.JobID]*Job
+	owner   Ownership
 	// silent holds the recorded silent workers. silentReadAt is when the record was read, which is not before it was
 	// written.
 	silent       map[string]SilentWorker
 	silentReadAt time.Duration
 	// silentOffset is the offset of silent in the log.
 	silentOffset int64
-	// suspects holds the recorded crashes by the name of the task; suspectsOffset is the offset of the record in the log.
-	suspects       map[string]Crashes
-	suspectsOffset int64
-	// settled is the newest epoch whose owner has stated that no owner before it acts any more.
-	settled int64
 }
 
 // New returns an empty catalog.
@@ -199,16 +203,17 @@
 }
 
 // RemoveSubmissionEntries returns the entries that remove a submission and its cancellation. They must be stored
-// before RemoveProgressEntry: a submission without its record would run again.
+// before its records are removed: a submission without them would run again.
 func RemoveSubmissionEntries(id workflow.JobID) []eventlog.Entry {
 	return []eventlog.Entry{{Key: string(id)}, {Key: cancelPrefix + string(id)}}
 }
 
-// RemoveProgressEntry returns the entry that removes the record of a submission.
-func RemoveProgressEntry(id workflow.JobID) eventlog.Entry { return eventlog.Entry{Key: string(id)} }
+// RemoveRecordEntry returns the entry that removes the record of a submission, first from the tasks topic and then from
+// the progress topic: RecordsToRemove finds what is left in the latter.
+func RemoveRecordEntry(id workflow.JobID) eventlog.Entry { return eventlog.Entry{Key: string(id)} }
 
 // RecordsToRemove returns the submissions that were removed while their records remain. An owner that ends between the
-// two removals leaves such records.
+// removals leaves such records.
 func (c *Catalog) RecordsToRemove() []workflow.JobID {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
@@ -221,13 +226,18 @@
 	return ids
 }
 
-// Complete reports whether the submission of every record has been read. An owner that lacks one would stop its tasks
-// as unexpected. Records without tasks of submissions that are over are ignored: they may remain from a removal.
+// Complete reports whether the submission of every published state has been read. An owner that lacks one would stop
+// its tasks as unexpected. States of submissions that are over are ignored: they may remain from a removal.
 func (c *Catalog) Complete() bool {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
+	return c.complete()
+}
+
+// complete is Complete; it requires c.mu.
+func (c *Catalog) complete() bool {
 	for _, o := range c.orphans {
-		if o.Record != nil && (!o.Record.State.Over() || len(o.Record.Tasks) > 0) {
+		if o.Record != nil && !o.Record.State.Over() {
 			return false
 		}
 	}
@@ -334,18 +344,9 @@
 		case ownerKey:
 			c.applyOwner(e)
 			continue
-		case interferenceKey:
-			c.interference = e.Value
-			continue
 		case silentKey:
 			c.applySilent(e)
 			continue
-		case suspectsKey:
-			c.applySuspects(e)
-			continue
-		case settledKey:
-			c.applySettled(e)
-			continue
 		}
 		if e.Value == nil {
 			delete(c.orphans, workflow.JobID(e.Key))
@@ -362,7 +363,7 @@
 			if j.Record != nil && e.Offset <= j.RecordOffset {
 				return false
 			}
-			j.Record, j.RecordOffset = &r, e.Offset
+			j.Record, j.RecordOffset = &workflow.Record{State: r.State}, e.Offset
 			return true
 		})
 	}
@@ -380,22 +381,6 @@
 	}
 }
 
-// InterferenceState returns the stored state of the interference model, which is empty if none is stored or it cannot
-// be decoded.
-func (c *Catalog) InterferenceState() interference.State {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	var s interference.State
-	if c.interference == nil {
-		return s
-	}
-	if err := workflow.Decode("interference", c.interference, &s); err != nil {
-		c.logger.Error("cannot decode interference model, starting with an empty one", "error", err)
-		return interference.State{}
-	}
-	return s
-}
-
 func (c *Catalog) applySilent(e eventlog.Entry) {
 	// The owner applies its own records immediately, and may read older ones later.
 	if e.Offset < c.silentOffset {
@@ -424,42 +409,6 @@
 	return out
 }
 
-func (c *Catalog) applySuspects(e eventlog.Entry) {
-	// The owner applies its own records immediately, and may read older ones later.
-	if e.Offset < c.suspectsOffset {
-		return
-	}
-	var suspects map[string]Crashes
-	if err := workflow.Decode("suspected tasks", e.Value, &suspects); err != nil {
-		c.logger.Error("cannot decode suspected tasks, assuming none", "offset", e.Offset, "error", err)
-		suspects = nil
-	}
-	c.suspects, c.suspectsOffset = suspects, e.Offset
-}
-
-func (c *Catalog) applySettled(e eventlog.Entry) {
-	var epoch int64
-	if err := workflow.Decode("settled epoch", e.Value, &epoch); err != nil {
-		c.logger.Error("cannot decode settled epoch, ignoring it", "offset", e.Offset, "error", err)
-		return
-	}
-	c.settled = max(c.settled, epoch)
-}
-
-// Settled reports whether the owner of an epoch has stated that no owner before it acts any more.
-func (c *Catalog) Settled(epoch int64) bool {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	return c.settled == epoch
-}
-
-// Suspects returns the tasks under which workers have crashed, by the name of the task.
-func (c *Catalog) Suspects() map[string]Crashes {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	return c.suspects
-}
-
 // SilentReadAt returns when the newest record of silent workers was read.
 func (c *Catalog) SilentReadAt() time.Duration {
 	c.mu.RLock()
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -51,8 +51,8 @@
 func TestStateDoesNotGoBack(t *testing.T) {
 	c := newCatalog()
 	c.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{entry(t, 1)(SubmissionEntry(submission("a")))}})
-	running := entry(t, 5)(ProgressEntry("a", &workflow.Record{State: workflow.Running}))
-	done := entry(t, 6)(ProgressEntry("a", &workflow.Record{State: workflow.Done}))
+	running := entry(t, 5)(StateEntry("a", workflow.Running))
+	done := entry(t, 6)(StateEntry("a", workflow.Done))
 	c.ApplyProgress([]eventlog.Entry{done})
 	c.ApplyProgress([]eventlog.Entry{running, done})
 	assert.Equal(t, workflow.Done, c.Find("a").State())
@@ -65,7 +65,7 @@
 	assert.True(t, c.Complete())
 	c.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{CancelEntry("b")}})
 	assert.True(t, c.Complete(), "a cancellation needs no owner")
-	c.ApplyProgress([]eventlog.Entry{entry(t, 1)(ProgressEntry("a", &workflow.Record{State: workflow.Running}))})
+	c.ApplyProgress([]eventlog.Entry{entry(t, 1)(StateEntry("a", workflow.Running))})
 	assert.False(t, c.Complete())
 	c.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{entry(t, 1)(SubmissionEntry(submission("a")))}})
 	assert.True(t, c.Complete())
@@ -78,12 +78,12 @@
 	c := newCatalog()
 	c.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{entry(t, 1)(SubmissionEntry(submission("a"))),
 		CancelEntry("a")}})
-	c.ApplyProgress([]eventlog.Entry{entry(t, 2)(ProgressEntry("a", &workflow.Record{State: workflow.Cancelled}))})
+	c.ApplyProgress([]eventlog.Entry{entry(t, 2)(StateEntry("a", workflow.Cancelled))})
 	c.ApplySubmissions(eventlog.Batch{Entries: RemoveSubmissionEntries("a")})
 	assert.Nil(t, c.Find("a"))
 	assert.True(t, c.Complete())
 	assert.Equal(t, []workflow.JobID{"a"}, c.RecordsToRemove())
-	c.ApplyProgress([]eventlog.Entry{RemoveProgressEntry("a")})
+	c.ApplyProgress([]eventlog.Entry{RemoveRecordEntry("a")})
 	assert.Empty(t, c.RecordsToRemove())
 }
 
@@ -100,10 +100,14 @@
 	bad := eventlog.Entry{Key: "a", Value: []byte{0xff}}
 	good := entry(t, 1)(SubmissionEntry(submission("b")))
 	assert.Len(t, c.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{bad, good}}), 1)
-	c.ApplyProgress([]eventlog.Entry{bad, {Key: "owner", Value: []byte{0xff}},
-		{Key: "interference", Value: []byte{0xff}}})
+	c.ApplyProgress([]eventlog.Entry{bad, {Key: "owner", Value: []byte{0xff}}})
 	assert.Zero(t, c.Owner().Epoch)
-	assert.Empty(t, c.InterferenceState().Images)
-	c.ApplyProgress([]eventlog.Entry{entry(t, 1)(InterferenceEntry(interference.State{Images: []string{"x"}}))})
-	assert.Equal(t, []string{"x"}, c.InterferenceState().Images)
+	loaded := DecodeTasks([]eventlog.Entry{bad, {Key: "interference", Value: []byte{0xff}}}, c.logger)
+	assert.Empty(t, loaded.Interference.Images)
+	assert.Empty(t, loaded.Records)
+	loaded = DecodeTasks([]eventlog.Entry{bad,
+		entry(t, 1)(InterferenceEntry(interference.State{Images: []string{"x"}})),
+		entry(t, 2)(TasksEntry("b", &workflow.Record{State: workflow.Running}))}, c.logger)
+	assert.Equal(t, []string{"x"}, loaded.Interference.Images)
+	assert.Len(t, loaded.Records, 1)
 }
--- /dev/null
+++ b/internal/catalog/tasks.go
@@ -0,0 +1,94 @@
+package catalog
+
+import (
+	"log/slog"
+
+	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/interference"
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+// Tasks is the content of the tasks topic, which only the owner writes. A new owner reads it once.
+type Tasks struct {
+	// Records holds the records of the submissions with their tasks.
+	Records map[workflow.JobID]*workflow.Record
+	// Suspects holds the tasks under which workers have crashed, by the name of the task.
+	Suspects map[string]Crashes
+	// Interference is the state of the interference model, which is empty if none is stored.
+	Interference interference.State
+	settled      int64
+}
+
+// DecodeTasks decodes the newest entry of each key of the tasks topic. An entry that cannot be decoded is logged and
+// ignored.
+func DecodeTasks(entries []eventlog.Entry, l *slog.Logger) *Tasks {
+	t := &Tasks{Records: make(map[workflow.JobID]*workflow.Record, len(entries))}
+	for _, e := range entries {
+		if e.Value == nil {
+			delete(t.Records, workflow.JobID(e.Key))
+			continue
+		}
+		if err := t.decode(e); err != nil {
+			l.Error("cannot decode task record, ignoring it", "key", e.Key, "offset", e.Offset, "error", err)
+		}
+	}
+	return t
+}
+
+// decode applies one entry. Its error is a *workflow.DecodeError.
+func (t *Tasks) decode(e eventlog.Entry) error {
+	switch e.Key {
+	case ownerKey:
+		// The append with which the owner has fenced earlier ones.
+		return nil
+	case suspectsKey:
+		var suspects map[string]Crashes
+		err := workflow.Decode("suspected tasks", e.Value, &suspects)
+		if err == nil {
+			t.Suspects = suspects
+		}
+		return err
+	case interferenceKey:
+		var s interference.State
+		err := workflow.Decode("interference", e.Value, &s)
+		if err == nil {
+			t.Interference = s
+		}
+		return err
+	case settledKey:
+		var epoch int64
+		err := workflow.Decode("settled epoch", e.Value, &epoch)
+		if err == nil {
+			t.settled = epoch
+		}
+		return err
+	}
+	var r workflow.Record
+	err := workflow.Decode("task record", e.Value, &r)
+	if err == nil {
+		t.Records[workflow.JobID(e.Key)] = &r
+	}
+	return err
+}
+
+// Settled reports whether the owner of an epoch has stated that no owner before it acts any more.
+func (t *Tasks) Settled(epoch int64) bool { return t.settled == epoch }
+
+// Restore returns all submissions with their records from the tasks topic, and false if the submission of a record has
+// not been read. Records without tasks of submissions that are over are ignored: they may remain from a removal.
+func (c *Catalog) Restore(t *Tasks) ([]*Job, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for id, r := range t.Records {
+		if c.jobs[id] == nil && (!r.State.Over() || len(r.Tasks) > 0) {
+			return nil, false
+		}
+	}
+	out := make([]*Job, 0, len(c.jobs))
+	for id, j := range c.jobs {
+		restored := *j
+		restored.Tasks = t.Records[id]
+		out = append(out, &restored)
+	}
+	return out, c.complete()
+}
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -11,12 +11,14 @@
 func (c *Core) markDirty(j *job) { c.dirty[j] = struct{}{} }
 
 // RemoveExpired removes at most limit submissions that have been over for longer than retention, and returns their
-// ids. Their final states are stored.
+// ids. Their final states are stored and published.
 func (c *Core) RemoveExpired(now, retention time.Duration, limit int) []workflow.JobID {
 	var ids []workflow.JobID
 	for id, j := range c.jobs {
 		_, dirty := c.dirty[j]
-		if len(ids) < limit && j.state.Over() && j.placed == 0 && !dirty && now-j.finishedAt > retention {
+		_, inFlight := c.statesInFlight[j]
+		if len(ids) < limit && j.state.Over() && j.placed == 0 && !dirty && !inFlight && j.published == j.state &&
+			now-j.finishedAt > retention {
 			ids = append(ids, id)
 			delete(c.jobs, id)
 		}
@@ -36,11 +38,10 @@
 	maxBatchBytes = 512 << 10
 )
 
-// TakeBatch returns the changes since the last batch, or nil if there are none. The last batch must be committed.
-func (c *Core) TakeBatch(now time.Duration) *Batch {
-	silenceEntry, silenceChanged := c.recordSilence(now)
+// TakeBatch returns the changes of tasks since the last batch, or nil if there are none. The last batch must be committed.
+func (c *Core) TakeBatch() *Batch {
 	suspectsEntry, suspectsChanged := c.recordSuspects()
-	if len(c.dirty) == 0 && !silenceChanged && !suspectsChanged {
+	if len(c.dirty) == 0 && !suspectsChanged {
 		for _, w := range c.workers {
 			// The ends applied since the last batch belong to earlier attempts and change no record.
 			w.confirmedEnd = w.appliedEnd
@@ -49,9 +50,6 @@
 	}
 	c.lastBatch++
 	b := &Batch{ID: c.lastBatch}
-	if silenceChanged {
-		b.Entries = append(b.Entries, silenceEntry)
-	}
 	if suspectsChanged {
 		b.Entries = append(b.Entries, suspectsEntry)
 	}
@@ -62,12 +60,13 @@
 		}
 		delete(c.dirty, j)
 		rec := j.record()
-		e, err := catalog.ProgressEntry(j.submission.Job, rec)
+		e, err := catalog.TasksEntry(j.submission.Job, rec)
 		if err != nil {
 			c.logger.Error("cannot encode submission record", "job", j.submission.Job, "error", err)
 			continue
 		}
 		b.Entries = append(b.Entries, e)
+		c.statesInFlight[j] = rec.State
 		size += len(e.Value)
 		for _, t := range c.uncommitted {
 			if t.commitBatch == 0 && t.job() == j {
@@ -77,9 +76,6 @@
 	}
 	for _, w := range c.workers {
 		w.markBatch(b.ID, c.dirty)
-		if silenceChanged && w.silence == silenceClearing {
-			w.silenceBatch = b.ID
-		}
 	}
 	return b
 }
@@ -110,9 +106,9 @@
 	return rec
 }
 
-// Committed reports that a batch is stored: its starts are sent and its ends are confirmed.
+// Committed reports that a batch is stored: its starts are sent, its ends are confirmed and its states are published.
 func (c *Core) Committed(now time.Duration, id int64) {
-	c.clearSilence(id)
+	c.noteStored()
 	rest := c.uncommitted[:0]
 	for _, t := range c.uncommitted {
 		switch {
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -31,9 +31,7 @@
 // read.
 func (o *Owner) maybeClaim(ctx context.Context, now time.Duration) {
 	if o.claimOffset > 0 {
-		if o.progressOffset >= o.claimOffset && o.catalog.Complete() {
-			o.takeOver(ctx, now)
-		}
+		o.maybeTakeOver(now)
 		return
 	}
 	if o.stopping || o.claimInFlight || o.config.Load() == nil || now < o.nextClaim || !o.viewsComplete(now) {
@@ -90,8 +88,7 @@
 }
 
 func (o *Owner) claim(ctx context.Context, now time.Duration, previous catalog.Ownership) {
-	o.claimInFlight = true
-	o.predecessorsEnded = o.ended(previous) && o.catalog.Settled(previous.Epoch)
+	o.claimInFlight, o.predecessor = true, previous
 	// The log accepts one claim for each epoch: the random sequence number of any other claim does not follow it.
 	p := eventlog.Producer{Name: producerName, Epoch: previous.Epoch + 1, Sequence: rand.Int64N(1<<40) + 1}
 	own := catalog.Ownership{Epoch: p.Epoch, Instance: o.settings.Instance, Claim: uuid.NewString()}
@@ -114,33 +111,112 @@
 				o.logger.Info("claim not confirmed by the log", "epoch", p.Epoch, "error", err)
 				return
 			}
-			o.epoch, o.sequence, o.lastConfirmed, o.claimOffset = p.Epoch, p.Sequence, sent, offset+1
+			o.epoch, o.lastConfirmed, o.claimOffset, o.claimedAt = p.Epoch, sent, offset+1, now
+			// Appends of an earlier tenure may still be in flight; they do not count in this one.
+			o.status = appendStream{topic: o.settings.ProgressTopic, sequence: p.Sequence, sentAt: now, next: now}
+			o.tasks = appendStream{topic: o.settings.TasksTopic, sequence: p.Sequence, next: now}
+			o.loading, o.loaded = false, nil
+			o.tenure, o.cancelTenure = context.WithCancel(ctx)
 		})
 	}()
 }
 
+// maybeTakeOver loads the tasks once the claim has been read back, and takes over when the submissions of all records
+// have been read. Until then heartbeats keep others from claiming.
+func (o *Owner) maybeTakeOver(now time.Duration) {
+	if newest := o.catalog.Owner(); newest.Epoch > o.epoch {
+		o.dropClaim("a later owner has claimed")
+		return
+	}
+	if o.progressOffset >= o.claimOffset && !o.loading {
+		o.loading = true
+		o.loadTasks(o.tenure)
+	}
+	if o.loaded != nil {
+		if jobs, complete := o.catalog.Restore(o.loaded); complete {
+			o.takeOver(now, jobs)
+			return
+		}
+	}
+	if now-o.claimedAt < maxLoadTime {
+		o.flushStatus(o.tenure, now)
+	}
+}
+
+// loadTasks reads the tasks of the previous owners. The append before it fences TasksTopic, so that none of them can
+// store anything there that was not read.
+func (o *Owner) loadTasks(ctx context.Context) {
+	fence, err := catalog.OwnerEntry(&catalog.Ownership{Epoch: o.epoch, Instance: o.settings.Instance})
+	if err != nil {
+		o.logger.Error("cannot encode fence of tasks", "error", err)
+		return
+	}
+	p := eventlog.Producer{Name: producerName, Epoch: o.epoch, Sequence: o.tasks.sequence}
+	go func() {
+		started := clock.Now()
+		_, err := o.appendWithRetry(ctx, o.settings.TasksTopic, &p, []eventlog.Entry{fence})
+		var loaded *catalog.Tasks
+		if err == nil {
+			loaded = o.newestTasks(ctx)
+		}
+		o.post(func(now time.Duration) {
+			switch {
+			case ctx.Err() != nil:
+			case err != nil:
+				o.dropClaim(err.Error())
+			default:
+				o.logger.Info("tasks loaded", "epoch", p.Epoch, "records", len(loaded.Records),
+					"took_ms", (now - started).Milliseconds())
+				o.loaded = loaded
+			}
+		})
+	}()
+}
+
+// newestTasks returns the content of TasksTopic. It repeats failed reads, and returns nil when ctx ends.
+func (o *Owner) newestTasks(ctx context.Context) *catalog.Tasks {
+	retry := minAppendRetry
+	for {
+		page, err := o.log.Newest(ctx, o.settings.TasksTopic)
+		if err == nil {
+			return catalog.DecodeTasks(page.Entries, o.logger)
+		}
+		o.logger.Info("cannot load tasks, retrying", "error", err)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(retry):
+		}
+		retry = min(2*retry, maxAppendRetry)
+	}
+}
+
+// dropClaim gives up a claim before the takeover.
+func (o *Owner) dropClaim(reason string) {
+	o.logger.Info("claim given up", "epoch", o.epoch, "reason", reason)
+	o.cancelTenure()
+	o.claimOffset, o.loading, o.loaded = 0, false, nil
+}
+
 // ended reports whether an owner has certainly stopped acting: it has released the ownership, or it was an earlier process
 // of this instance.
 func (o *Owner) ended(owner catalog.Ownership) bool {
 	return owner.Released || owner.Instance == o.settings.Instance
 }
 
-// takeOver starts the tenure: everything that was stored before the claim has been read.
-func (o *Owner) takeOver(ctx context.Context, now time.Duration) {
-	o.claimOffset = 0
-	if newest := o.catalog.Owner(); newest.Epoch > o.epoch {
-		o.logger.Info("claim superseded by a later one", "epoch", o.epoch, "newest", newest.Epoch)
-		return
-	}
+// takeOver starts the tenure: everything that earlier owners have stored has been read.
+func (o *Owner) takeOver(now time.Duration, jobs []*catalog.Job) {
+	loaded := o.loaded
+	o.claimOffset, o.loading, o.loaded = 0, false, nil
+	o.predecessorsEnded = o.ended(o.predecessor) && loaded.Settled(o.predecessor.Epoch)
 	o.core = New(o.settings.Params, o.epoch, now, time.Now, o.logger, o.config.Load(), Stored{
-		PredecessorUntil: o.predecessorUntil(), Jobs: o.catalog.All(), SilentLeases: o.catalog.SilentLeases(),
-		Suspects: o.catalog.Suspects(), Interference: o.catalog.InterferenceState()})
+		PredecessorUntil: o.predecessorUntil(), Jobs: jobs, SilentLeases: o.catalog.SilentLeases(),
+		Suspects: loaded.Suspects, Interference: loaded.Interference})
 	o.core.metrics = o.metrics
 	o.tenureStart, o.settled = now, false
-	o.lastAppend, o.nextAppend, o.lastModelStore, o.lastRemoval, o.unremovedProgress = now, now, now, now, nil
-	// Calls and appends of an earlier tenure may still be in flight; they do not count in this one.
-	o.appendInFlight, o.callsInFlight = false, 0
-	o.tenure, o.cancelTenure = context.WithCancel(ctx)
+	o.lastModelStore, o.lastRemoval, o.unremovedTasks, o.unremovedStates = now, now, nil, nil
+	// Calls of an earlier tenure may still be in flight; they do not count in this one.
+	o.callsInFlight = 0
 	o.workerList = eventlog.NewFollower(o.log, o.settings.WorkersTopic, workerListPollIntervals, o.logger,
 		o.applyMembers)
 	go o.workerList.Run(o.tenure)
@@ -167,13 +243,15 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	for o.core != nil && (o.appendInFlight || o.callsInFlight > 0) {
+	for o.core != nil && (o.tasks.inFlight || o.status.inFlight || o.callsInFlight > 0 || o.core.HasUnpublished()) {
+		o.flushStatus(o.tenure, clock.Now())
 		select {
 		case <-ctx.Done():
 			o.logger.Warn("ownership not released before the timeout", "epoch", o.epoch, "calls", o.callsInFlight)
 			return
 		case f := <-o.events:
 			f(clock.Now())
+		case <-time.After(ownerTick):
 		}
 	}
 	if o.core == nil {
@@ -184,9 +262,9 @@
 		o.logger.Error("cannot encode release", "error", err)
 		return
 	}
-	o.sequence++
-	_, err = o.appendWithRetry(ctx, &eventlog.Producer{Name: producerName, Epoch: o.epoch, Sequence: o.sequence},
-		[]eventlog.Entry{e})
+	o.status.sequence++
+	_, err = o.appendWithRetry(ctx, o.status.topic,
+		&eventlog.Producer{Name: producerName, Epoch: o.epoch, Sequence: o.status.sequence}, []eventlog.Entry{e})
 	if err != nil {
 		o.logger.Warn("cannot store release of ownership", "epoch", o.epoch, "error", err)
 		return
--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -51,13 +51,13 @@
 				events: make(chan func(time.Duration), 1), logger: discardLogger(), catalog: catalog.New(discardLogger())}
 			e, err := catalog.SettledEntry(test.settled)
 			require.NoError(t, err)
-			o.catalog.ApplyProgress([]eventlog.Entry{e})
+			loaded := catalog.DecodeTasks([]eventlog.Entry{e}, discardLogger())
 			for _, r := range test.reads {
 				o.ProgressRead(eventlog.Batch{Entries: make([]eventlog.Entry, r.entries)}, r.newest)
 				(<-o.events)(r.at)
 			}
 			last := test.reads[len(test.reads)-1]
-			o.predecessorsEnded = o.ended(last.newest) && o.catalog.Settled(last.newest.Epoch)
+			o.predecessorsEnded = o.ended(last.newest) && loaded.Settled(last.newest.Epoch)
 			assert.Equal(t, test.want, o.predecessorUntil())
 		})
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -64,6 +64,11 @@
 	// needsOrder holds the placed tasks for which an order must be sent or repeated.
 	needsOrder map[*task]struct{}
 	lastBatch  int64
+	// statesInFlight holds the states in the newest batch until it is stored. unpublished holds the submissions whose
+	// stored state is not published yet; lastStatusBatch is the newest batch that publishes.
+	statesInFlight  map[*job]workflow.State
+	unpublished     map[*job]struct{}
+	lastStatusBatch int64
 	// adviceInFlight is set while a call to the advisor is in flight; nextAdvice is the earliest time of the next
 	// call.
 	adviceInFlight bool
@@ -92,10 +97,11 @@
 type Stored struct {
 	// PredecessorUntil is the time until which previous owners may have granted leases.
 	PredecessorUntil time.Duration
-	Jobs             []*catalog.Job
-	SilentLeases     map[catalog.Incarnation]time.Duration
-	Suspects         map[string]catalog.Crashes
-	Interference     interference.State
+	// Jobs are all submissions with the records of their tasks.
+	Jobs         []*catalog.Job
+	SilentLeases map[catalog.Incarnation]time.Duration
+	Suspects     map[string]catalog.Crashes
+	Interference interference.State
 }
 
 // New returns the Core of an owner that has just claimed the epoch.
@@ -103,7 +109,8 @@
 	stored Stored) *Core {
 	c := &Core{params: p, logger: l, epoch: epoch, config: config, wallClock: wallClock,
 		jobs: map[workflow.JobID]*job{}, workers: map[string]*worker{},
-		dirty: map[*job]struct{}{}, needsOrder: map[*task]struct{}{}, ownerSince: now,
+		dirty: map[*job]struct{}{}, statesInFlight: map[*job]workflow.State{}, unpublished: map[*job]struct{}{},
+		needsOrder: map[*task]struct{}{}, ownerSince: now,
 		predecessorUntil: stored.PredecessorUntil, silentLeases: stored.SilentLeases,
 		suspects: map[*task]struct{}{}, storedCrashes: stored.Suspects,
 		model: interference.Restore(now, stored.Interference), objectives: map[string]time.Duration{}}
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -308,7 +308,7 @@
 	case 2:
 		sim.restart(f.id)
 	case 3:
-		sim.takeOver()
+		sim.loseOwner()
 	case 4:
 		sim.logDown = !sim.logDown
 	case 5:
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -37,8 +37,8 @@
 	// stored, and whose storage was confirmed to the worker.
 	appliedEnd, confirmedEnd, sentConfirmation int64
 	endMarks                                   []endMark
-	// silence is the state of the record that the worker does not answer; silenceBatch is the batch that removes the
-	// record.
+	// silence is the state of the record that the worker does not answer; silenceBatch is the status batch that removes
+	// the record.
 	silence       silence
 	silenceBatch  int64
 	leaseInFlight bool
@@ -72,8 +72,8 @@
 	silenceNone silence = iota
 	// silenceRecorded: the record is stored or about to be.
 	silenceRecorded
-	// silenceClearing: the worker answers again or has no tasks, and the batch that removes the record is not stored
-	// yet.
+	// silenceClearing: the worker answers again or has no tasks, and the status batch that removes the record is not
+	// stored yet.
 	silenceClearing
 )
 
@@ -112,8 +112,8 @@
 	return e, true
 }
 
-// clearSilence allows leases again for the workers whose record of silence was removed with the batch or an earlier
-// one.
+// clearSilence allows leases again for the workers whose record of silence was removed with the status batch or an
+// earlier one.
 func (c *Core) clearSilence(batch int64) {
 	for _, w := range c.workers {
 		if w.silence == silenceClearing && w.silenceBatch <= batch {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -16,6 +16,8 @@
 	offset    int64
 	cancelled bool
 	state     workflow.State
+	// stored is the state in the newest stored record, published the one in the newest status batch.
+	stored, published workflow.State
 	// rounds may be nil once the submission is over.
 	rounds []*round
 	// objectiveAt is the time by which the submission should be done.
@@ -158,10 +160,7 @@
 	c.refreshTerms(j)
 	j.latencyObjective = time.Duration(j.terms.Stretch*float64(j.submission.Chain())) + j.terms.Allowance
 	j.objectiveAt = now + j.latencyObjective - max(0, min(j.latencyObjective, c.wallClock().Sub(j.submission.Accepted)))
-	var rec workflow.Record
-	if stored.Record != nil {
-		rec = *stored.Record
-	}
+	rec := c.restoreState(j, stored)
 	j.state, j.finishedAt = rec.State, now
 	if j.state.Over() && len(rec.Tasks) == 0 {
 		return j
--- a/internal/dispatch/outage_test.go
+++ b/internal/dispatch/outage_test.go
@@ -70,8 +70,8 @@
 	sim.submit("0000000000000001", batchStep(4, 3*time.Second))
 	// The placement is stored, and the starts are queued but not sent.
 	sim.core.Plan(sim.now)
-	b := sim.core.TakeBatch(sim.now)
-	sim.catalog.ApplyProgress(b.Entries)
+	b := sim.core.TakeBatch()
+	sim.storeTasks(b)
 	sim.core.Committed(sim.now, b.ID)
 	delayed := sim.core.Orders()
 	require.NotEmpty(t, delayed)
@@ -98,7 +98,7 @@
 	sim.run(200 * time.Millisecond)
 	sim.submit("0000000000000001", batchStep(1, 3*time.Second))
 	sim.core.Plan(sim.now)
-	b := sim.core.TakeBatch(sim.now)
+	b := sim.core.TakeBatch()
 	sim.core.Committed(sim.now, b.ID)
 	for _, o := range sim.core.Orders() {
 		start, ok := o.(StartOrder)
@@ -134,7 +134,7 @@
 	for seed := range uint64(200) {
 		rng := rand.New(rand.NewPCG(seed, 3))
 		job := &catalog.Job{Submission: &workflow.Submission{Job: "0000000000000001",
-			Steps: []workflow.Step{batchStep(2, time.Second), batchStep(1, time.Second, 0)}}, Record: malformedRecord(rng)}
+			Steps: []workflow.Step{batchStep(2, time.Second), batchStep(1, time.Second, 0)}}, Tasks: malformedRecord(rng)}
 		job.Submission.Steps[1].Gang = seed%2 == 0
 		sim := newSimulation(t, seed, 2)
 		core := New(sim.params, 2, sim.now, func() time.Time { return time.Unix(0, int64(sim.now)) }, discardLogger(),
@@ -142,7 +142,7 @@
 		sim.core = core
 		sim.steps[job.Submission.Job] = job.Submission.Steps
 		sim.listWorkers()
-		require.NotPanics(t, func() { sim.run(500 * time.Millisecond) }, "seed %d: %+v", seed, job.Record)
+		require.NotPanics(t, func() { sim.run(500 * time.Millisecond) }, "seed %d: %+v", seed, job.Tasks)
 	}
 }
 
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -22,9 +22,10 @@
 	LinkBytesPerSecond float64
 	// LogReadBytesPerSecond is the bandwidth that all instances share for reading the log; 0 if unknown.
 	LogReadBytesPerSecond float64
-	// ProgressTopic holds the records of the owner, WorkersTopic the worker list, and SubmissionsTopic the submissions
-	// and cancellations.
-	ProgressTopic, WorkersTopic, SubmissionsTopic string
+	// ProgressTopic holds the ownership and the states of submissions, which all instances read. TasksTopic holds the
+	// records with tasks, which only a new owner reads. WorkersTopic holds the worker list, and SubmissionsTopic the
+	// submissions and cancellations.
+	ProgressTopic, TasksTopic, WorkersTopic, SubmissionsTopic string
 	// Retention is how long a submission can be queried after it is over.
 	Retention time.Duration
 }
@@ -62,18 +63,25 @@
 	// minStepInterval limits how often an owner goes through its workers and tasks; events in between are handled
 	// together.
 	minStepInterval = 4 * time.Millisecond
-	// minAppendInterval limits the rate of appends; the decisions in between are stored with one append.
+	// minAppendInterval limits the rate of appends of task records; the decisions in between are stored with one append.
 	minAppendInterval = 15 * time.Millisecond
-	// maxRecordBytesPerSecond limits the records that an owner writes while its submissions change fast. Every instance
-	// reads all records, and weak ones have links of 20 Mbit/s, which must also carry the traffic of callers.
-	maxRecordBytesPerSecond = 1 << 20
-	// recordLinkShare is the share of the own link that records may take.
+	// maxRecordBytesPerSecond limits the task records that an owner writes while its submissions change fast, to a part of
+	// what the log takes.
+	maxRecordBytesPerSecond = 4 << 20
+	// recordLinkShare is the share of the own link that task records may take.
 	recordLinkShare = 0.25
-	// recordReadShare is the share of the log's read bandwidth that the records may take when all instances read them.
+	// minStatusInterval limits the rate of appends of states.
+	minStatusInterval = 25 * time.Millisecond
+	// maxStatusBytesPerSecond limits the states that an owner publishes. Every instance reads them, and weak ones have
+	// links of 20 Mbit/s, which must also carry the traffic of callers.
+	maxStatusBytesPerSecond = 1 << 20
+	// statusReadShare is the share of the log's read bandwidth that the states may take when all instances read them.
 	// Beyond it every view falls behind, and all instances report that they are not ready.
-	recordReadShare = 0.5
-	// maxAppendInterval limits the time between two appends that maxRecordBytesPerSecond and recordLinkShare cause.
+	statusReadShare = 0.5
+	// maxAppendInterval limits the time between two appends that the limits of bytes cause.
 	maxAppendInterval = 250 * time.Millisecond
+	// maxLoadTime limits how long a claimant writes heartbeats before it has taken over.
+	maxLoadTime = 5 * time.Second
 	// modelStoreInterval is how often the interference model is stored, at a few kilobytes each time.
 	modelStoreInterval = 4 * time.Second
 	// Limits of the exponential backoff for an append that was refused or not answered.
@@ -120,22 +128,21 @@
 	core     *Core
 	lastStep time.Duration
 	epoch    int64
-	// sequence is the sequence number of the newest append.
-	sequence int64
-	// lastConfirmed is when the newest confirmed append was sent.
+	// status and tasks are the appends to ProgressTopic and TasksTopic.
+	status, tasks appendStream
+	// lastConfirmed is when the newest confirmed append of status was sent. Appends of tasks do not count: a successor
+	// counts the leases of its predecessor from the newest record that it has read in ProgressTopic.
 	lastConfirmed  time.Duration
-	appendInFlight bool
-	lastAppend     time.Duration
-	// nextAppend is the earliest time of the next append.
-	nextAppend     time.Duration
 	lastModelStore time.Duration
 	lastRemoval    time.Duration
-	// unremovedProgress holds the removed submissions whose records are still to be removed.
-	unremovedProgress []workflow.JobID
+	// unremovedTasks and unremovedStates hold the removed submissions whose records are still to be removed from
+	// TasksTopic, and then from ProgressTopic.
+	unremovedTasks, unremovedStates []workflow.JobID
 	// callsInFlight counts the calls for whose outcome a hand-over waits.
 	callsInFlight int
 	stopping      bool
-	// tenure is the context of the calls that this instance makes as owner. It is cancelled when the ownership ends.
+	// tenure is the context of the calls that this instance makes as claimant and owner. It is cancelled when the
+	// ownership ends or the claim is given up.
 	tenure       context.Context
 	cancelTenure context.CancelFunc
 	workerList   *eventlog.Follower
@@ -144,9 +151,10 @@
 	// again after an interruption, or this instance ceased to be the owner. lastLogRead is when the log was last read.
 	lastOwnerWrite time.Duration
 	lastLogRead    time.Duration
-	// predecessorRead is when the newest record of another owner was read. predecessorsEnded is set if neither the
-	// predecessor of this instance's claim nor any owner before it acts any more.
+	// predecessorRead is when the newest record of another owner was read. predecessor is the owner at this instance's
+	// claim; predecessorsEnded is set if neither it nor any owner before it acts any more.
 	predecessorRead   time.Duration
+	predecessor       catalog.Ownership
 	predecessorsEnded bool
 	// tenureStart is when this instance became the owner; settled is set once it has stored that no owner before it acts.
 	tenureStart time.Duration
@@ -156,6 +164,11 @@
 	claimInFlight  bool
 	// claimOffset is the offset after this instance's claim until the claim has been read back; 0 if there is none.
 	claimOffset int64
+	// claimedAt is when the claim was confirmed. loading is set once the tasks are requested, and loaded when they are
+	// read.
+	claimedAt time.Duration
+	loading   bool
+	loaded    *catalog.Tasks
 	// nextClaim is the earliest time of the next claim; claimAt is when the scheduled claim is due, 0 if there is none.
 	nextClaim time.Duration
 	claimAt   time.Duration
@@ -204,7 +217,8 @@
 		if now-o.lastLogRead > claimSilence {
 			o.lastOwnerWrite = now
 		}
-		if n > 0 && !(n == 1 && newest.IsClaimOf(o.settings.Instance)) || o.lastLogRead == 0 {
+		if n > 0 && !(n == 1 && newest.IsClaimOf(o.settings.Instance)) && !o.followsClaim(b, newest) ||
+			o.lastLogRead == 0 {
 			o.predecessorRead = now
 		}
 		o.lastLogRead = now
@@ -215,8 +229,13 @@
 	})
 }
 
+// followsClaim reports whether all records of a batch are this instance's own, written after its claim.
+func (o *Owner) followsClaim(b eventlog.Batch, newest catalog.Ownership) bool {
+	return o.claimOffset > 0 && !b.Reset && b.Entries[0].Offset >= o.claimOffset && newest.Epoch == o.epoch
+}
+
 // predecessorUntil returns the time until which previous owners may have granted leases. An owner acts for the isolation
-// limit after the last append that the log confirmed to it, and its last append was stored before it was read here.
+// limit after the last append to ProgressTopic that the log confirmed to it, and that was stored before it was read here.
 func (o *Owner) predecessorUntil() time.Duration {
 	if o.predecessorsEnded {
 		return o.predecessorRead
@@ -300,7 +319,8 @@
 		o.core.Act(now)
 		o.sendOrders(o.tenure, now)
 	}
-	o.flush(o.tenure, now)
+	o.flushTasks(o.tenure, now)
+	o.flushStatus(o.tenure, now)
 	o.removeExpired(o.tenure, now)
 }
 
--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -62,8 +62,8 @@
 		func(b eventlog.Batch) { i.owner.SubmissionsChanged(cat.ApplySubmissions(b)) })
 	progress = eventlog.NewFollower(log, "progress", pace, discardLogger(),
 		func(b eventlog.Batch) { i.owner.ProgressRead(b, cat.ApplyProgress(b.Entries)) })
-	s := Settings{Instance: name, ProgressTopic: "progress", WorkersTopic: "workers", SubmissionsTopic: "submissions",
-		Retention: time.Hour, Cores: 1000, Params: Params{Lease: 6 * time.Second, Isolation: 5 * time.Second}}
+	s := Settings{Instance: name, ProgressTopic: "progress", TasksTopic: "tasks", WorkersTopic: "workers",
+		SubmissionsTopic: "submissions", Retention: time.Hour, Cores: 1000, Params: Params{Lease: 6 * time.Second, Isolation: 5 * time.Second}}
 	i.owner = NewOwner(s, log, noWorkers{}, nil,
 		func(id string, _ []byte) (Member, error) { return Member{Incarnation: Incarnation{ID: id}}, nil }, config, cat,
 		Views{Submissions: submissions, Progress: progress}, func(owns bool) {
@@ -215,7 +215,7 @@
 // Guards against a new owner that has records without their submissions and stops running tasks as unexpected.
 func TestNoClaimBeforeAllSubmissionsAreRead(t *testing.T) {
 	log := memlog.New()
-	e, err := catalog.ProgressEntry("0000000000000001", &workflow.Record{State: workflow.Running})
+	e, err := catalog.StateEntry("0000000000000001", workflow.Running)
 	require.NoError(t, err)
 	_, err = log.Append(context.Background(), "progress", nil, []eventlog.Entry{e})
 	require.NoError(t, err)
@@ -240,17 +240,22 @@
 		cat.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{e}})
 	}
 	for _, c := range []struct {
-		bytes      int
-		link, read float64
-		want       time.Duration
+		bytes        int
+		link, read   float64
+		tasks, state time.Duration
 	}{
-		{1000, 0, 0, minAppendInterval}, {64 << 10, 0, 0, 62500 * time.Microsecond}, {1 << 20, 0, 0, maxAppendInterval},
-		{1000, 250e3, 0, 16 * time.Millisecond}, {10000, 250e3, 0, 160 * time.Millisecond},
-		{64 << 10, 125e6, 0, 62500 * time.Microsecond}, {0, 1, 1, minAppendInterval},
-		// 100 instances read the records.
-		{40000, 125e6, 80e6, 100 * time.Millisecond},
+		{1000, 0, 0, minAppendInterval, minStatusInterval},
+		{64 << 10, 0, 0, 15625 * time.Microsecond, 62500 * time.Microsecond},
+		{256 << 10, 0, 0, 62500 * time.Microsecond, maxAppendInterval},
+		{1 << 20, 0, 0, maxAppendInterval, maxAppendInterval},
+		{1000, 250e3, 0, 16 * time.Millisecond, minStatusInterval},
+		{10000, 250e3, 0, 160 * time.Millisecond, minStatusInterval},
+		{256 << 10, 125e6, 0, 62500 * time.Microsecond, maxAppendInterval}, {0, 1, 1, minAppendInterval, minStatusInterval},
+		// 100 instances read the states, and none the task records.
+		{40000, 125e6, 80e6, minAppendInterval, 100 * time.Millisecond},
 	} {
 		o := &Owner{settings: Settings{LinkBytesPerSecond: c.link, LogReadBytesPerSecond: c.read}, catalog: cat}
-		assert.Equal(t, c.want, o.appendInterval(entries(c.bytes)), "%+v", c)
+		assert.Equal(t, c.tasks, o.tasksInterval(entries(c.bytes)), "tasks %+v", c)
+		assert.Equal(t, c.state, o.statusInterval(entries(c.bytes)), "states %+v", c)
 	}
 }
--- /dev/null
+++ b/internal/dispatch/status.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+// The records with tasks and the states of submissions are stored in two topics. A state is published only when the
+// record that contains it is stored: otherwise an owner that ends between the two appends would leave a state that its
+// successor takes back.
+
+// maxStatusEntries limits the states of one append, of about thirty bytes each.
+const maxStatusEntries = 4000
+
+// noteStored notes that the states of the batch in flight are stored, so that they can be published.
+func (c *Core) noteStored() {
+	for j, s := range c.statesInFlight {
+		j.stored = s
+		if j.stored != j.published {
+			c.unpublished[j] = struct{}{}
+		}
+	}
+	clear(c.statesInFlight)
+}
+
+// restoreState returns the record of a submission as its tasks were stored, and notes which state is published. A
+// published state is never taken back.
+func (c *Core) restoreState(j *job, restored *catalog.Job) workflow.Record {
+	var rec workflow.Record
+	if restored.Tasks != nil {
+		rec = *restored.Tasks
+	}
+	j.stored = rec.State
+	if r := restored.Record; r != nil {
+		j.published = r.State
+		if r.State.Over() || r.State > rec.State {
+			rec.State = r.State
+		}
+	}
+	if rec.State != j.stored && restored.Tasks != nil {
+		c.markDirty(j)
+	}
+	if rec.State == j.stored && rec.State != j.published {
+		c.unpublished[j] = struct{}{}
+	}
+	return rec
+}
+
+// HasUnpublished reports whether a stored state is not published yet.
+func (c *Core) HasUnpublished() bool { return len(c.unpublished) > 0 }
+
+// TakeStatusBatch returns the stored states that are not published yet and the change of the silent workers, or nil if
+// there are none. The last status batch must be committed.
+func (c *Core) TakeStatusBatch(now time.Duration) *Batch {
+	silenceEntry, silenceChanged := c.recordSilence(now)
+	if len(c.unpublished) == 0 && !silenceChanged {
+		return nil
+	}
+	c.lastStatusBatch++
+	b := &Batch{ID: c.lastStatusBatch}
+	if silenceChanged {
+		b.Entries = append(b.Entries, silenceEntry)
+	}
+	for j := range c.unpublished {
+		if len(b.Entries) >= maxStatusEntries {
+			break
+		}
+		delete(c.unpublished, j)
+		e, err := catalog.StateEntry(j.submission.Job, j.stored)
+		if err != nil {
+			c.logger.Error("cannot encode state", "job", j.submission.Job, "error", err)
+			continue
+		}
+		j.published = j.stored
+		b.Entries = append(b.Entries, e)
+	}
+	if silenceChanged {
+		for _, w := range c.workers {
+			if w.silence == silenceClearing {
+				w.silenceBatch = b.ID
+			}
+		}
+	}
+	return b
+}
+
+// StatusCommitted reports that a status batch is stored: the workers whose silence it has cleared may get leases again.
+func (c *Core) StatusCommitted(id int64) { c.clearSilence(id) }
--- a/internal/dispatch/storing.go
+++ b/internal/dispatch/storing.go
@@ -17,9 +17,9 @@
 )
 
 // removeExpired removes the submissions whose retention has expired: first the submissions themselves, then their
-// records.
+// records with tasks, then their states.
 func (o *Owner) removeExpired(ctx context.Context, now time.Duration) {
-	if now-o.lastRemoval < removalInterval || o.unremovedProgress != nil {
+	if now-o.lastRemoval < removalInterval || o.unremovedTasks != nil || o.unremovedStates != nil {
 		return
 	}
 	o.lastRemoval = now
@@ -47,33 +47,80 @@
 			}
 			o.logger.Info("expired submissions removed", "count", len(ids))
 			if o.core == core {
-				o.unremovedProgress = ids
+				o.unremovedTasks = ids
 			}
 		})
 	}()
 }
 
-// flush stores the decisions since the last append, or a heartbeat if there are none.
-func (o *Owner) flush(ctx context.Context, now time.Duration) {
-	if o.appendInFlight || now < o.nextAppend {
+// appendStream is the sequence of an owner's appends to one topic, of which at most one is in flight.
+type appendStream struct {
+	topic string
+	// sequence is the sequence number of the newest append.
+	sequence int64
+	inFlight bool
+	// sentAt is when the newest append was sent; next is the earliest time of the next one.
+	sentAt, next time.Duration
+}
+
+// idle reports whether the next append may be sent.
+func (s *appendStream) idle(now time.Duration) bool { return !s.inFlight && now >= s.next }
+
+// send appends entries, and repeats the append until its outcome is known. done is called on the goroutine of Run with
+// the offset of the first entry, unless the tenure has ended.
+func (o *Owner) send(ctx context.Context, now time.Duration, s *appendStream, interval time.Duration,
+	entries []eventlog.Entry, done func(now time.Duration, offset int64)) {
+	s.sequence++
+	s.inFlight, s.sentAt, s.next = true, now, now+interval
+	topic, p := s.topic, eventlog.Producer{Name: producerName, Epoch: o.epoch, Sequence: s.sequence}
+	go func() {
+		offset, err := o.appendWithRetry(ctx, topic, &p, entries)
+		o.post(func(now time.Duration) {
+			if ctx.Err() != nil {
+				return
+			}
+			s.inFlight = false
+			switch {
+			case err == nil:
+				done(now, offset)
+			case o.core != nil:
+				o.stepDown(err.Error())
+			default:
+				o.dropClaim(err.Error())
+			}
+		})
+	}()
+}
+
+// flushTasks stores the decisions about tasks since the last append.
+func (o *Owner) flushTasks(ctx context.Context, now time.Duration) {
+	if !o.tasks.idle(now) {
 		return
 	}
-	b := o.core.TakeBatch(now)
-	if b == nil && now-o.lastAppend < heartbeatInterval {
+	b := o.core.TakeBatch()
+	if b == nil {
+		b = &Batch{}
+	}
+	entries := append(b.Entries, o.ownEntries(now)...)
+	removed := o.unremovedTasks
+	o.unremovedTasks = nil
+	for _, id := range removed {
+		entries = append(entries, catalog.RemoveRecordEntry(id))
+	}
+	if len(entries) == 0 {
 		return
 	}
-	var entries []eventlog.Entry
-	id := int64(0)
-	if b != nil {
-		entries, id = b.Entries, b.ID
-	} else {
-		e, err := catalog.OwnerEntry(&catalog.Ownership{Epoch: o.epoch, Instance: o.settings.Instance})
-		if err != nil {
-			o.logger.Error("cannot encode heartbeat", "error", err)
-			return
+	o.send(ctx, now, &o.tasks, o.tasksInterval(entries), entries, func(now time.Duration, _ int64) {
+		o.unremovedStates = append(o.unremovedStates, removed...)
+		if b.ID != 0 {
+			o.core.Committed(now, b.ID)
 		}
-		entries = []eventlog.Entry{e}
-	}
+	})
+}
+
+// ownEntries returns the entries that are due about the owner itself: the interference model, and that it is settled.
+func (o *Owner) ownEntries(now time.Duration) []eventlog.Entry {
+	var entries []eventlog.Entry
 	if now-o.lastModelStore >= modelStoreInterval {
 		o.lastModelStore = now
 		e, err := catalog.InterferenceEntry(o.core.InterferenceState())
@@ -92,67 +139,92 @@
 			entries = append(entries, e)
 		}
 	}
-	for _, id := range o.unremovedProgress {
-		entries = append(entries, catalog.RemoveProgressEntry(id))
+	return entries
+}
+
+// flushStatus publishes what is stored since the last append, or a heartbeat if there was no append for
+// heartbeatInterval. A claimant has nothing to publish.
+func (o *Owner) flushStatus(ctx context.Context, now time.Duration) {
+	if !o.status.idle(now) {
+		return
 	}
-	o.unremovedProgress = nil
-	o.sequence++
-	o.appendInFlight, o.lastAppend, o.nextAppend = true, now, now+o.appendInterval(entries)
-	core, p := o.core, eventlog.Producer{Name: producerName, Epoch: o.epoch, Sequence: o.sequence}
-	go func() {
-		offset, err := o.appendWithRetry(ctx, &p, entries)
-		o.post(func(done time.Duration) { o.appendDone(now, done, core, id, offset, entries, err) })
-	}()
+	b := &Batch{}
+	if o.core != nil {
+		if taken := o.core.TakeStatusBatch(now); taken != nil {
+			b = taken
+		}
+	}
+	entries := b.Entries
+	for _, id := range o.unremovedStates {
+		entries = append(entries, catalog.RemoveRecordEntry(id))
+	}
+	o.unremovedStates = nil
+	switch {
+	case len(entries) > 0:
+	case now-o.status.sentAt < heartbeatInterval:
+		return
+	default:
+		e, err := catalog.OwnerEntry(&catalog.Ownership{Epoch: o.epoch, Instance: o.settings.Instance})
+		if err != nil {
+			o.logger.Error("cannot encode heartbeat", "error", err)
+			return
+		}
+		entries = []eventlog.Entry{e}
+	}
+	sent := now
+	o.send(ctx, now, &o.status, o.statusInterval(entries), entries, func(_ time.Duration, offset int64) {
+		o.lastConfirmed = max(o.lastConfirmed, sent)
+		for i := range entries {
+			entries[i].Offset = offset + int64(i)
+		}
+		o.catalog.ApplyProgress(entries)
+		if b.ID != 0 {
+			o.core.StatusCommitted(b.ID)
+		}
+	})
 }
 
-// appendInterval returns the time from an append of the entries to the next one.
-func (o *Owner) appendInterval(entries []eventlog.Entry) time.Duration {
+// tasksInterval returns the time from an append of task records to the next one.
+func (o *Owner) tasksInterval(entries []eventlog.Entry) time.Duration {
 	rate := float64(maxRecordBytesPerSecond)
 	if o.settings.LinkBytesPerSecond > 0 {
 		rate = min(rate, recordLinkShare*o.settings.LinkBytesPerSecond)
 	}
+	return appendInterval(entries, rate, minAppendInterval)
+}
+
+// statusInterval returns the time from an append of states to the next one.
+func (o *Owner) statusInterval(entries []eventlog.Entry) time.Duration {
+	rate := float64(maxStatusBytesPerSecond)
 	if o.settings.LogReadBytesPerSecond > 0 {
-		rate = min(rate, recordReadShare*o.settings.LogReadBytesPerSecond/float64(max(1, o.catalog.CountInstances())))
+		rate = min(rate, statusReadShare*o.settings.LogReadBytesPerSecond/float64(max(1, o.catalog.CountInstances())))
 	}
-	bytes := 0
-	for i := range entries {
-		bytes += len(entries[i].Key) + len(entries[i].Value)
-	}
-	return min(max(minAppendInterval, time.Duration(float64(bytes)/rate*float64(time.Second))), maxAppendInterval)
+	return appendInterval(entries, rate, minStatusInterval)
 }
 
-func (o *Owner) appendDone(sent, now time.Duration, core *Core, batch, offset int64, entries []eventlog.Entry,
-	err error) {
-	if o.core != core {
-		return
-	}
-	o.appendInFlight = false
-	if err != nil {
-		o.stepDown(err.Error())
-		return
-	}
-	o.lastConfirmed = max(o.lastConfirmed, sent)
+// appendInterval returns the time in which entries are written at a rate in bytes per second, which is at least minimum
+// and at most maxAppendInterval.
+func appendInterval(entries []eventlog.Entry, rate float64, minimum time.Duration) time.Duration {
+	bytes := 0
 	for i := range entries {
-		entries[i].Offset = offset + int64(i)
-	}
-	o.catalog.ApplyProgress(entries)
-	if batch != 0 {
-		core.Committed(now, batch)
+		bytes += len(entries[i].Key) + len(entries[i].Value)
 	}
+	return min(max(minimum, time.Duration(float64(bytes)/rate*float64(time.Second))), maxAppendInterval)
 }
 
 // appendWithRetry repeats an append until its outcome is known. The log recognises repeats by the sequence number.
-func (o *Owner) appendWithRetry(ctx context.Context, p *eventlog.Producer, entries []eventlog.Entry) (int64, error) {
+func (o *Owner) appendWithRetry(ctx context.Context, topic string, p *eventlog.Producer,
+	entries []eventlog.Entry) (int64, error) {
 	retry := minAppendRetry
 	for {
-		offset, err := o.log.Append(ctx, o.settings.ProgressTopic, p, entries)
+		offset, err := o.log.Append(ctx, topic, p, entries)
 		var refused *eventlog.RefusedError
 		var unknown *eventlog.UnknownError
 		switch {
 		case err == nil:
 			return offset, nil
 		case errors.As(err, &refused), errors.As(err, &unknown):
-			o.logger.Info("append not confirmed, retrying", "epoch", p.Epoch, "sequence", p.Sequence, "error", err)
+			o.logger.Info("append not confirmed, retrying", "topic", topic, "epoch", p.Epoch, "sequence", p.Sequence, "error", err)
 		default:
 			return 0, err
 		}
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -5,12 +5,15 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
@@ -32,13 +35,14 @@
 	predecessorUntil time.Duration
 	epoch            int64
 	catalog          *catalog.Catalog
-	// offset is the offset of the newest entry in the log.
+	// offset is the offset of the newest entry in the log. tasks holds the newest entries of the tasks topic by key.
 	offset int64
+	tasks  map[string]eventlog.Entry
 	steps  map[workflow.JobID][]workflow.Step
-	// pendingBatch is the batch in flight to the log, which stores it at commitAt.
-	pendingBatch *Batch
-	commitAt     time.Duration
-	logDown      bool
+	// tasksInFlight and statusInFlight are the batches in flight to the log, which stores them at tasksAt and statusAt.
+	tasksInFlight, statusInFlight *Batch
+	tasksAt, statusAt             time.Duration
+	logDown                       bool
 	// events holds the pending deliveries of orders and answers, sorted by time.
 	events []event
 	// permitted holds the workers that the advisor permits; if it is nil, starts need no ticket. Tickets are valid for
@@ -77,7 +81,7 @@
 
 func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
 	sim := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Minute, workers: map[string]*fakeWorker{},
-		steps:   map[workflow.JobID][]workflow.Step{},
+		steps: map[workflow.JobID][]workflow.Step{}, tasks: map[string]eventlog.Entry{},
 		params:  Params{Lease: 6 * time.Second, Isolation: 5 * time.Second, ObjectiveTolerance: 4 * time.Second},
 		catalog: catalog.New(discardLogger()), doneConfirmed: map[workflow.TaskID]bool{},
 		crashes: map[workflow.TaskID]int{}, downtime: 3300 * time.Millisecond,
@@ -114,11 +118,13 @@
 func (sim *simulation) takeOver() {
 	sim.predecessorUntil = max(sim.predecessorUntil, sim.now)
 	sim.epoch++
-	sim.pendingBatch = nil
+	sim.tasksInFlight, sim.statusInFlight = nil, nil
+	loaded := catalog.DecodeTasks(slices.Collect(maps.Values(sim.tasks)), discardLogger())
+	jobs, complete := sim.catalog.Restore(loaded)
+	require.True(sim.t, complete)
 	sim.core = New(sim.params, sim.epoch, sim.now, func() time.Time { return time.Unix(0, int64(sim.now)) },
-		discardLogger(), testConfig(), Stored{PredecessorUntil: sim.predecessorUntil, Jobs: sim.catalog.All(),
-			SilentLeases: sim.silentLeases(), Suspects: sim.catalog.Suspects(),
-			Interference: sim.catalog.InterferenceState()})
+		discardLogger(), testConfig(), Stored{PredecessorUntil: sim.predecessorUntil, Jobs: jobs,
+			SilentLeases: sim.silentLeases(), Suspects: loaded.Suspects, Interference: loaded.Interference})
 	sim.listWorkers()
 }
 
@@ -186,23 +192,71 @@
 	}
 }
 
-// storeBatches commits the batch in flight 20 ms after it was taken, unless the log is down, and takes the next one.
+// storeBatches commits each batch in flight 20 ms after it was taken, unless the log is down, and takes the next ones.
 func (sim *simulation) storeBatches() {
-	if sim.pendingBatch != nil {
-		if sim.now < sim.commitAt || sim.logDown {
-			return
+	if b := sim.tasksInFlight; b != nil && sim.now >= sim.tasksAt && !sim.logDown {
+		sim.tasksInFlight = nil
+		sim.storeTasks(b)
+		sim.core.Committed(sim.now, b.ID)
+	}
+	if b := sim.statusInFlight; b != nil && sim.now >= sim.statusAt && !sim.logDown {
+		sim.statusInFlight = nil
+		sim.storeStatus(b)
+		sim.core.StatusCommitted(b.ID)
+	}
+	if sim.tasksInFlight == nil {
+		sim.tasksInFlight, sim.tasksAt = sim.core.TakeBatch(), sim.now+20*time.Millisecond
+	}
+	if sim.statusInFlight == nil {
+		sim.statusInFlight, sim.statusAt = sim.core.TakeStatusBatch(sim.now), sim.now+20*time.Millisecond
+	}
+}
+
+func (sim *simulation) storeTasks(b *Batch) {
+	for _, e := range b.Entries {
+		sim.offset++
+		e.Offset = sim.offset
+		sim.tasks[e.Key] = e
+	}
+}
+
+// storeStatus makes the states of a batch visible, and checks that their task records are stored and that no state goes
+// back.
+func (sim *simulation) storeStatus(b *Batch) {
+	before := map[workflow.JobID]workflow.State{}
+	stored := catalog.DecodeTasks(slices.Collect(maps.Values(sim.tasks)), discardLogger())
+	for i := range b.Entries {
+		sim.offset++
+		b.Entries[i].Offset = sim.offset
+		id := workflow.JobID(b.Entries[i].Key)
+		if j := sim.catalog.Find(id); j != nil && j.Record != nil {
+			before[id] = j.Record.State
 		}
-		for i := range sim.pendingBatch.Entries {
-			sim.offset++
-			sim.pendingBatch.Entries[i].Offset = sim.offset
+	}
+	sim.catalog.ApplyProgress(b.Entries)
+	for _, e := range b.Entries {
+		id := workflow.JobID(e.Key)
+		j := sim.catalog.Find(id)
+		if j == nil {
+			continue
 		}
-		sim.catalog.ApplyProgress(sim.pendingBatch.Entries)
-		sim.core.Committed(sim.now, sim.pendingBatch.ID)
-		sim.pendingBatch = nil
+		now := j.Record.State
+		require.NotNil(sim.t, stored.Records[id], "%s is %s without a task record", id, now)
+		assert.GreaterOrEqual(sim.t, stored.Records[id].State, now, "%s is visible before it is stored", id)
+		assert.GreaterOrEqual(sim.t, now, before[id], "the state of %s goes back", id)
+		assert.False(sim.t, before[id].Over() && now != before[id], "%s was over", id)
 	}
-	if b := sim.core.TakeBatch(sim.now); b != nil {
-		sim.pendingBatch, sim.commitAt = b, sim.now+20*time.Millisecond
+}
+
+// loseOwner replaces the owner while its appends are in flight, of which each may be stored.
+func (sim *simulation) loseOwner() {
+	if b := sim.tasksInFlight; b != nil && sim.rng.IntN(2) == 0 {
+		sim.storeTasks(b)
+	}
+	if b := sim.statusInFlight; b != nil && sim.rng.IntN(2) == 0 {
+		sim.storeStatus(b)
 	}
+	sim.takeOver()
 }
 
 func (sim *simulation) advanceWorker(f *fakeWorker) {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -91,7 +91,7 @@
 }
 
 func (v unreadView) RefreshProgress(context.Context) {
-	e, _ := catalog.ProgressEntry(newSubmission().Job, &workflow.Record{State: workflow.Done})
+	e, _ := catalog.StateEntry(newSubmission().Job, workflow.Done)
 	v.catalog.ApplyProgress([]eventlog.Entry{e})
 }
 
