--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -36,11 +36,12 @@
 
 // testInstance is one instance with its followers.
 type testInstance struct {
-	owner *Owner
-	mu    sync.Mutex
-	owns  bool
-	stop  context.CancelFunc
-	done  chan struct{}
+	owner   *Owner
+	catalog *catalog.Catalog
+	mu      sync.Mutex
+	owns    bool
+	stop    context.CancelFunc
+	done    chan struct{}
 }
 
 func (i *testInstance) isOwner() bool {
@@ -52,8 +53,8 @@
 func startInstance(t *testing.T, log eventlog.Log, name string) *testInstance {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	i := &testInstance{stop: cancel, done: make(chan struct{})}
 	cat := catalog.New(discardLogger())
+	i := &testInstance{catalog: cat, stop: cancel, done: make(chan struct{})}
 	config := &queue.Current{}
 	config.Advance(testConfig())
 	pace := eventlog.PollIntervals{Wait: 200 * time.Millisecond, Pause: 5 * time.Millisecond}
@@ -63,7 +64,8 @@
 	progress = eventlog.NewFollower(log, "progress", pace, discardLogger(),
 		func(b eventlog.Batch) { i.owner.ProgressRead(b, cat.ApplyProgress(b.Entries)) })
 	s := Settings{Instance: name, ProgressTopic: "progress", TasksTopic: "tasks", WorkersTopic: "workers",
-		SubmissionsTopic: "submissions", Retention: time.Hour, Cores: 1000, Params: Params{Lease: 6 * time.Second, Isolation: 5 * time.Second}}
+		SubmissionsTopic: "submissions", Retention: time.Hour, Cores: 1000,
+		Params: Params{Lease: 6 * time.Second, Isolation: 5 * time.Second}}
 	i.owner = NewOwner(s, log, noWorkers{}, nil,
 		func(id string, _ []byte) (Member, error) { return Member{Incarnation: Incarnation{ID: id}}, nil }, config, cat,
 		Views{Submissions: submissions, Progress: progress}, func(owns bool) {
@@ -108,7 +110,8 @@
 // Guards against two owners after several instances claim at the same moment, also when answers to the claims are
 // lost.
 func TestOneOfManyClaims(t *testing.T) {
-	for _, faults := range []memlog.Faults{{}, {LoseAnswers: 2}} {
+	for _, faults := range []memlog.Faults{{}, {LoseAnswers: 2}, {Topic: "tasks", LoseAnswers: 3},
+		{Topic: "tasks", DelayedAppends: 2, Delay: 200 * time.Millisecond}} {
 		log := memlog.New()
 		log.SetFaults(faults)
 		var all []*testInstance
@@ -157,13 +160,14 @@
 // refusingLog is one instance's connection to the log, with calls that can be refused.
 type refusingLog struct {
 	eventlog.Log
-	// refuseAppends and refuseReads make the calls fail with status 503.
+	// refuseAppends and refuseReads make the calls fail with status 503. refusedTopic is a topic whose appends fail so.
 	refuseAppends, refuseReads atomic.Bool
+	refusedTopic               atomic.Value
 }
 
 func (l *refusingLog) Append(ctx context.Context, topic string, p *eventlog.Producer,
 	entries []eventlog.Entry) (int64, error) {
-	if l.refuseAppends.Load() {
+	if l.refuseAppends.Load() || l.refusedTopic.Load() == topic {
 		return 0, &eventlog.RefusedError{Op: "append", Status: 503}
 	}
 	return l.Log.Append(ctx, topic, p, entries)
@@ -214,20 +218,22 @@
 
 // Guards against a new owner that has records without their submissions and stops running tasks as unexpected.
 func TestNoClaimBeforeAllSubmissionsAreRead(t *testing.T) {
-	log := memlog.New()
-	e, err := catalog.StateEntry("0000000000000001", workflow.Running)
-	require.NoError(t, err)
-	_, err = log.Append(context.Background(), "progress", nil, []eventlog.Entry{e})
+	const id = "0000000000000001"
+	state, err := catalog.StateEntry(id, workflow.Running)
 	require.NoError(t, err)
-	a := startInstance(t, log, "a")
-	time.Sleep(time.Second)
-	require.False(t, a.isOwner())
-	s, err := catalog.SubmissionEntry(&workflow.Submission{Job: "0000000000000001",
-		Steps: []workflow.Step{batchStep(1, time.Second)}})
+	tasks, err := catalog.TasksEntry(id, &workflow.Record{State: workflow.Done, Tasks: [][][]workflow.TaskRecord{{{{}}}}})
 	require.NoError(t, err)
-	_, err = log.Append(context.Background(), "submissions", nil, []eventlog.Entry{s})
-	require.NoError(t, err)
-	eventually(t, "a owns", a.isOwner)
+	for topic, e := range map[string]eventlog.Entry{"progress": state, "tasks": tasks} {
+		log := memlog.New()
+		appendEntries(t, log, topic, nil, e)
+		a := startInstance(t, log, "a")
+		time.Sleep(time.Second)
+		require.False(t, a.isOwner(), topic)
+		s, err := catalog.SubmissionEntry(&workflow.Submission{Job: id, Steps: []workflow.Step{batchStep(1, time.Second)}})
+		require.NoError(t, err)
+		appendEntries(t, log, "submissions", nil, s)
+		eventually(t, "a owns", a.isOwner)
+	}
 }
 
 // The records of fast changes must not fill the links of the instances that read them.
--- a/internal/standin/memlog/memlog.go
+++ b/internal/standin/memlog/memlog.go
@@ -12,6 +12,8 @@
 
 // Faults are the faults that the log injects. The zero value is a healthy log.
 type Faults struct {
+	// Topic limits LoseAnswers and DelayedAppends to one topic; they apply to all if it is empty.
+	Topic string
 	// Down refuses every call; a refused call has no effect.
 	Down bool
 	// LoseAnswers is the number of appends that take effect but whose answer is lost. It counts down to 0.
@@ -100,13 +102,14 @@
 ) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	targeted := l.faults.Topic == "" || l.faults.Topic == name
 	noAnswer := &eventlog.UnknownError{Op: "append", Err: context.DeadlineExceeded}
 	switch {
 	case ctx.Err() != nil:
 		return 0, &eventlog.RefusedError{Op: "append"}
-	case l.faults.Down && l.faults.DelayedAppends == 0:
+	case l.faults.Down && (l.faults.DelayedAppends == 0 || !targeted):
 		return 0, &eventlog.RefusedError{Op: "append", Status: 503}
-	case l.faults.DelayedAppends > 0:
+	case l.faults.DelayedAppends > 0 && targeted:
 		l.faults.DelayedAppends--
 		time.AfterFunc(l.faults.Delay, func() {
 			l.mu.Lock()
@@ -115,7 +118,7 @@
 			_, _ = l.append(name, p, entries)
 		})
 		return 0, noAnswer
-	case l.faults.LoseAnswers > 0:
+	case l.faults.LoseAnswers > 0 && targeted:
 		l.faults.LoseAnswers--
 		if _, err := l.append(name, p, entries); err != nil {
 			return 0, err
