--- a/internal/dispatch/tasks_test.go
+++ b/internal/dispatch/tasks_test.go
@@ -127,6 +127,25 @@
 	a.inspect(func(o *Owner) { assert.Equal(t, workflow.Running, o.core.jobs["placed"].state) })
 }
 
+// slowLoadLog delays the reading of the tasks.
+type slowLoadLog struct{ eventlog.Log }
+
+func (l slowLoadLog) Newest(ctx context.Context, topic string) (eventlog.Page, error) {
+	if topic == "tasks" {
+		time.Sleep(2 * claimSilence)
+	}
+	return l.Log.Newest(ctx, topic)
+}
+
+// Guards against claimants that supersede each other again and again, none of which can read all tasks in time.
+func TestSlowLoadIsNoSilence(t *testing.T) {
+	log := predecessor(t, &catalog.Ownership{Epoch: 1, Instance: "x", Released: true})
+	a, b := startInstance(t, slowLoadLog{log}, "a"), startInstance(t, slowLoadLog{log}, "b")
+	eventually(t, "an owner", func() bool { return a.isOwner() || b.isOwner() })
+	assert.EqualValues(t, 2, a.catalog.Owner().Epoch)
+	assert.EqualValues(t, 2, b.catalog.Owner().Epoch)
+}
+
 // Guards against a state that is shown and then taken back, or that is lost, because the owner ends between the append
 // of the task record and that of the state.
 func TestStateIsPublishedAfterItsTaskRecord(t *testing.T) {
