--- a/internal/dispatch/congestion_test.go
+++ b/internal/dispatch/congestion_test.go
@@ -208,7 +208,7 @@
 		func(b eventlog.Batch) { o.SubmissionsChanged(cat.ApplySubmissions(b)) })
 	progress := eventlog.NewFollower(log, "progress", pace, discardLogger(),
 		func(b eventlog.Batch) { o.ProgressRead(b, cat.ApplyProgress(b.Entries)) })
-	o = NewOwner(Settings{Instance: "a", Cores: 1000, LinkBytesPerSecond: linkBytesPerSecond, ProgressTopic: "progress",
+	o = NewOwner(Settings{Instance: "a", Cores: 1000, LinkBytesPerSecond: linkBytesPerSecond, ProgressTopic: "progress", TasksTopic: "tasks",
 		WorkersTopic: "workers", SubmissionsTopic: "submissions", Retention: time.Hour,
 		Params: Params{Lease: 5 * time.Second, Isolation: 5 * time.Second}}, log, limited, nil, l.decode, config, cat,
 		Views{Submissions: submissions, Progress: progress}, func(bool) {}, discardLogger())
--- a/internal/dispatch/largefleet_test.go
+++ b/internal/dispatch/largefleet_test.go
@@ -233,7 +233,7 @@
 // scheduleSteps runs the loop of an owner until the time end.
 func (f *fleet) scheduleSteps(end time.Duration) {
 	var step func()
-	appending, nextAppend := false, time.Duration(0)
+	appending, nextAppend, nextStatus := false, time.Duration(0), time.Duration(0)
 	step = func() {
 		f.maxPending = max(f.maxPending, len(f.core.pending))
 		if f.beforePlan != nil {
@@ -249,7 +249,7 @@
 		}
 		if !appending && f.now >= nextAppend {
 			var b *Batch
-			f.timed(fleetTakeBatch, func() { b = f.core.TakeBatch(f.now) })
+			f.timed(fleetTakeBatch, func() { b = f.core.TakeBatch() })
 			if b != nil {
 				bytes := 0
 				for i := range b.Entries {
@@ -263,6 +263,14 @@
 				})
 			}
 		}
+		if f.now >= nextStatus {
+			nextStatus = f.now + minStatusInterval + fleetAppendDelay
+			f.timed(fleetTakeBatch, func() {
+				if b := f.core.TakeStatusBatch(f.now); b != nil {
+					f.schedule(fleetAppendDelay, func() { f.core.StatusCommitted(b.ID) })
+				}
+			})
+		}
 		if f.now < end {
 			f.schedule(fleetStep, step)
 		}
--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -36,11 +36,12 @@
 
 // testInstance is one instance with its followers.
 type testInstance struct {
-	owner *Owner
-	mu    sync.Mutex
-	owns  bool
-	stop  context.CancelFunc
-	done  chan struct{}
+	owner   *Owner
+	catalog *catalog.Catalog
+	mu      sync.Mutex
+	owns    bool
+	stop    context.CancelFunc
+	done    chan struct{}
 }
 
 func (i *testInstance) isOwner() bool {
@@ -52,8 +53,8 @@
 func startInstance(t *testing.T, log eventlog.Log, name string) *testInstance {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	i := &testInstance{stop: cancel, done: make(chan struct{})}
 	cat := catalog.New(discardLogger())
+	i := &testInstance{catalog: cat, stop: cancel, done: make(chan struct{})}
 	config := &queue.Current{}
 	config.Advance(testConfig())
 	pace := eventlog.PollIntervals{Wait: 200 * time.Millisecond, Pause: 5 * time.Millisecond}
@@ -62,8 +63,9 @@
 		func(b eventlog.Batch) { i.owner.SubmissionsChanged(cat.ApplySubmissions(b)) })
 	progress = eventlog.NewFollower(log, "progress", pace, discardLogger(),
 		func(b eventlog.Batch) { i.owner.ProgressRead(b, cat.ApplyProgress(b.Entries)) })
-	s := Settings{Instance: name, ProgressTopic: "progress", WorkersTopic: "workers", SubmissionsTopic: "submissions",
-		Retention: time.Hour, Cores: 1000, Params: Params{Lease: 6 * time.Second, Isolation: 5 * time.Second}}
+	s := Settings{Instance: name, ProgressTopic: "progress", TasksTopic: "tasks", WorkersTopic: "workers",
+		SubmissionsTopic: "submissions", Retention: time.Hour, Cores: 1000,
+		Params: Params{Lease: 6 * time.Second, Isolation: 5 * time.Second}}
 	i.owner = NewOwner(s, log, noWorkers{}, nil,
 		func(id string, _ []byte) (Member, error) { return Member{Incarnation: Incarnation{ID: id}}, nil }, config, cat,
 		Views{Submissions: submissions, Progress: progress}, func(owns bool) {
@@ -108,7 +110,8 @@
 // Guards against two owners after several instances claim at the same moment, also when answers to the claims are
 // lost.
 func TestOneOfManyClaims(t *testing.T) {
-	for _, faults := range []memlog.Faults{{}, {LoseAnswers: 2}} {
+	for _, faults := range []memlog.Faults{{}, {LoseAnswers: 2}, {Topic: "tasks", LoseAnswers: 3},
+		{Topic: "tasks", DelayedAppends: 2, Delay: 200 * time.Millisecond}} {
 		log := memlog.New()
 		log.SetFaults(faults)
 		var all []*testInstance
@@ -157,13 +160,14 @@
 // refusingLog is one instance's connection to the log, with calls that can be refused.
 type refusingLog struct {
 	eventlog.Log
-	// refuseAppends and refuseReads make the calls fail with status 503.
+	// refuseAppends and refuseReads make the calls fail with status 503. refusedTopic is a topic whose appends fail so.
 	refuseAppends, refuseReads atomic.Bool
+	refusedTopic               atomic.Value
 }
 
 func (l *refusingLog) Append(ctx context.Context, topic string, p *eventlog.Producer,
 	entries []eventlog.Entry) (int64, error) {
-	if l.refuseAppends.Load() {
+	if l.refuseAppends.Load() || l.refusedTopic.Load() == topic {
 		return 0, &eventlog.RefusedError{Op: "append", Status: 503}
 	}
 	return l.Log.Append(ctx, topic, p, entries)
@@ -214,20 +218,22 @@
 
 // Guards against a new owner that has records without their submissions and stops running tasks as unexpected.
 func TestNoClaimBeforeAllSubmissionsAreRead(t *testing.T) {
-	log := memlog.New()
-	e, err := catalog.ProgressEntry("0000000000000001", &workflow.Record{State: workflow.Running})
-	require.NoError(t, err)
-	_, err = log.Append(context.Background(), "progress", nil, []eventlog.Entry{e})
+	const id = "0000000000000001"
+	state, err := catalog.StateEntry(id, workflow.Running)
 	require.NoError(t, err)
-	a := startInstance(t, log, "a")
-	time.Sleep(time.Second)
-	require.False(t, a.isOwner())
-	s, err := catalog.SubmissionEntry(&workflow.Submission{Job: "0000000000000001",
-		Steps: []workflow.Step{batchStep(1, time.Second)}})
+	tasks, err := catalog.TasksEntry(id, &workflow.Record{State: workflow.Done, Tasks: [][][]workflow.TaskRecord{{{{}}}}})
 	require.NoError(t, err)
-	_, err = log.Append(context.Background(), "submissions", nil, []eventlog.Entry{s})
-	require.NoError(t, err)
-	eventually(t, "a owns", a.isOwner)
+	for topic, e := range map[string]eventlog.Entry{"progress": state, "tasks": tasks} {
+		log := memlog.New()
+		appendEntries(t, log, topic, nil, e)
+		a := startInstance(t, log, "a")
+		time.Sleep(time.Second)
+		require.False(t, a.isOwner(), topic)
+		s, err := catalog.SubmissionEntry(&workflow.Submission{Job: id, Steps: []workflow.Step{batchStep(1, time.Second)}})
+		require.NoError(t, err)
+		appendEntries(t, log, "submissions", nil, s)
+		eventually(t, "a owns", a.isOwner)
+	}
 }
 
 // The records of fast changes must not fill the links of the instances that read them.
@@ -240,17 +246,22 @@
 		cat.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{e}})
 	}
 	for _, c := range []struct {
-		bytes      int
-		link, read float64
-		want       time.Duration
+		bytes        int
+		link, read   float64
+		tasks, state time.Duration
 	}{
-		{1000, 0, 0, minAppendInterval}, {64 << 10, 0, 0, 62500 * time.Microsecond}, {1 << 20, 0, 0, maxAppendInterval},
-		{1000, 250e3, 0, 16 * time.Millisecond}, {10000, 250e3, 0, 160 * time.Millisecond},
-		{64 << 10, 125e6, 0, 62500 * time.Microsecond}, {0, 1, 1, minAppendInterval},
-		// 100 instances read the records.
-		{40000, 125e6, 80e6, 100 * time.Millisecond},
+		{1000, 0, 0, minAppendInterval, minStatusInterval},
+		{64 << 10, 0, 0, 15625 * time.Microsecond, 62500 * time.Microsecond},
+		{256 << 10, 0, 0, 62500 * time.Microsecond, maxAppendInterval},
+		{1 << 20, 0, 0, maxAppendInterval, maxAppendInterval},
+		{1000, 250e3, 0, 16 * time.Millisecond, minStatusInterval},
+		{10000, 250e3, 0, 160 * time.Millisecond, minStatusInterval},
+		{256 << 10, 125e6, 0, 62500 * time.Microsecond, maxAppendInterval}, {0, 1, 1, minAppendInterval, minStatusInterval},
+		// 100 instances read the states, and none the task records.
+		{40000, 125e6, 80e6, minAppendInterval, 100 * time.Millisecond},
 	} {
 		o := &Owner{settings: Settings{LinkBytesPerSecond: c.link, LogReadBytesPerSecond: c.read}, catalog: cat}
-		assert.Equal(t, c.want, o.appendInterval(entries(c.bytes)), "%+v", c)
+		assert.Equal(t, c.tasks, o.tasksInterval(entries(c.bytes)), "tasks %+v", c)
+		assert.Equal(t, c.state, o.statusInterval(entries(c.bytes)), "states %+v", c)
 	}
 }
