Store the ends of tasks apart from their records, and let starts wait for their turn at an agent

Cause: each end of a task wrote the whole record of its submission again, 0.2 MB a second on a link of 0.25; and the owner gave up starts that only waited for their turn at a busy agent, which repeats the fault one instance further on. Change: ends are stored as a bit for each task (about 60 bytes instead of 1.3 KB) under a key of their own until more of the record changes; a call about a task may wait 3 s at its agent, while lease calls, which do not wait, show whether the agent lives.

--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -11,8 +11,13 @@
 	"clementinewalk.example/clementinewalk/internal/relay"
 )
 
-// answerSlack is how long an answer may take beyond the time limit of the call at the agent.
-const answerSlack = 600 * time.Millisecond
+const (
+	// answerSlack is how long an answer may take beyond the time limit of the call at the agent.
+	answerSlack = 600 * time.Millisecond
+	// turnSlack is how much longer a call about a task may take, which waits for its turn at the agent. A repetition
+	// would wait behind it.
+	turnSlack = 3 * time.Second
+)
 
 // result is the outcome of a call.
 type result struct {
@@ -113,7 +118,7 @@
 	return len(s.pending) == 0
 }
 
-// do sends a call and waits for its outcome, for at most limit and answerSlack.
+// do sends a call whose time limit at the agent is limit, and waits for its outcome.
 func (s *session) do(ctx context.Context, c call, limit time.Duration) result {
 	answered, sent := make(chan result, 1), int64(clock.Now())
 	s.mu.Lock()
@@ -122,7 +127,11 @@
 	s.pending[c.number] = answered
 	s.mu.Unlock()
 	s.calls.add(c)
-	timer := time.NewTimer(limit + answerSlack)
+	limit += answerSlack
+	if c.lease == nil {
+		limit += turnSlack
+	}
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	var err error
 	select {
@@ -135,7 +144,7 @@
 	case <-timer.C:
 		err = context.DeadlineExceeded
 		// If no agent was heard from, this instance is slow itself, and another session would fare no better.
-		if s.heardAt.Load() < sent && s.heardAnyAt.Load() > sent+int64(limit) {
+		if s.heardAt.Load() < sent && s.heardAnyAt.Load() > sent+int64(limit-answerSlack) {
 			s.end(err)
 		}
 	}
--- a/internal/catalog/tasks.go
+++ b/internal/catalog/tasks.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strings"
 
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 	"clementinewalk.example/clementinewalk/internal/interference"
@@ -19,19 +20,86 @@
 	settled      int64
 }
 
+// endedPrefix is the prefix of the keys of Ended in the tasks topic.
+const endedPrefix = "ended/"
+
+// Ended holds a bit for each task of a submission that has ended as done, by round, step and the index divided by eight.
+// It is stored apart from the record, because tasks end one by one. A bit that is missing says nothing.
+type Ended [][][]byte
+
+const bitsPerByte = 8
+
+// Set sets the bit of a task.
+func (e Ended) Set(round, step, index int) {
+	for len(e[round][step]) <= index/bitsPerByte {
+		e[round][step] = append(e[round][step], 0)
+	}
+	e[round][step][index/bitsPerByte] |= 1 << (index % bitsPerByte)
+}
+
+func (e Ended) has(round, step, index int) bool {
+	return round < len(e) && step < len(e[round]) && index/bitsPerByte < len(e[round][step]) &&
+		e[round][step][index/bitsPerByte]&(1<<(index%bitsPerByte)) != 0
+}
+
+// EndedEntry returns the entry with the ended tasks of a submission. Its error is a *workflow.EncodeError.
+func EndedEntry(id workflow.JobID, ended Ended) (eventlog.Entry, error) {
+	b, err := workflow.Encode("ended tasks", ended)
+	return eventlog.Entry{Key: endedPrefix + string(id), Value: b}, err
+}
+
+// RemoveEndedEntry returns the entry that removes what EndedEntry has stored.
+func RemoveEndedEntry(id workflow.JobID) eventlog.Entry {
+	return eventlog.Entry{Key: endedPrefix + string(id)}
+}
+
+// apply marks the tasks of a record that have ended. They stay so whatever the record says, which may be older.
+func (e Ended) apply(r *workflow.Record) {
+	for k := range r.Tasks {
+		for s := range r.Tasks[k] {
+			for i := range r.Tasks[k][s] {
+				if e.has(k, s, i) {
+					row := &r.Tasks[k][s][i]
+					row.Phase, row.Worker, row.WorkerStartedAt, row.Checkpoint = workflow.Ended, "", 0, ""
+				}
+			}
+		}
+	}
+}
+
 // DecodeTasks decodes the newest entry of each key of the tasks topic. An entry that cannot be decoded is logged and
 // ignored.
 func DecodeTasks(entries []eventlog.Entry, l *slog.Logger) *Tasks {
 	t := &Tasks{Records: make(map[workflow.JobID]*workflow.Record, len(entries))}
+	ended := map[workflow.JobID]Ended{}
 	for _, e := range entries {
+		id, isEnded := strings.CutPrefix(e.Key, endedPrefix)
 		if e.Value == nil {
-			delete(t.Records, workflow.JobID(e.Key))
+			if isEnded {
+				delete(ended, workflow.JobID(id))
+			} else {
+				delete(t.Records, workflow.JobID(id))
+			}
+			continue
+		}
+		if isEnded {
+			var bits Ended
+			if err := workflow.Decode("ended tasks", e.Value, &bits); err != nil {
+				l.Error("cannot decode ended tasks, ignoring them", "job", id, "offset", e.Offset, "error", err)
+				continue
+			}
+			ended[workflow.JobID(id)] = bits
 			continue
 		}
 		if err := t.decode(e); err != nil {
 			l.Error("cannot decode task record, ignoring it", "key", e.Key, "offset", e.Offset, "error", err)
 		}
 	}
+	for id, bits := range ended {
+		if r := t.Records[id]; r != nil {
+			bits.apply(r)
+		}
+	}
 	return t
 }
 
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -8,7 +8,15 @@
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
-func (c *Core) markDirty(j *job) { c.dirty[j] = struct{}{} }
+// markDirty notes that the record of a submission has changed.
+func (c *Core) markDirty(j *job) { c.dirty[j], j.recordChanged = struct{}{}, true }
+
+// markEnded notes that tasks of a submission have ended as done. While it is not over, that is stored without the rest of
+// its record, which is many times as long.
+func (c *Core) markEnded(j *job) {
+	c.dirty[j] = struct{}{}
+	j.recordChanged = j.recordChanged || j.state.Over()
+}
 
 // RemoveExpired removes at most limit submissions that have been over for longer than retention, and returns their
 // ids. Their final states are stored and published.
@@ -59,15 +67,20 @@
 			break
 		}
 		delete(c.dirty, j)
-		rec := j.record()
-		e, err := catalog.TasksEntry(j.submission.Job, rec)
+		entries, err := j.changes()
 		if err != nil {
 			c.logger.Error("cannot encode submission record", "job", j.submission.Job, "error", err)
 			continue
 		}
-		b.Entries = append(b.Entries, e)
-		c.statesInFlight[j] = rec.State
-		size += len(e.Value)
+		for _, e := range entries {
+			b.Entries = append(b.Entries, e)
+			size += len(e.Value)
+		}
+		if !j.recordChanged {
+			continue
+		}
+		j.recordChanged = false
+		c.statesInFlight[j] = j.state
 		for _, t := range c.uncommitted {
 			if t.commitBatch == 0 && t.job() == j {
 				t.commitBatch = b.ID
@@ -80,6 +93,39 @@
 	return b
 }
 
+// changes returns the entries that store the changes of a submission. Its error is a *workflow.EncodeError.
+func (j *job) changes() ([]eventlog.Entry, error) {
+	if !j.recordChanged {
+		e, err := catalog.EndedEntry(j.submission.Job, j.ended())
+		j.endedStored = true
+		return []eventlog.Entry{e}, err
+	}
+	rec := j.record()
+	e, err := catalog.TasksEntry(j.submission.Job, rec)
+	entries := []eventlog.Entry{e}
+	if len(rec.Tasks) == 0 && j.endedStored {
+		entries = append(entries, catalog.RemoveEndedEntry(j.submission.Job))
+		j.endedStored = false
+	}
+	return entries, err
+}
+
+// ended returns a bit for each task of each step that has ended as done, by round and step.
+func (j *job) ended() catalog.Ended {
+	out := make(catalog.Ended, len(j.rounds))
+	for k, r := range j.rounds {
+		out[k] = make([][]byte, len(r.steps))
+		for s, st := range r.steps {
+			for i, t := range st.tasks {
+				if t.phase == workflow.Ended {
+					out.Set(k, s, i)
+				}
+			}
+		}
+	}
+	return out
+}
+
 func (j *job) record() *workflow.Record {
 	rec := &workflow.Record{State: j.state}
 	if len(j.rounds) == 0 || j.state.Over() && j.placed == 0 {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -203,6 +203,12 @@
 
 // unplace removes a task from its worker. The attempt must have ended or never been sent.
 func (c *Core) unplace(t *task) {
+	c.release(t)
+	c.markDirty(t.job())
+}
+
+// release is unplace without a change of the record.
+func (c *Core) release(t *task) {
 	t.worker.removeTask(t)
 	c.planNeeded = true
 	t.worker, t.startState, t.commitBatch = nil, startNone, 0
@@ -218,5 +224,4 @@
 	if j.placed == 0 && j.state.Over() {
 		j.rounds = nil
 	}
-	c.markDirty(j)
 }
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -143,13 +143,13 @@
 			continue
 		}
 		if m.phase == workflow.Placed {
-			c.unplace(m)
+			c.release(m)
 		}
 		m.phase = workflow.Ended
 		s.open--
 	}
 	r, j := s.round, s.round.job
-	c.markDirty(j)
+	c.markEnded(j)
 	if s.open > 0 || j.state.Over() {
 		return
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -26,7 +26,9 @@
 	latencyObjective time.Duration
 	// finishedAt is when this owner learned that the submission is over.
 	finishedAt time.Duration
-	open       int // number of rounds that are not done
+	// recordChanged is set if more than the ends of tasks must be stored; endedStored if their ends may be stored apart.
+	recordChanged, endedStored bool
+	open                       int // number of rounds that are not done
 	placed     int // number of tasks in the phase workflow.Placed
 }
 
--- a/internal/dispatch/storing.go
+++ b/internal/dispatch/storing.go
@@ -105,7 +105,7 @@
 	removed := o.unremovedTasks
 	o.unremovedTasks = nil
 	for _, id := range removed {
-		entries = append(entries, catalog.RemoveRecordEntry(id))
+		entries = append(entries, catalog.RemoveRecordEntry(id), catalog.RemoveEndedEntry(id))
 	}
 	if len(entries) == 0 {
 		return
