Count a state as published when its status append is confirmed

A submission whose last state was still in flight could be removed, and its older state would have stayed and kept every instance from claiming. Removals that an earlier tenure left are dropped at the claim, and found again in the catalog.

--- a/internal/catalog/tasks.go
+++ b/internal/catalog/tasks.go
@@ -74,11 +74,14 @@
 // Settled reports whether the owner of an epoch has stated that no owner before it acts any more.
 func (t *Tasks) Settled(epoch int64) bool { return t.settled == epoch }
 
-// Restore returns all submissions with their records from the tasks topic, and false if the submission of a record has
-// not been read. Records without tasks of submissions that are over are ignored: they may remain from a removal.
+// Restore returns all submissions with their records from the tasks topic, and false if the submission of a
+// record in either topic has not been read. Records without tasks of submissions that are over are ignored: they may remain from a removal.
 func (c *Catalog) Restore(t *Tasks) ([]*Job, bool) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
+	if !c.complete() {
+		return nil, false
+	}
 	for id, r := range t.Records {
 		if c.jobs[id] == nil && (!r.State.Over() || len(r.Tasks) > 0) {
 			return nil, false
@@ -90,5 +93,5 @@
 		restored.Tasks = t.Records[id]
 		out = append(out, &restored)
 	}
-	return out, c.complete()
+	return out, true
 }
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -115,7 +115,7 @@
 			// Appends of an earlier tenure may still be in flight; they do not count in this one.
 			o.status = appendStream{topic: o.settings.ProgressTopic, sequence: p.Sequence, sentAt: now, next: now}
 			o.tasks = appendStream{topic: o.settings.TasksTopic, sequence: p.Sequence, next: now}
-			o.loading, o.loaded = false, nil
+			o.loading, o.loaded, o.unremovedTasks, o.unremovedStates = false, nil, nil, nil
 			o.tenure, o.cancelTenure = context.WithCancel(ctx)
 		})
 	}()
@@ -214,7 +214,7 @@
 		Suspects: loaded.Suspects, Interference: loaded.Interference})
 	o.core.metrics = o.metrics
 	o.tenureStart, o.settled = now, false
-	o.lastModelStore, o.lastRemoval, o.unremovedTasks, o.unremovedStates = now, now, nil, nil
+	o.lastModelStore, o.lastRemoval = now, now
 	// Calls of an earlier tenure may still be in flight; they do not count in this one.
 	o.callsInFlight = 0
 	o.workerList = eventlog.NewFollower(o.log, o.settings.WorkersTopic, workerListPollIntervals, o.logger,
--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -24,6 +24,7 @@
 	old, claim := catalog.Ownership{Epoch: 3, Instance: "x"}, catalog.Ownership{Epoch: 4, Instance: "i", Claim: "c"}
 	released := catalog.Ownership{Epoch: 3, Instance: "x", Released: true}
 	restarted := catalog.Ownership{Epoch: 3, Instance: "i"}
+	heartbeat := catalog.Ownership{Epoch: 4, Instance: "i"}
 	type read struct {
 		at      time.Duration
 		entries int
@@ -38,6 +39,10 @@
 			reads: []read{{time.Second, 5, old}, {2 * time.Second, 1, old}, {4 * time.Second, 1, claim}}},
 		"records before the claim": {want: 4*time.Second + acting,
 			reads: []read{{time.Second, 5, old}, {4 * time.Second, 2, claim}}},
+		"heartbeats after the own claim": {want: 2*time.Second + acting, reads: []read{{time.Second, 5, old},
+			{2 * time.Second, 1, old}, {4 * time.Second, 1, claim}, {5 * time.Second, 2, heartbeat}}},
+		"claims after the own one": {want: 5*time.Second + acting, reads: []read{{time.Second, 5, old},
+			{4 * time.Second, 1, claim}, {5 * time.Second, 2, catalog.Ownership{Epoch: 5, Instance: "y", Claim: "d"}}}},
 		"nothing new": {want: time.Second + acting, reads: []read{{time.Second, 5, old}, {3 * time.Second, 0, old}}},
 		"released": {want: 9 * time.Second, settled: 3,
 			reads: []read{{time.Second, 5, old}, {9 * time.Second, 1, released}}},
@@ -53,8 +58,15 @@
 			require.NoError(t, err)
 			loaded := catalog.DecodeTasks([]eventlog.Entry{e}, discardLogger())
 			for _, r := range test.reads {
-				o.ProgressRead(eventlog.Batch{Entries: make([]eventlog.Entry, r.entries)}, r.newest)
+				entries := make([]eventlog.Entry, r.entries)
+				for i := range entries {
+					entries[i].Offset = o.claimOffset + int64(i)
+				}
+				o.ProgressRead(eventlog.Batch{Entries: entries}, r.newest)
 				(<-o.events)(r.at)
+				if r.newest == claim {
+					o.epoch, o.claimOffset = 4, 7
+				}
 			}
 			last := test.reads[len(test.reads)-1]
 			o.predecessorsEnded = o.ended(last.newest) && loaded.Settled(last.newest.Epoch)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -65,10 +65,10 @@
 	needsOrder map[*task]struct{}
 	lastBatch  int64
 	// statesInFlight holds the states in the newest batch until it is stored. unpublished holds the submissions whose
-	// stored state is not published yet; lastStatusBatch is the newest batch that publishes.
-	statesInFlight  map[*job]workflow.State
-	unpublished     map[*job]struct{}
-	lastStatusBatch int64
+	// stored state is not published yet, publishing the states in the newest status batch until that is stored.
+	statesInFlight, publishing map[*job]workflow.State
+	unpublished                map[*job]struct{}
+	lastStatusBatch            int64
 	// adviceInFlight is set while a call to the advisor is in flight; nextAdvice is the earliest time of the next
 	// call.
 	adviceInFlight bool
@@ -110,6 +110,7 @@
 	c := &Core{params: p, logger: l, epoch: epoch, config: config, wallClock: wallClock,
 		jobs: map[workflow.JobID]*job{}, workers: map[string]*worker{},
 		dirty: map[*job]struct{}{}, statesInFlight: map[*job]workflow.State{}, unpublished: map[*job]struct{}{},
+		publishing: map[*job]workflow.State{},
 		needsOrder: map[*task]struct{}{}, ownerSince: now,
 		predecessorUntil: stored.PredecessorUntil, silentLeases: stored.SilentLeases,
 		suspects: map[*task]struct{}{}, storedCrashes: stored.Suspects,
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -16,7 +16,7 @@
 	offset    int64
 	cancelled bool
 	state     workflow.State
-	// stored is the state in the newest stored record, published the one in the newest status batch.
+	// stored is the state in the newest stored task record, published the one in the newest stored status batch.
 	stored, published workflow.State
 	// rounds may be nil once the submission is over.
 	rounds []*round
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -18,7 +18,11 @@
 func (c *Core) noteStored() {
 	for j, s := range c.statesInFlight {
 		j.stored = s
-		if j.stored != j.published {
+		newest := j.published
+		if publishing, ok := c.publishing[j]; ok {
+			newest = publishing
+		}
+		if newest != s {
 			c.unpublished[j] = struct{}{}
 		}
 	}
@@ -73,7 +77,7 @@
 			c.logger.Error("cannot encode state", "job", j.submission.Job, "error", err)
 			continue
 		}
-		j.published = j.stored
+		c.publishing[j] = j.stored
 		b.Entries = append(b.Entries, e)
 	}
 	if silenceChanged {
@@ -86,5 +90,12 @@
 	return b
 }
 
-// StatusCommitted reports that a status batch is stored: the workers whose silence it has cleared may get leases again.
-func (c *Core) StatusCommitted(id int64) { c.clearSilence(id) }
+// StatusCommitted reports that a status batch is stored: its states are published, and the workers whose silence it has
+// cleared may get leases again.
+func (c *Core) StatusCommitted(id int64) {
+	for j, s := range c.publishing {
+		j.published = s
+	}
+	clear(c.publishing)
+	c.clearSilence(id)
+}
