--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -63,6 +63,8 @@
 	unconfirmed map[*worker]struct{}
 	// unresponsive holds the workers whose last lease call failed or whose silence is recorded.
 	unresponsive map[*worker]struct{}
+	// lists counts the lists of running attempts that were applied.
+	lists int64
 	// nextExpiry is a time before which no lease of a worker with tasks expires.
 	nextExpiry time.Duration
 	// scheduledRounds holds the rounds whose due time has not come.
@@ -85,6 +87,8 @@
 	// ends.
 	silentLeases map[catalog.Incarnation]time.Duration
 	model        *interference.Model
+	// coefficients is reused by throttleForService.
+	coefficients []float64
 	// suspects holds the tasks under which workers have crashed; suspectsChanged is set until they are in a batch.
 	suspects        map[*task]struct{}
 	suspectsChanged bool
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -264,7 +264,7 @@
 }
 
 func (c *Core) applyRunning(now, sent time.Duration, w *worker, running []Running) {
-	seen := make(map[*task]struct{}, len(running))
+	c.lists++
 	for i := range running {
 		r := &running[i]
 		t := c.findTask(r.Task)
@@ -272,13 +272,13 @@
 			c.stopUnexpected(w, r)
 			continue
 		}
-		seen[t] = struct{}{}
+		t.listedIn = c.lists
 		t.observe(now, r)
 		c.clearSuspicion(t)
 		c.moveStalled(now, t)
 	}
 	for t := range w.tasks {
-		if _, ok := seen[t]; ok || t.startState != startSettled || sent <= t.settledAt {
+		if t.listedIn == c.lists || t.startState != startSettled || sent <= t.settledAt {
 			continue
 		}
 		// The list was requested after the start was settled, so the attempt is not running. If the worker knew how it
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -21,6 +21,8 @@
 	// calls of earlier owners. It is cleared when the lease of the worker expires or the worker has restarted.
 	fenced bool
 	tasks  map[*task]struct{}
+	// bestEffort is the number of best-effort tasks among them, latencyCritical that of services with an objective.
+	bestEffort, latencyCritical int
 	// longRunning is what the long-running tasks among them reserve.
 	longRunning resource.Vector
 	// node is the worker as a placement candidate; it tracks the resources that its tasks reserve and request.
@@ -171,6 +173,12 @@
 func (w *worker) adjustCounts(t *task, n int) {
 	d := t.step.def
 	requested := int64(n) * requestedMilliCores(d)
+	if d.BestEffort {
+		w.bestEffort += n
+	}
+	if latencyCritical(d) {
+		w.latencyCritical += n
+	}
 	switch {
 	case d.BestEffort:
 		w.node.BestEffort += requested
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -22,6 +22,8 @@
 	objectiveAt time.Duration
 	// latencyObjective is the time from acceptance to objectiveAt.
 	latencyObjective time.Duration
+	// lastBatch is the newest batch that contains the record; 0 if none does.
+	lastBatch int64
 	// finishedAt is when this owner learned that the submission is over.
 	finishedAt time.Duration
 	open       int // number of rounds that are not done
@@ -107,6 +109,8 @@
 	load             float64
 	cpuLimit         int
 	cpuLimitInFlight bool
+	// listedIn is the number of the newest list of running attempts that contains the attempt; see Core.lists.
+	listedIn int64
 	// reported is set once the worker has listed the attempt as running.
 	reported bool
 	// notBefore is the earliest time at which the task is placed again after a failure.
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -62,14 +62,7 @@
 func latencyCritical(s *workflow.Step) bool { return s.LongRunning && s.Objective > 0 }
 
 // isMixed reports whether best-effort tasks run beside services with an objective.
-func (w *worker) isMixed() bool {
-	service, bestEffort := false, false
-	for t := range w.tasks {
-		service = service || latencyCritical(t.step.def)
-		bestEffort = bestEffort || t.step.def.BestEffort
-	}
-	return service && bestEffort
-}
+func (w *worker) isMixed() bool { return w.latencyCritical > 0 && w.bestEffort > 0 }
 
 // usedShare returns the share of the worker's processors that a task uses under its present CPU limit.
 func (w *worker) usedShare(t *task) float64 { return t.load / float64(max(1, w.Capacity.MilliCores)) }
@@ -220,21 +213,25 @@
 	}
 	image := s.step.def.Image
 	rise := 0.0
+	coefficients := c.coefficients[:0]
 	for _, t := range bestEffort {
-		rise += c.model.Coefficient(now, image, t.step.def.Image) * w.usedShare(t)
+		k := c.model.Coefficient(now, image, t.step.def.Image)
+		rise += k * w.usedShare(t)
+		coefficients = append(coefficients, k)
 	}
+	c.coefficients = coefficients
 	// Without the best-effort tasks, the logarithm of the latency would be log(load)-rise. allowedRise is what may be
 	// added to it up to the target; it is divided among the responsible tasks in proportion to their requests.
 	allowedRise := max(0, math.Log(tailTargetFraction*objectiveMillis(s))-(math.Log(s.load)-rise))
 	requestedRise := 0.0
-	for _, t := range bestEffort {
-		if k := c.model.Coefficient(now, image, t.step.def.Image); k >= minCoefficient {
+	for i, t := range bestEffort {
+		if k := coefficients[i]; k >= minCoefficient {
 			requestedRise += k * w.requestedShare(t)
 		}
 	}
 	evenFraction := min(1, allowedRise/max(requestedRise, minRise))
-	for _, t := range bestEffort {
-		k := c.model.Coefficient(now, image, t.step.def.Image)
+	for i, t := range bestEffort {
+		k := coefficients[i]
 		if k >= minCoefficient {
 			fraction := evenFraction
 			if evenFraction < minEvenFraction {
