--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -69,10 +69,11 @@
 		}
 		b.Entries = append(b.Entries, e)
 		size += len(e.Value)
-		for _, t := range c.uncommitted {
-			if t.commitBatch == 0 && t.job() == j {
-				t.commitBatch = b.ID
-			}
+		j.lastBatch = b.ID
+	}
+	for _, t := range c.uncommitted {
+		if t.commitBatch == 0 && t.job().lastBatch == b.ID {
+			t.commitBatch = b.ID
 		}
 	}
 	for w := range c.unconfirmed {
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -106,10 +106,21 @@
 	return r
 }
 
-func (r rank) compare(other rank) int {
-	return cmp.Or(cmp.Compare(r.priority, other.priority), cmp.Compare(r.tier, other.tier),
-		cmp.Compare(r.objectiveAt, other.objectiveAt), cmp.Compare(r.offset, other.offset),
-		cmp.Compare(r.step, other.step), cmp.Compare(r.index, other.index))
+func (r *rank) compare(other *rank) int {
+	// Unlike cmp.Or, this compares only what is needed.
+	switch {
+	case r.priority != other.priority:
+		return cmp.Compare(r.priority, other.priority)
+	case r.tier != other.tier:
+		return cmp.Compare(r.tier, other.tier)
+	case r.objectiveAt != other.objectiveAt:
+		return cmp.Compare(r.objectiveAt, other.objectiveAt)
+	case r.offset != other.offset:
+		return cmp.Compare(r.offset, other.offset)
+	case r.step != other.step:
+		return cmp.Compare(r.step, other.step)
+	}
+	return cmp.Compare(r.index, other.index)
 }
 
 // sortTasks sorts tasks in the order of placement.
@@ -117,5 +128,5 @@
 	for _, t := range tasks {
 		t.rank = t.newRank(now)
 	}
-	slices.SortStableFunc(tasks, func(a, b *task) int { return a.rank.compare(b.rank) })
+	slices.SortStableFunc(tasks, func(a, b *task) int { return a.rank.compare(&b.rank) })
 }
