--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"clementinewalk.example/clementinewalk/internal/assign"
+	"clementinewalk.example/clementinewalk/internal/resource"
 )
 
 // maxHeldShare is the share of a pool's workers that are held at the same time. At least one may be.
@@ -14,17 +15,26 @@
 	if t.rank.tier != tierRestart || t.step.def.BestEffort {
 		return
 	}
+	key, filter := p.holdKey(t), p.requireApproval(t, nil)
+	if _, ok := p.noHold[key]; ok {
+		return
+	}
 	pool := t.job().terms.Pool
-	nodes := p.filterNodes(p.candidates(pool), t, p.requireApproval(t, nil))
+	nodes := p.candidates(pool)
+	if key.step != nil {
+		nodes = p.filterNodes(nodes, t, filter)
+	}
 	need := t.reserved()
 	var best *assign.Node
 	for _, n := range nodes {
-		enough := need.Fits(n.Capacity.Sub(p.core.workers[n.ID].longRunning))
+		enough := need.Fits(n.Capacity.Sub(p.core.workersByID[n.Index].longRunning))
 		if enough && (best == nil || n.Free().MilliCores > best.Free().MilliCores) {
 			best = n
 		}
 	}
 	if best == nil || p.held >= max(1, int(maxHeldShare*float64(len(nodes)))) {
+		// Later in the plan, no fewer workers are held, and no more of them have room.
+		p.noHold[key] = struct{}{}
 		return
 	}
 	p.held++
@@ -34,6 +44,22 @@
 	p.bound.forgetRoom(pool)
 }
 
+// holdKey identifies the tasks for which the same workers can be held. step is nil if the step does not restrict them.
+type holdKey struct {
+	pool string
+	size resource.Vector
+	step *step
+}
+
+func (p *plan) holdKey(t *task) holdKey {
+	def, terms := t.step.def, &t.job().terms
+	key := holdKey{pool: terms.Pool, size: t.reserved()}
+	if def.Label != "" || def.MaxPerWorker > 0 || terms.Advised != nil {
+		key.step = t.step
+	}
+	return key
+}
+
 func without(nodes []*assign.Node, n *assign.Node) []*assign.Node {
 	out := make([]*assign.Node, 0, len(nodes))
 	for _, o := range nodes {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -85,6 +85,8 @@
 	changed []*assign.Node
 	// held is the number of workers that get no other task in this plan.
 	held int
+	// noHold holds the tasks for which no other worker can be held.
+	noHold map[holdKey]struct{}
 }
 
 // rankingKey holds what the scores of the workers depend on.
@@ -114,7 +116,7 @@
 func (c *Core) newPlan(now time.Duration) *plan {
 	return &plan{core: c, now: now, healthy: map[string][]*assign.Node{}, all: map[string][]*assign.Node{},
 		noRoom: map[noRoomKey]struct{}{}, noCandidate: map[noCandidateKey]struct{}{}, bound: newBestEffortBound(c, now),
-		rankings: map[rankingKey]*planRanking{}}
+		rankings: map[rankingKey]*planRanking{}, noHold: map[holdKey]struct{}{}}
 }
 
 // candidates returns the workers of a pool that may get tasks.
