--- a/internal/dispatch/largefleet_test.go
+++ b/internal/dispatch/largefleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"context"
 	"fmt"
 	"io"
 	"math"
@@ -25,7 +26,9 @@
 	// exclusiveRate is submissions a second of tasks that reserve processors.
 	exclusiveRate float64
 	// failShare is the share of the attempts that fail. Services fail serviceFailFactor times as often, after 2 s.
-	failShare      float64
+	failShare float64
+	// lostWorkers is how many workers stop answering when the burst begins.
+	lostWorkers    int
 	warmUp, steady time.Duration
 	burst, end     time.Duration
 }
@@ -38,10 +41,11 @@
 const (
 	fleetServiceImages = 8
 	fleetBatchImages   = 20
-	// fleetCallDelay is the time from a call to its answer, fleetAppendDelay the time until a batch is stored.
+	// fleetCallDelay is the time from a call to its answer, fleetCallTimeout that to the lack of one, fleetAppendDelay the time until a batch is stored.
 	fleetCallDelay    = 4 * time.Millisecond
 	fleetAppendDelay  = 12 * time.Millisecond
 	fleetStep         = 4 * time.Millisecond
+	fleetCallTimeout  = 250 * time.Millisecond
 	serviceFailFactor = 5
 )
 
@@ -88,6 +92,7 @@
 	running []*fleetRun
 	ends    []End
 	lastEnd int64
+	lost    bool
 	waiting *LeaseOrder
 	sentAt  time.Duration
 }
@@ -128,7 +133,7 @@
 	f.core = New(Params{Lease: 6 * time.Second, Isolation: 5 * time.Second, ObjectiveTolerance: 4 * time.Second}, 1, f.now,
 		func() time.Time { return time.Unix(0, int64(f.now)) }, logger, testConfig(), Stored{PredecessorUntil: f.now})
 	for i := range l.workers {
-		id := fmt.Sprintf("i-%010x", i)
+		id := fleetWorkerID(i)
 		w := &fleetWorker{member: Member{Incarnation: Incarnation{ID: id, StartedAt: 1}, Pool: "pool", Addr: id,
 			Rack: fmt.Sprintf("rack-%d", i/20), Capacity: fleetCapacity}}
 		f.workers[id] = w
@@ -144,7 +149,37 @@
 	return f
 }
 
-// play plays the load and returns the time at which the burst began.
+func fleetWorkerID(i int) string { return fmt.Sprintf("i-%010x", i) }
+
+// lose makes a worker answer no call any more. Its attempts end without a report.
+func (f *fleet) lose(w *fleetWorker) {
+	w.lost, w.running = true, nil
+	if w.waiting != nil {
+		f.noAnswer(*w.waiting)
+		w.waiting = nil
+	}
+}
+
+// noAnswer reports to the Core that a call has no answer.
+func (f *fleet) noAnswer(o Order) {
+	f.schedule(fleetCallTimeout, func() {
+		err := &NoAnswerError{Err: context.DeadlineExceeded}
+		f.timed(fleetAnswers, func() {
+			switch c := o.(type) {
+			case StartOrder:
+				f.core.StartReturned(f.now, c, CallAnswer{}, err)
+			case StopOrder:
+				f.core.StopReturned(f.now, c, CallAnswer{}, err)
+			case CPULimitOrder:
+				f.core.CPULimitReturned(f.now, c, CallAnswer{}, err)
+			case LeaseOrder:
+				f.core.LeaseFailed(f.now, c, err)
+			}
+		})
+	})
+}
+
+// play plays the load.
 func (f *fleet) play(l fleetLoad) {
 	start := f.now
 	f.failShare = l.failShare
@@ -163,6 +198,9 @@
 	})
 	f.scheduleArrivals(l.steady, l.batchRate, l.quickRate)
 	f.runUntil(f.now + l.steady)
+	for i := range l.lostWorkers {
+		f.lose(f.workers[fleetWorkerID(i)])
+	}
 	f.scheduleArrivals(l.burst, 2*l.batchRate, 2*l.quickRate)
 	f.runUntil(f.now + l.burst)
 	f.scheduleArrivals(l.end, l.batchRate, l.quickRate)
@@ -272,6 +310,10 @@
 
 func (f *fleet) send(o Order) {
 	w := f.workers[orderMember(o).ID]
+	if w.lost {
+		f.noAnswer(o)
+		return
+	}
 	f.schedule(fleetCallDelay/2, func() {
 		answer := CallAnswer{StartedAt: 1, Clock: f.now}
 		switch c := o.(type) {
@@ -301,6 +343,9 @@
 }
 
 func (f *fleet) start(w *fleetWorker, a Attempt) {
+	if w.lost {
+		return
+	}
 	f.starts++
 	r := &fleetRun{attempt: a, step: &f.steps[a.Task.Job][a.Task.Step], percent: noLimitPercent}
 	w.running = append(w.running, r)
@@ -384,14 +429,22 @@
 // BenchmarkLargeFleet measures the time that an owner's decisions take for each started task, from its submission to
 // its end, while 890 workers run about 1,450 tasks a second. One iteration plays 16 s; run it with -benchtime=1x.
 func BenchmarkLargeFleet(b *testing.B) {
+	failing, losing := largeFleet, largeFleet
+	failing.failShare, losing.lostWorkers = 0.05, 180
+	b.Run("quiet", func(b *testing.B) { benchmarkFleet(b, largeFleet) })
+	b.Run("failing", func(b *testing.B) { benchmarkFleet(b, failing) })
+	b.Run("losing", func(b *testing.B) { benchmarkFleet(b, losing) })
+}
+
+func benchmarkFleet(b *testing.B, load fleetLoad) {
 	var spent [fleetMethods]time.Duration
 	starts, pending := 0, 0
 	mallocs := uint64(0)
 	for i := range b.N {
-		f := newFleet(uint64(i+1), largeFleet)
+		f := newFleet(uint64(i+1), load)
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
-		f.play(largeFleet)
+		f.play(load)
 		runtime.ReadMemStats(&after)
 		mallocs += after.Mallocs - before.Mallocs
 		starts += f.starts
