--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -79,12 +79,12 @@
 		if !j.recordChanged {
 			continue
 		}
-		j.recordChanged = false
+		j.recordChanged, j.lastBatch = false, b.ID
 		c.statesInFlight[j] = j.state
-		for _, t := range c.uncommitted {
-			if t.commitBatch == 0 && t.job() == j {
-				t.commitBatch = b.ID
-			}
+	}
+	for _, t := range c.uncommitted {
+		if t.commitBatch == 0 && t.job().lastBatch == b.ID {
+			t.commitBatch = b.ID
 		}
 	}
 	for w := range c.unconfirmed {
