--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -31,7 +31,7 @@
 	// recordChanged is set if more than the ends of tasks must be stored; endedStored if their ends may be stored apart.
 	recordChanged, endedStored bool
 	open                       int // number of rounds that are not done
-	placed     int // number of tasks in the phase workflow.Placed
+	placed                     int // number of tasks in the phase workflow.Placed
 }
 
 // round is one execution of all steps of a submission.
