Bound the calls about tasks that an owner has sent to agents, and send lease calls first

Cause: a new owner sent more than a thousand starts at once into its own link; lease calls queued behind them until their limit was over, sessions counted as silent, and all was repeated. Change: calls about tasks in flight from owner to agents are bounded by the owner's link, and lease calls go first in each frame.

--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -23,6 +23,12 @@
 	// firstSessionWait is how long calls wait for the first sessions after a takeover. The owner alone could not make all
 	// of them.
 	firstSessionWait = 400 * time.Millisecond
+	// The calls about tasks in flight may occupy the owner's link for linkQueue. A call takes taskCallBytes, most of them
+	// for the specification.
+	linkQueue        = 300 * time.Millisecond
+	taskCallBytes    = 700
+	minTasksInFlight = 32
+	maxTasksInFlight = 2048
 	// An agent whose session has failed is not used for minAvoid, and for twice as long after each further failure, up to
 	// maxAvoid.
 	minAvoid = 500 * time.Millisecond
@@ -50,6 +56,8 @@
 	calls     *prometheus.CounterVec
 	// table is nil while the owner makes all calls itself.
 	table atomic.Pointer[table]
+	// slots bounds the calls about tasks in flight.
+	slots chan struct{}
 	// heardAt is when the newest frame of any agent arrived.
 	heardAt atomic.Int64
 
@@ -87,6 +95,7 @@
 		Help: "Calls of the owner to workers, by route: direct, agent, or lost with an agent."}, []string{"route"})
 	r.MustRegister(calls)
 	return &Pool{self: self, local: local, limits: limits, dial: dial, endpoints: endpoints, logger: l, calls: calls,
+		slots:    make(chan struct{}, tasksInFlight(self.LinkBytesPerSecond)),
 		sessions: map[string]*session{}, dialing: map[string]bool{}, avoided: map[string]avoidance{}}
 }
 
@@ -278,6 +287,29 @@
 	}
 }
 
+// tasksInFlight returns the bound on calls about tasks that an owner with the given bandwidth has sent to agents.
+func tasksInFlight(linkBytesPerSecond float64) int {
+	if linkBytesPerSecond <= 0 {
+		return maxTasksInFlight
+	}
+	return min(max(int(linkBytesPerSecond*linkQueue.Seconds()/taskCallBytes), minTasksInFlight), maxTasksInFlight)
+}
+
+// doTask makes a call about a task, once it is its turn. Without the bound, the starts of a takeover would fill the
+// owner's link for seconds, and agents would count as silent.
+func (p *Pool) doTask(ctx context.Context, c call) (result, bool) {
+	if p.table.Load() == nil {
+		return p.do(ctx, c, p.limits.Task)
+	}
+	select {
+	case p.slots <- struct{}{}:
+	case <-ctx.Done():
+		return result{err: &dispatch.NoAnswerError{Err: ctx.Err()}}, true
+	}
+	defer func() { <-p.slots }()
+	return p.do(ctx, c, p.limits.Task)
+}
+
 // do makes a call through the session of its worker; false if it is to be made directly.
 func (p *Pool) do(ctx context.Context, c call, limit time.Duration) (result, bool) {
 	s := p.session(ctx, c.member.ID)
@@ -296,7 +328,7 @@
 
 // Start implements dispatch.Workers.
 func (p *Pool) Start(ctx context.Context, m dispatch.Member, c dispatch.StartCall) (dispatch.CallAnswer, error) {
-	if r, ok := p.do(ctx, call{member: m, start: &c}, p.limits.Task); ok {
+	if r, ok := p.doTask(ctx, call{member: m, start: &c}); ok {
 		return r.answer, r.err
 	}
 	return p.local.Start(ctx, m, c)
@@ -304,7 +336,7 @@
 
 // Stop implements dispatch.Workers.
 func (p *Pool) Stop(ctx context.Context, m dispatch.Member, c dispatch.StopCall) (dispatch.CallAnswer, error) {
-	if r, ok := p.do(ctx, call{member: m, stop: &c}, p.limits.Task); ok {
+	if r, ok := p.doTask(ctx, call{member: m, stop: &c}); ok {
 		return r.answer, r.err
 	}
 	return p.local.Stop(ctx, m, c)
@@ -312,7 +344,7 @@
 
 // LimitCPU implements dispatch.Workers.
 func (p *Pool) LimitCPU(ctx context.Context, m dispatch.Member, c dispatch.CPULimitCall) (dispatch.CallAnswer, error) {
-	if r, ok := p.do(ctx, call{member: m, limit: &c}, p.limits.Task); ok {
+	if r, ok := p.doTask(ctx, call{member: m, limit: &c}); ok {
 		return r.answer, r.err
 	}
 	return p.local.LimitCPU(ctx, m, c)
--- a/internal/agent/sender.go
+++ b/internal/agent/sender.go
@@ -14,8 +14,9 @@
 	delay  time.Duration
 	encode func([]T) ([]byte, error)
 	mu     sync.Mutex
-	queue  []T
-	// wake has an element while the queue is not empty.
+	// urgent messages are sent before those of queue.
+	urgent, queue []T
+	// wake has an element while a queue is not empty.
 	wake chan struct{}
 }
 
@@ -23,9 +24,13 @@
 	return &sender[T]{stream: s, delay: delay, encode: encode, wake: make(chan struct{}, 1)}
 }
 
-func (s *sender[T]) add(m T) {
+func (s *sender[T]) add(m T, urgent bool) {
 	s.mu.Lock()
-	s.queue = append(s.queue, m)
+	if urgent {
+		s.urgent = append(s.urgent, m)
+	} else {
+		s.queue = append(s.queue, m)
+	}
 	s.mu.Unlock()
 	select {
 	case s.wake <- struct{}{}:
@@ -33,17 +38,23 @@
 	}
 }
 
-// take returns up to maxFrameCalls messages, and whether others remain.
+// take returns up to maxFrameCalls messages, urgent ones first, and whether others remain.
 func (s *sender[T]) take() ([]T, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := min(len(s.queue), maxFrameCalls)
-	out := s.queue[:n:n]
-	s.queue = s.queue[n:]
-	if len(s.queue) == 0 {
-		s.queue = nil
+	out := take(&s.urgent, maxFrameCalls)
+	out = append(out, take(&s.queue, maxFrameCalls-len(out))...)
+	return out, len(s.urgent)+len(s.queue) > 0
+}
+
+// take removes up to n messages from the front of a queue.
+func take[T any](queue *[]T, n int) []T {
+	n = min(n, len(*queue))
+	out := (*queue)[:n:n]
+	if *queue = (*queue)[n:]; len(*queue) == 0 {
+		*queue = nil
 	}
-	return out, len(s.queue) > 0
+	return out
 }
 
 // run writes frames until done is closed or a write fails.
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -132,7 +132,7 @@
 			}
 			<-v.slots
 		}()
-		v.answers.add(do())
+		v.answers.add(do(), false)
 	}()
 }
 
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -126,7 +126,7 @@
 	c.number = s.last
 	s.pending[c.number] = answered
 	s.mu.Unlock()
-	s.calls.add(c)
+	s.calls.add(c, c.lease != nil)
 	limit += answerSlack
 	if c.lease == nil {
 		limit += turnSlack
