Keep the fraction of a second of stored times

What callers saw: work counted as late up to a second too early, and so waited behind other work; scheduled rounds could begin up to a second before their time. Cause: times were stored in whole seconds, the default of the codec, so that accepted and due times were cut off. Change: times are encoded with microseconds. Older records are still read.

--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -94,9 +94,20 @@
 // Unwrap returns the error of the codec.
 func (e *EncodeError) Unwrap() error { return e.Err }
 
+// encoding keeps the fractions of a second of times, which the default drops.
+var encoding = newEncoding()
+
+func newEncoding() cbor.EncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
 // Encode returns the stored form of v. what names the value in the error, an *EncodeError.
 func Encode(what string, v any) ([]byte, error) {
-	b, err := cbor.Marshal(v)
+	b, err := encoding.Marshal(v)
 	if err != nil {
 		return nil, &EncodeError{What: what, Err: err}
 	}
--- a/internal/workflow/workflow_test.go
+++ b/internal/workflow/workflow_test.go
@@ -68,3 +68,19 @@
 		}
 	})
 }
+
+// Guards against submissions that count as late, and scheduled rounds that begin, up to a second early.
+func TestStoredTimesKeepTheirFractionOfASecond(t *testing.T) {
+	at := time.Date(2026, 12, 4, 21, 9, 5, 654_321_000, time.UTC)
+	b, err := Encode("submission", &Submission{Job: "a", Accepted: at, First: at.Add(time.Millisecond), Repeat: 2})
+	require.NoError(t, err)
+	var s Submission
+	require.NoError(t, Decode("submission", b, &s))
+	assert.WithinDuration(t, at, s.Accepted, time.Microsecond)
+	assert.WithinDuration(t, at.Add(time.Millisecond), s.Due(0), time.Microsecond)
+	b, err = Encode("submission", &Submission{Job: "a"})
+	require.NoError(t, err)
+	s = Submission{}
+	require.NoError(t, Decode("submission", b, &s))
+	assert.True(t, s.Accepted.IsZero())
+}
