Test the bound on starts to agents, and name agents apart in log lines

Cause: the bound had no test; 'agent avoided' wrote the key instance twice, and LostError said that a session had ended when a call had only run out of time. Measured: go test -race of internal/agent passes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,8 +40,8 @@
 	return batchDelay
 }
 
-// LostError reports that the session with an agent ended before the answer to a call arrived. The call may have been
-// carried out. It does not unwrap: the end of the session says nothing about the connection to the worker.
+// LostError reports that the answer to a call through an agent did not arrive in time, or before the session ended. The
+// call may have been carried out. It does not unwrap: the session says nothing about the connection to the worker.
 type LostError struct {
 	Instance string
 	Err      error
@@ -49,7 +49,7 @@
 
 // Error implements error.
 func (e *LostError) Error() string {
-	return fmt.Sprintf("session with agent %s ended: %v", e.Instance, e.Err)
+	return fmt.Sprintf("no answer through agent %s: %v", e.Instance, e.Err)
 }
 
 // FrameError reports bytes that are not a frame of this package.
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -92,7 +92,7 @@
 func NewPool(self Instance, local dispatch.Workers, limits Limits, dial Dialer, endpoints func() []catalog.Endpoint,
 	l *slog.Logger, r prometheus.Registerer) *Pool {
 	calls := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_routed_calls_total",
-		Help: "Calls of the owner to workers, by route: direct, agent, or lost with an agent."}, []string{"route"})
+		Help: "Calls of the owner to workers, by route: direct, agent, or lost, which had no answer through an agent."}, []string{"route"})
 	r.MustRegister(calls)
 	return &Pool{self: self, local: local, limits: limits, dial: dial, endpoints: endpoints, logger: l, calls: calls,
 		slots:    make(chan struct{}, tasksInFlight(self.LinkBytesPerSecond)),
@@ -228,7 +228,7 @@
 	a.span = min(max(2*a.span, minAvoid), maxAvoid)
 	a.until = now + a.span
 	p.avoided[name] = a
-	p.logger.Info("agent avoided", "instance", name, "for_ms", a.span.Milliseconds(), "error", err)
+	p.logger.Info("agent avoided", "agent", name, "for_ms", a.span.Milliseconds(), "error", err)
 }
 
 func (p *Pool) open(to catalog.Endpoint) {
--- a/internal/agent/pool_test.go
+++ b/internal/agent/pool_test.go
@@ -313,6 +313,53 @@
 	assert.Len(t, d.agents["a"].started(), 31)
 }
 
+// Guards against a new owner whose starts fill its own link, so that its lease calls come too late.
+func TestStartsToAgentsAreBounded(t *testing.T) {
+	d := newDeployment(t, "a")
+	const bandwidth = 250e3
+	bound := tasksInFlight(bandwidth)
+	d.pool.slots = make(chan struct{}, bound)
+	all := members(30)
+	d.pool.Route(all)
+	d.startAll(all, "j")
+	hold := make(chan struct{})
+	d.agents["a"].block(hold)
+	var wg sync.WaitGroup
+	for i := range 3 * bound {
+		wg.Go(func() { _, _ = d.pool.Start(context.Background(), all[i%len(all)], start("k", "s")) })
+	}
+	inFlight := func() int {
+		s := d.pool.table.Load().sessions[all[0].ID]
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.pending)
+	}
+	require.Eventually(t, func() bool { return inFlight() == bound }, time.Second, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, bound, inFlight())
+	close(hold)
+	wg.Wait()
+	assert.Len(t, d.agents["a"].started(), 30+3*bound)
+	assert.Equal(t, maxTasksInFlight, tasksInFlight(0))
+	assert.Equal(t, minTasksInFlight, tasksInFlight(1))
+}
+
+// Guards against lease calls that wait behind a burst of starts in a session.
+func TestLeaseCallsGoFirst(t *testing.T) {
+	s := newSender[int](nil, 0, nil)
+	for i := range maxFrameCalls + 5 {
+		s.add(i, false)
+	}
+	s.add(-1, true)
+	batch, more := s.take()
+	assert.Equal(t, -1, batch[0])
+	assert.Len(t, batch, maxFrameCalls)
+	assert.True(t, more)
+	batch, more = s.take()
+	assert.Len(t, batch, 6)
+	assert.False(t, more)
+}
+
 func TestAFaultInACallEndsNeitherSessionNorProcess(t *testing.T) {
 	d := newDeployment(t, "a")
 	all := members(30)
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -93,9 +93,9 @@
 		cores: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_cores",
 			Help: "Cores of the usable workers, and what tasks reserve or request of them."}, []string{"use"}),
 		calls: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_load",
-			Help: "Calls to workers in flight, and the longest delay of an event in milliseconds."}, []string{"what"}),
+			Help: "Most calls in flight and longest delay of an event in milliseconds since the last summary."}, []string{"what"}),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_calls_total",
-			Help: "Calls to workers, by whether they were answered."}, []string{"outcome"})}
+			Help: "Calls to workers and to the advisor, by whether they were answered."}, []string{"outcome"})}
 	r.MustRegister(m.waiting, m.cores, m.calls, m.answers)
 	return m
 }
