Release the ownership at a planned stop although calls are in flight

Cause: the hand-over waited 1.5 s for calls that may take longer since they wait for their turn. Change: it waits 0.4 s for them.

--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -246,7 +246,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	for o.core != nil && (o.tasks.inFlight || o.status.inFlight || o.callsInFlight > 0 || o.core.HasUnpublished()) {
+	// A call that takes longer may be carried out after the release, within the lease that a successor waits for.
+	callsUntil := clock.Now() + releaseCallWait
+	for o.core != nil && (o.tasks.inFlight || o.status.inFlight || o.core.HasUnpublished() ||
+		o.callsInFlight > 0 && clock.Now() < callsUntil) {
 		o.flushStatus(o.tenure, clock.Now())
 		select {
 		case <-ctx.Done():
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -87,8 +87,10 @@
 	// Limits of the exponential backoff for an append that was refused or not answered.
 	minAppendRetry = 30 * time.Millisecond
 	maxAppendRetry = 250 * time.Millisecond
-	// releaseTimeout limits how long a stopping owner waits for its calls and its last append.
+	// releaseTimeout limits how long a stopping owner waits for its last append, releaseCallWait how long it waits for the
+	// outcome of its calls.
 	releaseTimeout   = 1500 * time.Millisecond
+	releaseCallWait  = 400 * time.Millisecond
 	eventQueueLength = 4096
 	producerName     = "owner"
 )
--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -51,6 +51,14 @@
 }
 
 func startInstance(t *testing.T, log eventlog.Log, name string) *testInstance {
+	t.Helper()
+	return startInstanceWith(t, log, name, noWorkers{}, func(id string, _ []byte) (Member, error) {
+		return Member{Incarnation: Incarnation{ID: id}}, nil
+	})
+}
+
+func startInstanceWith(t *testing.T, log eventlog.Log, name string, workers Workers,
+	decode func(string, []byte) (Member, error)) *testInstance {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	cat := catalog.New(discardLogger())
@@ -66,8 +74,7 @@
 	s := Settings{Instance: name, ProgressTopic: "progress", TasksTopic: "tasks", WorkersTopic: "workers",
 		SubmissionsTopic: "submissions", Retention: time.Hour, Cores: 1000,
 		Params: Params{Lease: 6 * time.Second, Isolation: 5 * time.Second}}
-	i.owner = NewOwner(s, log, noWorkers{}, nil,
-		func(id string, _ []byte) (Member, error) { return Member{Incarnation: Incarnation{ID: id}}, nil }, config, cat,
+	i.owner = NewOwner(s, log, workers, nil, decode, config, cat,
 		Views{Submissions: submissions, Progress: progress}, func(owns bool) {
 			i.mu.Lock()
 			defer i.mu.Unlock()
