Decide calls anew that have waited for their turn too long, and hold calls while all sessions are lost

Now nothing is avoided, all agents are dialled at once, and calls wait up to 1.5 s. (2) Workers whose entries had expired were not routed, and sessions closed under their calls; Members now holds them, and a fleet must halve before agents are given up. (4) Calls to dead workers held the slots for their whole limit; a slot now counts for the time that a call occupies the link. (5) An agent's avoidance never shrank. (6) A takeover whose first agents are dead no longer falls back to direct calls.

--- a/internal/agent/frame.go
+++ b/internal/agent/frame.go
@@ -101,6 +101,7 @@
 	// codeConnectionRefused and codeConnectionClosed tell how a worker that did not answer ended the connection.
 	codeConnectionRefused
 	codeConnectionClosed
+	codeNotSent
 )
 
 // outcomeMessage is the outcome of a call. Text is the reason of a refusal, or the error of a call without an answer.
@@ -145,8 +146,11 @@
 func newOutcome(call uint64, a dispatch.CallAnswer, err error) outcomeMessage {
 	m := outcomeMessage{Call: call, StartedAt: a.StartedAt, ClockMillis: a.Clock.Milliseconds()}
 	var refused *dispatch.RefusedError
+	var notSent *dispatch.NotSentError
 	switch {
 	case err == nil:
+	case errors.As(err, &notSent):
+		m.Code = codeNotSent
 	case errors.As(err, &refused):
 		m.Code, m.Text = codeRefused, string(refused.Reason)
 		m.StartedAt, m.ClockMillis = refused.Answer.StartedAt, refused.Answer.Clock.Milliseconds()
@@ -164,13 +168,15 @@
 	return dispatch.CallAnswer{StartedAt: m.StartedAt, Clock: millis(m.ClockMillis)}
 }
 
-// err returns nil, a *dispatch.RefusedError or a *dispatch.NoAnswerError.
+// err returns nil, a *dispatch.RefusedError, a *dispatch.NoAnswerError or a *dispatch.NotSentError.
 func (m *outcomeMessage) err() error {
 	switch m.Code {
 	case codeDone:
 		return nil
 	case codeRefused:
 		return &dispatch.RefusedError{Reason: dispatch.Reason(m.Text), Answer: m.answer()}
+	case codeNotSent:
+		return &dispatch.NotSentError{}
 	case codeConnectionRefused:
 		return &dispatch.NoAnswerError{Err: &RemoteError{Text: m.Text, Cause: syscall.ECONNREFUSED}}
 	case codeConnectionClosed:
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -20,14 +20,19 @@
 	maintainInterval = 200 * time.Millisecond
 	// dialTimeout limits the time to open a session.
 	dialTimeout = 500 * time.Millisecond
-	// firstSessionWait is how long calls wait for the first sessions after a takeover. The owner alone could not make all
-	// of them.
-	firstSessionWait = 400 * time.Millisecond
+	// sessionWait is how long a call about a task waits while no session is open. It is decided anew then.
+	sessionWait = 300 * time.Millisecond
+	// maxSessionWait is how long calls wait while no session is open. The owner alone could not make all of them.
+	maxSessionWait = 1500 * time.Millisecond
+	// unusedTimeout is how long a session stays open that no worker is assigned to.
+	unusedTimeout = 8 * time.Second
 	// The calls about tasks in flight may occupy the owner's link for linkQueue. A call takes taskCallBytes, most of them
 	// for the specification.
 	linkQueue        = 300 * time.Millisecond
 	taskCallBytes    = 700
 	minTasksInFlight = 32
+	// releaseFactor is by how much a fleet must be smaller than one that needs agents to be called directly again.
+	releaseFactor    = 2
 	maxTasksInFlight = 2048
 	// An agent whose session has failed is not used for minAvoid, and for twice as long after each further failure, up to
 	// maxAvoid.
@@ -56,8 +61,8 @@
 	calls     *prometheus.CounterVec
 	// table is nil while the owner makes all calls itself.
 	table atomic.Pointer[table]
-	// slots bounds the calls about tasks in flight.
-	slots chan struct{}
+	// turns bounds the calls about tasks in flight.
+	turns *dispatch.Turns
 	// heardAt is when the newest frame of any agent arrived.
 	heardAt atomic.Int64
 
@@ -68,8 +73,8 @@
 	sessions map[string]*session
 	dialing  map[string]bool
 	avoided  map[string]avoidance
-	// routedAt is when calls began to go through agents.
-	routedAt time.Duration
+	// withoutSince is since when no session is open.
+	withoutSince time.Duration
 }
 
 // avoidance is the time for which an agent is not used.
@@ -95,25 +100,29 @@
 		Help: "Calls of the owner to workers, by route: direct, agent, or lost, which had no answer through an agent."}, []string{"route"})
 	r.MustRegister(calls)
 	return &Pool{self: self, local: local, limits: limits, dial: dial, endpoints: endpoints, logger: l, calls: calls,
-		slots:    make(chan struct{}, tasksInFlight(self.LinkBytesPerSecond)),
+		turns:    dispatch.NewTurns(tasksInFlight(self.LinkBytesPerSecond), linkQueue),
 		sessions: map[string]*session{}, dialing: map[string]bool{}, avoided: map[string]avoidance{}}
 }
 
 // Route implements dispatch.Router.
 func (p *Pool) Route(members []dispatch.Member) {
-	if !NeedsAgents(p.self, len(members)) {
-		p.Release()
-		return
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	switch {
+	case NeedsAgents(p.self, len(members)):
+	case p.stop != nil && NeedsAgents(p.self, releaseFactor*len(members)):
+		// A fleet whose size changes around the bound keeps its agents.
+	default:
+		p.release()
+		return
+	}
 	p.workers = p.workers[:0]
 	for i := range members {
 		p.workers = append(p.workers, Worker{ID: members[i].ID, DataCentre: members[i].DataCentre})
 	}
 	if p.stop == nil {
 		ctx, cancel := context.WithCancel(context.Background())
-		p.stop, p.routedAt = cancel, clock.Now()
+		p.stop, p.withoutSince = cancel, clock.Now()
 		p.logger.Info("calls go through agents", "workers", len(members))
 		go p.maintain(ctx)
 	}
@@ -124,6 +133,10 @@
 func (p *Pool) Release() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.release()
+}
+
+func (p *Pool) release() {
 	if p.stop == nil {
 		return
 	}
@@ -156,12 +169,7 @@
 // update assigns the workers to the instances that may be used, opens and closes sessions, and replaces the table.
 func (p *Pool) update() {
 	now := clock.Now()
-	for name, s := range p.sessions {
-		if s.ended() {
-			delete(p.sessions, name)
-			p.avoid(now, name, s.err)
-		}
-	}
+	p.removeEnded(now)
 	var instances []Instance
 	endpoints := map[string]catalog.Endpoint{}
 	for _, e := range p.endpoints() {
@@ -183,7 +191,9 @@
 		}
 	}
 	for name, s := range p.sessions {
-		if !wanted[name] && s.idle() {
+		if wanted[name] {
+			s.usedAt = now
+		} else if now-s.usedAt > unusedTimeout && s.idle() {
 			s.end(context.Canceled)
 			delete(p.sessions, name)
 		}
@@ -191,6 +201,29 @@
 	p.swap(p.newTable(now))
 }
 
+// removeEnded removes the sessions that have ended and avoids their agents for a while. If none is left, the fault is
+// more likely here, and all agents are dialled again at once.
+func (p *Pool) removeEnded(now time.Duration) {
+	ended := map[string]*session{}
+	for name, s := range p.sessions {
+		if s.ended() {
+			ended[name] = s
+			delete(p.sessions, name)
+		}
+	}
+	if len(ended) > 0 && len(p.sessions) == 0 {
+		p.withoutSince = now
+		p.logger.Warn("all sessions ended", "sessions", len(ended))
+		return
+	}
+	for name, s := range ended {
+		if now-s.openedAt > maxAvoid {
+			delete(p.avoided, name)
+		}
+		p.avoid(now, name, s.err)
+	}
+}
+
 // newTable returns the sessions of the workers: that of the assigned instance, or any other one until it is open.
 func (p *Pool) newTable(now time.Duration) *table {
 	var open []Instance
@@ -209,7 +242,7 @@
 			t.sessions[w.ID] = s
 		}
 	}
-	if len(open) == 0 && len(p.dialing) > 0 && now-p.routedAt < firstSessionWait {
+	if len(open) == 0 && now-p.withoutSince < maxSessionWait {
 		t.changed = make(chan struct{})
 	}
 	return t
@@ -248,6 +281,7 @@
 			return
 		default:
 			s := newSession(to.Instance, stream, p.self.LinkBytesPerSecond, &p.heardAt)
+			s.openedAt, s.usedAt = clock.Now(), clock.Now()
 			p.sessions[to.Instance] = s
 			go func() {
 				s.run()
@@ -269,20 +303,21 @@
 	}
 }
 
-// session returns the session for the calls to a worker, or nil if the call is to be made directly.
-func (p *Pool) session(ctx context.Context, worker string) *session {
+// session returns the session for the calls to a worker, or nil if the call is to be made directly. While no session is
+// open, it waits until wait is closed; ok is false if none was open by then.
+func (p *Pool) session(wait <-chan struct{}, worker string) (s *session, ok bool) {
 	for {
 		t := p.table.Load()
 		if t == nil {
-			return nil
+			return nil, true
 		}
 		if s := t.sessions[worker]; s != nil || t.changed == nil {
-			return s
+			return s, true
 		}
 		select {
 		case <-t.changed:
-		case <-ctx.Done():
-			return nil
+		case <-wait:
+			return nil, false
 		}
 	}
 }
@@ -301,18 +336,27 @@
 	if p.table.Load() == nil {
 		return p.do(ctx, c, p.limits.Task)
 	}
-	select {
-	case p.slots <- struct{}{}:
-	case <-ctx.Done():
-		return result{err: &dispatch.NoAnswerError{Err: ctx.Err()}}, true
+	end, err := p.turns.Wait(ctx)
+	if err != nil {
+		return result{err: err}, true
+	}
+	defer end()
+	if t := p.table.Load(); t != nil && t.changed != nil {
+		wait, cancel := context.WithTimeout(ctx, sessionWait)
+		defer cancel()
+		if _, ok := p.session(wait.Done(), c.member.ID); !ok {
+			return result{err: &dispatch.NotSentError{}}, true
+		}
 	}
-	defer func() { <-p.slots }()
 	return p.do(ctx, c, p.limits.Task)
 }
 
 // do makes a call through the session of its worker; false if it is to be made directly.
 func (p *Pool) do(ctx context.Context, c call, limit time.Duration) (result, bool) {
-	s := p.session(ctx, c.member.ID)
+	s, ok := p.session(ctx.Done(), c.member.ID)
+	if !ok {
+		return result{err: &dispatch.NoAnswerError{Err: ctx.Err()}}, true
+	}
 	if s == nil {
 		p.calls.WithLabelValues("direct").Inc()
 		return result{}, false
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -14,9 +14,8 @@
 const (
 	// answerSlack is how long an answer may take beyond the time limit of the call at the agent.
 	answerSlack = 600 * time.Millisecond
-	// turnSlack is how much longer a call about a task may take, which waits for its turn at the agent. A repetition
-	// would wait behind it.
-	turnSlack = 3 * time.Second
+	// turnSlack is how much longer a call about a task may take, which waits for its turn at the agent.
+	turnSlack = time.Second
 )
 
 // result is the outcome of a call.
@@ -51,6 +50,8 @@
 	workers map[workerKey]int
 	specs   *specs
 	lists   lists
+	// openedAt is when the session was opened, usedAt when workers were last assigned to it. Both are guarded by the pool.
+	openedAt, usedAt time.Duration
 	// heardAt is when the newest frame of the agent arrived, and heardAnyAt that of any agent.
 	heardAt    atomic.Int64
 	heardAnyAt *atomic.Int64
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -36,7 +36,17 @@
 		return
 	}
 	var refused *RefusedError
+	var notSent *NotSentError
 	switch {
+	case errors.As(err, &notSent):
+		// The start is decided anew: its submission may have been cancelled, or the worker may leave.
+		if t.hadUnansweredStart || !t.stopWanted && !t.worker.unschedulable() {
+			t.startState, t.retryAt = startUnanswered, now+callRetryDelay
+			t.startCalls--
+			c.needsOrder[t] = struct{}{}
+			return
+		}
+		c.revokePlacement(now, t)
 	case err == nil:
 		t.worker.observeClock(now, a.Clock)
 		t.startState, t.settledAt, t.startedAt = startSettled, now, now
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -311,11 +311,11 @@
 	return ids
 }
 
-// Members returns the entries of the listed workers.
+// Members returns the workers that get calls: the listed ones, and others while they have tasks.
 func (c *Core) Members() []Member {
 	out := make([]Member, 0, len(c.workers))
 	for _, w := range c.workers {
-		if w.listed {
+		if w.Addr != "" {
 			out = append(out, w.Member)
 		}
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -185,13 +185,14 @@
 
 // Router may be implemented by Workers that make calls through other instances.
 type Router interface {
-	// Route prepares the calls to the given workers, which are all that are listed.
+	// Route prepares the calls to the given workers, which are all that get calls.
 	Route(workers []Member)
 	// Release ends what Route has begun. Calls in progress end without an answer.
 	Release()
 }
 
-// Workers sends calls to workers. Each method returns *RefusedError or *NoAnswerError.
+// Workers sends calls to workers. Each method returns *RefusedError or *NoAnswerError, and *NotSentError if it is a call
+// about a task.
 type Workers interface {
 	Start(ctx context.Context, m Member, c StartCall) (CallAnswer, error)
 	Stop(ctx context.Context, m Member, c StopCall) (CallAnswer, error)
