--- a/internal/agent/takeover_test.go
+++ b/internal/agent/takeover_test.go
@@ -44,6 +44,7 @@
 	burstSubmissions   = 80
 	burstInterval      = 5 * time.Millisecond
 	longRunningSpec    = "service"
+	stallProbes        = 32
 	taskCallTimeout    = 250 * time.Millisecond
 	leaseCallTimeout   = 600 * time.Millisecond
 	transportIdleLimit = 900 * time.Millisecond
@@ -94,8 +95,8 @@
 	// shortestLease is the least time that remained of a worker's lease when a call renewed it.
 	shortestLease time.Duration
 	longestAway   time.Duration
-	// longestStall is the longest time between two sweeps: the test itself was not running.
-	longestStall time.Duration
+	// longestStall is by how much a goroutine of the test was woken too late.
+	longestStall atomic.Int64
 }
 
 func newSiteFleet(rng *rand.Rand) *siteFleet {
@@ -144,12 +145,10 @@
 
 // run settles all workers at short intervals until ctx ends.
 func (f *siteFleet) run(ctx context.Context) {
-	last := clock.Now()
 	for ctx.Err() == nil {
 		time.Sleep(5 * time.Millisecond)
 		f.mu.Lock()
 		now := clock.Now()
-		f.longestStall, last = max(f.longestStall, now-last), now
 		for _, w := range f.workers {
 			f.settle(w, now)
 		}
@@ -164,6 +163,19 @@
 	}
 }
 
+// observeStalls measures until ctx ends how late the machine wakes a goroutine.
+func (f *siteFleet) observeStalls(ctx context.Context) {
+	const interval = 10 * time.Millisecond
+	for ctx.Err() == nil {
+		before := clock.Now()
+		time.Sleep(interval)
+		late := int64(clock.Now() - before - interval)
+		for old := f.longestStall.Load(); late > old && !f.longestStall.CompareAndSwap(old, late); {
+			old = f.longestStall.Load()
+		}
+	}
+}
+
 // enter begins the handling of a call. It requires f.mu.
 func (f *siteFleet) enter(w *siteWorker, epoch int64) (time.Duration, dispatch.CallAnswer, error) {
 	now := clock.Now()
@@ -537,6 +549,9 @@
 		}
 	}
 	running.Go(func() { s.fleet.run(ctx) })
+	for range stallProbes {
+		running.Go(func() { s.fleet.observeStalls(ctx) })
+	}
 	t.Cleanup(func() {
 		for _, i := range s.instances {
 			i.open(true)
@@ -924,7 +939,7 @@
 	}
 	s.t.Logf("%d submissions, %d starts, %d calls fenced, shortest lease %d ms, longest absence of a service %d ms, longest stall %d ms",
 		len(s.submitted), f.started, f.fenced, f.shortestLease.Milliseconds(), f.longestAway.Milliseconds(),
-		f.longestStall.Milliseconds())
+		time.Duration(f.longestStall.Load()).Milliseconds())
 }
 
 var takeoverSeed = flag.Uint64("takeover.seed", 1, "seed of the tests of takeovers")
