Let a turn last until the answer, and limit the turns of one worker

Cause: a turn that ends after a fixed time bounds the rate of calls, at all that the link carries, whether or not answers come back; it is no bound on what is in flight. Change: a turn lasts until the answer again. Calls to a worker that does not answer may take two turns at most, which was the reason for the fixed time.

--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -62,7 +62,7 @@
 	// table is nil while the owner makes all calls itself.
 	table atomic.Pointer[table]
 	// turns bounds the calls about tasks in flight.
-	turns *dispatch.Turns
+	turns dispatch.Turns
 	// heardAt is when the newest frame of any agent arrived.
 	heardAt atomic.Int64
 
@@ -100,7 +100,7 @@
 		Help: "Calls of the owner to workers, by route: direct, agent, or lost, which had no answer through an agent."}, []string{"route"})
 	r.MustRegister(calls)
 	return &Pool{self: self, local: local, limits: limits, dial: dial, endpoints: endpoints, logger: l, calls: calls,
-		turns:    dispatch.NewTurns(tasksInFlight(self.LinkBytesPerSecond), linkQueue),
+		turns:    make(dispatch.Turns, tasksInFlight(self.LinkBytesPerSecond)),
 		sessions: map[string]*session{}, dialing: map[string]bool{}, avoided: map[string]avoidance{}}
 }
 
@@ -336,11 +336,10 @@
 	if p.table.Load() == nil {
 		return p.do(ctx, c, p.limits.Task)
 	}
-	end, err := p.turns.Wait(ctx)
-	if err != nil {
+	if err := p.turns.Wait(ctx); err != nil {
 		return result{err: err}, true
 	}
-	defer end()
+	defer p.turns.End()
 	if t := p.table.Load(); t != nil && t.changed != nil {
 		wait, cancel := context.WithTimeout(ctx, sessionWait)
 		defer cancel()
--- a/internal/agent/pool_test.go
+++ b/internal/agent/pool_test.go
@@ -319,7 +319,7 @@
 	d := newDeployment(t, "a")
 	const bandwidth = 250e3
 	bound := tasksInFlight(bandwidth)
-	d.pool.turns = dispatch.NewTurns(bound, time.Minute)
+	d.pool.turns = make(dispatch.Turns, bound)
 	all := members(30)
 	d.pool.Route(all)
 	d.startAll(all, "j")
--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -9,51 +9,41 @@
 const (
 	// callBytes is what a call about a task moves over the link, with the headers and the specification.
 	callBytes = 1500
-	// linkQueue is how long the calls about tasks that are in flight may occupy the link, and how long a call counts as
-	// in flight. One to a worker that does not answer occupies the link no longer.
+	// linkQueue is how long the calls about tasks that are in flight may occupy the link.
 	linkQueue = 80 * time.Millisecond
-	// Limits of the number of calls about tasks in flight.
-	minInFlight = 8
-	maxInFlight = 256
+	// Limits of the number of calls about tasks in flight, to all workers and to one of them. One that does not answer
+	// must not take the turns of the others.
+	minInFlight       = 8
+	maxInFlight       = 256
+	maxWorkerInFlight = 2
 	// maxTurnWait limits the wait for a turn. A call that was decided longer ago may be out of date.
 	maxTurnWait = 500 * time.Millisecond
 )
 
-// Turns bounds how many calls begin within an interval, so that the link carries each within its time limit. A call that
-// waits for its turn has not been sent.
-type Turns struct {
-	slots chan struct{}
-	// held is how long a call keeps its slot at most.
-	held time.Duration
-}
-
-// NewTurns returns turns for n calls at the same time, each of which counts for at most held.
-func NewTurns(n int, held time.Duration) *Turns {
-	return &Turns{slots: make(chan struct{}, n), held: held}
-}
+// Turns bounds the calls in flight. A call that waits for its turn has not been sent.
+type Turns chan struct{}
 
-// Wait returns the function that ends the call when it is the caller's turn. It returns *NotSentError if ctx ends or the
-// wait takes too long.
-func (t *Turns) Wait(ctx context.Context) (end func(), err error) {
+// Wait waits for a turn, which End ends. It returns *NotSentError if ctx ends or the wait takes too long.
+func (t Turns) Wait(ctx context.Context) error {
 	select {
-	case t.slots <- struct{}{}:
+	case t <- struct{}{}:
+		return nil
 	default:
-		timer := time.NewTimer(maxTurnWait)
-		defer timer.Stop()
-		select {
-		case t.slots <- struct{}{}:
-		case <-timer.C:
-			return nil, &NotSentError{}
-		case <-ctx.Done():
-			return nil, &NotSentError{}
-		}
 	}
-	var once sync.Once
-	release := func() { once.Do(func() { <-t.slots }) }
-	timer := time.AfterFunc(t.held, release)
-	return func() { timer.Stop(); release() }, nil
+	timer := time.NewTimer(maxTurnWait)
+	defer timer.Stop()
+	select {
+	case t <- struct{}{}:
+		return nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return &NotSentError{}
 }
 
+// End ends a turn.
+func (t Turns) End() { <-t }
+
 // NotSentError reports a call that was not sent, because too many others were in flight. It has no effect.
 type NotSentError struct{}
 
@@ -65,7 +55,15 @@
 // bounded: there is at most one for each worker, and they must not wait behind others.
 type LimitedWorkers struct {
 	Workers
-	turns *Turns
+	turns   Turns
+	mu      sync.Mutex
+	workers map[string]*workerTurns
+}
+
+// workerTurns are the turns of the calls to one worker, of which users are waiting or in flight.
+type workerTurns struct {
+	turns Turns
+	users int
 }
 
 // NewLimitedWorkers returns workers with a bound for an instance with the given bandwidth; 0 if unknown. Calls about
@@ -75,29 +73,54 @@
 	if linkBytesPerSecond > 0 {
 		n = min(max(int(linkBytesPerSecond*linkQueue.Seconds()/callBytes), minInFlight), maxInFlight)
 	}
-	return &LimitedWorkers{Workers: w, turns: NewTurns(n, linkQueue)}
+	return &LimitedWorkers{Workers: w, turns: make(Turns, n), workers: map[string]*workerTurns{}}
 }
 
 // Start implements Workers.
 func (l *LimitedWorkers) Start(ctx context.Context, m Member, c StartCall) (CallAnswer, error) {
-	return l.limit(ctx, func() (CallAnswer, error) { return l.Workers.Start(ctx, m, c) })
+	return l.limit(ctx, m, func() (CallAnswer, error) { return l.Workers.Start(ctx, m, c) })
 }
 
 // Stop implements Workers.
 func (l *LimitedWorkers) Stop(ctx context.Context, m Member, c StopCall) (CallAnswer, error) {
-	return l.limit(ctx, func() (CallAnswer, error) { return l.Workers.Stop(ctx, m, c) })
+	return l.limit(ctx, m, func() (CallAnswer, error) { return l.Workers.Stop(ctx, m, c) })
 }
 
 // LimitCPU implements Workers.
 func (l *LimitedWorkers) LimitCPU(ctx context.Context, m Member, c CPULimitCall) (CallAnswer, error) {
-	return l.limit(ctx, func() (CallAnswer, error) { return l.Workers.LimitCPU(ctx, m, c) })
+	return l.limit(ctx, m, func() (CallAnswer, error) { return l.Workers.LimitCPU(ctx, m, c) })
 }
 
-func (l *LimitedWorkers) limit(ctx context.Context, do func() (CallAnswer, error)) (CallAnswer, error) {
-	end, err := l.turns.Wait(ctx)
-	if err != nil {
+func (l *LimitedWorkers) limit(ctx context.Context, m Member, do func() (CallAnswer, error)) (CallAnswer, error) {
+	w := l.worker(m.ID)
+	defer l.leave(m.ID, w)
+	if err := w.turns.Wait(ctx); err != nil {
 		return CallAnswer{}, err
 	}
-	defer end()
+	defer w.turns.End()
+	if err := l.turns.Wait(ctx); err != nil {
+		return CallAnswer{}, err
+	}
+	defer l.turns.End()
 	return do()
 }
+
+func (l *LimitedWorkers) worker(id string) *workerTurns {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.workers[id]
+	if w == nil {
+		w = &workerTurns{turns: make(Turns, maxWorkerInFlight)}
+		l.workers[id] = w
+	}
+	w.users++
+	return w
+}
+
+func (l *LimitedWorkers) leave(id string, w *workerTurns) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if w.users--; w.users == 0 {
+		delete(l.workers, id)
+	}
+}
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -37,12 +38,13 @@
 	const calls, bandwidth = 70, 250e3
 	b := &blockingWorkers{released: make(chan struct{})}
 	bound := int64(bandwidth * linkQueue.Seconds() / callBytes)
-	l := &LimitedWorkers{Workers: b, turns: NewTurns(int(bound), time.Minute)}
+	l := NewLimitedWorkers(b, bandwidth)
 	var wg sync.WaitGroup
 	var notSent atomic.Int64
-	for range calls {
+	for i := range calls {
 		wg.Go(func() {
-			if _, err := l.Start(context.Background(), Member{}, StartCall{}); err != nil {
+			m := Member{Incarnation: Incarnation{ID: fmt.Sprint(i)}}
+			if _, err := l.Start(context.Background(), m, StartCall{}); err != nil {
 				assert.IsType(t, &NotSentError{}, err)
 				notSent.Add(1)
 			}
@@ -66,14 +68,17 @@
 	b := &blockingWorkers{released: make(chan struct{})}
 	defer close(b.released)
 	l := NewLimitedWorkers(b, 1)
-	for range minInFlight {
-		go func() { _, _ = l.Start(context.Background(), Member{}, StartCall{}) }()
+	for range 10 * minInFlight {
+		go func() {
+			_, _ = l.Start(context.Background(), Member{Incarnation: Incarnation{ID: "dead"}}, StartCall{})
+		}()
 	}
-	require.Eventually(t, func() bool { return b.inFlight.Load() == minInFlight }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return b.inFlight.Load() == maxWorkerInFlight }, time.Second, time.Millisecond)
 	began := time.Now()
-	_, err := l.Stop(context.Background(), Member{}, StopCall{})
+	_, err := l.Stop(context.Background(), Member{Incarnation: Incarnation{ID: "other"}}, StopCall{})
 	assert.True(t, isUnanswered(err))
-	assert.Less(t, time.Since(began), maxTurnWait)
+	assert.Less(t, time.Since(began), maxTurnWait/2)
+	assert.Equal(t, int64(maxWorkerInFlight), b.max.Load())
 }
 
 // Guards against a start that is sent long after it was decided: its submission may have been cancelled since.
