Let stronger instances claim before a weak one

Cause: after the loss of the owner an instance with 0.192 cores and 20 Mbit/s claimed 5 ms before one with 0.8 cores and 200 Mbit/s, since instances notice silence up to 0.3 s apart and the delay of weak ones was 0.2 s longer. Evidence: 'became owner' of front-qld-brisbane-7 at 3.42 s; store and start of 0.4 to 1.2 s from then on, with events delayed by 0.3 s at most. Change: an instance waits 0.5 s longer while another one has published twice its processor time. TestWeakInstanceLetsStrongerOnesClaimFirst fails without the delay.

--- a/internal/catalog/endpoint.go
+++ b/internal/catalog/endpoint.go
@@ -76,6 +76,19 @@
 	return out
 }
 
+// MostCores returns the most processor time of an instance other than self; 0 if none is published.
+func (c *Catalog) MostCores(self string) float64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	most := 0.0
+	for instance, e := range c.endpoints {
+		if instance != self {
+			most = max(most, e.Cores)
+		}
+	}
+	return most
+}
+
 // CountInstances returns the number of instances with a published endpoint.
 func (c *Catalog) CountInstances() int {
 	c.mu.RLock()
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -71,10 +71,13 @@
 	case previous.Epoch == 0:
 		// No work waits for the first owner of a deployment, so the longer delay lets better instances that start
 		// slightly later claim first.
-		return firstClaimFactor * delay
+		delay *= firstClaimFactor
 	case previous.Released:
 		// All instances read the release at about the same time.
-		return delay / releasedClaimDivisor
+		delay /= releasedClaimDivisor
+	}
+	if o.catalog.MostCores(o.settings.Instance) >= strongerFactor*o.settings.Cores {
+		delay += weakClaimDelay
 	}
 	return delay
 }
--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -99,3 +99,28 @@
 	o.stepDown("test")
 	assert.GreaterOrEqual(t, o.predecessorUntil(), before)
 }
+
+// Guards against an owner that is too weak for its fleet while stronger instances notice the silence a moment later.
+func TestWeakInstanceLetsStrongerOnesClaimFirst(t *testing.T) {
+	cat := catalog.New(discardLogger())
+	for name, cores := range map[string]float64{"strong": 0.8, "equal": 0.25} {
+		e, err := catalog.EndpointEntry(&catalog.Endpoint{Instance: name, Cores: cores})
+		require.NoError(t, err)
+		cat.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{e}})
+	}
+	delay := func(name string, cores float64, previous catalog.Ownership) time.Duration {
+		o := &Owner{settings: Settings{Instance: name, Cores: cores}, catalog: cat, views: Views{Progress: fixedView{time.Millisecond}}}
+		return o.claimDelay(previous)
+	}
+	// Reads of an idle topic begin up to 300 ms apart on different instances.
+	const noticed = 300 * time.Millisecond
+	for _, previous := range []catalog.Ownership{{Epoch: 3, Instance: "x"}, {Epoch: 3, Instance: "x", Released: true}} {
+		assert.Greater(t, delay("weak", 0.2, previous), delay("strong", 0.8, previous)+noticed)
+		assert.Less(t, delay("equal", 0.25, previous)-delay("weak", 0.3, previous), noticed)
+	}
+	assert.Zero(t, delay("weak", 0.2, catalog.Ownership{Epoch: 3, Instance: "weak"}))
+	// Without stronger instances, nobody waits longer.
+	e := catalog.RemoveEndpointEntry("strong")
+	cat.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{e}})
+	assert.Less(t, delay("weak", 0.2, catalog.Ownership{Epoch: 3, Instance: "x"}), weakClaimDelay)
+}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -50,6 +50,10 @@
 	// releasedClaimDivisor shortens the delays after a release. All instances read a release at about the same time, so
 	// most claims arrive in the right order nevertheless.
 	releasedClaimDivisor = 3
+	// An instance waits for weakClaimDelay longer while another one has strongerFactor times its processor time. It is
+	// longer than the times at which instances notice the silence of an owner differ.
+	weakClaimDelay = 500 * time.Millisecond
+	strongerFactor = 2
 	// maxRoundTrip limits the round trip in the claim delay, and stands in for one that is not measured.
 	maxRoundTrip = 25 * time.Millisecond
 	// minCores limits the claim delay of an instance whose processor time is unknown.
