--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -78,7 +78,7 @@
 // Guards against an owner that is far from the log or short of processor time while a better instance could claim.
 func TestOrderOfClaims(t *testing.T) {
 	instance := func(cores float64, roundTrip time.Duration) *Owner {
-		return &Owner{settings: Settings{Instance: "i", Cores: cores}, views: Views{Progress: fixedView{roundTrip}}}
+		return &Owner{settings: Settings{Instance: "i", Cores: cores}, catalog: catalog.New(discardLogger()), views: Views{Progress: fixedView{roundTrip}}}
 	}
 	near, far := 4*time.Millisecond, 14*time.Millisecond
 	for _, previous := range []catalog.Ownership{{}, {Epoch: 3, Instance: "x"},
