--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -78,7 +78,8 @@
 // Guards against an owner that is far from the log or short of processor time while a better instance could claim.
 func TestOrderOfClaims(t *testing.T) {
 	instance := func(cores float64, roundTrip time.Duration) *Owner {
-		return &Owner{settings: Settings{Instance: "i", Cores: cores}, catalog: catalog.New(discardLogger()), views: Views{Progress: fixedView{roundTrip}}}
+		return &Owner{settings: Settings{Instance: "i", Cores: cores}, catalog: catalog.New(discardLogger()),
+			views: Views{Progress: fixedView{roundTrip}}}
 	}
 	near, far := 4*time.Millisecond, 14*time.Millisecond
 	for _, previous := range []catalog.Ownership{{}, {Epoch: 3, Instance: "x"},
@@ -109,7 +110,8 @@
 		cat.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{e}})
 	}
 	delay := func(name string, cores float64, previous catalog.Ownership) time.Duration {
-		o := &Owner{settings: Settings{Instance: name, Cores: cores}, catalog: cat, views: Views{Progress: fixedView{time.Millisecond}}}
+		o := &Owner{settings: Settings{Instance: name, Cores: cores}, catalog: cat,
+			views: Views{Progress: fixedView{time.Millisecond}}}
 		return o.claimDelay(previous)
 	}
 	// Reads of an idle topic begin up to 300 ms apart on different instances.
