--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -31,9 +31,9 @@
 	linkQueue        = 300 * time.Millisecond
 	taskCallBytes    = 700
 	minTasksInFlight = 32
-	// releaseFactor is by how much a fleet must be smaller than one that needs agents to be called directly again.
-	releaseFactor    = 2
 	maxTasksInFlight = 2048
+	// releaseFactor is by how much a fleet must be smaller than one that needs agents to be called directly again.
+	releaseFactor = 2
 	// An agent whose session has failed is not used for minAvoid, and for twice as long after each further failure, up to
 	// maxAvoid.
 	minAvoid = 500 * time.Millisecond
@@ -97,7 +97,8 @@
 func NewPool(self Instance, local dispatch.Workers, limits Limits, dial Dialer, endpoints func() []catalog.Endpoint,
 	l *slog.Logger, r prometheus.Registerer) *Pool {
 	calls := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_routed_calls_total",
-		Help: "Calls of the owner to workers, by route: direct, agent, or lost, which had no answer through an agent."}, []string{"route"})
+		Help: "Calls of the owner to workers, by route: direct, agent, or lost, which had no answer through an agent."},
+		[]string{"route"})
 	r.MustRegister(calls)
 	return &Pool{self: self, local: local, limits: limits, dial: dial, endpoints: endpoints, logger: l, calls: calls,
 		turns:    make(dispatch.Turns, tasksInFlight(self.LinkBytesPerSecond)),
