--- /dev/null
+++ b/review/_standin/cases.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+type object = map[string]any
+
+// manyEnds hands in one submission of many small tasks. While they end, the store is slow, so that more ends wait at a
+// worker than one list holds.
+func manyEnds(d *deployment, trouble bool) {
+	const (
+		id       = "5c0e7a21d94b36f8"
+		tasks    = 4800
+		shortest = 8 * time.Second
+		spread   = 400 * time.Millisecond
+		slowness = 89
+		slowFor  = 3300 * time.Millisecond
+	)
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range tasks {
+		d.setProgram(fmt.Sprintf("%s.0.0.%d", id, i), program{cpu: 20, memoryMB: 16,
+			duration: shortest + time.Duration(random.Int64N(int64(spread)))})
+	}
+	if !d.submit(prefixBatch+id, object{"spec": "many small tasks", "steps": []any{
+		object{"count": tasks, "cpu": 20, "mem_mb": 16, "required_label": rareKind, "estimate_ms": shortest.Milliseconds()}}}) {
+		cannotRun(fmt.Errorf("the submission is not accepted"))
+	}
+	time.Sleep(shortest - time.Second)
+	if trouble {
+		d.record.note("the store is slow")
+		d.store.slowness.Store(slowness)
+	}
+	time.Sleep(slowFor)
+	if trouble {
+		d.store.slowness.Store(1)
+		d.record.note("the store is as fast as before")
+	}
+	for range 30 {
+		if time.Sleep(time.Second); d.state(d.nodes[0], prefixBatch+id) == "done" {
+			break
+		}
+	}
+	time.Sleep(2 * time.Second)
+}
+
+// longRecord hands in one submission with very many tasks, and small submissions before and after it.
+func longRecord(d *deployment, trouble bool) {
+	const (
+		large  = "5c0e7a21d94b36f8"
+		rounds = 3
+		tasks  = 4000
+	)
+	small := func(i int) string {
+		id := fmt.Sprintf("%016x", 0x1000+i)
+		d.setProgram(id+".0.0", program{cpu: 1000, memoryMB: 256, duration: 800 * time.Millisecond})
+		if !d.submit(prefixUrgent+id, object{"spec": "small", "steps": []any{
+			object{"count": 2, "cpu": 1000, "mem_mb": 256, "estimate_ms": 800}}}) {
+			return ""
+		}
+		return prefixUrgent + id
+	}
+	first := small(0)
+	time.Sleep(4 * time.Second)
+	if s := d.state(d.nodes[1], first); s != "done" {
+		cannotRun(fmt.Errorf("a small submission is %s before the large one", s))
+	}
+	if trouble {
+		for k := range rounds {
+			d.setProgram(fmt.Sprintf("%s.%d.0", large, k), program{cpu: 5, memoryMB: 4, duration: 20 * time.Second})
+		}
+		if !d.submit(prefixBatch+large, object{"spec": "large", "repeat_count": rounds, "interval_ms": 2000,
+			"first_run_ms": time.Now().Add(time.Second).UnixMilli(),
+			"steps":        []any{object{"count": tasks, "cpu": 5, "mem_mb": 4, "estimate_ms": 20000}}}) {
+			d.record.note("the large submission was not accepted")
+		}
+	}
+	time.Sleep(10 * time.Second)
+	var paths []string
+	for i := range 5 {
+		if p := small(1 + i); p != "" {
+			paths = append(paths, p)
+		}
+	}
+	d.record.note("the traffic ends")
+	time.Sleep(14 * time.Second)
+	d.record.note("records that the store refused as too long: %d", d.store.refusedRecords.Load())
+	before := d.record.starts
+	time.Sleep(3 * time.Second)
+	for _, p := range paths {
+		if s := d.state(d.nodes[1], p); s != "done" {
+			d.record.breaks("LOST: %s is %s 17 s after it was accepted, with nothing running and room for it; %d starts in "+
+				"the last 3 s", p, s, d.record.starts-before)
+		}
+	}
+}
+
+// crashingWorkers hands in one submission that lasts. Then the worker that runs it crashes, one worker at a time.
+func crashingWorkers(d *deployment, trouble bool) {
+	const (
+		id     = "5c0e7a21d94b36f8"
+		down   = 4500 * time.Millisecond
+		calm   = 9 * time.Second
+		rounds = 5
+	)
+	path := prefixService + id
+	d.setProgram(id+".0.0", program{cpu: 13000, memoryMB: 26000})
+	if !d.submit(path, object{"spec": "watch", "steps": []any{object{"count": 1, "cpu": 13000, "mem_mb": 26000,
+		"estimate_ms": 340, "perpetual": true, "image": "watch", "target_ms": 50}}}) {
+		cannotRun(fmt.Errorf("the submission is not accepted"))
+	}
+	for round := range rounds {
+		time.Sleep(calm)
+		w := d.pool.holding(id)
+		if trouble && w != nil {
+			d.record.note("worker %s crashes, crash %d", w.id, round+1)
+			w.crash()
+			time.Sleep(down)
+			n := d.pool.start(w.address, w.kind, w.rack)
+			d.record.note("worker %s starts at the address of %s", n.id, w.id)
+		}
+		for _, n := range d.nodes {
+			if s := d.state(n, path); s == "failed" || s == "cancelled" {
+				d.record.breaks("LOST: the submission is shown as %s; %d of its runs have ended as failed", s,
+					d.record.failures)
+				return
+			}
+		}
+	}
+	if d.pool.holding(id) == nil {
+		d.record.breaks("LOST: the submission has nothing running")
+	}
+}
+
+// holding returns the worker that runs a task of a submission, or nil.
+func (p *pool) holding(id string) *worker {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.workers {
+		w.mu.Lock()
+		for task := range w.runs {
+			if strings.HasPrefix(task, id+".") {
+				w.mu.Unlock()
+				return w
+			}
+		}
+		w.mu.Unlock()
+	}
+	return nil
+}
