--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -54,16 +54,7 @@
 		rounds = 3
 		tasks  = 4000
 	)
-	small := func(i int) string {
-		id := fmt.Sprintf("%016x", 0x1000+i)
-		d.setProgram(id+".0.0", program{cpu: 1000, memoryMB: 256, duration: 800 * time.Millisecond})
-		if !d.submit(prefixUrgent+id, object{"spec": "small", "steps": []any{
-			object{"count": 2, "cpu": 1000, "mem_mb": 256, "estimate_ms": 800}}}) {
-			return ""
-		}
-		return prefixUrgent + id
-	}
-	first := small(0)
+	first := d.small(0)
 	time.Sleep(4 * time.Second)
 	if s := d.state(d.nodes[1], first); s != "done" {
 		cannotRun(fmt.Errorf("a small submission is %s before the large one", s))
@@ -79,21 +70,73 @@
 		}
 	}
 	time.Sleep(10 * time.Second)
+	d.expectSmall(5)
+}
+
+// manyImages hands in services and best-effort work. With trouble, they are of more images than usual: each service and
+// each batch submission has an image of its own.
+func manyImages(d *deployment, trouble bool) {
+	const (
+		services      = 16
+		batches       = 72
+		usualServices = 5
+		usualBatches  = 9
+		batchPause    = 250 * time.Millisecond
+		batchDuration = 4 * time.Second
+	)
+	image := func(kind string, i, usual int) string {
+		if !trouble {
+			i %= usual
+		}
+		return fmt.Sprintf("%s-%d", kind, i)
+	}
+	for i := range services {
+		id := fmt.Sprintf("%016x", 0x2000+i)
+		d.setProgram(id+".0.0", program{cpu: 4000, memoryMB: 4000})
+		d.submit(prefixService+id, object{"spec": "service", "steps": []any{object{"count": 1, "cpu": 4000, "mem_mb": 4000,
+			"estimate_ms": 340, "perpetual": true, "image": image("service", i, usualServices), "target_ms": 50}}})
+	}
+	time.Sleep(3 * time.Second)
+	for i := range batches {
+		id := fmt.Sprintf("%016x", 0x3000+i)
+		d.setProgram(id+".0.0", program{cpu: 1000, memoryMB: 500, duration: batchDuration})
+		d.submit(prefixBatch+id, object{"spec": "batch", "steps": []any{object{"count": 8, "cpu": 1000, "mem_mb": 500,
+			"estimate_ms": batchDuration.Milliseconds(), "fills": true, "max_per_server": 1,
+			"image": image("batch", i, usualBatches)}}})
+		time.Sleep(batchPause)
+	}
+	time.Sleep(2 * batchDuration)
+	d.expectSmall(5)
+}
+
+// small hands in a small submission and returns its path; it is empty if the submission is not accepted.
+func (d *deployment) small(i int) string {
+	id := fmt.Sprintf("%016x", 0x1000+i)
+	d.setProgram(id+".0.0", program{cpu: 1000, memoryMB: 256, duration: 800 * time.Millisecond})
+	if !d.submit(prefixUrgent+id, object{"spec": "small", "steps": []any{
+		object{"count": 2, "cpu": 1000, "mem_mb": 256, "estimate_ms": 800}}}) {
+		return ""
+	}
+	return prefixUrgent + id
+}
+
+// expectSmall hands in n small submissions at the end of the traffic, and checks that they are done in time.
+func (d *deployment) expectSmall(n int) {
 	var paths []string
-	for i := range 5 {
-		if p := small(1 + i); p != "" {
+	for i := range n {
+		if p := d.small(1 + i); p != "" {
 			paths = append(paths, p)
 		}
 	}
 	d.record.note("the traffic ends")
 	time.Sleep(14 * time.Second)
 	d.record.note("records that the store refused as too long: %d", d.store.refusedRecords.Load())
-	before := d.record.starts
+	before := d.record.countStarts()
 	time.Sleep(3 * time.Second)
 	for _, p := range paths {
 		if s := d.state(d.nodes[1], p); s != "done" {
 			d.record.breaks("LOST: %s is %s 17 s after it was accepted, with nothing running and room for it; %d starts in "+
-				"the last 3 s", p, s, d.record.starts-before)
+				"the last 3 s", p, s, d.record.countStarts()-before)
 		}
 	}
 }
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -21,6 +21,7 @@
 	play    func(d *deployment, trouble bool)
 }{
 	"many-ends":        {8, manyEnds},
+	"many-images":      {8, manyImages},
 	"long-record":      {8, longRecord},
 	"crashing-workers": {8, crashingWorkers},
 }
--- a/review/_standin/record.go
+++ b/review/_standin/record.go
@@ -149,6 +149,12 @@
 	h.later = nil
 }
 
+func (r *record) countStarts() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.starts
+}
+
 // summary returns the number of broken rules and the first of them.
 func (r *record) summary() (int, string) {
 	r.mu.Lock()
