--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -22,7 +22,7 @@
 }{
 	"many-ends":        {8, manyEnds},
 	"many-images":      {8, manyImages},
-	"long-record":      {8, longRecord},
+	"huge-counts":      {8, hugeCounts},
 	"crashing-workers": {8, crashingWorkers},
 }
 
