--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -66,6 +66,9 @@
 		d.record.note("the malformed submission is answered with %d", status)
 	}
 	time.Sleep(5 * time.Second)
+	if trouble {
+		d.call(d.nodes[0], http.MethodDelete, prefixBatch+id, nil)
+	}
 	d.expectSmall(5)
 	for _, n := range d.nodes {
 		if ends := n.ends.Load(); ends > 0 {
