--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -77,6 +77,32 @@
 	}
 }
 
+// longRecord hands in one submission with very many tasks, and small submissions before and after it.
+func longRecord(d *deployment, trouble bool) {
+	const (
+		large  = "5c0e7a21d94b36f8"
+		rounds = 3
+		tasks  = 4000
+	)
+	first := d.small(0)
+	time.Sleep(4 * time.Second)
+	if s := d.state(d.nodes[1], first); s != "done" {
+		cannotRun(fmt.Errorf("a small submission is %s before the large one", s))
+	}
+	if trouble {
+		for k := range rounds {
+			d.setProgram(fmt.Sprintf("%s.%d.0", large, k), program{cpu: 5, memoryMB: 4, duration: 20 * time.Second})
+		}
+		if !d.submit(prefixBatch+large, object{"spec": "large", "repeat_count": rounds, "interval_ms": 2000,
+			"first_run_ms": time.Now().Add(time.Second).UnixMilli(),
+			"steps":        []any{object{"count": tasks, "cpu": 5, "mem_mb": 4, "estimate_ms": 20000}}}) {
+			d.record.note("the large submission was not accepted")
+		}
+	}
+	time.Sleep(10 * time.Second)
+	d.expectSmall(5)
+}
+
 // manyImages hands in services and best-effort work. With trouble, they are of more images than usual: each service and
 // each batch submission has an image of its own.
 func manyImages(d *deployment, trouble bool) {
@@ -145,6 +171,62 @@
 	}
 }
 
+// rebornWorkers hands in small submissions all the time. Meanwhile one worker at a time is cut off, crashes behind the
+// cut and starts again under its id.
+func rebornWorkers(d *deployment, trouble bool) {
+	const (
+		each   = 150 * time.Millisecond
+		cutFor = 600 * time.Millisecond
+		calm   = 5 * time.Second
+		rounds = 9
+	)
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(each):
+			}
+			id := fmt.Sprintf("%016x", 0x4000+i)
+			d.setProgram(id+".0.0", program{cpu: 6300, memoryMB: 13000, duration: 1200 * time.Millisecond})
+			d.submit(prefixUrgent+id, object{"spec": "quote", "steps": []any{object{"count": 4, "cpu": 6300,
+				"mem_mb": 13000, "estimate_ms": 1200}}})
+		}
+	}()
+	time.Sleep(calm)
+	for range rounds {
+		if w := d.pool.any(); trouble {
+			d.record.note("worker %s is cut off", w.id)
+			w.gate.setCut(true)
+			time.Sleep(cutFor / 3)
+			w.crash()
+			n := d.pool.start(w.gate, w.id, w.kind, w.rack)
+			d.record.note("worker %s crashes behind the cut and starts again, born %d", n.id, n.born)
+			time.Sleep(cutFor - cutFor/3)
+			w.gate.setCut(false)
+			d.record.note("worker %s can be reached again", w.id)
+		}
+		time.Sleep(calm)
+	}
+	close(stop)
+	<-stopped
+	time.Sleep(3 * time.Second)
+}
+
+// any returns some worker of the usual kind.
+func (p *pool) any() *worker {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.workers {
+		if w.kind != rareKind {
+			return w
+		}
+	}
+	return nil
+}
+
 // crashingWorkers hands in one submission that lasts. Then the worker that runs it crashes, one worker at a time.
 func crashingWorkers(d *deployment, trouble bool) {
 	const (
@@ -166,7 +248,7 @@
 			d.record.note("worker %s crashes, crash %d", w.id, round+1)
 			w.crash()
 			time.Sleep(down)
-			n := d.pool.start(w.address, w.kind, w.rack)
+			n := d.pool.start(w.gate, "", w.kind, w.rack)
 			d.record.note("worker %s starts at the address of %s", n.id, w.id)
 		}
 		for _, n := range d.nodes {
--- a/review/_standin/deployment.go
+++ b/review/_standin/deployment.go
@@ -117,7 +117,7 @@
 		if i < rareWorkers {
 			kind = rareKind
 		}
-		d.pool.start("", kind, fmt.Sprintf("r1-%d", i/8+1))
+		d.pool.start(newGate(), "", kind, fmt.Sprintf("r1-%d", i/8+1))
 	}
 	for i := range nodeCount {
 		d.nodes = append(d.nodes, d.startNode(i))
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -20,9 +20,12 @@
 	workers int
 	play    func(d *deployment, trouble bool)
 }{
-	"many-ends":        {8, manyEnds},
-	"many-images":      {8, manyImages},
-	"huge-counts":      {8, hugeCounts},
+	"many-ends":      {8, manyEnds},
+	"many-images":    {8, manyImages},
+	"huge-counts":    {8, hugeCounts},
+	"reborn-workers": {8, rebornWorkers},
+	// Further findings, which have no folder of their own.
+	"long-record":      {8, longRecord},
 	"crashing-workers": {8, crashingWorkers},
 }
 
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -70,6 +70,7 @@
 	born                    int64
 	began                   time.Time
 	pool                    *pool
+	gate                    *gate
 	server                  *http.Server
 	listener                net.Listener
 	quit                    chan struct{}
@@ -96,30 +97,23 @@
 	workers map[string]*worker // by address
 }
 
-// start begins a life of a worker on an address; a free one if it is empty.
-func (p *pool) start(address, kind, rack string) *worker {
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	var l net.Listener
-	for try := 0; ; try++ {
-		var err error
-		if l, err = net.Listen("tcp", address); err == nil {
-			break
-		}
-		if try == 50 {
-			cannotRun(fmt.Errorf("worker: %w", err))
-		}
-		time.Sleep(20 * time.Millisecond)
+// start begins a life of a worker behind a gate, under an id; a new one if it is empty.
+func (p *pool) start(g *gate, id, kind, rack string) *worker {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		cannotRun(fmt.Errorf("worker: %w", err))
 	}
 	now := time.Now()
 	p.mu.Lock()
 	p.lives++
-	w := &worker{id: fmt.Sprintf("i-%010x", now.UnixNano()&0xffffff000000|int64(p.lives)), address: l.Addr().String(),
-		kind: kind, rack: rack, born: now.UnixMilli(), began: now, pool: p, listener: l, quit: make(chan struct{}),
+	if id == "" {
+		id = fmt.Sprintf("i-%010x", now.UnixNano()&0xffffff000000|int64(p.lives))
+	}
+	w := &worker{id: id, address: g.address, gate: g, kind: kind, rack: rack, born: now.UnixMilli(), began: now, pool: p, listener: l, quit: make(chan struct{}),
 		runs: map[string]*run{}, refused: map[string]int{}, changed: make(chan struct{})}
 	p.workers[w.address] = w
 	p.mu.Unlock()
+	g.connect(l.Addr().String())
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(l) }()
 	go w.beat()
@@ -141,7 +135,23 @@
 	w.pool.mu.Lock()
 	delete(w.pool.workers, w.address)
 	w.pool.mu.Unlock()
-	time.AfterFunc(silentBeats*heartbeat, func() { w.pool.store.put("keyed.servers", w.id, nil) })
+	time.AfterFunc(silentBeats*heartbeat, func() {
+		if !w.pool.alive(w.id) {
+			w.pool.store.put("keyed.servers", w.id, nil)
+		}
+	})
+}
+
+// alive reports whether a worker with an id is up.
+func (p *pool) alive(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.workers {
+		if w.id == id {
+			return true
+		}
+	}
+	return false
 }
 
 func (w *worker) beat() {
@@ -150,7 +160,7 @@
 			"slots": 8, "state": "ready", "cold_left_ms": 0, "labels": []string{w.kind, w.rack}, "seq": seq, "born": w.born,
 			"capacity": map[string]int64{"cpu": workerMilliCores, "mem_mb": workerMB, "gpu": 0},
 			"clock_ms": w.clock().Milliseconds()})
-		if !w.pool.store.down.Load() {
+		if !w.pool.store.down.Load() && !w.gate.isCut() {
 			w.pool.store.put("keyed.servers", w.id, b)
 		}
 		select {
