--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -183,6 +183,9 @@
 		}
 		w.mu.Lock()
 		now, lapsed := time.Now(), w.clock() > w.lease
+		if lapsed && len(w.ends) > 0 {
+			w.pool.record.lapsed(w)
+		}
 		for _, r := range w.runs {
 			switch {
 			case !r.stoppedAt.IsZero() && now.Sub(r.stoppedAt) > stopTime/2:
