--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -70,6 +70,11 @@
 		d.call(d.nodes[0], http.MethodDelete, prefixBatch+id, nil)
 	}
 	d.expectSmall(5)
+	d.checkEnds()
+}
+
+// checkEnds checks how often processes have ended by themselves.
+func (d *deployment) checkEnds() {
 	var often []string
 	for _, n := range d.nodes {
 		if ends := n.ends.Load(); ends >= 3 {
@@ -81,6 +86,29 @@
 	}
 }
 
+// hopelessWork hands in many submissions that can never be done: no worker is as large as their tasks.
+func hopelessWork(d *deployment, trouble bool) {
+	const (
+		submissions = 150
+		tasks       = 5000
+		pause       = 100 * time.Millisecond
+	)
+	first := d.small(0)
+	time.Sleep(4 * time.Second)
+	if s := d.state(d.nodes[1], first); s != "done" {
+		cannotRun(fmt.Errorf("a small submission is %s before the others", s))
+	}
+	for i := range submissions {
+		if trouble {
+			d.submit(fmt.Sprintf("%s%016x", prefixBatch, 0x5000+i), object{"spec": "hopeless", "steps": []any{
+				object{"count": tasks, "cpu": 2 * workerMilliCores, "mem_mb": 256, "estimate_ms": 900}}})
+		}
+		time.Sleep(pause)
+	}
+	d.expectSmall(5)
+	d.checkEnds()
+}
+
 // longRecord hands in one submission with very many tasks, and small submissions before and after it.
 func longRecord(d *deployment, trouble bool) {
 	const (
@@ -169,7 +197,7 @@
 	time.Sleep(3 * time.Second)
 	for _, p := range paths {
 		id := strings.TrimPrefix(p, prefixUrgent)
-		if s := d.state(d.nodes[1], p); s != "done" && d.record.idleSince(id, asked) {
+		if s := d.anyState(p); s != "done" && d.record.idleSince(id, asked) {
 			d.record.breaks("LOST: %s is %s 17 s after it was accepted, and has had nothing running for 3 s, with room for it",
 				p, s)
 		}
--- a/review/_standin/deployment.go
+++ b/review/_standin/deployment.go
@@ -338,3 +338,14 @@
 	}
 	return answer.State
 }
+
+// anyState asks one node after the other for the state of a submission, until one knows it.
+func (d *deployment) anyState(path string) string {
+	for try := range 2 * len(d.nodes) {
+		if s := d.state(d.nodes[try%len(d.nodes)], path); s != "0" && s != "503" {
+			return s
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return "not answered"
+}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -25,6 +25,7 @@
 	"huge-counts":    {8, hugeCounts},
 	"reborn-workers": {8, rebornWorkers},
 	// Further findings, which have no folder of their own.
+	"hopeless-work":    {8, hopelessWork},
 	"long-record":      {8, longRecord},
 	"crashing-workers": {8, crashingWorkers},
 }
