--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -313,3 +314,106 @@
 	}
 	return nil
 }
+
+// busyWorker hands in submissions that only one worker may run. Meanwhile that worker is unhealthy and refuses all starts.
+func busyWorker(d *deployment, trouble bool) {
+	const (
+		submissions = 10
+		busyFor     = 6500 * time.Millisecond
+		// shownAfter is visible_ms and two seconds more.
+		shownAfter = 5 * time.Second
+		margin     = 300 * time.Millisecond
+	)
+	d.pool.setBusy(rareKind, trouble)
+	began := time.Now()
+	var ids []string
+	for i := range submissions {
+		id := fmt.Sprintf("%016x", 0x6000+i)
+		d.setProgram(id+".0.0", program{cpu: 1000, memoryMB: 256, duration: 800 * time.Millisecond})
+		if !d.submit(prefixUrgent+id, object{"spec": "small", "steps": []any{object{"count": 1, "cpu": 1000, "mem_mb": 256,
+			"estimate_ms": 800, "required_label": rareKind}}}) {
+			cannotRun(fmt.Errorf("a submission is not accepted"))
+		}
+		ids = append(ids, id)
+	}
+	accepted := time.Now()
+	time.Sleep(shownAfter + margin)
+	for _, n := range d.nodes {
+		status, body := d.call(n, http.MethodGet, prefixUrgent, nil)
+		waiting := 0
+		for _, id := range ids {
+			if !d.record.hasBegun(id) {
+				waiting++
+			}
+		}
+		var answer struct{ Waiting int }
+		if status == http.StatusOK && json.Unmarshal([]byte(body), &answer) == nil && 2*answer.Waiting < waiting {
+			d.record.breaks("MIXED: %s gives %d as waiting; %d submissions that were accepted over %v before have not begun",
+				n.name, answer.Waiting, waiting, time.Since(accepted).Round(time.Millisecond))
+		}
+	}
+	time.Sleep(busyFor - time.Since(began))
+	d.pool.setBusy(rareKind, false)
+	time.Sleep(6 * time.Second)
+	for _, id := range ids {
+		if s := d.anyState(prefixUrgent + id); s != "done" {
+			d.record.breaks("LOST: %s is %s", id, s)
+		}
+	}
+}
+
+// setBusy makes the workers of a kind refuse all starts, or ends that.
+func (p *pool) setBusy(kind string, busy bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.workers {
+		if w.kind == kind {
+			w.busy.Store(busy)
+			p.record.note("worker %s refuses starts: %v", w.id, busy)
+		}
+	}
+}
+
+// changedKind hands in submissions that need workers of one kind. Meanwhile the worker of that kind crashes and starts again
+// under its id as one of another kind, and later the other way round.
+func changedKind(d *deployment, trouble bool) {
+	const (
+		rounds   = 16
+		each     = 400 * time.Millisecond
+		down     = 300 * time.Millisecond
+		calm     = 2 * time.Second
+		duration = 1500 * time.Millisecond
+	)
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(each):
+			}
+			id := fmt.Sprintf("%016x", 0x7000+i)
+			d.setProgram(id+".0.0", program{cpu: 6300, memoryMB: 13000, duration: duration, label: rareKind})
+			d.submit(prefixUrgent+id, object{"spec": "quote", "steps": []any{object{"count": 1, "cpu": 6300, "mem_mb": 13000,
+				"estimate_ms": duration.Milliseconds(), "required_label": rareKind}}})
+		}
+	}()
+	time.Sleep(calm)
+	for range rounds {
+		for _, kind := range []string{usualKind, rareKind} {
+			if trouble {
+				w := d.pool.first
+				d.record.note("worker %s crashes", w.id)
+				w.crash()
+				time.Sleep(down)
+				d.pool.first = d.pool.start(w.gate, w.id, kind, w.rack)
+				d.record.note("worker %s starts again, born %d, of kind %s", w.id, d.pool.first.born, kind)
+			}
+			time.Sleep(calm)
+		}
+	}
+	close(stop)
+	<-stopped
+	time.Sleep(3 * time.Second)
+}
--- a/review/_standin/deployment.go
+++ b/review/_standin/deployment.go
@@ -29,6 +29,7 @@
 	// The first workers are of another kind than the rest.
 	rareWorkers = 2
 	rareKind    = "b"
+	usualKind   = "a"
 	// program is the command of deploy/system.toml, from the root of the repository.
 	nodeProgram = "target/clementine-node"
 	nodeOption  = "--log-format=json"
@@ -96,7 +97,7 @@
 }
 
 // newDeployment starts the store, the workers and the nodes, and waits until all nodes are ready.
-func newDeployment(r *record, workers int) *deployment {
+func newDeployment(r *record, workers, rare int) *deployment {
 	d := &deployment{store: newStore(), record: r, programs: map[string]program{},
 		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
 	directory, err := os.MkdirTemp("", "clementine-review-")
@@ -113,11 +114,14 @@
 	d.putConfig()
 	d.pool = &pool{store: d.store, record: r, program: d.program, workers: map[string]*worker{}}
 	for i := range workers {
-		kind := "a"
-		if i < rareWorkers {
+		kind := usualKind
+		if i < rare {
 			kind = rareKind
 		}
-		d.pool.start(newGate(), "", kind, fmt.Sprintf("r1-%d", i/8+1))
+		w := d.pool.start(newGate(), "", kind, fmt.Sprintf("r1-%d", i/8+1))
+		if i == 0 {
+			d.pool.first = w
+		}
 	}
 	for i := range nodeCount {
 		d.nodes = append(d.nodes, d.startNode(i))
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -17,17 +17,19 @@
 )
 
 var cases = map[string]struct {
-	workers int
-	play    func(d *deployment, trouble bool)
+	workers, rare int
+	play          func(d *deployment, trouble bool)
 }{
-	"many-ends":      {8, manyEnds},
-	"many-images":    {8, manyImages},
-	"huge-counts":    {8, hugeCounts},
-	"reborn-workers": {8, rebornWorkers},
+	"many-ends":      {8, rareWorkers, manyEnds},
+	"many-images":    {8, rareWorkers, manyImages},
+	"huge-counts":    {8, rareWorkers, hugeCounts},
+	"reborn-workers": {8, rareWorkers, rebornWorkers},
 	// Further findings, which have no folder of their own.
-	"hopeless-work":    {8, hopelessWork},
-	"long-record":      {8, longRecord},
-	"crashing-workers": {8, crashingWorkers},
+	"hopeless-work":    {8, rareWorkers, hopelessWork},
+	"long-record":      {8, rareWorkers, longRecord},
+	"changed-kind":     {8, 1, changedKind},
+	"busy-worker":      {12, 1, busyWorker},
+	"crashing-workers": {8, rareWorkers, crashingWorkers},
 }
 
 func main() {
@@ -44,7 +46,7 @@
 	go func() { cannotRun(fmt.Errorf("ended by signal: %v", <-signals)) }()
 	r := newRecord(os.Args[2])
 	trouble := os.Getenv("TROUBLE") != "0"
-	d := newDeployment(r, c.workers)
+	d := newDeployment(r, c.workers, c.rare)
 	c.play(d, trouble)
 	d.close()
 	n, first := r.summary()
--- a/review/_standin/record.go
+++ b/review/_standin/record.go
@@ -85,6 +85,10 @@
 	defer r.mu.Unlock()
 	r.starts++
 	r.write("run %s %d starts on %s", n.task, n.number, w.id)
+	if l := n.program.label; l != "" && l != w.kind && l != w.rack {
+		r.addBreak(fmt.Sprintf("ROUTE: run %d of %s starts on %s, which has the labels %s and %s and not %s", n.number, n.task, w.id,
+			w.kind, w.rack, l))
+	}
 	h := r.history(n.task)
 	h.runs++
 	for other, on := range h.running {
@@ -178,3 +182,15 @@
 	}
 	return len(r.broken), r.broken[0]
 }
+
+// hasBegun reports whether a task of a submission has ever started.
+func (r *record) hasBegun(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for task := range r.tasks {
+		if strings.HasPrefix(task, id+".") {
+			return true
+		}
+	}
+	return false
+}
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,8 @@
 	cpu, memoryMB int64
 	// duration is how long the task runs until it is done; 0 if it lasts until it is stopped.
 	duration time.Duration
+	// label is the label that the worker must have; empty for none.
+	label string
 }
 
 // run is an attempt on a worker.
@@ -75,6 +78,9 @@
 	listener                net.Listener
 	quit                    chan struct{}
 
+	// busy makes the worker refuse all starts with 503, as an unhealthy worker does.
+	busy atomic.Bool
+
 	mu      sync.Mutex
 	fence   int64
 	lease   time.Duration
@@ -95,6 +101,7 @@
 	mu      sync.Mutex
 	lives   int
 	workers map[string]*worker // by address
+	first   *worker
 }
 
 // start begins a life of a worker behind a gate, under an id; a new one if it is empty.
@@ -241,6 +248,12 @@
 		w.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
+	if w.busy.Load() && r.URL.Path == "/api/run-start" {
+		w.mu.Unlock()
+		w.pool.record.note("start of run %d of %s refused by %s with 503", o.Run, o.Task, w.id)
+		w.reply(rw, http.StatusServiceUnavailable, nil)
+		return
+	}
 	if o.Fence < w.fence {
 		w.mu.Unlock()
 		w.reply(rw, http.StatusConflict, map[string]any{"reason": "fence"})
