--- a/review/_standin/gate.go
+++ b/review/_standin/gate.go
@@ -17,6 +17,8 @@
 	life   int
 	cut    bool
 	healed chan struct{}
+	// last is the newest life behind the gate; the lock of the pool guards it.
+	last *worker
 }
 
 func newGate() *gate {
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -20,10 +20,10 @@
 	workers, rare int
 	play          func(d *deployment, trouble bool)
 }{
-	"many-ends":      {8, rareWorkers, manyEnds},
-	"many-images":    {8, rareWorkers, manyImages},
-	"huge-counts":    {8, rareWorkers, hugeCounts},
-	"reborn-workers": {8, rareWorkers, rebornWorkers},
+	"many-ends":         {8, rareWorkers, manyEnds},
+	"many-images":       {8, rareWorkers, manyImages},
+	"huge-counts":       {8, rareWorkers, hugeCounts},
+	"restarted-workers": {8, rareWorkers, restartedWorkers},
 	// Further findings, which have no folder of their own.
 	"hopeless-work":    {8, rareWorkers, hopelessWork},
 	"long-record":      {8, rareWorkers, longRecord},
