--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -211,9 +211,9 @@
 	const (
 		each     = 1500 * time.Millisecond
 		tasks    = 8
-		down     = 300 * time.Millisecond
-		calm     = 3 * time.Second
-		rounds   = 20
+		down     = 200 * time.Millisecond
+		calm     = 2 * time.Second
+		rounds   = 28
 		duration = 600 * time.Millisecond
 	)
 	stop, stopped := make(chan struct{}), make(chan struct{})
@@ -233,7 +233,7 @@
 	}()
 	time.Sleep(calm)
 	for range rounds {
-		if w := d.pool.idle(); trouble && w != nil {
+		if w := d.pool.idle(calm); trouble && w != nil {
 			d.record.note("worker %s crashes", w.id)
 			w.crash()
 			time.Sleep(down)
@@ -247,17 +247,20 @@
 	time.Sleep(3 * time.Second)
 }
 
-// idle returns a worker that runs nothing, or nil if there is none.
-func (p *pool) idle() *worker {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, w := range p.workers {
-		w.mu.Lock()
-		idle := len(w.runs) == 0
-		w.mu.Unlock()
-		if idle {
-			return w
+// idle waits for a worker that runs nothing, and returns nil if there is none for a while.
+func (p *pool) idle(wait time.Duration) *worker {
+	for until := time.Now().Add(wait); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		p.mu.Lock()
+		for _, w := range p.workers {
+			w.mu.Lock()
+			idle := len(w.runs) == 0
+			w.mu.Unlock()
+			if idle {
+				p.mu.Unlock()
+				return w
+			}
 		}
+		p.mu.Unlock()
 	}
 	return nil
 }
