Tell the incarnations of a worker apart in answers and records

Cause: calls name a worker's id only, so a start that was meant for the earlier incarnation is accepted by the newest one. Its answer was taken for that of the earlier one, and the entry of the newest one ended all attempts on record for the earlier one. Late answers also set the clock, the health and the confirmed ends of the newest incarnation.

Every answer is now compared with the newest known incarnation. Only an attempt whose start the earlier incarnation has confirmed ends with it; the others are adopted, stopped, or looked up in the next list. After a restart the owner counts with the longest lease.

The simulated worker now accepts calls by its id, as the platform does, and takes 0.2 s for a stop.

--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -116,8 +116,8 @@
 		LogReadBytesPerSecond: s.LogReadBytesPerSecond, ProgressTopic: t.Progress, TasksTopic: platform.TopicTasks,
 		WorkersTopic: platform.TopicWorkers, SubmissionsTopic: t.Submissions,
 		Retention: s.StatusRetention + retentionMargin,
-		Params: dispatch.Params{Lease: min(leaseDuration, s.MaxLease), Isolation: isolationLimit,
-			ObjectiveTolerance: s.InterferenceTolerance}}
+		Params: dispatch.Params{Lease: min(leaseDuration, s.MaxLease), MaxLease: s.MaxLease,
+			Isolation: isolationLimit, ObjectiveTolerance: s.InterferenceTolerance}}
 	owner := dispatch.NewOwner(settings, log, w, a, platform.DecodeMember, q, c,
 		dispatch.Views{Submissions: v.Submissions, Progress: v.Progress}, v.RoleChanged, process.WithPrefix(l, "owner"))
 	owner.UseMetrics(dispatch.NewMetrics(r))
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -48,7 +48,11 @@
 		}
 		c.revokePlacement(now, t)
 	case err == nil:
-		t.worker.observeClock(now, a.Clock)
+		if !c.observeAnswer(now, t.worker, a) {
+			c.startedEarlier(now, t)
+			return
+		}
+		c.adopt(t)
 		t.startState, t.settledAt, t.startedAt = startSettled, now, now
 		c.timing.observe(phaseStart, now-t.storedAt)
 		if t.stopWanted {
@@ -73,8 +77,15 @@
 	return t != nil && t.phase == workflow.Placed && t.worker.ID == m.ID && t.run == a.Run
 }
 
+// startedEarlier applies an answer by which an earlier incarnation of the worker has started the attempt before it ended.
+func (c *Core) startedEarlier(now time.Duration, t *task) {
+	t.startState, t.settledAt, t.startedAt = startSettled, now, now
+	c.resolveSettled(now, t)
+}
+
 func (c *Core) startRefused(now time.Duration, t *task, r *RefusedError) {
 	w := t.worker
+	newest := c.observeAnswer(now, w, ownAnswer(r.Answer, r))
 	c.logger.Info("worker refused start", "task", t.id, "run", t.run, "worker", w.ID, "reason", r.Reason)
 	switch r.Reason {
 	case ReasonFenced:
@@ -82,7 +93,6 @@
 		return
 	case ReasonDeadlinePassed:
 		// The start is sent again, with a deadline based on the newer clock reading.
-		w.observeClock(now, r.Answer.Clock)
 		t.startState, t.hadUnansweredStart = startUnanswered, true
 		t.retryAt = now
 		c.needsOrder[t] = struct{}{}
@@ -90,11 +100,19 @@
 	case ReasonRestarted:
 		w.fenced, w.retryInterval = false, 0
 	case ReasonNoRoom:
-		w.fullUntil = now + noRoomPause
+		if newest {
+			w.fullUntil = now + noRoomPause
+		}
 	case ReasonUnhealthy:
 		// Services that have waited ignore the quarantine, but must not be sent to an unhealthy worker again and again.
-		w.quarantinedUntil, w.fullUntil = now+unhealthyPause, now+unhealthyPause
+		if newest {
+			w.quarantinedUntil, w.fullUntil = now+unhealthyPause, now+unhealthyPause
+		}
 	case ReasonStaleAttempt:
+		if !newest {
+			c.startedEarlier(now, t)
+			return
+		}
 		// The worker has started or stopped this attempt before. Its next list shows whether the attempt is running.
 		t.startState, t.settledAt = startSettled, now
 		return
@@ -123,14 +141,14 @@
 		switch {
 		case t.retryAt > now || t.stopInFlight || t.startState == startInFlight || t.startState == startUncommitted:
 		case t.worker.Addr == "", t.startState == startUnanswered && !t.stopWanted && t.startCalls < maxStartCalls &&
-			!t.worker.mayLease():
+			!t.outdated() && !t.worker.mayLease():
 			// The worker's address is not known to this owner yet, or a start would grant it a lease that it must not
 			// get.
 		case t.worker.failingSince != 0 && now-t.worker.failingSince > time.Second:
 			// The worker has not answered for a second, so no order is sent. If it does not answer again, the attempt
 			// is lost when its lease expires.
 		case t.stopWanted || t.startState == startUnanswered &&
-			(t.startCalls >= maxStartCalls || t.worker.overcommitted()):
+			(t.startCalls >= maxStartCalls || t.outdated() || t.worker.overcommitted()):
 			t.stopInFlight = true
 			c.orders = append(c.orders, StopOrder{Member: t.worker.Member, task: t,
 				Call: StopCall{Attempt: t.attempt(), Epoch: c.epoch}})
@@ -155,16 +173,18 @@
 	t.stopInFlight = false
 	c.logger.Info("stop call finished", "task", t.id, "run", t.run, "worker", o.Member.ID, "error", err)
 	var refused *RefusedError
-	switch {
+	switch newest := c.observeAnswer(now, t.worker, ownAnswer(a, err)); {
+	case errors.As(err, &refused) && refused.Reason == ReasonFenced:
+		c.superseded = true
+	case !newest:
+		// An earlier incarnation has answered. The newest one may still get the start.
+		t.retryAt = now + callRetryDelay
 	case err == nil:
-		t.worker.observeClock(now, a.Clock)
 		t.startState, t.settledAt, t.hadUnansweredStart = startSettled, now, false
 		t.retryAt = now + stopRetryDelay
 		if !t.stopWanted {
 			delete(c.needsOrder, t)
 		}
-	case errors.As(err, &refused) && refused.Reason == ReasonFenced:
-		c.superseded = true
 	case errors.As(err, &refused) && refused.Reason == ReasonRestarted:
 		t.worker.fenced = false
 		t.retryAt = now + stopRetryDelay
@@ -277,7 +297,10 @@
 }
 
 func (c *Core) sendLease(now time.Duration, w *worker) {
-	call := LeaseCall{Epoch: c.epoch, LastStoredEnd: w.confirmedEnd}
+	call := LeaseCall{Epoch: c.epoch}
+	if w.confirmedEnd > w.receivedConfirmation {
+		call.LastStoredEnd = w.confirmedEnd
+	}
 	// A worker that left a call unanswered gets no new lease until it answers, so that the owner knows by when its
 	// tasks have ended.
 	if w.mayLease() {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -20,8 +20,8 @@
 
 // Params holds the durations that limit leases, ownership and violations of latency objectives.
 type Params struct {
-	// Lease is how long a worker runs its tasks without a renewal.
-	Lease time.Duration
+	// Lease is how long a worker runs its tasks without a renewal. MaxLease is the longest lease that a worker accepts.
+	Lease, MaxLease time.Duration
 	// Isolation is how long an owner acts without a confirmed append. A previous owner may have acted for as long
 	// after the claim of its successor.
 	Isolation time.Duration
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -131,11 +131,12 @@
 	lost := w.lost
 	w.lost = nil
 	for t := range w.tasks {
-		if a, started := t.attemptLostWith(); started && t.workerStartedAt < startedAt {
+		// An attempt that is not known to have begun counts once the list of the later incarnation lacks it.
+		if a, started := t.attemptLostWith(); started && t.workerStartedAt < startedAt && !t.unresolved() {
 			lost = append(lost, a)
 		}
 	}
-	if w.Leaving {
+	if w.Leaving || len(lost) == 0 {
 		return
 	}
 	silent := w.failingSince == 0 || !w.connectionLost
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -20,17 +20,12 @@
 	c.eventTime = now
 	w := o.worker
 	c.callable[w] = struct{}{}
-	if a.StartedAt < w.StartedAt {
+	if !c.observeAnswer(now, w, CallAnswer{StartedAt: a.StartedAt, Clock: a.Clock}) {
 		return
 	}
-	if a.StartedAt > w.StartedAt {
-		if w.StartedAt != 0 {
-			c.workerRestarted(now, w, a.StartedAt)
-		}
-		w.StartedAt = a.StartedAt
-		c.loseEarlierIncarnations(now, w)
+	if o.Member.StartedAt == w.StartedAt {
+		w.receivedConfirmation = max(w.receivedConfirmation, o.Call.LastStoredEnd)
 	}
-	w.observeClock(now, a.Clock)
 	// The worker has been cut off and has not crashed.
 	w.lost = nil
 	w.answeredAt, w.failingSince, w.retryInterval = now, 0, 0
@@ -273,6 +268,7 @@
 			continue
 		}
 		t.listedIn = c.lists
+		c.adopt(t)
 		t.observe(now, r)
 		c.clearSuspicion(t)
 		c.moveStalled(now, t)
@@ -283,6 +279,9 @@
 		}
 		// The list was requested after the start was settled, so the attempt is not running. If the worker knew how it
 		// ended, the same answer would have contained the end.
+		if a, started := t.attemptLostWith(); started && t.outdated() {
+			c.countCrash(a, w, blameUncertain)
+		}
 		c.attemptLost(now, t, "attempt not in the worker's list")
 	}
 }
--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -16,6 +16,7 @@
 	startedAt    int64
 	bornAt       time.Duration
 	highestEpoch int64
+	labels       []string
 	// leaseUntil is the reading of the worker's clock at which its lease ends.
 	leaseUntil time.Duration
 	running    map[Attempt]*fakeRun
@@ -45,7 +46,11 @@
 	noRoomRefusals int
 }
 
+// stopTime is how long an attempt runs on after a stop.
+const stopTime = 200 * time.Millisecond
+
 type fakeRun struct {
+	stopping    bool
 	endsAt      time.Duration
 	started     time.Duration
 	checkpoint  string
@@ -86,7 +91,7 @@
 		f.unhealthyRefusals++
 		return sim.refuse(f, ReasonUnhealthy)
 	case f.running[c.Attempt] != nil:
-		f.leaseUntil = max(f.leaseUntil, c.Deadline)
+		sim.extendLease(f, c.Deadline)
 		return CallAnswer{Clock: sim.clock(f), StartedAt: f.startedAt}, nil
 	case c.Run <= f.highestRun[c.Task]:
 		return sim.refuse(f, ReasonStaleAttempt)
@@ -96,7 +101,8 @@
 		sim.ticketsRefused++
 		return sim.refuse(f, ReasonTicket)
 	}
-	f.highestEpoch, f.leaseUntil = c.Epoch, max(f.leaseUntil, c.Deadline)
+	f.highestEpoch = c.Epoch
+	sim.extendLease(f, c.Deadline)
 	step := sim.steps[c.Task.Job][c.Task.Step]
 	if f.enforcesCapacity && !sim.reservedWith(f, &step).Fits(f.capacity) {
 		f.noRoomRefusals++
@@ -119,6 +125,11 @@
 	return CallAnswer{Clock: sim.clock(f), StartedAt: f.startedAt}, nil
 }
 
+// extendLease extends a lease to a reading of the worker's clock, at most by the longest lease.
+func (sim *simulation) extendLease(f *fakeWorker, until time.Duration) {
+	f.leaseUntil = max(f.leaseUntil, min(until, sim.clock(f)+sim.params.MaxLease))
+}
+
 // reservedWith returns what the tasks of a worker reserve together with another one.
 func (sim *simulation) reservedWith(f *fakeWorker, s *workflow.Step) resource.Vector {
 	used := s.Reserved()
@@ -156,8 +167,13 @@
 	}
 	f.highestEpoch = c.Epoch
 	f.highestRun[c.Task] = max(f.highestRun[c.Task], c.Run)
-	if f.running[c.Attempt] != nil {
-		f.end(c.Attempt, EndStopped)
+	if r := f.running[c.Attempt]; r != nil && !r.stopping {
+		r.stopping = true
+		sim.schedule(stopTime, func() {
+			if f.running[c.Attempt] == r {
+				f.end(c.Attempt, EndStopped)
+			}
+		})
 	}
 	return CallAnswer{Clock: sim.clock(f), StartedAt: f.startedAt}, nil
 }
@@ -167,7 +183,8 @@
 		_, err := sim.refuse(f, ReasonFenced)
 		return LeaseAnswer{}, err
 	}
-	f.highestEpoch, f.leaseUntil = c.Epoch, max(f.leaseUntil, c.ExpiresAt)
+	f.highestEpoch = c.Epoch
+	sim.extendLease(f, c.ExpiresAt)
 	for len(f.ends) > 0 && f.ends[0].Number <= c.LastStoredEnd {
 		if f.ends[0].Outcome == EndDone && f.ends[0].Number > f.lapsedEnd {
 			sim.doneConfirmed[f.ends[0].Task] = true
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -36,9 +36,10 @@
 	// leaseEnd is the time by which every lease that the worker can hold has expired.
 	leaseEnd time.Duration
 	// appliedEnd, confirmedEnd and sentConfirmation are the numbers of the newest end that was applied, that is
-	// stored, and whose storage was confirmed to the worker.
-	appliedEnd, confirmedEnd, sentConfirmation int64
-	endMarks                                   []endMark
+	// stored, and whose storage was confirmed to the worker. receivedConfirmation is that of the newest confirmation that
+	// the worker has answered. It is not sent again: a later incarnation would discard ends that were not read.
+	appliedEnd, confirmedEnd, sentConfirmation, receivedConfirmation int64
+	endMarks                                                         []endMark
 	// silence is the state of the record that the worker does not answer; silenceBatch is the status batch that removes
 	// the record.
 	silence      silence
@@ -258,13 +259,9 @@
 // SetMember applies an entry of the worker list.
 func (c *Core) SetMember(now time.Duration, m Member) {
 	w := c.worker(m.ID)
-	// An entry of an earlier incarnation is ignored.
-	if m.StartedAt < w.StartedAt {
+	if !c.observeIncarnation(now, w, m.StartedAt) {
 		return
 	}
-	if m.StartedAt > w.StartedAt && w.StartedAt != 0 {
-		c.workerRestarted(now, w, m.StartedAt)
-	}
 	if w.listed && !w.Leaving && m.Leaving {
 		c.logger.Info("worker leaving", "worker", m.ID, "tasks", len(w.tasks))
 	}
@@ -275,21 +272,6 @@
 	// Free room is computed without overflow from a capacity that is not negative.
 	m.Capacity = m.Capacity.Max(resource.Vector{})
 	w.Member, w.listed, c.planNeeded = m, true, true
-	c.loseEarlierIncarnations(now, w)
-}
-
-// loseEarlierIncarnations ends the attempts that records place on an earlier incarnation of the worker.
-func (c *Core) loseEarlierIncarnations(now time.Duration, w *worker) {
-	crashCounted := false
-	for t := range w.tasks {
-		if t.workerStartedAt != 0 && t.workerStartedAt < w.StartedAt {
-			if !crashCounted {
-				crashCounted = true
-				c.workerCrashed(w, w.StartedAt)
-			}
-			c.attemptLost(now, t, "worker restarted")
-		}
-	}
 }
 
 // DropMember marks a worker as no longer listed. It gets no new tasks; its tasks run on while it answers lease calls.
@@ -321,20 +303,3 @@
 	}
 	return out
 }
-
-// workerRestarted applies a restart of a worker: its attempts have ended, and it no longer refuses earlier owners.
-func (c *Core) workerRestarted(now time.Duration, w *worker, startedAt int64) {
-	c.workerCrashed(w, startedAt)
-	c.logger.Info("worker restarted", "worker", w.ID, "before", w.StartedAt, "born", startedAt, "tasks", len(w.tasks))
-	w.StartedAt, w.fenced = startedAt, false
-	// The recorded silence concerns the earlier incarnation.
-	w.silence = silenceNone
-	w.succeeded = false
-	// Tasks that remain were placed on the new incarnation by an earlier owner, which may have granted it a lease.
-	c.loseEarlierIncarnations(now, w)
-	w.failingSince, w.retryInterval, w.consecutiveFailures, w.quarantinedUntil = 0, 0, 0, 0
-	w.clockReading, w.clockReadAt, w.appliedEnd, w.confirmedEnd, w.sentConfirmation, w.endMarks = 0, 0, 0, 0, 0, nil
-	if len(w.tasks) == 0 {
-		w.leaseEnd = now
-	}
-}
--- /dev/null
+++ b/internal/dispatch/incarnation.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+// A worker that restarts under its id receives the calls that were meant for its earlier incarnation. What is known of
+// one incarnation does not hold for another: its labels and capacity, its clock, its lease and its attempts.
+
+// observeIncarnation applies the start of a worker that an entry or an answer contains; 0 if it contains none. It reports
+// whether that is the newest known incarnation.
+func (c *Core) observeIncarnation(now time.Duration, w *worker, startedAt int64) bool {
+	if startedAt > w.StartedAt {
+		c.workerRestarted(now, w, startedAt)
+	}
+	return startedAt == 0 || startedAt == w.StartedAt
+}
+
+// observeAnswer applies the incarnation and the clock reading of an answer, and reports whether the newest known
+// incarnation has answered.
+func (c *Core) observeAnswer(now time.Duration, w *worker, a CallAnswer) bool {
+	if !c.observeIncarnation(now, w, a.StartedAt) {
+		return false
+	}
+	w.observeClock(now, a.Clock)
+	return true
+}
+
+// ownAnswer returns what the worker itself has answered to a call that returned a and err; empty if it has not.
+func ownAnswer(a CallAnswer, err error) CallAnswer {
+	var refused *RefusedError
+	switch {
+	case err == nil:
+		return a
+	case errors.As(err, &refused) && refused.Reason != ReasonRestarted:
+		return refused.Answer
+	}
+	// With ReasonRestarted, another worker answers at the address.
+	return CallAnswer{}
+}
+
+// workerRestarted applies a restart of a worker, or the first report of its incarnation: it runs no attempt of an earlier
+// one, and no longer refuses earlier owners.
+func (c *Core) workerRestarted(now time.Duration, w *worker, startedAt int64) {
+	first := w.StartedAt == 0
+	c.workerCrashed(w, startedAt)
+	if !first {
+		c.logger.Info("worker restarted", "worker", w.ID, "before", w.StartedAt, "born", startedAt, "tasks", len(w.tasks))
+	}
+	w.StartedAt = startedAt
+	c.resolveEarlierIncarnations(now, w)
+	if first {
+		return
+	}
+	// The recorded silence concerns the earlier incarnation.
+	w.fenced, w.silence, w.succeeded = false, silenceNone, false
+	w.failingSince, w.retryInterval, w.consecutiveFailures, w.quarantinedUntil, w.fullUntil = 0, 0, 0, 0, 0
+	w.clockReading, w.clockReadAt, w.appliedEnd, w.endMarks = 0, 0, 0, nil
+	w.confirmedEnd, w.sentConfirmation, w.receivedConfirmation = 0, 0, 0
+	w.worstTailRatio = 0
+	// A call whose expiry is a reading of the earlier incarnation's clock may have granted the longest possible lease.
+	w.leaseEnd = now + withDrift(c.params.MaxLease)
+	c.nextExpiry = min(c.nextExpiry, w.leaseEnd)
+}
+
+// outdated reports whether a later incarnation of the worker is known than the one on which the task was placed.
+func (t *task) outdated() bool {
+	return t.workerStartedAt != 0 && t.workerStartedAt < t.worker.StartedAt
+}
+
+// resolveEarlierIncarnations ends the attempts that have certainly ended with an earlier incarnation. The newest one may
+// have received the start of the others.
+func (c *Core) resolveEarlierIncarnations(now time.Duration, w *worker) {
+	for t := range w.tasks {
+		if t.phase != workflow.Placed || !t.outdated() {
+			continue
+		}
+		switch t.startState {
+		case startUncommitted:
+			c.revokePlacement(now, t)
+		case startSettled:
+			c.resolveSettled(now, t)
+		}
+		// The answer to a start in flight names the incarnation that has received it, and an unanswered start is followed
+		// by a stop.
+	}
+}
+
+// resolveSettled resolves an outdated attempt whose start is settled.
+func (c *Core) resolveSettled(now time.Duration, t *task) {
+	switch {
+	case t.hadUnansweredStart:
+		// A copy of the start may still reach the newest incarnation.
+		t.startState = startUnanswered
+		c.needsOrder[t] = struct{}{}
+	case t.unresolved():
+		// The next list of the newest incarnation shows whether the attempt runs.
+		t.settledAt = now
+	default:
+		c.attemptLost(now, t, "worker restarted")
+	}
+}
+
+// unresolved reports whether the start is settled, but no incarnation of the worker is known to have begun the attempt.
+func (t *task) unresolved() bool { return t.startState == startSettled && t.startedAt == 0 }
+
+// adopt notes that the newest incarnation of the worker runs an attempt that was meant for an earlier one.
+func (c *Core) adopt(t *task) {
+	if !t.outdated() {
+		return
+	}
+	w := t.worker
+	c.logger.Info("attempt adopted from a restarted worker", "task", t.id, "run", t.run, "worker", w.ID,
+		"before", t.workerStartedAt, "born", w.StartedAt)
+	t.workerStartedAt = w.StartedAt
+	c.markDirty(t.job())
+}
--- /dev/null
+++ b/internal/dispatch/incarnation_test.go
@@ -0,0 +1,142 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+// heartbeat is the time after a restart by which the entry of a worker is read.
+const heartbeat = 1100 * time.Millisecond
+
+// Guards against tasks that run twice: a worker that restarted under its id runs them, and the owner counts them as lost
+// with the earlier incarnation when it reads the new entry.
+func TestTasksStartedByARestartedWorkerRunOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		lossShare float64
+		takeOver  time.Duration
+	}{
+		"answered":   {},
+		"unanswered": {lossShare: 0.5},
+		"owner lost": {takeOver: 40 * time.Millisecond},
+	} {
+		for seed := range uint64(20) {
+			t.Run(fmt.Sprint(name, seed), func(t *testing.T) {
+				sim := newSimulation(t, seed, 3)
+				sim.run(5 * time.Second)
+				sim.restartUnlisted("a", heartbeat)
+				sim.delayLeaseCalls(60 * time.Millisecond)
+				sim.callLossShare = test.lossShare
+				sim.submit("0000000000000001", batchStep(9, 2*time.Second))
+				if test.takeOver > 0 {
+					sim.run(test.takeOver)
+					sim.takeOver()
+				}
+				sim.run(3 * time.Second)
+				sim.callLossShare = 0
+				sim.run(20 * time.Second)
+				assert.Equal(t, workflow.Done, sim.state("0000000000000001"))
+			})
+		}
+	}
+}
+
+// An answer of an earlier incarnation must not set the clock, the confirmed ends or the health of the newest one.
+func TestAnswersOfAnEarlierIncarnation(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.run(20 * time.Second)
+	sim.submit("0000000000000001", batchStep(2, 10*time.Second))
+	sim.run(13 * time.Millisecond)
+	b := sim.core.TakeBatch()
+	if b == nil {
+		b = sim.tasksInFlight
+	}
+	sim.tasksInFlight = nil
+	sim.core.Committed(sim.now, b.ID)
+	var starts []StartOrder
+	for _, o := range sim.core.Orders() {
+		if s, ok := o.(StartOrder); ok {
+			starts = append(starts, s)
+		}
+	}
+	require.Len(t, starts, 2)
+	earlier := CallAnswer{StartedAt: sim.workers["a"].startedAt, Clock: sim.clock(sim.workers["a"])}
+	sim.restart("a")
+	w := sim.core.workers["a"]
+	assert.Equal(t, sim.now+withDrift(sim.params.MaxLease), w.leaseEnd)
+	sim.core.StartReturned(sim.now, starts[0], earlier, nil)
+	sim.core.StartReturned(sim.now, starts[1], earlier, &RefusedError{Reason: ReasonUnhealthy, Answer: earlier})
+	assert.Zero(t, w.clockReading)
+	assert.Zero(t, w.quarantinedUntil)
+	assert.Empty(t, w.tasks, "the attempts have ended with the earlier incarnation")
+	sim.run(30 * time.Second)
+	assert.Equal(t, workflow.Done, sim.state("0000000000000001"))
+}
+
+// Guards against a confirmation of ends that reaches a later incarnation, which numbers its ends anew and would discard
+// those that were not read.
+func TestConfirmationIsNotRepeated(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.submit("0000000000000001", batchStep(4, 100*time.Millisecond))
+	sim.run(2 * time.Second)
+	w := sim.core.workers["a"]
+	require.Positive(t, w.receivedConfirmation)
+	sim.core.Orders()
+	sim.core.sendLease(sim.now, w)
+	for _, o := range sim.core.Orders() {
+		if l, ok := o.(LeaseOrder); ok {
+			assert.Zero(t, l.Call.LastStoredEnd)
+		}
+	}
+}
+
+// Random faults with workers that restart under their ids, some of them as another kind, and whose entries are read later.
+func TestRandomRestarts(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sim := newSimulation(t, seed, 5)
+			rng := rand.New(rand.NewPCG(seed, 11))
+			sim.callLossShare = 0.05
+			var jobs []workflow.JobID
+			for round := range 60 {
+				id := workflow.JobID(fmt.Sprintf("%016x", round))
+				sim.submit(id, batchStep(1+rng.IntN(5), time.Duration(100+rng.IntN(1500))*time.Millisecond),
+					batchStep(1+rng.IntN(3), 300*time.Millisecond, 0))
+				jobs = append(jobs, id)
+				switch f := sim.workers[string(rune('a'+rng.IntN(5)))]; rng.IntN(6) {
+				case 0, 1:
+					sim.restartUnlisted(f.id, time.Duration(rng.Int64N(int64(heartbeat))))
+				case 2:
+					sim.loseOwner()
+				case 3:
+					f.disconnected = true
+				case 4:
+					f.disconnected = false
+				}
+				sim.run(time.Duration(50+rng.IntN(800)) * time.Millisecond)
+			}
+			sim.callLossShare = 0
+			for _, f := range sim.workers {
+				f.disconnected = false
+			}
+			sim.run(60 * time.Second)
+			crashes := map[workflow.JobID]int{}
+			for task, n := range sim.crashes {
+				crashes[task.Job] = max(crashes[task.Job], n)
+			}
+			for _, id := range jobs {
+				// A submission may be given up after two crashes under one of its tasks.
+				if crashes[id] < 2 || sim.state(id) != workflow.Failed {
+					assert.Equal(t, workflow.Done, sim.state(id), "%s, %d crashes", id, crashes[id])
+				}
+			}
+		})
+	}
+}
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -314,8 +314,9 @@
 	t.cpuLimitInFlight = false
 	var refused *RefusedError
 	switch {
+	case !c.observeAnswer(now, t.worker, ownAnswer(a, err)) || t.phase != workflow.Placed:
+		// The attempt has ended with the incarnation that has answered.
 	case err == nil:
-		t.worker.observeClock(now, a.Clock)
 		t.cpuLimit = o.Call.Percent
 		// Progress under the old limit does not show whether the task is stalled under the new one.
 		t.percentAt = now
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -82,7 +82,7 @@
 func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
 	sim := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Minute, workers: map[string]*fakeWorker{},
 		steps: map[workflow.JobID][]workflow.Step{}, tasks: map[string]eventlog.Entry{},
-		params:  Params{Lease: 6 * time.Second, Isolation: 5 * time.Second, ObjectiveTolerance: 4 * time.Second},
+		params:  Params{Lease: 6 * time.Second, MaxLease: 10 * time.Second, Isolation: 5 * time.Second, ObjectiveTolerance: 4 * time.Second},
 		catalog: catalog.New(discardLogger()), doneConfirmed: map[workflow.TaskID]bool{},
 		crashes: map[workflow.TaskID]int{}, downtime: 3300 * time.Millisecond,
 		capacity: resource.Vector{MilliCores: 4000, MemoryMB: 8000}}
@@ -110,7 +110,7 @@
 
 func (sim *simulation) member(f *fakeWorker) Member {
 	return Member{Incarnation: Incarnation{ID: f.id, StartedAt: f.startedAt}, Pool: "pool", Addr: f.addr,
-		Capacity: f.capacity}
+		Capacity: f.capacity, Labels: f.labels}
 }
 
 // takeOver replaces the owner by one that knows only what is stored. Calls of the previous owner that are in flight
@@ -355,8 +355,13 @@
 	}
 	if sim.rng.Float64() < sim.callLossShare {
 		if sim.rng.IntN(2) == 0 {
-			sim.schedule(2*time.Second+time.Duration(sim.rng.IntN(4000))*time.Millisecond,
-				func() { sim.deliver(o, member, func(func()) {}) })
+			// The worker holds the call, which ends with its incarnation.
+			holder := sim.workers[member.ID]
+			sim.schedule(2*time.Second+time.Duration(sim.rng.IntN(4000))*time.Millisecond, func() {
+				if sim.workers[member.ID] == holder {
+					sim.deliver(o, member, func(func()) {})
+				}
+			})
 		}
 		sim.schedule(250*time.Millisecond, func() { answer(func() { sim.reportNoAnswer(core, o) }) })
 		return
@@ -441,11 +446,7 @@
 		return
 	}
 	core := sim.core
-	if m.StartedAt != f.startedAt {
-		_, err := sim.refuse(f, ReasonRestarted)
-		answer(func() { sim.reportError(core, o, err) })
-		return
-	}
+	// A worker that has restarted under its id accepts calls that were meant for its earlier incarnation.
 	switch c := o.(type) {
 	case StartOrder:
 		a, err := sim.start(f, c.Call)
@@ -486,6 +487,29 @@
 	sim.core.SetMember(sim.now, sim.member(f))
 }
 
+// restartUnlisted gives a worker a new incarnation under its id with the given labels. Its entry is read after a delay.
+func (sim *simulation) restartUnlisted(id string, delay time.Duration, labels ...string) *fakeWorker {
+	sim.countCrashes(sim.workers[id])
+	before := sim.workers[id]
+	f := sim.addWorker(id)
+	f.labels, f.disconnected = labels, before.disconnected
+	sim.schedule(delay, func() {
+		if sim.workers[id] == f {
+			sim.core.SetMember(sim.now, sim.member(f))
+		}
+	})
+	return f
+}
+
+// delayLeaseCalls keeps the owner from making lease calls for a while, as if the last ones were still in flight.
+func (sim *simulation) delayLeaseCalls(d time.Duration) {
+	core := sim.core
+	for _, w := range core.workers {
+		delete(core.callable, w)
+		sim.schedule(d, func() { core.callable[w] = struct{}{} })
+	}
+}
+
 // successor returns the worker that has taken over the address of another one; nil if none has.
 func (sim *simulation) successor(m Member) *fakeWorker {
 	for _, f := range sim.workers {
