Limit each figure of a submission before it is added up

Cause: the counts were added up before the sum was compared with the limit, and the sum overflowed. The submission stays in the log, so every owner reads it again.

An owner checks what it reads from the log as well, and fails a submission that cannot run without creating its tasks.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -166,7 +166,11 @@
 	j := &job{submission: stored.Submission, terms: stored.Submission.Terms, offset: stored.Offset}
 	c.jobs[j.submission.Job] = j
 	c.refreshTerms(j)
-	j.latencyObjective = time.Duration(j.terms.Stretch*float64(j.submission.Chain())) + j.terms.Allowance
+	if err := stored.Submission.Check(); err != nil {
+		c.refuseStored(j, stored, err)
+		return j
+	}
+	j.latencyObjective = j.terms.Objective(j.submission.Chain())
 	j.objectiveAt = now + j.latencyObjective - max(0, min(j.latencyObjective, c.wallClock().Sub(j.submission.Accepted)))
 	rec := c.restoreState(j, stored)
 	j.state, j.finishedAt = rec.State, now
@@ -187,6 +191,20 @@
 	return j
 }
 
+// refuseStored ends a stored submission that can never run, such as one that an earlier version has accepted. Its tasks are
+// not created: every owner reads the submission again, and must survive it.
+func (c *Core) refuseStored(j *job, stored *catalog.Job, err error) {
+	c.logger.Warn("stored submission cannot run", "job", j.submission.Job, "error", err)
+	j.state = c.restoreState(j, stored).State
+	switch {
+	case j.state.Over():
+	case stored.Cancelled:
+		c.cancel(j)
+	default:
+		c.finish(j, workflow.Failed)
+	}
+}
+
 func (c *Core) addRound(j *job, k int, rec workflow.Record) *round {
 	r := &round{job: j, index: k, due: j.submission.Due(k)}
 	j.rounds = append(j.rounds, r)
--- a/internal/dispatch/outage_test.go
+++ b/internal/dispatch/outage_test.go
@@ -164,6 +164,50 @@
 	return rec
 }
 
+// Guards against a stored submission that ends the process of every owner. An earlier version has accepted it, or another
+// writer has left it.
+func TestStoredSubmissionThatCannotRunIsFailed(t *testing.T) {
+	figures := []int64{0, 1, -1, 7, math.MaxInt32, 1 << 40, 1 << 62, math.MaxInt64, math.MinInt64}
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		pick := func() int64 { return figures[rng.IntN(len(figures))] }
+		absurd := &workflow.Submission{Job: "0000000000000001", Terms: testConfig().Queues[0].Terms, Repeat: int(pick()),
+			First: time.Unix(0, pick()), Interval: time.Duration(pick())}
+		for range 1 + rng.IntN(3) {
+			absurd.Steps = append(absurd.Steps, workflow.Step{Count: int(pick()), After: []int{int(pick())},
+				Size:     resource.Vector{MilliCores: pick(), MemoryMB: pick(), Accelerators: pick()},
+				Estimate: time.Duration(pick()), Objective: time.Duration(pick()), MaxPerWorker: int(pick()),
+				LongRunning: rng.IntN(2) == 0, BestEffort: rng.IntN(2) == 0, Gang: rng.IntN(2) == 0, Image: "x"})
+			if rng.IntN(2) == 0 {
+				absurd.Steps[len(absurd.Steps)-1].After = nil
+			}
+		}
+		sim := newSimulation(t, seed, 2)
+		for _, cancelled := range []bool{false, true} {
+			e, err := catalog.SubmissionEntry(absurd)
+			require.NoError(t, err)
+			sim.steps[absurd.Job] = absurd.Steps
+			require.NotPanics(t, func() {
+				sim.applyEntry(sim.catalog.ApplySubmissions, e)
+				sim.run(100 * time.Millisecond)
+			}, "seed %d: %+v", seed, absurd)
+			want := workflow.Failed
+			if cancelled {
+				want = workflow.Cancelled
+			}
+			if absurd.Check() != nil {
+				assert.Equal(t, want, sim.state(absurd.Job), "seed %d: %+v", seed, absurd)
+			}
+			sim.takeOver()
+			absurd.Job = "0000000000000002"
+			sim.cancel(absurd.Job)
+		}
+		sim.submit("0000000000000003", batchStep(2, 50*time.Millisecond))
+		sim.run(time.Second)
+		assert.Equal(t, workflow.Done, sim.state("0000000000000003"))
+	}
+}
+
 // Submissions with absurd sizes and estimates, or that no worker can ever hold, must not keep others from running.
 func TestAbsurdSubmissionsDoNotBlockOthers(t *testing.T) {
 	sim := newSimulation(t, 1, 2)
--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -133,8 +133,23 @@
 	// maxTasksAllRounds limits the tasks of all rounds together, so that the record of a submission fits into one
 	// record of the log.
 	maxTasksAllRounds = 20000
+	// maxAmount limits each resource of a task, so that sums over all tasks of an owner do not overflow.
+	maxAmount = 1 << 40
+	// maxEstimate limits the estimate of a task, maxSpan the time from the first round to the last.
+	maxEstimate = 366 * 24 * time.Hour
+	maxSpan     = 100 * 366 * 24 * time.Hour
+	// maxFirst is the latest start of the first round in Unix seconds: the end of the year 9999.
+	maxFirst = 253402300799
+	// maxObjective limits the latency objective, whatever the terms of the queue say.
+	maxObjective = 366 * 24 * time.Hour
 )
 
+// Objective returns the latency objective of a submission with a given longest chain of steps.
+func (t *Terms) Objective(chain time.Duration) time.Duration {
+	objective := t.Stretch*float64(chain) + float64(t.Allowance)
+	return time.Duration(min(max(0, objective), float64(maxObjective)))
+}
+
 // InvalidError reports a submission that can never be accepted.
 type InvalidError struct {
 	Field, Problem string
@@ -151,6 +166,10 @@
 	if s.Repeat < 0 || s.Repeat > maxRounds || s.Repeat > 1 && s.Interval <= 0 {
 		return &InvalidError{"repeat count", "is out of range or has no interval"}
 	}
+	if s.Scheduled() && (s.Interval < 0 || s.Interval > maxSpan/time.Duration(s.Repeat) ||
+		!s.First.IsZero() && s.First.Unix() < 0 || s.First.Unix() > maxFirst) {
+		return &InvalidError{"schedule", "is out of range"}
+	}
 	taskCount := 0
 	for i := range s.Steps {
 		if err := s.checkStep(i); err != nil {
@@ -169,11 +188,16 @@
 func (s *Submission) checkStep(i int) error {
 	st := &s.Steps[i]
 	field := fmt.Sprintf("step %d", i)
-	if st.Count < 1 {
-		return &InvalidError{field, "has no tasks"}
+	// The counts are added up, so each of them is limited first.
+	if st.Count < 1 || st.Count > maxTasks {
+		return &InvalidError{field, fmt.Sprintf("has %d tasks; 1 to %d are allowed", st.Count, maxTasks)}
+	}
+	most := resource.Vector{MilliCores: maxAmount, MemoryMB: maxAmount, Accelerators: maxAmount}
+	if !(resource.Vector{}).Fits(st.Size) || !st.Size.Fits(most) {
+		return &InvalidError{field, "has a size that is negative or too large"}
 	}
-	if st.Size.MilliCores < 0 || st.Size.MemoryMB < 0 || st.Size.Accelerators < 0 {
-		return &InvalidError{field, "has a negative size"}
+	if st.Estimate < 0 || st.Estimate > maxEstimate {
+		return &InvalidError{field, "has an estimate that is out of range"}
 	}
 	for _, a := range st.After {
 		if a < 0 || a >= i {
--- a/internal/workflow/workflow_test.go
+++ b/internal/workflow/workflow_test.go
@@ -1,11 +1,14 @@
 package workflow
 
 import (
+	"math"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/resource"
 )
 
 func TestTaskNames(t *testing.T) {
@@ -27,11 +30,26 @@
 	for _, s := range []Submission{{Steps: []Step{{Count: 5001}}},
 		{Steps: []Step{{Count: 2000}}, Repeat: 11, Interval: time.Second},
 		{Steps: []Step{{Count: 1}}, Repeat: 2}, {Steps: make([]Step, 201)},
-		{Steps: []Step{{Count: 1, After: []int{0}}}}} {
+		{Steps: []Step{{Count: 1, After: []int{0}}}},
+		// Figures whose sums or products overflow.
+		{Steps: []Step{{Count: 1 << 62}, {Count: 1 << 62}}}, {Steps: []Step{{Count: math.MaxInt}, {Count: 2}}},
+		{Steps: []Step{{Count: 1, Size: resource.Vector{MilliCores: math.MaxInt64}}}},
+		{Steps: []Step{{Count: 1, Size: resource.Vector{Accelerators: math.MinInt64}}}},
+		{Steps: []Step{{Count: 1, Estimate: math.MaxInt64}}},
+		{Steps: []Step{{Count: 1}}, Repeat: 10000, Interval: math.MaxInt64 / 9000},
+		{Steps: []Step{{Count: 1}}, Repeat: 1, First: time.UnixMilli(math.MaxInt64)}} {
 		assert.IsType(t, &InvalidError{}, s.Check())
 	}
 }
 
+func TestObjectiveIsBounded(t *testing.T) {
+	assert.Equal(t, 5*time.Second, (&Terms{Stretch: 2, Allowance: time.Second}).Objective(2*time.Second))
+	for _, terms := range []Terms{{Stretch: math.MaxFloat64}, {Allowance: math.MaxInt64}, {Stretch: 1e12, Allowance: 1}} {
+		assert.Equal(t, maxObjective, terms.Objective(time.Hour))
+	}
+	assert.Zero(t, (&Terms{Stretch: -1}).Objective(time.Hour))
+}
+
 func TestChainIsTheLongestPath(t *testing.T) {
 	s := Submission{Steps: []Step{{Count: 1, Estimate: time.Second}, {Count: 1, Estimate: 5 * time.Second},
 		{Count: 1, Estimate: 2 * time.Second, After: []int{0}}, {Count: 1, Estimate: time.Second, After: []int{1, 2}}}}
