Lose no attempt whose end may not be listed yet

Cause: a worker lists its ends 500 at a time, and an attempt that was neither among those nor among the running ones counted as lost.

Answers now tell whether there may be more ends, also through agents, and then no attempt counts as lost.

The simulated worker lists five ends at a time.

--- a/internal/agent/frame.go
+++ b/internal/agent/frame.go
@@ -120,6 +120,8 @@
 	Worker  int
 	Running []runningMessage
 	Ends    []endMessage
+	// MoreEnds is that of dispatch.LeaseAnswer.
+	MoreEnds bool
 }
 
 // runningMessage is one row of a worker's list. Previous is the position of the attempt in the previous list of the
--- a/internal/agent/pool_test.go
+++ b/internal/agent/pool_test.go
@@ -85,7 +85,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.leases++
-	return dispatch.LeaseAnswer{StartedAt: 5, Clock: c.ExpiresAt + c.Wait,
+	return dispatch.LeaseAnswer{StartedAt: 5, Clock: c.ExpiresAt + c.Wait, MoreEnds: r.leases == 2,
 		Running: []dispatch.Running{{Attempt: attempt("a", r.leases, 1), Checkpoint: m.ID, Percent: 40, Load: 7}},
 		Ends:    []dispatch.End{{Number: c.LastStoredEnd + 1, Attempt: attempt("b", 2, 9), Outcome: dispatch.EndDone}}}, nil
 }
@@ -197,6 +197,7 @@
 			Wait: 40 * time.Millisecond})
 		require.NoError(t, err)
 		assert.Equal(t, int64(5), a.StartedAt)
+		assert.Equal(t, i == 1, a.MoreEnds)
 		assert.Equal(t, 1040*time.Millisecond, a.Clock)
 		require.Len(t, a.Running, 1, i)
 		assert.Equal(t, m.ID, a.Running[0].Checkpoint)
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -213,7 +213,8 @@
 		if err != nil {
 			return err
 		}
-		a := dispatch.LeaseAnswer{StartedAt: m.Outcome.StartedAt, Clock: millis(m.Outcome.ClockMillis), Running: running}
+		a := dispatch.LeaseAnswer{StartedAt: m.Outcome.StartedAt, Clock: millis(m.Outcome.ClockMillis), Running: running,
+			MoreEnds: m.MoreEnds}
 		for k := range m.Ends {
 			e := &m.Ends[k]
 			a.Ends = append(a.Ends, dispatch.End{Number: e.Number, Attempt: e.Attempt.attempt(), Outcome: e.Outcome,
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -253,6 +253,28 @@
 	assert.Equal(t, workflow.Done, sim.state("0000000000000001"))
 }
 
+// Guards against running done tasks again: more ends wait at a worker than one answer contains, while the log is slow.
+func TestEndsBeyondOneAnswerAreNotLost(t *testing.T) {
+	const count = 4 * endsPerAnswer
+	sim := newSimulation(t, 1, 2)
+	step := batchStep(count, 700*time.Millisecond)
+	step.Size.MilliCores = 100
+	sim.submit("0000000000000001", step)
+	sim.run(400 * time.Millisecond)
+	sim.logDown = true
+	// Its placement is in flight to the log, so that all ends and what follows from them are stored together.
+	sim.submit("0000000000000002", batchStep(1, 100*time.Millisecond))
+	sim.run(2 * time.Second)
+	sim.logDown = false
+	sim.run(3 * time.Second)
+	assert.Equal(t, workflow.Done, sim.state("0000000000000001"))
+	for _, f := range sim.workers {
+		for task, run := range f.highestRun {
+			assert.Equal(t, 1, run, "%s was started again", task)
+		}
+	}
+}
+
 // Runs random faults in virtual time: lost and delayed calls, disconnections, restarts, changes of owner, outages of
 // the log and cancellations. At each start the simulation checks that the task is not already running, that its end
 // was not confirmed before, that the steps it depends on are done, and that the worker is not overcommitted.
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -37,7 +37,7 @@
 	for i := range a.Ends {
 		c.applyEnd(now, w, &a.Ends[i])
 	}
-	c.applyRunning(now, sent, w, a.Running)
+	c.applyRunning(now, sent, w, &a)
 	c.adjustCPULimits(now, w)
 }
 
@@ -258,10 +258,10 @@
 	return now
 }
 
-func (c *Core) applyRunning(now, sent time.Duration, w *worker, running []Running) {
+func (c *Core) applyRunning(now, sent time.Duration, w *worker, a *LeaseAnswer) {
 	c.lists++
-	for i := range running {
-		r := &running[i]
+	for i := range a.Running {
+		r := &a.Running[i]
 		t := c.findTask(r.Task)
 		if t == nil || t.phase != workflow.Placed || t.worker != w || t.run != r.Run {
 			c.stopUnexpected(w, r)
@@ -273,6 +273,10 @@
 		c.clearSuspicion(t)
 		c.moveStalled(now, t)
 	}
+	if a.MoreEnds {
+		// An attempt that is missing may be among the ends that are not listed yet.
+		return
+	}
 	for t := range w.tasks {
 		if t.listedIn == c.lists || t.startState != startSettled || sent <= t.settledAt {
 			continue
--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -46,6 +46,9 @@
 	noRoomRefusals int
 }
 
+// endsPerAnswer is the number of ends in one answer, fewer than those of a real worker.
+const endsPerAnswer = 5
+
 // stopTime is how long an attempt runs on after a stop.
 const stopTime = 200 * time.Millisecond
 
@@ -191,7 +194,8 @@
 		}
 		f.ends = f.ends[1:]
 	}
-	a := LeaseAnswer{StartedAt: f.startedAt, Clock: sim.clock(f), Ends: append([]End(nil), f.ends...)}
+	a := LeaseAnswer{StartedAt: f.startedAt, Clock: sim.clock(f),
+		Ends: append([]End(nil), f.ends[:min(len(f.ends), endsPerAnswer)]...), MoreEnds: len(f.ends) >= endsPerAnswer}
 	for attempt, r := range f.running {
 		running := Running{Attempt: attempt, Percent: r.percent(sim.now), Checkpoint: r.checkpoint}
 		if sim.reportedLoad != nil {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -116,6 +116,8 @@
 	Clock     time.Duration
 	Running   []Running
 	Ends      []End
+	// MoreEnds reports that the worker may have more ends than the answer contains.
+	MoreEnds bool
 }
 
 // CallAnswer answers a StartCall, StopCall or CPULimitCall. StartedAt, the start of the worker, is 0 if the answer does
