Use a worker only by the entry of its newest incarnation

Cause: a lease answer of a restarted worker made it usable while its labels, pool and capacity were still those of the earlier incarnation.

A worker gets no task until the entry of its newest incarnation has been read. A task that has reached it before, and that it must not run, is stopped and placed elsewhere.

Before: TestRestartedWorkerGetsNoTasksBeforeItsEntryIsRead and TestTaskOnAWorkerOfAnotherKindIsMoved fail.

--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -145,6 +146,8 @@
 // checkStart asserts the invariants that hold when a task starts.
 func (sim *simulation) checkStart(f *fakeWorker, c StartCall, s *workflow.Step) {
 	require.True(sim.t, sim.reservedWith(f, s).Fits(f.capacity), "worker %s is overcommitted by %s", f.id, c.Task)
+	require.True(sim.t, s.Label == "" || slices.Contains(f.labels, s.Label), "%s starts on %s without label %s", c.Task,
+		f.id, s.Label)
 	require.False(sim.t, sim.doneConfirmed[c.Task], "%s starts after its end was confirmed", c.Task)
 	for _, other := range sim.workers {
 		for a := range other.running {
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -17,6 +17,9 @@
 	Member
 	// listed reports whether the worker list contains the worker.
 	listed bool
+	// describedIncarnation is the StartedAt of the entry from which the other fields of Member were taken. It is earlier
+	// than that of Member while the entry of the newest incarnation has not been read.
+	describedIncarnation int64
 	// fenced reports whether this incarnation of the worker has answered a lease call of this owner, and so refuses
 	// calls of earlier owners. It is cleared when the lease of the worker expires or the worker has restarted.
 	fenced bool
@@ -202,7 +205,7 @@
 
 // unschedulable reports whether the worker must get no new task.
 func (w *worker) unschedulable() bool {
-	return !w.listed || w.Leaving || !w.fenced || w.silence != silenceNone
+	return !w.listed || w.Leaving || !w.fenced || w.silence != silenceNone || w.describedIncarnation != w.StartedAt
 }
 
 // overcommitted reports whether the tasks of the worker reserve more than its capacity, which may shrink.
@@ -271,7 +274,11 @@
 	}
 	// Free room is computed without overflow from a capacity that is not negative.
 	m.Capacity = m.Capacity.Max(resource.Vector{})
-	w.Member, w.listed, c.planNeeded = m, true, true
+	described := w.describedIncarnation == m.StartedAt
+	w.Member, w.listed, w.describedIncarnation, c.planNeeded = m, true, m.StartedAt, true
+	if !described {
+		c.stopUnsuited(w)
+	}
 }
 
 // DropMember marks a worker as no longer listed. It gets no new tasks; its tasks run on while it answers lease calls.
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -118,4 +118,24 @@
 		"before", t.workerStartedAt, "born", w.StartedAt)
 	t.workerStartedAt = w.StartedAt
 	c.markDirty(t.job())
+	if w.describedIncarnation == w.StartedAt && !w.suits(t) {
+		c.stopAttempt(t)
+	}
+}
+
+// suits reports whether the worker belongs to the pool of the task and has its label.
+func (w *worker) suits(t *task) bool {
+	label := t.step.def.Label
+	return w.Pool == t.job().terms.Pool && (label == "" || w.hasLabel(label))
+}
+
+// stopUnsuited stops the attempts that the newest incarnation of a worker must not run. They were sent before its entry
+// was read.
+func (c *Core) stopUnsuited(w *worker) {
+	for t := range w.tasks {
+		if !t.outdated() && !w.suits(t) {
+			c.logger.Warn("worker of another kind runs task", "task", t.id, "run", t.run, "worker", w.ID)
+			c.stopAttempt(t)
+		}
+	}
 }
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -47,6 +47,58 @@
 	}
 }
 
+// Guards against a worker that is chosen by the labels of its earlier incarnation.
+func TestRestartedWorkerGetsNoTasksBeforeItsEntryIsRead(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.workers["a"].labels = []string{"rare"}
+	sim.listWorkers()
+	step := batchStep(1, 1500*time.Millisecond)
+	step.Label = "rare"
+	kinds := []string{"usual", "rare"}
+	for round := range 8 {
+		for i := range 5 {
+			sim.submit(workflow.JobID(fmt.Sprintf("%016x", 10*round+i)), step)
+			sim.run(400 * time.Millisecond)
+		}
+		sim.workers["a"].disconnected = true
+		sim.run(300 * time.Millisecond)
+		sim.workers["a"].disconnected = false
+		sim.restartUnlisted("a", heartbeat, kinds[round%2])
+	}
+	sim.run(30 * time.Second)
+	for round := range 8 {
+		for i := range 5 {
+			assert.Equal(t, workflow.Done, sim.state(workflow.JobID(fmt.Sprintf("%016x", 10*round+i))))
+		}
+	}
+}
+
+// Guards against a task that goes on running where it must not: the start reached a worker of another kind before its
+// entry was read.
+func TestTaskOnAWorkerOfAnotherKindIsMoved(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.run(time.Second)
+	for _, id := range []string{"a", "b"} {
+		sim.restartUnlisted(id, time.Hour)
+	}
+	sim.delayLeaseCalls(60 * time.Millisecond)
+	sim.submit("0000000000000001", serviceStep(1))
+	sim.run(200 * time.Millisecond)
+	task := sim.core.jobs["0000000000000001"].rounds[0].steps[0].tasks[0]
+	require.Equal(t, sim.workers[task.worker.ID].startedAt, task.workerStartedAt, "the attempt was not adopted")
+	// The test workers check the label at the start, which comes first here.
+	task.step.def.Label = "rare"
+	for id, f := range sim.workers {
+		if id != task.worker.ID {
+			f.labels = []string{"rare"}
+		}
+	}
+	sim.listWorkers()
+	sim.run(time.Second)
+	assert.Contains(t, sim.workers[task.worker.ID].labels, "rare")
+	assert.Equal(t, 1, sim.runningTasks())
+}
+
 // An answer of an earlier incarnation must not set the clock, the confirmed ends or the health of the newest one.
 func TestAnswersOfAnEarlierIncarnation(t *testing.T) {
 	sim := newSimulation(t, 1, 1)
