Store on which workers earlier owners may still act

Cause: an owner stored that no owner before it acts only 5 s after its takeover. A successor that came sooner waited for the isolation limit and a lease, although all workers had answered its predecessor and so refused the owners before.

An owner now stores its epoch as settled except for the workers that have not answered it, 0.1 s after its takeover and whenever there are fewer, or at once if its predecessor had settled and ended. A worker that did not answer gets no confirmation of ends before it answers again: it may have restarted. silent_ms of an expired lease counts from the takeover.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -70,10 +70,17 @@
 	return eventlog.Entry{Key: ownerKey, Value: b}, err
 }
 
-// SettledEntry returns the entry with which an owner states that no owner before its epoch acts any more. Its error is a
-// *workflow.EncodeError.
-func SettledEntry(epoch int64) (eventlog.Entry, error) {
-	b, err := workflow.Encode("settled epoch", epoch)
+// Settled is the record with which an owner states that owners before its epoch no longer act on tasks, except on those of
+// the workers in Unfenced, which may still accept their calls.
+type Settled struct {
+	_        struct{} `cbor:",toarray"`
+	Epoch    int64
+	Unfenced []Incarnation
+}
+
+// SettledEntry returns the entry with a settled epoch. Its error is a *workflow.EncodeError.
+func SettledEntry(s *Settled) (eventlog.Entry, error) {
+	b, err := workflow.Encode("settled epoch", s)
 	return eventlog.Entry{Key: settledKey, Value: b}, err
 }
 
@@ -418,6 +425,7 @@
 
 // Incarnation identifies one start of a worker. StartedAt is the time of the start in Unix milliseconds.
 type Incarnation struct {
+	_         struct{} `cbor:",toarray"`
 	ID        string
 	StartedAt int64
 }
--- a/internal/catalog/tasks.go
+++ b/internal/catalog/tasks.go
@@ -17,7 +17,7 @@
 	Suspects map[string]Crashes
 	// Interference is the state of the interference model, which is empty if none is stored.
 	Interference interference.State
-	settled      int64
+	settled      Settled
 }
 
 // endedPrefix is the prefix of the keys of Ended in the tasks topic.
@@ -124,10 +124,10 @@
 		}
 		return err
 	case settledKey:
-		var epoch int64
-		err := workflow.Decode("settled epoch", e.Value, &epoch)
+		var s Settled
+		err := workflow.Decode("settled epoch", e.Value, &s)
 		if err == nil {
-			t.settled = epoch
+			t.settled = s
 		}
 		return err
 	}
@@ -139,8 +139,11 @@
 	return err
 }
 
-// Settled reports whether the owner of an epoch has stated that no owner before it acts any more.
-func (t *Tasks) Settled(epoch int64) bool { return t.settled == epoch }
+// Settled reports whether the owner of an epoch has stated that owners before it no longer act, and returns the workers on
+// which they may.
+func (t *Tasks) Settled(epoch int64) (unfenced []Incarnation, ok bool) {
+	return t.settled.Unfenced, t.settled.Epoch == epoch
+}
 
 // Restore returns all submissions with their records from the tasks topic, and false if the submission of a
 // record in either topic has not been read. Records without tasks of submissions that are over are ignored: they may remain from a removal.
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -271,7 +271,7 @@
 		}
 	}
 	c.logger.Warn("worker lease expired", "worker", w.ID, "tasks", len(w.tasks),
-		"silent_ms", (now - w.answeredAt).Milliseconds())
+		"silent_ms", (now - max(w.answeredAt, c.ownerSince)).Milliseconds())
 	w.fenced = false
 	c.noteLost(now, w)
 	for t := range w.tasks {
@@ -298,8 +298,9 @@
 
 func (c *Core) sendLease(now time.Duration, w *worker) {
 	call := LeaseCall{Epoch: c.epoch}
-	if w.confirmedEnd > w.receivedConfirmation {
-		call.LastStoredEnd = w.confirmedEnd
+	// A worker that did not answer may have restarted, and would discard the ends of its new incarnation.
+	if w.confirmedEnd > w.receivedConfirmation && w.failingSince == 0 {
+		call.LastStoredEnd, w.sentConfirmation = w.confirmedEnd, w.confirmedEnd
 	}
 	// A worker that left a call unanswered gets no new lease until it answers, so that the owner knows by when its
 	// tasks have ended.
@@ -315,7 +316,6 @@
 			}
 		}
 	}
-	w.sentConfirmation = w.confirmedEnd
 	w.leaseSentAt = now
 	delete(c.callable, w)
 	c.orders = append(c.orders, LeaseOrder{Member: w.Member, Call: call, worker: w})
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -211,12 +211,17 @@
 func (o *Owner) takeOver(now time.Duration, jobs []*catalog.Job) {
 	loaded := o.loaded
 	o.claimOffset, o.loading, o.loaded = 0, false, nil
-	o.predecessorsEnded = o.ended(o.predecessor) && loaded.Settled(o.predecessor.Epoch)
+	unfenced, settled := loaded.Settled(o.predecessor.Epoch)
+	o.predecessorsEnded = o.ended(o.predecessor) && settled
 	o.core = New(o.settings.Params, o.epoch, now, time.Now, o.logger, o.config.Load(), Stored{
-		PredecessorUntil: o.predecessorUntil(), Jobs: jobs, SilentLeases: o.catalog.SilentLeases(),
+		PredecessorUntil: o.predecessorUntil(), Unfenced: unfenced, EarlierUntil: o.actingUntil(),
+		Jobs: jobs, SilentLeases: o.catalog.SilentLeases(),
 		Suspects: loaded.Suspects, Interference: loaded.Interference})
 	o.core.metrics = o.metrics
-	o.tenureStart, o.settled = now, false
+	o.settlement = settlement{earlierUntil: o.actingUntil(), next: now + settleDelay}
+	if o.predecessorsEnded && len(unfenced) == 0 {
+		o.settlement.earlierUntil, o.settlement.next = now, now
+	}
 	o.lastModelStore, o.lastRemoval = now, now
 	// Calls of an earlier tenure may still be in flight; they do not count in this one.
 	o.callsInFlight = 0
--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -54,7 +54,7 @@
 		t.Run(name, func(t *testing.T) {
 			o := &Owner{settings: Settings{Instance: "i", Params: Params{Isolation: isolation}},
 				events: make(chan func(time.Duration), 1), logger: discardLogger(), catalog: catalog.New(discardLogger())}
-			e, err := catalog.SettledEntry(test.settled)
+			e, err := catalog.SettledEntry(&catalog.Settled{Epoch: test.settled})
 			require.NoError(t, err)
 			loaded := catalog.DecodeTasks([]eventlog.Entry{e}, discardLogger())
 			for _, r := range test.reads {
@@ -69,7 +69,8 @@
 				}
 			}
 			last := test.reads[len(test.reads)-1]
-			o.predecessorsEnded = o.ended(last.newest) && loaded.Settled(last.newest.Epoch)
+			_, settled := loaded.Settled(last.newest.Epoch)
+			o.predecessorsEnded = o.ended(last.newest) && settled
 			assert.Equal(t, test.want, o.predecessorUntil())
 		})
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -88,6 +88,9 @@
 	ownerSince     time.Duration
 	// predecessorUntil is the time until which previous owners may have granted leases.
 	predecessorUntil time.Duration
+	// unfenced holds the workers to which owners before the predecessor may have granted leases until earlierUntil.
+	unfenced     map[catalog.Incarnation]struct{}
+	earlierUntil time.Duration
 	// silentLeases holds, for each worker that the previous owner recorded as silent, the time at which its lease
 	// ends.
 	silentLeases map[catalog.Incarnation]time.Duration
@@ -110,6 +113,9 @@
 type Stored struct {
 	// PredecessorUntil is the time until which previous owners may have granted leases.
 	PredecessorUntil time.Duration
+	// Unfenced are workers to which they may have granted leases until EarlierUntil instead.
+	Unfenced     []catalog.Incarnation
+	EarlierUntil time.Duration
 	// Jobs are all submissions with the records of their tasks.
 	Jobs         []*catalog.Job
 	SilentLeases map[catalog.Incarnation]time.Duration
@@ -127,8 +133,12 @@
 		publishing: map[*job]workflow.State{},
 		needsOrder: map[*task]struct{}{}, ownerSince: now,
 		predecessorUntil: stored.PredecessorUntil, silentLeases: stored.SilentLeases,
+		unfenced: map[catalog.Incarnation]struct{}{}, earlierUntil: stored.EarlierUntil,
 		suspects: map[*task]struct{}{}, storedCrashes: stored.Suspects,
 		model: interference.Restore(now, stored.Interference), objectives: map[string]time.Duration{}}
+	for _, i := range stored.Unfenced {
+		c.unfenced[i] = struct{}{}
+	}
 	for l := range stored.SilentLeases {
 		// The recorded silence holds until this owner has stored an update.
 		w := c.worker(l.ID)
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -255,8 +255,9 @@
 
 // Guards against running done tasks again: more ends wait at a worker than one answer contains, while the log is slow.
 func TestEndsBeyondOneAnswerAreNotLost(t *testing.T) {
-	const count = 4 * endsPerAnswer
+	const count = 4 * fewListedEnds
 	sim := newSimulation(t, 1, 2)
+	sim.listedEnds = fewListedEnds
 	step := batchStep(count, 700*time.Millisecond)
 	step.Size.MilliCores = 100
 	sim.submit("0000000000000001", step)
@@ -289,7 +290,7 @@
 
 func randomFaults(t *testing.T, seed uint64) {
 	sim := newSimulation(t, seed, 5)
-	sim.callLossShare = 0.08
+	sim.callLossShare, sim.listedEnds = 0.08, fewListedEnds
 	cancelled := map[workflow.JobID]bool{}
 	var jobs []workflow.JobID
 	for round := range 60 {
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -29,6 +29,7 @@
 	// The worker has been cut off and has not crashed.
 	w.lost = nil
 	w.answeredAt, w.failingSince, w.retryInterval = now, 0, 0
+	w.fencedIncarnation = w.StartedAt
 	if !w.fenced {
 		w.fenced, c.planNeeded = true, true
 		c.logger.Info("worker now refuses earlier owners", "worker", w.ID, "epoch", c.epoch,
--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -47,8 +47,11 @@
 	noRoomRefusals int
 }
 
-// endsPerAnswer is the number of ends in one answer, fewer than those of a real worker.
-const endsPerAnswer = 5
+// listedEnds is the number of ends in one answer of a real worker, fewListedEnds a number that is reached often.
+const (
+	listedEnds    = 500
+	fewListedEnds = 5
+)
 
 // stopTime is how long an attempt runs on after a stop.
 const stopTime = 200 * time.Millisecond
@@ -198,7 +201,7 @@
 		f.ends = f.ends[1:]
 	}
 	a := LeaseAnswer{StartedAt: f.startedAt, Clock: sim.clock(f),
-		Ends: append([]End(nil), f.ends[:min(len(f.ends), endsPerAnswer)]...), MoreEnds: len(f.ends) >= endsPerAnswer}
+		Ends: append([]End(nil), f.ends[:min(len(f.ends), sim.listedEnds)]...), MoreEnds: len(f.ends) >= sim.listedEnds}
 	for attempt, r := range f.running {
 		running := Running{Attempt: attempt, Percent: r.percent(sim.now), Checkpoint: r.checkpoint}
 		if sim.reportedLoad != nil {
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -20,6 +20,9 @@
 	// describedIncarnation is the StartedAt of the entry from which the other fields of Member were taken. It is earlier
 	// than that of Member while the entry of the newest incarnation has not been read.
 	describedIncarnation int64
+	// fencedIncarnation is the StartedAt of the newest incarnation that has answered a lease call of this owner. It refuses
+	// calls of earlier owners for its whole life.
+	fencedIncarnation int64
 	// fenced reports whether this incarnation of the worker has answered a lease call of this owner, and so refuses
 	// calls of earlier owners. It is cleared when the lease of the worker expires or the worker has restarted.
 	fenced bool
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -153,42 +153,46 @@
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			sim := newSimulation(t, seed, 5)
-			rng := rand.New(rand.NewPCG(seed, 11))
-			sim.callLossShare = 0.05
-			var jobs []workflow.JobID
-			for round := range 60 {
-				id := workflow.JobID(fmt.Sprintf("%016x", round))
-				sim.submit(id, batchStep(1+rng.IntN(5), time.Duration(100+rng.IntN(1500))*time.Millisecond),
-					batchStep(1+rng.IntN(3), 300*time.Millisecond, 0))
-				jobs = append(jobs, id)
-				switch f := sim.workers[string(rune('a'+rng.IntN(5)))]; rng.IntN(6) {
-				case 0, 1:
-					sim.restartUnlisted(f.id, time.Duration(rng.Int64N(int64(heartbeat))))
-				case 2:
-					sim.loseOwner()
-				case 3:
-					f.disconnected = true
-				case 4:
-					f.disconnected = false
-				}
-				sim.run(time.Duration(50+rng.IntN(800)) * time.Millisecond)
-			}
-			sim.callLossShare = 0
-			for _, f := range sim.workers {
-				f.disconnected = false
-			}
-			sim.run(60 * time.Second)
-			crashes := map[workflow.JobID]int{}
-			for task, n := range sim.crashes {
-				crashes[task.Job] = max(crashes[task.Job], n)
-			}
-			for _, id := range jobs {
-				// A submission may be given up after two crashes under one of its tasks.
-				if crashes[id] < 2 || sim.state(id) != workflow.Failed {
-					assert.Equal(t, workflow.Done, sim.state(id), "%s, %d crashes", id, crashes[id])
-				}
-			}
+			randomRestarts(t, seed)
 		})
 	}
 }
+
+func randomRestarts(t *testing.T, seed uint64) {
+	sim := newSimulation(t, seed, 5)
+	rng := rand.New(rand.NewPCG(seed, 11))
+	sim.callLossShare, sim.listedEnds = 0.05, fewListedEnds
+	var jobs []workflow.JobID
+	for round := range 60 {
+		id := workflow.JobID(fmt.Sprintf("%016x", round))
+		sim.submit(id, batchStep(1+rng.IntN(5), time.Duration(100+rng.IntN(1500))*time.Millisecond),
+			batchStep(1+rng.IntN(3), 300*time.Millisecond, 0))
+		jobs = append(jobs, id)
+		switch f := sim.workers[string(rune('a'+rng.IntN(5)))]; rng.IntN(6) {
+		case 0, 1:
+			sim.restartUnlisted(f.id, time.Duration(rng.Int64N(int64(heartbeat))))
+		case 2:
+			sim.loseOwner()
+		case 3:
+			f.disconnected = true
+		case 4:
+			f.disconnected = false
+		}
+		sim.run(time.Duration(50+rng.IntN(800)) * time.Millisecond)
+	}
+	sim.callLossShare = 0
+	for _, f := range sim.workers {
+		f.disconnected = false
+	}
+	sim.run(60 * time.Second)
+	crashes := map[workflow.JobID]int{}
+	for task, n := range sim.crashes {
+		crashes[task.Job] = max(crashes[task.Job], n)
+	}
+	for _, id := range jobs {
+		// A submission may be given up after two crashes under one of its tasks.
+		if crashes[id] < 2 || sim.state(id) != workflow.Failed {
+			assert.Equal(t, workflow.Done, sim.state(id), "%s, %d crashes", id, crashes[id])
+		}
+	}
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -265,13 +265,18 @@
 	w.addTask(t)
 	c.nextExpiry = min(c.nextExpiry, w.leaseEnd)
 	t.job().placed++
-	if end, ok := c.silentLeases[catalog.Incarnation{ID: r.Worker, StartedAt: r.WorkerStartedAt}]; ok {
+	incarnation := catalog.Incarnation{ID: r.Worker, StartedAt: r.WorkerStartedAt}
+	if end, ok := c.silentLeases[incarnation]; ok {
 		// The earlier owner granted no lease after it had recorded the worker as silent.
 		w.extendLease(end)
 		return
 	}
 	// The earlier owner may have renewed the lease for as long as it was allowed to act.
-	w.extendLease(c.predecessorUntil + withDrift(c.params.Lease))
+	until := c.predecessorUntil
+	if _, ok := c.unfenced[incarnation]; ok {
+		until = max(until, c.earlierUntil)
+	}
+	w.extendLease(until + withDrift(c.params.Lease))
 }
 
 // activateRound makes the steps of a round ready whose dependencies have ended. A round that is not due yet is kept in
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -159,13 +159,12 @@
 	lastOwnerWrite time.Duration
 	lastLogRead    time.Duration
 	// predecessorRead is when the newest record of another owner was read. predecessor is the owner at this instance's
-	// claim; predecessorsEnded is set if neither it nor any owner before it acts any more.
+	// claim; predecessorsEnded is set if it does not act any more, and owners before it do at most on workers that it has
+	// stored as unfenced.
 	predecessorRead   time.Duration
 	predecessor       catalog.Ownership
 	predecessorsEnded bool
-	// tenureStart is when this instance became the owner; settled is set once it has stored that no owner before it acts.
-	tenureStart time.Duration
-	settled     bool
+	settlement        settlement
 	// progressOffset is the offset up to which the owner's records have been read.
 	progressOffset int64
 	claimInFlight  bool
@@ -247,6 +246,11 @@
 	if o.predecessorsEnded {
 		return o.predecessorRead
 	}
+	return o.actingUntil()
+}
+
+// actingUntil returns the time until which any previous owner may act.
+func (o *Owner) actingUntil() time.Duration {
 	return o.predecessorRead + withDrift(o.settings.Isolation)
 }
 
--- a/internal/dispatch/storing.go
+++ b/internal/dispatch/storing.go
@@ -130,12 +130,13 @@
 			entries = append(entries, e)
 		}
 	}
-	if !o.settled && now-o.tenureStart > o.settings.Isolation {
-		o.settled = true
-		e, err := catalog.SettledEntry(o.epoch)
+	if s, changed := o.settlement.update(now, o.core); changed {
+		s.Epoch = o.epoch
+		e, err := catalog.SettledEntry(&s)
 		if err != nil {
 			o.logger.Error("cannot encode settled epoch", "error", err)
 		} else {
+			o.logger.Info("epoch settled", "epoch", o.epoch, "unfenced", len(s.Unfenced))
 			entries = append(entries, e)
 		}
 	}
--- a/internal/dispatch/tasks_test.go
+++ b/internal/dispatch/tasks_test.go
@@ -46,7 +46,7 @@
 
 // predecessor fills a log as an owner of epoch 1 leaves it: of one submission, a task is placed on a silent worker and
 // another on one that answers; a second submission is done, but published as running.
-func predecessor(t *testing.T, ownership *catalog.Ownership) *memlog.Log {
+func predecessor(t *testing.T, ownership *catalog.Ownership, unfenced ...catalog.Incarnation) *memlog.Log {
 	ok := encoded(t)
 	log := memlog.New()
 	for _, id := range []workflow.JobID{"placed", "done"} {
@@ -57,7 +57,7 @@
 	placed := &workflow.Record{State: workflow.Running, Tasks: [][][]workflow.TaskRecord{{{
 		{Phase: workflow.Placed, Run: 3, Worker: "silent", WorkerStartedAt: 5},
 		{Phase: workflow.Placed, Run: 4, Worker: "answers", WorkerStartedAt: 6}}}}}
-	appendEntries(t, log, "tasks", p, ok(catalog.TasksEntry("placed", placed)), ok(catalog.SettledEntry(1)),
+	appendEntries(t, log, "tasks", p, ok(catalog.TasksEntry("placed", placed)), ok(catalog.SettledEntry(&catalog.Settled{Epoch: 1, Unfenced: unfenced})),
 		ok(catalog.TasksEntry("done", &workflow.Record{State: workflow.Done})),
 		ok(catalog.SuspectsEntry(map[string]catalog.Crashes{"placed.0.0.1": {Total: 1, Blame: 2}})))
 	appendEntries(t, log, "progress", p, ok(catalog.StateEntry("placed", workflow.Running)),
@@ -69,14 +69,20 @@
 
 func TestTakeoverReadsWhatThePredecessorStored(t *testing.T) {
 	for name, test := range map[string]struct {
-		last  catalog.Ownership
-		ended bool
+		last     catalog.Ownership
+		ended    bool
+		unfenced []catalog.Incarnation
 	}{
-		"released": {catalog.Ownership{Epoch: 1, Instance: "x", Released: true}, true},
-		"silent":   {catalog.Ownership{Epoch: 1, Instance: "x"}, false},
+		"released": {last: catalog.Ownership{Epoch: 1, Instance: "x", Released: true}, ended: true},
+		"silent":   {last: catalog.Ownership{Epoch: 1, Instance: "x"}},
+		"released before a worker was fenced": {last: catalog.Ownership{Epoch: 1, Instance: "x", Released: true}, ended: true,
+			unfenced: []catalog.Incarnation{{ID: "answers", StartedAt: 6}}},
+		"released before another incarnation was fenced": {ended: true,
+			last:     catalog.Ownership{Epoch: 1, Instance: "x", Released: true},
+			unfenced: []catalog.Incarnation{{ID: "answers", StartedAt: 5}}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			log := predecessor(t, &test.last)
+			log := predecessor(t, &test.last, test.unfenced...)
 			a, b := startInstance(t, log, "a"), startInstance(t, log, "b")
 			eventually(t, "an owner", func() bool { return a.isOwner() || b.isOwner() })
 			if b.isOwner() {
@@ -89,7 +95,11 @@
 				assert.Equal(t, 1, tasks[1].crashes.Total)
 				assert.Equal(t, test.ended, o.predecessorsEnded)
 				assert.Equal(t, a.catalog.SilentReadAt()+3*time.Second, tasks[0].worker.leaseEnd)
-				assert.Equal(t, o.core.predecessorUntil+withDrift(o.settings.Lease), tasks[1].worker.leaseEnd)
+				until := o.predecessorUntil()
+				if name == "released before a worker was fenced" {
+					until = o.predecessorRead + withDrift(o.settings.Isolation)
+				}
+				assert.Equal(t, until+withDrift(o.settings.Lease), tasks[1].worker.leaseEnd)
 			})
 			for _, i := range []*testInstance{a, b} {
 				eventually(t, "the state is published", func() bool { return i.published("done") == workflow.Done })
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -51,6 +51,8 @@
 	ticketValidity time.Duration
 	// adviceCalls counts the calls to the advisor, ticketsRefused the starts that were refused without a valid ticket.
 	adviceCalls, ticketsRefused int
+	// listedEnds is the number of ends in one answer.
+	listedEnds int
 	// capacity is the capacity of each new worker.
 	capacity resource.Vector
 	// contention makes the tasks of a worker share its processors; nil for none.
@@ -85,7 +87,7 @@
 		params:  Params{Lease: 6 * time.Second, MaxLease: 10 * time.Second, Isolation: 5 * time.Second, ObjectiveTolerance: 4 * time.Second},
 		catalog: catalog.New(discardLogger()), doneConfirmed: map[workflow.TaskID]bool{},
 		crashes: map[workflow.TaskID]int{}, downtime: 3300 * time.Millisecond,
-		capacity: resource.Vector{MilliCores: 4000, MemoryMB: 8000}}
+		capacity: resource.Vector{MilliCores: 4000, MemoryMB: 8000}, listedEnds: listedEnds}
 	for i := range workers {
 		sim.addWorker(string(rune('a' + i)))
 	}
