--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -62,6 +62,15 @@
 	return best
 }
 
+// HasPool reports whether a pool is configured. A configuration that names no pool allows all of them.
+func (c *Config) HasPool(name string) bool {
+	if c == nil || len(c.Pools) == 0 {
+		return true
+	}
+	_, ok := c.Pools[name]
+	return ok
+}
+
 // Named returns the queue with a name, or nil.
 func (c *Config) Named(name string) *Queue { return c.byName[name] }
 
