Stop only adopted attempts on a worker of another kind

Found by reading the change: the first entry of a worker stopped every attempt there whose queue had moved to another pool since its start, as after a change of the configuration and of the owner. Only attempts that were adopted from an earlier incarnation are checked now.

Beside it: a stored submission that cannot run keeps its state for the whole retention; a new owner counts with the longest lease for attempts that a later incarnation may run; a worker that has been fenced is called until its ends are confirmed, also when its pool is no longer configured.

TestTasksOutliveAMoveOfTheirQueue fails without the first change and passes with it; the tests of internal/dispatch pass.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -223,7 +223,8 @@
 			c.removeWorker(w)
 			continue
 		}
-		if w.Addr == "" || now < w.leaseSentAt+c.renewInterval(w) || len(w.tasks) == 0 && !c.config.HasPool(w.Pool) {
+		if w.Addr == "" || now < w.leaseSentAt+c.renewInterval(w) ||
+			!w.fenced && len(w.tasks) == 0 && !c.config.HasPool(w.Pool) {
 			continue
 		}
 		c.sendLease(now, w)
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -54,6 +54,12 @@
 	w.StartedAt = startedAt
 	c.resolveEarlierIncarnations(now, w)
 	if first {
+		// Tasks that remain may run under a lease that an earlier owner granted by the clock of the earlier incarnation.
+		for t := range w.tasks {
+			if t.outdated() {
+				w.extendLease(c.predecessorUntil + withDrift(c.params.MaxLease))
+			}
+		}
 		return
 	}
 	// The recorded silence concerns the earlier incarnation.
@@ -116,7 +122,7 @@
 	w := t.worker
 	c.logger.Info("attempt adopted from a restarted worker", "task", t.id, "run", t.run, "worker", w.ID,
 		"before", t.workerStartedAt, "born", w.StartedAt)
-	t.workerStartedAt = w.StartedAt
+	t.workerStartedAt, t.adopted = w.StartedAt, true
 	c.markDirty(t.job())
 	if w.describedIncarnation == w.StartedAt && !w.suits(t) {
 		c.stopAttempt(t)
@@ -129,11 +135,11 @@
 	return w.Pool == t.job().terms.Pool && (label == "" || w.hasLabel(label))
 }
 
-// stopUnsuited stops the attempts that the newest incarnation of a worker must not run. They were sent before its entry
-// was read.
+// stopUnsuited stops the adopted attempts that the newest incarnation of a worker must not run. They were adopted before its
+// entry was read.
 func (c *Core) stopUnsuited(w *worker) {
 	for t := range w.tasks {
-		if !t.outdated() && !w.suits(t) {
+		if t.adopted && !w.suits(t) {
 			c.logger.Warn("worker of another kind runs task", "task", t.id, "run", t.run, "worker", w.ID)
 			c.stopAttempt(t)
 		}
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -99,6 +99,26 @@
 	assert.Equal(t, 1, sim.runningTasks())
 }
 
+// Guards against stopping what runs because its queue has moved to another pool meanwhile.
+func TestTasksOutliveAMoveOfTheirQueue(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.submit("0000000000000001", serviceStep(2))
+	sim.run(time.Second)
+	moved := testConfig()
+	moved.Queues[0].Terms.Pool = "elsewhere"
+	sim.core.Configure(moved)
+	// A new owner reads the entries of all workers for the first time.
+	for _, w := range sim.core.workers {
+		w.describedIncarnation = 0
+	}
+	sim.listWorkers()
+	sim.run(time.Second)
+	assert.Equal(t, 2, sim.runningTasks())
+	for _, f := range sim.workers {
+		assert.Empty(t, f.ends)
+	}
+}
+
 // An answer of an earlier incarnation must not set the clock, the confirmed ends or the health of the newest one.
 func TestAnswersOfAnEarlierIncarnation(t *testing.T) {
 	sim := newSimulation(t, 1, 1)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -105,7 +105,9 @@
 	hadUnansweredStart bool
 	stopWanted         bool
 	stopInFlight       bool
-	percent            int
+	// adopted is set if the attempt was meant for an earlier incarnation of the worker that runs it.
+	adopted bool
+	percent int
 	// percentAt is when percent or the CPU limit last changed, or when the attempt was first listed.
 	percentAt time.Duration
 	// startedAt is when the worker confirmed the start, or first listed the attempt.
@@ -195,7 +197,7 @@
 // not created: every owner reads the submission again, and must survive it.
 func (c *Core) refuseStored(j *job, stored *catalog.Job, err error) {
 	c.logger.Warn("stored submission cannot run", "job", j.submission.Job, "error", err)
-	j.state = c.restoreState(j, stored).State
+	j.state, j.finishedAt = c.restoreState(j, stored).State, c.eventTime
 	switch {
 	case j.state.Over():
 	case stored.Cancelled:
--- a/internal/dispatch/outage_test.go
+++ b/internal/dispatch/outage_test.go
@@ -199,6 +199,7 @@
 				assert.Equal(t, want, sim.state(absurd.Job), "seed %d: %+v", seed, absurd)
 			}
 			sim.takeOver()
+			assert.NotZero(t, sim.core.jobs[absurd.Job].finishedAt, "the state would be removed too early")
 			absurd.Job = "0000000000000002"
 			sim.cancel(absurd.Job)
 		}
