Claim only after the newest claim has been handled

An instance whose own claim was due in between took the silence of the former owner for that of the new one, and claimed the next epoch at once. Work stood still for a second takeover; both owners were fenced as usual.

An instance now waits until it has handled the newest claim that it knows. TestNoClaimAfterAClaimThatWasJustRead fails before and passes.

--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -38,6 +38,11 @@
 		return
 	}
 	owner := o.catalog.Owner()
+	if owner.Epoch > o.newestEpoch {
+		// The catalog holds a newer claim than the events that were handled, so lastOwnerWrite is that of an earlier owner.
+		o.claimAt = 0
+		return
+	}
 	ended := o.ended(owner)
 	// Silence counts up to the newest read only: the owner may have written since.
 	readUpTo, _ := o.views.Progress.AsOf()
--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -10,6 +10,8 @@
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/clock"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/queue"
+	"clementinewalk.example/clementinewalk/internal/standin/memlog"
 )
 
 // fixedView is a current view of the log with a fixed round-trip time, which is unknown if it is 0.
@@ -95,6 +97,32 @@
 	assert.Zero(t, instance(0.2, far).claimDelay(catalog.Ownership{Epoch: 3, Instance: "i"}), "its own earlier process")
 }
 
+// Guards against two owners in a row: an instance claims because the former owner was silent, although the catalog holds the
+// claim of another instance that was read a moment ago.
+func TestNoClaimAfterAClaimThatWasJustRead(t *testing.T) {
+	cat, config := catalog.New(discardLogger()), &queue.Current{}
+	config.Advance(testConfig())
+	view := fixedView{roundTrip: time.Millisecond}
+	o := NewOwner(Settings{Instance: "i", Cores: 1}, memlog.New(), noWorkers{}, nil, nil, config, cat,
+		Views{Submissions: view, Progress: view}, func(bool) {}, discardLogger())
+	read := func(owner catalog.Ownership) catalog.Ownership {
+		e, err := catalog.OwnerEntry(&owner)
+		require.NoError(t, err)
+		return cat.ApplyProgress([]eventlog.Entry{e})
+	}
+	o.observeOwnership(read(catalog.Ownership{Epoch: 2, Instance: "x"}))
+	o.lastOwnerWrite = -2 * claimSilence
+	o.maybeClaim(t.Context(), 0)
+	assert.NotZero(t, o.claimAt, "the owner has been silent")
+	newest := read(catalog.Ownership{Epoch: 3, Instance: "y", Claim: "c"})
+	o.maybeClaim(t.Context(), time.Second)
+	assert.False(t, o.claimInFlight)
+	assert.Zero(t, o.claimAt, "the silence was that of an earlier owner")
+	o.observeOwnership(newest)
+	o.maybeClaim(t.Context(), 0)
+	assert.NotZero(t, o.claimAt, "the new owner is silent as well")
+}
+
 func TestLeasesOfAnEarlierTenureCountFromItsEnd(t *testing.T) {
 	o := &Owner{predecessorsEnded: true, logger: discardLogger(), cancelTenure: func() {}, onRole: func(bool) {}}
 	before := clock.Now()
