Log why services wait for workers, and what plans cost

The owner's log told how many services wait, but not why a plan left them, which workers have room for them, what services reserve, or what plans cost.

Change: 'owner: services wait for workers' every 2 s; service_cores, plans, planned_tasks and limit_checks in the placement summary; plan_ms and max_plan_ms in the call summary and in clementine_owner_load; the size in 'task placed'. No decision changes.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -105,6 +105,8 @@
 	// metrics may be nil.
 	metrics *Metrics
 	timing  phaseTimes
+	// planCost is reset with each summary.
+	planCost planCost
 	// objectives holds the latency objective of each service image.
 	objectives map[string]time.Duration
 }
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -52,14 +52,19 @@
 }
 
 func (p *plan) holdKey(t *task) holdKey {
-	def, terms := t.step.def, &t.job().terms
-	key := holdKey{pool: terms.Pool, size: t.reserved()}
-	if def.Label != "" || def.MaxPerWorker > 0 || terms.Advised != nil {
+	key := holdKey{pool: t.job().terms.Pool, size: t.reserved()}
+	if t.restricted() {
 		key.step = t.step
 	}
 	return key
 }
 
+// restricted reports whether the task may run only on some of the workers with room.
+func (t *task) restricted() bool {
+	def := t.step.def
+	return def.Label != "" || def.MaxPerWorker > 0 || t.job().terms.Advised != nil
+}
+
 func without(nodes []*assign.Node, n *assign.Node) []*assign.Node {
 	out := make([]*assign.Node, 0, len(nodes))
 	for _, o := range nodes {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -145,6 +145,8 @@
 	queuedAt    time.Duration
 	// queued is set while the task is in the list of pending tasks.
 	queued bool
+	// unplaced is why the last plan left the task pending.
+	unplaced unplaced
 	// rank is the task's place in the order of placement, as of the last plan.
 	rank rank
 }
--- a/internal/dispatch/largefleet_test.go
+++ b/internal/dispatch/largefleet_test.go
@@ -21,6 +21,8 @@
 // fleetLoad is the load of a large deployment. Workers have fleetCapacity.
 type fleetLoad struct {
 	workers, serviceJobs int
+	// mixedServices gives each service submission its own size, and every other one a limit of tasks per worker.
+	mixedServices bool
 	// batchRate and quickRate are submissions a second; the rates double during the burst.
 	batchRate, quickRate float64
 	// exclusiveRate is submissions a second of tasks that reserve processors.
@@ -185,8 +187,12 @@
 	f.failShare = l.failShare
 	for i := range l.serviceJobs {
 		f.schedule(time.Duration(i)*5*time.Millisecond, func() {
-			f.submit(workflow.Step{Count: 24, LongRunning: true, Size: resource.Vector{MilliCores: 13000, MemoryMB: 26000},
-				Image: fmt.Sprintf("service-%d", i%fleetServiceImages), Objective: tailObjective})
+			s := workflow.Step{Count: 24, LongRunning: true, Size: resource.Vector{MilliCores: 13000, MemoryMB: 26000},
+				Image: fmt.Sprintf("service-%d", i%fleetServiceImages), Objective: tailObjective}
+			if l.mixedServices {
+				s.Count, s.Size.MilliCores, s.MaxPerWorker = 14, 9000+f.arrivals.Int64N(8000), (i%2)*(1+i/2%3)
+			}
+			f.submit(s)
 		})
 	}
 	f.scheduleSteps(start + l.warmUp + l.steady + l.burst + l.end)
@@ -444,6 +450,15 @@
 	b.Run("losing", func(b *testing.B) { benchmarkFleet(b, losing) })
 }
 
+// BenchmarkServicesWithoutRoom measures the decisions of an owner while services of lost workers wait for room in a pool
+// that other services fill.
+func BenchmarkServicesWithoutRoom(b *testing.B) {
+	benchmarkFleet(b, servicesWithoutRoom)
+}
+
+var servicesWithoutRoom = fleetLoad{workers: 490, serviceJobs: 150, mixedServices: true, batchRate: 9, quickRate: 5,
+	exclusiveRate: 6, lostWorkers: 98, warmUp: 2 * time.Second, steady: 2 * time.Second, burst: 14 * time.Second}
+
 func benchmarkFleet(b *testing.B, load fleetLoad) {
 	var spent [fleetMethods]time.Duration
 	starts, pending := 0, 0
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -326,6 +326,7 @@
 	if now-o.lastConfirmed < o.settings.Isolation {
 		if o.viewsFresh(now) {
 			o.core.Plan(now)
+			o.load.planned(clock.Now() - now)
 		}
 		o.core.Act(now)
 		o.sendOrders(o.tenure, now)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -29,13 +29,15 @@
 	c.lastPlan, c.planNeeded = now, false
 	sortTasks(now, c.pending)
 	p := c.newPlan(now)
+	c.planCost.plans++
+	c.planCost.tasks += len(c.pending)
 	rest := c.pending[:0]
 	for _, t := range c.pending {
 		if t.phase != workflow.Pending || t.job().cancelled || t.job().state.Over() {
 			t.queued = false
 			continue
 		}
-		if p.placed >= maxPlacements || t.notBefore > now || c.mustWait(now, t) || !p.place(t) {
+		if t.unplaced = p.tryPlace(t); t.unplaced != unplacedNone {
 			c.noteShortage(now, t)
 			rest = append(rest, t)
 			continue
@@ -46,6 +48,21 @@
 	c.pending = rest
 }
 
+// tryPlace places a task and returns unplacedNone, or returns why it stays pending.
+func (p *plan) tryPlace(t *task) unplaced {
+	switch {
+	case p.placed >= maxPlacements:
+		return unplacedPlanFull
+	case t.notBefore > p.now:
+		return unplacedBackoff
+	case p.core.mustWait(p.now, t):
+		return unplacedYields
+	case !p.place(t):
+		return unplacedNoWorker
+	}
+	return unplacedNone
+}
+
 func (c *Core) activateDueRounds(now time.Duration) {
 	if len(c.scheduledRounds) == 0 {
 		return
@@ -137,8 +154,10 @@
 	workers := p.core.sortedWorkers()
 	out := make([]*assign.Node, 0, len(workers))
 	for i, w := range workers {
-		if w.Pool != pool || w.unschedulable() || skipQuarantined && w.quarantinedUntil > p.now ||
-			w.fullUntil > p.now || w.failingSince != 0 {
+		if w.Pool != pool {
+			continue
+		}
+		if e := w.exclusion(p.now); e != excludedNone && (skipQuarantined || e != excludedQuarantined) {
 			continue
 		}
 		w.node.ID, w.node.Rack, w.node.Index, w.node.Capacity = w.ID, w.Rack, i, w.Capacity
@@ -288,6 +307,7 @@
 
 // allows reports whether a worker satisfies the filter, which may be nil, and what the step asks for.
 func (p *plan) allows(n *assign.Node, t *task, filter func(*worker) bool) bool {
+	p.core.planCost.checks++
 	w, def := p.core.workersByID[n.Index], t.step.def
 	return (def.Label == "" || w.hasLabel(def.Label)) &&
 		(def.MaxPerWorker <= 0 || w.countStepTasks(t.step) < def.MaxPerWorker) &&
@@ -333,5 +353,6 @@
 	c.markDirty(j)
 	p.placed++
 	c.logger.Info("task placed", "task", t.id, "run", run, "worker", w.ID,
-		"waited_ms", (p.now - t.queuedAt).Milliseconds(), "failures", t.failures)
+		"waited_ms", (p.now - t.queuedAt).Milliseconds(), "failures", t.failures,
+		"millicores", t.step.def.Size.MilliCores, "mb", t.step.def.Size.MemoryMB)
 }
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -23,6 +23,8 @@
 	// bestEffort is the thousandths of a core that the placed best-effort tasks request, waitingBestEffort that of the
 	// waiting ones.
 	bestEffort, waitingBestEffort int64
+	// longRunning is what the long-running tasks among the placed ones reserve.
+	longRunning resource.Vector
 }
 
 var tierNames = map[int]string{tierRestart: "restart", tierOnTime: "on-time", tierLate: "late",
@@ -54,6 +56,7 @@
 		s.mixtures += max(0, len(w.node.Services)-1)
 		s.capacity, s.reserved = s.capacity.Add(w.Capacity), s.reserved.Add(w.node.Reserved)
 		s.bestEffort += w.node.BestEffort
+		s.longRunning = s.longRunning.Add(w.longRunning)
 	}
 	return s
 }
@@ -67,13 +70,17 @@
 	s := c.newSummary(now)
 	c.metrics.set(&s)
 	c.logger.Info("start summary", c.timing.take()...)
+	c.logWaitingServices(now)
 	c.logger.Info("placement summary", "epoch", c.epoch, "workers", s.workers, "usable", s.usable, "silent", s.silent,
 		"placed", s.placed, "waiting", s.waiting, "image_mixtures", s.mixtures,
 		"waiting_services", s.waitingServices, "waiting_by_queue", s.waitingByQueue,
 		"waiting_by_tier", s.waitingByTier, "best_effort_cores", s.bestEffort/1000,
 		"waiting_best_effort_cores", s.waitingBestEffort/1000, "asked_cores", s.asked.MilliCores/1000,
 		"asked_mb", s.asked.MemoryMB, "cores", s.capacity.MilliCores/1000,
-		"reserved_cores", s.reserved.MilliCores/1000, "mb", s.capacity.MemoryMB, "reserved_mb", s.reserved.MemoryMB)
+		"reserved_cores", s.reserved.MilliCores/1000, "service_cores", s.longRunning.MilliCores/1000, "mb",
+		s.capacity.MemoryMB, "reserved_mb", s.reserved.MemoryMB,
+		"plans", c.planCost.plans, "planned_tasks", c.planCost.tasks, "limit_checks", c.planCost.checks)
+	c.planCost = planCost{}
 }
 
 // Metrics are the metrics of an owner; on other instances they are 0.
@@ -93,7 +100,7 @@
 		cores: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_cores",
 			Help: "Cores of the usable workers, and what tasks reserve or request of them."}, []string{"use"}),
 		calls: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_load",
-			Help: "Most calls in flight and longest delay of an event in milliseconds since the last summary."}, []string{"what"}),
+			Help: "Most calls in flight, longest delay of an event, and time of all plans and of the longest one in milliseconds since the last summary."}, []string{"what"}),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_calls_total",
 			Help: "Calls to workers and to the advisor, by whether they were answered."}, []string{"outcome"})}
 	r.MustRegister(m.waiting, m.cores, m.calls, m.answers)
@@ -122,6 +129,8 @@
 	}
 	m.calls.WithLabelValues("in-flight").Set(float64(l.maxInFlight))
 	m.calls.WithLabelValues("event-delay-ms").Set(float64(l.maxEventDelay.Milliseconds()))
+	m.calls.WithLabelValues("plan-ms").Set(float64(l.planTime.Milliseconds()))
+	m.calls.WithLabelValues("longest-plan-ms").Set(float64(l.maxPlanTime.Milliseconds()))
 	m.answers.WithLabelValues("answered").Add(float64(l.answered))
 	m.answers.WithLabelValues("unanswered").Add(float64(l.unanswered))
 }
--- a/internal/dispatch/timing.go
+++ b/internal/dispatch/timing.go
@@ -55,7 +55,14 @@
 	return sorted[min(len(sorted)-1, len(sorted)*percent/100)]
 }
 
-// callLoad describes the calls and the event queue of an owner since the last summary. It tells an owner that is slow
+// planCost counts what the plans since the last summary have gone through.
+type planCost struct {
+	plans, tasks int
+	// checks counts the workers that were checked against the limits of a step.
+	checks int
+}
+
+// callLoad describes the calls, the event queue and the plans of an owner since the last summary. It tells an owner that is slow
 // itself, whose events and calls wait, from workers that do not answer.
 type callLoad struct {
 	inFlight, maxInFlight int
@@ -63,7 +70,14 @@
 	answered, unanswered int
 	// maxEventDelay is the longest time that an event has waited for the owner's goroutine.
 	maxEventDelay time.Duration
-	since         time.Duration
+	// planTime is the time that plans have taken, maxPlanTime that of the longest one.
+	planTime, maxPlanTime time.Duration
+	since                 time.Duration
+}
+
+func (l *callLoad) planned(d time.Duration) {
+	l.planTime += d
+	l.maxPlanTime = max(l.maxPlanTime, d)
 }
 
 func (l *callLoad) started() {
@@ -87,6 +101,7 @@
 	}
 	m.setCalls(l)
 	logger.Info("call summary", "in_flight", l.inFlight, "max_in_flight", l.maxInFlight, "answered", l.answered,
-		"unanswered", l.unanswered, "max_event_delay_ms", l.maxEventDelay.Milliseconds())
+		"unanswered", l.unanswered, "max_event_delay_ms", l.maxEventDelay.Milliseconds(),
+		"plan_ms", l.planTime.Milliseconds(), "max_plan_ms", l.maxPlanTime.Milliseconds())
 	*l = callLoad{inFlight: l.inFlight, maxInFlight: l.inFlight, since: now}
 }
