Search the candidates of a step once in a plan

Cause: a task whose worker was lost right after its start is suspected of having crashed it, and waits for up to a second for a worker without another recent start. The result of that search was not kept, so after the loss of many workers a plan went through all workers for each such task.

Change: the search of a plan is kept by step and by what its tasks avoid for the moment. Only room and recent starts change within a plan, and both only to the worse. The choice for gangs, which keeps nothing, is a function of its own.

Evidence: TestSuspectedTasksDoNotSlowThePlan failed before (40,000 checks for 100 workers and two steps). go test -race ./internal/dispatch passes.

--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -60,7 +60,7 @@
 	perWorker := map[string]int{}
 	need := s.def.Reserved()
 	for _, t := range s.tasks {
-		n := p.chooseNode(t, func(w *worker) bool {
+		n := p.chooseGangNode(t, func(w *worker) bool {
 			return filter(w) && (s.def.MaxPerWorker == 0 || perWorker[w.ID] < s.def.MaxPerWorker)
 		})
 		if n == nil {
--- a/internal/dispatch/hold_test.go
+++ b/internal/dispatch/hold_test.go
@@ -46,6 +46,31 @@
 	assert.LessOrEqual(t, c.planCost.checks, workers-lost, "no worker is checked more than once in a plan")
 }
 
+// Guards against an owner that spends its processor on suspected tasks after the loss of many workers.
+func TestSuspectedTasksDoNotSlowThePlan(t *testing.T) {
+	const workers, tasks = 100, 200
+	f := newFleet(1, fleetLoad{workers: workers})
+	c := f.core
+	for _, w := range c.workers {
+		w.fenced = true
+	}
+	small := resource.Vector{MilliCores: 100, MemoryMB: 100}
+	f.submit(workflow.Step{Count: workers, Size: small, MaxPerWorker: 1})
+	c.Plan(f.now)
+	require.Empty(t, c.pending, "each worker has a recent start")
+	for _, bestEffort := range []bool{false, true} {
+		f.submit(workflow.Step{Count: tasks, Size: small, BestEffort: bestEffort, Image: "image"})
+	}
+	for _, task := range c.pending {
+		task.lostUnproven = true
+	}
+	c.planCost = planCost{}
+	f.now += minPlanInterval
+	c.Plan(f.now)
+	assert.Len(t, c.pending, 2*tasks, "suspected tasks wait for a worker without a recent start")
+	assert.LessOrEqual(t, c.planCost.checks, 2*workers, "a worker is checked once for each step")
+}
+
 func BenchmarkPlanWithServicesWithoutRoom(b *testing.B) {
 	const workers, waiting = 392, 80
 	now := time.Minute
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -125,9 +125,34 @@
 	waitExpired bool
 }
 
+// noCandidateKey identifies the tasks for which the same workers are candidates.
 type noCandidateKey struct {
-	step        *step
-	waitExpired bool
+	step                 *step
+	waitExpired, bounded bool
+	caution              caution
+}
+
+// caution holds what a task avoids for a while besides what its step asks for.
+type caution struct {
+	// spared keeps the last attempt of a task from workers with recent failures.
+	spared bool
+	// isolated keeps a suspected task from workers with a recent start of another submission.
+	isolated bool
+}
+
+func (p *plan) caution(t *task) caution {
+	waited := p.now - t.queuedAt
+	return caution{spared: t.lastAttempt() && waited < lastAttemptWait, isolated: t.suspected() && waited < maxSuspectWait}
+}
+
+// filter returns the filter of workers for a task of the job; nil if there is nothing to avoid.
+func (a caution) filter(j *job) func(*worker) bool {
+	if a == (caution{}) {
+		return nil
+	}
+	return func(w *worker) bool {
+		return !(a.spared && w.consecutiveFailures > 0) && !(a.isolated && w.hasUnprovenStart(j))
+	}
 }
 
 func (c *Core) newPlan(now time.Duration) *plan {
@@ -186,15 +211,7 @@
 	if t.step.def.Gang {
 		return p.placeGang(t.step)
 	}
-	var filter func(*worker) bool
-	waited := p.now - t.queuedAt
-	spared, apart := t.lastAttempt() && waited < lastAttemptWait, t.suspected() && waited < maxSuspectWait
-	if spared || apart {
-		filter = func(w *worker) bool {
-			return !(spared && w.consecutiveFailures > 0) && !(apart && w.hasUnprovenStart(t.job()))
-		}
-	}
-	node := p.chooseNode(t, filter)
+	node := p.chooseNode(t)
 	if node == nil {
 		p.requestAdvice(t)
 		p.hold(t)
@@ -212,54 +229,68 @@
 	return t.failures > 0 && !t.step.def.LongRunning && t.failures+1 >= t.job().terms.MaxAttempts
 }
 
-func (p *plan) chooseNode(t *task, filter func(*worker) bool) *assign.Node {
-	filter = p.requireApproval(t, filter)
-	def, terms := t.step.def, &t.job().terms
-	waitExpired := t.waitExpired(p.now)
-	key := noRoomKey{pool: terms.Pool, label: def.Label, size: def.Reserved(), waitExpired: waitExpired}
+// chooseNode returns the node for a task that does not belong to a gang, or nil.
+func (p *plan) chooseNode(t *task) *assign.Node {
+	def, caution, waitExpired := t.step.def, p.caution(t), t.waitExpired(p.now)
+	key := p.noRoomKey(t, waitExpired)
 	if _, ok := p.noRoom[key]; ok {
 		return nil
 	}
-	if _, ok := p.noCandidate[noCandidateKey{t.step, waitExpired}]; ok {
+	nodes := p.nodes(t, waitExpired)
+	bounded := def.BestEffort && !p.bound.exempts(t, nodes)
+	candidateKey := noCandidateKey{step: t.step, waitExpired: waitExpired, bounded: bounded, caution: caution}
+	if _, ok := p.noCandidate[candidateKey]; ok {
 		return nil
 	}
-	nodes := p.candidates(terms.Pool)
-	if waitExpired {
-		nodes = p.candidatesWithQuarantined(terms.Pool)
-	}
-	// The tasks of a gang need room at the same time, for which they could wait forever under a bound.
-	bounded := def.BestEffort && !def.Gang && !p.bound.exempts(t, nodes)
 	if bounded && p.bound.full(t, nodes) {
 		return nil
 	}
-	restricted := def.Label != "" || def.MaxPerWorker > 0 || filter != nil
-	var n *assign.Node
-	switch {
-	case def.Gang:
-		// What the other tasks of the gang reserve is not in the rankings.
-		n = assign.Choose(p.filterNodes(nodes, t, filter), p.core.placement(p.now, t, t.avoidWorker))
-	default:
-		r := p.ranking(t, nodes, waitExpired, bounded)
-		if bounded && r.Empty() {
-			p.bound.noteFull(t, nodes)
-		}
-		var accept func(*assign.Node) bool
-		if restricted {
-			accept = func(n *assign.Node) bool { return p.allows(n, t, filter) }
-		}
-		n = r.Best(t.avoidWorker, accept)
+	r := p.ranking(t, nodes, waitExpired, bounded)
+	if bounded && r.Empty() {
+		p.bound.noteFull(t, nodes)
 	}
+	filter := p.requireApproval(t, caution.filter(t.job()))
+	var accept func(*assign.Node) bool
+	if t.restricted() || filter != nil {
+		accept = func(n *assign.Node) bool { return p.allows(n, t, filter) }
+	}
+	n := r.Best(t.avoidWorker, accept)
 	switch {
-	// Filters that depend on the task are not cached. The bound on best-effort work has its own cache.
-	case n != nil || filter != nil || def.BestEffort:
-	case restricted:
-		p.noCandidate[noCandidateKey{t.step, waitExpired}] = struct{}{}
-	default:
+	case n != nil:
+	case accept != nil:
+		p.noCandidate[candidateKey] = struct{}{}
+	case !def.BestEffort:
+		// The bound on best-effort work has its own cache.
 		p.noRoom[key] = struct{}{}
 	}
 	return n
 }
 
+// chooseGangNode returns the node for a task of a gang among the workers that the filter accepts, or nil. The tasks of a
+// gang need room at the same time, for which they could wait forever under the bound on best-effort work.
+func (p *plan) chooseGangNode(t *task, filter func(*worker) bool) *assign.Node {
+	waitExpired := t.waitExpired(p.now)
+	if _, ok := p.noRoom[p.noRoomKey(t, waitExpired)]; ok {
+		return nil
+	}
+	// What the other tasks of the gang reserve is not in the rankings.
+	nodes := p.filterNodes(p.nodes(t, waitExpired), t, p.requireApproval(t, filter))
+	return assign.Choose(nodes, p.core.placement(p.now, t, t.avoidWorker))
+}
+
+func (p *plan) noRoomKey(t *task, waitExpired bool) noRoomKey {
+	return noRoomKey{pool: t.job().terms.Pool, label: t.step.def.Label, size: t.step.def.Reserved(),
+		waitExpired: waitExpired}
+}
+
+// nodes returns the candidates for a task.
+func (p *plan) nodes(t *task, waitExpired bool) []*assign.Node {
+	if waitExpired {
+		return p.candidatesWithQuarantined(t.job().terms.Pool)
+	}
+	return p.candidates(t.job().terms.Pool)
+}
+
 // ranking returns the ranking of the nodes for a task.
 func (p *plan) ranking(t *task, nodes []*assign.Node, waitExpired, bounded bool) *assign.Ranking {
 	def := t.step.def
