Make plans cheaper and rarer while many tasks wait

Change: the search for a worker is kept on the step instead of in a map, and for best-effort tasks as well; the short tasks of a step are ranked together; and the interval between plans grows with the number of waiting tasks, by 10 us each, from 10 to 100 ms.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -57,6 +57,11 @@
 	ready bool
 	// approvals holds the advisor's answers on which workers may run the step.
 	approvals approvals
+	// rank is the rank of its short tasks as of rankedAt, but for their index.
+	rank     rank
+	rankedAt time.Duration
+	// noCandidate is the newest search for a worker that found none.
+	noCandidate candidateSearch
 	// restarting is set while the remaining tasks of a gang are stopped, because one of them ended without success or
 	// could not be started.
 	restarting bool
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -126,7 +126,17 @@
 // sortTasks sorts tasks in the order of placement.
 func sortTasks(now time.Duration, tasks []*task) {
 	for _, t := range tasks {
-		t.rank = t.newRank(now)
+		s := t.step
+		if s.def.LongRunning {
+			t.rank = t.newRank(now)
+			continue
+		}
+		// The short tasks of a step differ in their index only.
+		if s.rankedAt != now {
+			s.rank, s.rankedAt = t.newRank(now), now
+		}
+		t.rank = s.rank
+		t.rank.index = t.id.Index
 	}
 	slices.SortStableFunc(tasks, func(a, b *task) int { return a.rank.compare(&b.rank) })
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -15,6 +15,8 @@
 const (
 	// minPlanInterval limits how often plans are made; tasks that become pending in between are placed together.
 	minPlanInterval = 10 * time.Millisecond
+	// planIntervalPerTask makes plans rarer while many tasks wait: a plan goes through all of them, for up to 2 us each.
+	planIntervalPerTask = 10 * time.Microsecond
 	// noRoomRetryInterval is the interval at which tasks that found no room are tried again if nothing has changed.
 	noRoomRetryInterval = 100 * time.Millisecond
 )
@@ -22,7 +24,7 @@
 // Plan places the pending tasks for which there is room.
 func (c *Core) Plan(now time.Duration) {
 	c.activateDueRounds(now)
-	if len(c.pending) == 0 || now-c.lastPlan < minPlanInterval ||
+	if len(c.pending) == 0 || now-c.lastPlan < c.planInterval() ||
 		!c.planNeeded && now-c.lastPlan < noRoomRetryInterval {
 		return
 	}
@@ -48,6 +50,11 @@
 	c.pending = rest
 }
 
+// planInterval returns the least time between two plans.
+func (c *Core) planInterval() time.Duration {
+	return min(max(minPlanInterval, time.Duration(len(c.pending))*planIntervalPerTask), noRoomRetryInterval)
+}
+
 // tryPlace places a task and returns unplacedNone, or returns why it stays pending.
 func (p *plan) tryPlace(t *task) unplaced {
 	switch {
@@ -87,17 +94,16 @@
 
 // plan is one pass over the pending tasks.
 type plan struct {
-	core *Core
-	now  time.Duration
+	core   *Core
+	number int64
+	now    time.Duration
 	// healthy and all cache the candidates of each pool of workers; only all includes quarantined workers.
 	healthy, all map[string][]*assign.Node
 	placed       int
-	// noRoom holds the sizes for which no worker had room. noCandidate holds the steps for which no worker that has the
-	// label and is below the limit of tasks per worker had room.
-	noRoom      map[noRoomKey]struct{}
-	noCandidate map[noCandidateKey]struct{}
-	bound       *bestEffortBound
-	rankings    map[rankingKey]*planRanking
+	// noRoom holds the sizes for which no worker had room.
+	noRoom   map[noRoomKey]struct{}
+	bound    *bestEffortBound
+	rankings map[rankingKey]*planRanking
 	// changed holds the nodes that have taken a task, in order.
 	changed []*assign.Node
 	// held is the number of workers that get no other task in this plan.
@@ -125,9 +131,9 @@
 	waitExpired bool
 }
 
-// noCandidateKey identifies the tasks for which the same workers are candidates.
-type noCandidateKey struct {
-	step                 *step
+// candidateSearch identifies the tasks of a step for which the same workers are candidates in a plan.
+type candidateSearch struct {
+	plan                 int64
 	waitExpired, bounded bool
 	caution              caution
 }
@@ -156,8 +162,9 @@
 }
 
 func (c *Core) newPlan(now time.Duration) *plan {
-	return &plan{core: c, now: now, healthy: map[string][]*assign.Node{}, all: map[string][]*assign.Node{},
-		noRoom: map[noRoomKey]struct{}{}, noCandidate: map[noCandidateKey]struct{}{}, bound: newBestEffortBound(c, now),
+	c.planNumber++
+	return &plan{core: c, number: c.planNumber, now: now, healthy: map[string][]*assign.Node{}, all: map[string][]*assign.Node{},
+		noRoom: map[noRoomKey]struct{}{}, bound: newBestEffortBound(c, now),
 		rankings: map[rankingKey]*planRanking{}, noHold: map[holdKey]struct{}{}}
 }
 
@@ -238,11 +245,12 @@
 	}
 	nodes := p.nodes(t, waitExpired)
 	bounded := def.BestEffort && !p.bound.exempts(t, nodes)
-	candidateKey := noCandidateKey{step: t.step, waitExpired: waitExpired, bounded: bounded, caution: caution}
-	if _, ok := p.noCandidate[candidateKey]; ok {
+	search := candidateSearch{plan: p.number, waitExpired: waitExpired, bounded: bounded, caution: caution}
+	if t.step.noCandidate == search {
 		return nil
 	}
 	if bounded && p.bound.full(t, nodes) {
+		t.step.noCandidate = search
 		return nil
 	}
 	r := p.ranking(t, nodes, waitExpired, bounded)
@@ -255,13 +263,11 @@
 		accept = func(n *assign.Node) bool { return p.allows(n, t, filter) }
 	}
 	n := r.Best(t.avoidWorker, accept)
-	switch {
-	case n != nil:
-	case accept != nil:
-		p.noCandidate[candidateKey] = struct{}{}
-	case !def.BestEffort:
-		// The bound on best-effort work has its own cache.
-		p.noRoom[key] = struct{}{}
+	if n == nil {
+		t.step.noCandidate = search
+		if accept == nil && !def.BestEffort {
+			p.noRoom[key] = struct{}{}
+		}
 	}
 	return n
 }
