Look at each worker once for a gang

Callers would see: while gangs that ask for one rack wait in a full pool, all other tasks start later, because the owner's processor is taken by plans.

Cause: for each waiting gang, a plan filtered all workers once for each rack, and again for each task of the gang that had found a node. Room was compared last, and nothing was kept. With 20 gangs and racks of 20 workers, a plan made 12,000 checks on 100 workers and 656,000 on 800; the latter took 87 ms.

Change: the workers that can take a task of the gang are collected once, with the room compared first. A gang is placed if they have slots for all its tasks, which is decided before any node is chosen. The candidates of all tasks of a gang are those of its first one, the only one whose wait is known; the others of a long-running gang counted as having waited too long from the beginning.

Evidence: TestGangsWaitingForRoomDoNotSlowThePlan makes 92,000 checks on the code before, and 2,000 at most now; with 800 full workers the plan above takes 0.3 ms. TestGangIsPlacedInOneRackIfItFits passes on both. go test ./internal/dispatch passes.

--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -34,10 +34,14 @@
 
 // fitGang returns a node for each task, or nil. If the step asks for one rack, a rack with room for all is preferred.
 func (p *plan) fitGang(s *step) []*assign.Node {
+	nodes := p.gangNodes(s)
+	if !s.hasSlots(nodes) {
+		return nil
+	}
 	if s.def.SameRack {
-		racks := map[string]struct{}{}
-		for _, n := range p.candidates(s.round.job.terms.Pool) {
-			racks[n.Rack] = struct{}{}
+		racks := map[string][]*assign.Node{}
+		for _, n := range nodes {
+			racks[n.Rack] = append(racks[n.Rack], n)
 		}
 		names := make([]string, 0, len(racks))
 		for r := range racks {
@@ -45,36 +49,64 @@
 		}
 		sort.Strings(names)
 		for _, r := range names {
-			if chosen := p.chooseGangNodes(s, func(w *worker) bool { return w.Rack == r }); chosen != nil {
-				return chosen
+			if s.hasSlots(racks[r]) {
+				return p.chooseGangNodes(s, racks[r])
 			}
 		}
 	}
-	return p.chooseGangNodes(s, func(*worker) bool { return true })
+	return p.chooseGangNodes(s, nodes)
 }
 
-// chooseGangNodes returns a node for each task among the workers that the filter accepts, or nil. While it chooses, the
-// tasks that already have a node count as reserved there.
-func (p *plan) chooseGangNodes(s *step, filter func(*worker) bool) []*assign.Node {
-	var chosen []*assign.Node
-	perWorker := map[string]int{}
+// gangNodes returns the nodes that can take at least one task of a gang. The tasks of a gang need room at the same time,
+// for which they could wait forever under the bound on best-effort work.
+func (p *plan) gangNodes(s *step) []*assign.Node {
+	t := s.tasks[0]
+	waitExpired := t.waitExpired(p.now)
+	if _, ok := p.noRoom[p.noRoomKey(t, waitExpired)]; ok {
+		return nil
+	}
+	need, filter := t.reserved(), p.requireApproval(t, nil)
+	var out []*assign.Node
+	for _, n := range p.nodes(t, waitExpired) {
+		if need.Fits(n.Free()) && p.allows(n, t, filter) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// hasSlots reports whether the nodes can take all tasks of a gang.
+func (s *step) hasSlots(nodes []*assign.Node) bool {
+	need, slots := s.def.Reserved(), 0
+	for _, n := range nodes {
+		free := n.Free()
+		for taken := 0; need.Fits(free) && (s.def.MaxPerWorker <= 0 || taken < s.def.MaxPerWorker); taken++ {
+			if slots++; slots >= len(s.tasks) {
+				return true
+			}
+			free = free.Sub(need)
+		}
+	}
+	return false
+}
+
+// chooseGangNodes returns a node for each task among nodes that can take them all. While it chooses, the tasks that
+// already have a node count as reserved there. That is not in the rankings.
+func (p *plan) chooseGangNodes(s *step, nodes []*assign.Node) []*assign.Node {
+	chosen := make([]*assign.Node, 0, len(s.tasks))
+	perWorker := map[*assign.Node]int{}
 	need := s.def.Reserved()
 	for _, t := range s.tasks {
-		n := p.chooseGangNode(t, func(w *worker) bool {
-			return filter(w) && (s.def.MaxPerWorker == 0 || perWorker[w.ID] < s.def.MaxPerWorker)
-		})
-		if n == nil {
-			break
-		}
+		n := assign.Choose(nodes, p.core.placement(p.now, t, t.avoidWorker))
 		n.Reserved = n.Reserved.Add(need)
-		perWorker[n.ID]++
+		perWorker[n]++
+		if s.def.MaxPerWorker > 0 && perWorker[n] >= s.def.MaxPerWorker {
+			nodes = without(nodes, n)
+		}
 		chosen = append(chosen, n)
 	}
 	for _, n := range chosen {
 		n.Reserved = n.Reserved.Sub(need)
 	}
-	if len(chosen) < len(s.tasks) {
-		return nil
-	}
 	return chosen
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -279,18 +279,6 @@
 	return n
 }
 
-// chooseGangNode returns the node for a task of a gang among the workers that the filter accepts, or nil. The tasks of a
-// gang need room at the same time, for which they could wait forever under the bound on best-effort work.
-func (p *plan) chooseGangNode(t *task, filter func(*worker) bool) *assign.Node {
-	waitExpired := t.waitExpired(p.now)
-	if _, ok := p.noRoom[p.noRoomKey(t, waitExpired)]; ok {
-		return nil
-	}
-	// What the other tasks of the gang reserve is not in the rankings.
-	nodes := p.filterNodes(p.nodes(t, waitExpired), t, p.requireApproval(t, filter))
-	return assign.Choose(nodes, p.core.placement(p.now, t, t.avoidWorker))
-}
-
 func (p *plan) noRoomKey(t *task, waitExpired bool) noRoomKey {
 	return noRoomKey{pool: t.job().terms.Pool, label: t.step.def.Label, size: t.step.def.Reserved(),
 		waitExpired: waitExpired}
@@ -339,16 +327,6 @@
 		Image: def.Image, DataRack: def.DataRack, AvoidWorker: avoidWorker, TailRise: c.tailRise(now, t)}
 }
 
-func (p *plan) filterNodes(nodes []*assign.Node, t *task, filter func(*worker) bool) []*assign.Node {
-	out := make([]*assign.Node, 0, len(nodes))
-	for _, n := range nodes {
-		if p.allows(n, t, filter) {
-			out = append(out, n)
-		}
-	}
-	return out
-}
-
 // allows reports whether a worker satisfies the filter, which may be nil, and what the step asks for.
 func (p *plan) allows(n *assign.Node, t *task, filter func(*worker) bool) bool {
 	p.core.planCost.checks++
