Keep the searches of a step apart

Cause: a step kept one failed search. Tasks that alternate in what they avoid, or in whether their wait has expired, displaced each other's result, and each of them went through all workers again.

Change: a step keeps one result for each kind of search.

--- a/internal/dispatch/hold_test.go
+++ b/internal/dispatch/hold_test.go
@@ -71,6 +71,28 @@
 	assert.LessOrEqual(t, c.planCost.checks, 2*workers, "a worker is checked once for each step")
 }
 
+// Guards against tasks of one step that displace the results of each other's searches.
+func TestSearchesOfOneStepAreKeptApart(t *testing.T) {
+	const workers, tasks = 100, 200
+	f := newFleet(1, fleetLoad{workers: workers})
+	c := f.core
+	for _, w := range c.workers {
+		w.fenced = true
+	}
+	small := resource.Vector{MilliCores: 100, MemoryMB: 100}
+	f.submit(workflow.Step{Count: workers + tasks, Size: small, MaxPerWorker: 1})
+	c.Plan(f.now)
+	require.Len(t, c.pending, tasks, "each worker has a task of the step")
+	for i, task := range c.pending {
+		task.lostUnproven = i%2 == 0
+	}
+	c.planCost = planCost{}
+	f.now += minPlanInterval
+	c.planNeeded = true
+	c.Plan(f.now)
+	assert.LessOrEqual(t, c.planCost.checks, 2*workers, "a worker is checked once for each of the two searches")
+}
+
 func BenchmarkPlanWithServicesWithoutRoom(b *testing.B) {
 	const workers, waiting = 392, 80
 	now := time.Minute
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -60,8 +60,8 @@
 	// rank is the rank of its short tasks as of rankedAt, but for their index.
 	rank     rank
 	rankedAt time.Duration
-	// noCandidate is the newest search for a worker that found none.
-	noCandidate candidateSearch
+	// noCandidate holds, for each kind of search for a worker, the number of the newest plan in which it found none.
+	noCandidate [candidateSearches]int64
 	// restarting is set while the remaining tasks of a gang are stopped, because one of them ended without success or
 	// could not be started.
 	restarting bool
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -140,11 +140,24 @@
 
 // candidateSearch identifies the tasks of a step for which the same workers are candidates in a plan.
 type candidateSearch struct {
-	plan                 int64
 	waitExpired, bounded bool
 	caution              caution
 }
 
+// candidateSearches is the number of different searches.
+const candidateSearches = 16
+
+func (s candidateSearch) index() int {
+	i := 0
+	for _, set := range [...]bool{s.waitExpired, s.bounded, s.caution.spared, s.caution.isolated} {
+		i *= 2
+		if set {
+			i++
+		}
+	}
+	return i
+}
+
 // caution holds what a task avoids for a while besides what its step asks for.
 type caution struct {
 	// spared keeps the last attempt of a task from workers with recent failures.
@@ -252,12 +265,12 @@
 	}
 	nodes := p.nodes(t, waitExpired)
 	bounded := def.BestEffort && !p.bound.exempts(t, nodes)
-	search := candidateSearch{plan: p.number, waitExpired: waitExpired, bounded: bounded, caution: caution}
-	if t.step.noCandidate == search {
+	failedIn := &t.step.noCandidate[candidateSearch{waitExpired: waitExpired, bounded: bounded, caution: caution}.index()]
+	if *failedIn == p.number {
 		return nil
 	}
 	if bounded && p.bound.full(t, nodes) {
-		t.step.noCandidate = search
+		*failedIn = p.number
 		return nil
 	}
 	r := p.ranking(t, nodes, waitExpired, bounded)
@@ -271,7 +284,7 @@
 	}
 	n := r.Best(t.avoidWorker, accept)
 	if n == nil {
-		t.step.noCandidate = search
+		*failedIn = p.number
 		if accept == nil && !def.BestEffort {
 			p.noRoom[key] = struct{}{}
 		}
