Limit the held workers with a label by their own number

Callers would see: urgent tasks that need a rare label wait although workers with the label have room.

Services that need a label could hold all workers that have it. Found by a review.

Change: the limit for a task that needs a label is the share of the workers with that label. It is counted once in a plan.

Evidence: TestRareLabelIsNotHeldAltogether failed before (none of five short tasks placed).

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -5,7 +5,8 @@
 	"clementinewalk.example/clementinewalk/internal/resource"
 )
 
-// maxHeldShare is the share of a pool's workers that are held at the same time. At least one may be.
+// maxHeldShare is the share of a pool's workers, or of those with the label that a task needs, that are held at the same
+// time. At least one may be.
 const maxHeldShare = 0.02
 
 // hold keeps the worker with the most free processors for a long-running task that has run before and finds no room.
@@ -17,7 +18,7 @@
 	}
 	pool := t.job().terms.Pool
 	nodes := p.candidates(pool)
-	if p.held >= max(1, int(maxHeldShare*float64(len(nodes)))) {
+	if p.held >= p.maxHeld(pool, t.step.def.Label) {
 		return
 	}
 	key := p.holdKey(t)
@@ -37,6 +38,26 @@
 	p.bound.forgetRoom(pool)
 }
 
+// maxHeld returns how many workers may be held when a task that needs a label, which may be empty, wants one more. Workers
+// with a rare label must not all be held.
+func (p *plan) maxHeld(pool, label string) int {
+	key := poolLabel{pool: pool, label: label}
+	limit, ok := p.heldLimits[key]
+	if !ok {
+		n := 0
+		for _, node := range p.candidates(pool) {
+			if label == "" || p.core.workersByID[node.Index].hasLabel(label) {
+				n++
+			}
+		}
+		limit = max(1, int(maxHeldShare*float64(n)))
+		p.heldLimits[key] = limit
+	}
+	return limit
+}
+
+type poolLabel struct{ pool, label string }
+
 // mostFree returns the node with the most free processors among those that have room for the task once their short tasks
 // have ended; nil if there is none. In a full pool few nodes have that room, so it is checked before what the step asks
 // for.
--- a/internal/dispatch/hold_test.go
+++ b/internal/dispatch/hold_test.go
@@ -93,6 +93,32 @@
 	assert.LessOrEqual(t, c.planCost.checks, 2*workers, "a worker is checked once for each of the two searches")
 }
 
+// Guards against services that hold all workers with a rare label, so that short tasks with that label find no room.
+func TestRareLabelIsNotHeldAltogether(t *testing.T) {
+	const workers, labelled = 500, 5
+	f := newFleet(1, fleetLoad{workers: workers})
+	c := f.core
+	for i, w := range c.sortedWorkers() {
+		w.fenced = true
+		w.node.Reserved = fleetCapacity
+		if i >= labelled {
+			w.longRunning = fleetCapacity
+			continue
+		}
+		w.Labels = []string{"rare"}
+		w.node.Reserved = w.node.Reserved.Sub(resource.Vector{MilliCores: 2000, MemoryMB: 2000})
+	}
+	f.submit(workflow.Step{Count: 2 * labelled, LongRunning: true, Label: "rare",
+		Size: resource.Vector{MilliCores: 9000, MemoryMB: 100}})
+	for _, task := range c.pending {
+		task.run = 1
+	}
+	f.now += restartWait
+	f.submit(workflow.Step{Count: labelled, Label: "rare", Size: resource.Vector{MilliCores: 1000, MemoryMB: 100}, Estimate: time.Second})
+	c.Plan(f.now)
+	assert.Len(t, c.pending, 2*labelled, "the short tasks are placed beside the held worker")
+}
+
 func BenchmarkPlanWithServicesWithoutRoom(b *testing.B) {
 	const workers, waiting = 392, 80
 	now := time.Minute
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -115,6 +115,8 @@
 	changed []*assign.Node
 	// held is the number of workers that get no other task in this plan.
 	held int
+	// heldLimits caches maxHeld.
+	heldLimits map[poolLabel]int
 	// noHold holds the tasks for which no other worker can be held.
 	noHold map[holdKey]struct{}
 }
@@ -185,7 +187,7 @@
 	c.planNumber++
 	return &plan{core: c, number: c.planNumber, now: now, healthy: map[string][]*assign.Node{}, all: map[string][]*assign.Node{},
 		noRoom: map[noRoomKey]struct{}{}, bound: newBestEffortBound(c, now),
-		rankings: map[rankingKey]*planRanking{}, noHold: map[holdKey]struct{}{}}
+		rankings: map[rankingKey]*planRanking{}, noHold: map[holdKey]struct{}{}, heldLimits: map[poolLabel]int{}}
 }
 
 // candidates returns the workers of a pool that may get tasks.
