Don't attribute an answer that names no incarnation to the newest one

A worker that restarts under its id accepts a start that was meant for its earlier incarnation. The owner told them apart by the start time in the answer, but the protocol promises it for a worker's entry and its lists only. An answer without it counted as one of the incarnation known so far: when the next entry was read, the attempt was taken to have ended with that incarnation and started elsewhere, while the newest one ran it. The clock reading of such an answer was used as well, though a late one may be of the earlier incarnation.

An attempt now ends with an incarnation only if that one is known to have begun it (acceptedBy): an answer or a list names it. Otherwise the next list of the newest incarnation decides. Clock readings are taken from answers that name their incarnation.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -49,10 +49,10 @@
 		c.revokePlacement(now, t)
 	case err == nil:
 		if !c.observeAnswer(now, t.worker, a) {
-			c.startedEarlier(now, t)
+			c.startedEarlier(now, t, a.StartedAt)
 			return
 		}
-		c.adopt(t)
+		c.accept(t, a.StartedAt)
 		t.startState, t.settledAt, t.startedAt = startSettled, now, now
 		c.timing.observe(phaseStart, now-t.storedAt)
 		if t.stopWanted {
@@ -78,7 +78,8 @@
 }
 
 // startedEarlier applies an answer by which an earlier incarnation of the worker has started the attempt before it ended.
-func (c *Core) startedEarlier(now time.Duration, t *task) {
+func (c *Core) startedEarlier(now time.Duration, t *task, startedAt int64) {
+	c.accept(t, startedAt)
 	t.startState, t.settledAt, t.startedAt = startSettled, now, now
 	c.resolveSettled(now, t)
 }
@@ -110,7 +111,7 @@
 		}
 	case ReasonStaleAttempt:
 		if !newest {
-			c.startedEarlier(now, t)
+			c.startedEarlier(now, t, r.Answer.StartedAt)
 			return
 		}
 		// The worker has started or stopped this attempt before. Its next list shows whether the attempt is running.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -235,7 +235,7 @@
 	t.worker, t.startState, t.commitBatch = nil, startNone, 0
 	t.phase = workflow.Pending
 	// An answer to a stop of this attempt that arrives later is ignored, so its flags are reset here.
-	t.adopted = false
+	t.adopted, t.acceptedBy = false, 0
 	t.stopWanted, t.stopInFlight, t.hadUnansweredStart, t.reported, t.startCalls, t.retryAt = false, false, false,
 		false, 0, 0
 	t.percent, t.load, t.cpuLimit, t.cpuLimitInFlight, t.startedAt = 0, 0, noLimitPercent, false, 0
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -122,6 +122,12 @@
 		c.logger.Warn("another incarnation answers at the worker's address", "worker", w.ID, "leaving", w.Leaving,
 			"tasks", len(w.tasks), "silent_ms", (now - w.clockReadAt).Milliseconds())
 	}
+	for t := range w.tasks {
+		if t.startedAt != 0 {
+			// Every incarnation under the worker's id has ended.
+			t.acceptedBy = max(t.acceptedBy, w.StartedAt)
+		}
+	}
 	c.workerCrashed(w, w.StartedAt+1)
 }
 
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -269,7 +269,7 @@
 			continue
 		}
 		t.listedIn = c.lists
-		c.adopt(t)
+		c.accept(t, a.StartedAt)
 		t.observe(now, r)
 		c.clearSuspicion(t)
 		c.moveStalled(now, t)
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -21,12 +21,14 @@
 }
 
 // observeAnswer applies the incarnation and the clock reading of an answer, and reports whether the newest known
-// incarnation has answered.
+// incarnation may have answered. Any incarnation may have sent an answer that names none.
 func (c *Core) observeAnswer(now time.Duration, w *worker, a CallAnswer) bool {
 	if !c.observeIncarnation(now, w, a.StartedAt) {
 		return false
 	}
-	w.observeClock(now, a.Clock)
+	if a.StartedAt != 0 {
+		w.observeClock(now, a.Clock)
+	}
 	return true
 }
 
@@ -111,15 +113,18 @@
 	}
 }
 
-// unresolved reports whether the start is settled, but no incarnation of the worker is known to have begun the attempt.
-func (t *task) unresolved() bool { return t.startState == startSettled && t.startedAt == 0 }
+// unresolved reports whether the start is settled, but it is not known which incarnation of the worker has begun the
+// attempt, if any.
+func (t *task) unresolved() bool { return t.startState == startSettled && t.acceptedBy == 0 }
 
-// adopt notes that the newest incarnation of the worker runs an attempt that was meant for an earlier one.
-func (c *Core) adopt(t *task) {
-	if !t.outdated() {
+// accept notes that an incarnation has begun the attempt; 0 if it is unknown. The newest one adopts an attempt that was
+// meant for an earlier one.
+func (c *Core) accept(t *task, startedAt int64) {
+	t.acceptedBy = max(t.acceptedBy, startedAt)
+	w := t.worker
+	if !t.outdated() || startedAt != w.StartedAt {
 		return
 	}
-	w := t.worker
 	c.logger.Info("attempt adopted from a restarted worker", "task", t.id, "run", t.run, "worker", w.ID,
 		"before", t.workerStartedAt, "born", w.StartedAt)
 	t.workerStartedAt, t.adopted = w.StartedAt, true
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -21,14 +21,19 @@
 	for name, test := range map[string]struct {
 		lossShare float64
 		takeOver  time.Duration
+		unnamed   bool
 	}{
-		"answered":   {},
-		"unanswered": {lossShare: 0.5},
-		"owner lost": {takeOver: 40 * time.Millisecond},
+		"answered":           {},
+		"unanswered":         {lossShare: 0.5},
+		"owner lost":         {takeOver: 40 * time.Millisecond},
+		"unnamed":            {unnamed: true},
+		"unnamed unanswered": {lossShare: 0.5, unnamed: true},
+		"unnamed owner lost": {takeOver: 40 * time.Millisecond, unnamed: true},
 	} {
 		for seed := range uint64(20) {
 			t.Run(fmt.Sprint(name, seed), func(t *testing.T) {
 				sim := newSimulation(t, seed, 3)
+				sim.unnamedAnswers = test.unnamed
 				sim.run(5 * time.Second)
 				sim.restartUnlisted("a", heartbeat)
 				sim.delayLeaseCalls(60 * time.Millisecond)
@@ -173,13 +178,18 @@
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			randomRestarts(t, seed)
+			randomRestarts(t, seed, false)
+		})
+		t.Run(fmt.Sprint("unnamed", seed), func(t *testing.T) {
+			t.Parallel()
+			randomRestarts(t, seed, true)
 		})
 	}
 }
 
-func randomRestarts(t *testing.T, seed uint64) {
+func randomRestarts(t *testing.T, seed uint64, unnamed bool) {
 	sim := newSimulation(t, seed, 5)
+	sim.unnamedAnswers = unnamed
 	rng := rand.New(rand.NewPCG(seed, 11))
 	sim.callLossShare, sim.listedEnds = 0.05, fewListedEnds
 	var jobs []workflow.JobID
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -110,6 +110,8 @@
 	hadUnansweredStart bool
 	stopWanted         bool
 	stopInFlight       bool
+	// acceptedBy is the newest incarnation of the worker that is known to have begun the attempt; 0 if none is.
+	acceptedBy int64
 	// adopted is set if the attempt was meant for an earlier incarnation of the worker that runs it.
 	adopted bool
 	percent int
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -74,6 +75,8 @@
 	silentCrashes bool
 	// generation numbers the workers that returned under new ids.
 	generation int
+	// unnamedAnswers leaves the incarnation out of the answers to calls about tasks.
+	unnamedAnswers bool
 }
 
 type event struct {
@@ -451,10 +454,10 @@
 	// A worker that has restarted under its id accepts calls that were meant for its earlier incarnation.
 	switch c := o.(type) {
 	case StartOrder:
-		a, err := sim.start(f, c.Call)
+		a, err := sim.unname(sim.start(f, c.Call))
 		answer(func() { core.StartReturned(sim.now, c, a, err) })
 	case StopOrder:
-		a, err := sim.stop(f, c.Call)
+		a, err := sim.unname(sim.stop(f, c.Call))
 		answer(func() { core.StopReturned(sim.now, c, a, err) })
 	case CPULimitOrder:
 		if r := f.running[c.Call.Attempt]; r != nil {
@@ -465,7 +468,8 @@
 			sim.contention.limitOrders++
 		}
 		answer(func() {
-			core.CPULimitReturned(sim.now, c, CallAnswer{Clock: sim.clock(f), StartedAt: f.startedAt}, nil)
+			a, err := sim.unname(CallAnswer{Clock: sim.clock(f), StartedAt: f.startedAt}, nil)
+			core.CPULimitReturned(sim.now, c, a, err)
 		})
 	case LeaseOrder:
 		sent := sim.now - oneWayDelay
@@ -480,6 +484,19 @@
 	}
 }
 
+// unname removes the incarnation from an answer to a call about a task, if unnamedAnswers is set.
+func (sim *simulation) unname(a CallAnswer, err error) (CallAnswer, error) {
+	if !sim.unnamedAnswers {
+		return a, err
+	}
+	a.StartedAt = 0
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		refused.Answer.StartedAt = 0
+	}
+	return a, err
+}
+
 func (sim *simulation) state(id workflow.JobID) workflow.State { return sim.catalog.Find(id).State() }
 
 // restart gives a worker a new incarnation under its id.
