--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -46,6 +46,7 @@
 		takeOvers   []time.Duration
 		mostCrashes int
 		silent      bool
+		unnamed     bool
 	}{
 		"short":                    {step: step},
 		"long-running":             {step: lasting},
@@ -53,6 +54,7 @@
 		"before the answer":        {step: step, delay: time.Millisecond, mostCrashes: crashBound},
 		"gang":                     {step: gang},
 		"same id":                  {step: step, keepsID: true},
+		"same id, unnamed answers": {step: step, keepsID: true, unnamed: true},
 		"back after the lease":     {step: step, downtime: 8 * time.Second},
 		"crash after a second":     {step: lasting, delay: time.Second, mostCrashes: crashBound},
 		"owner lost between":       {step: step, takeOvers: []time.Duration{7 * time.Second}},
@@ -62,7 +64,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			sim := newSimulation(t, 1, 8)
-			sim.keepsID, sim.silentCrashes = test.keepsID, test.silent
+			sim.keepsID, sim.silentCrashes, sim.unnamedAnswers = test.keepsID, test.silent, test.unnamed
 			if test.downtime > 0 {
 				sim.downtime = test.downtime
 			}
