Give submissions with nothing running a turn beside a backlog

Callers saw (LOST): after bursts of best-effort submissions, accepted ones wait without end for a first or next task, while under half of the pool's processors are reserved.

Cause: a submission with nothing running was exempt from the bound on best-effort work only while tasks request less than half of the pool, and that sum contained what best-effort tasks request. A backlog keeps those processors busy on purpose, so the exemption was off whenever it was needed. The order left the room to the oldest submissions.

Change: the exemption is gone. Each plan ends with turns (turns.go): while tasks reserve less than half of the pool, a submission that has had nothing running for 0.4 s gets one task beyond the bound, the longest wait first. Turns keep half of the margins of services, avoid workers whose services are near their objective, and come at a pace for each worker. The placement summary tells how many submissions have nothing running and for how long.

Joined with the changes to plans: the turns are chosen before the search of a step is looked up, and the searches no longer tell bounded tasks apart, since all best-effort tasks are.

--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -28,30 +28,16 @@
 	withRoom map[resource.Vector][]*assign.Node
 	// services holds the service images of each worker.
 	services []map[string]int
-	// idle reports whether tasks request less than idleShare of the processors of the pool.
-	idle bool
 }
 
-const (
-	// idleShare is the share of a pool's processors below which the bound does not apply to a submission that has nothing
-	// running and has waited for maxIdleWait: while half of the pool is idle, such a submission must not wait for 3 s.
-	idleShare   = 0.5
-	maxIdleWait = time.Second
-)
-
 func newBestEffortBound(c *Core, now time.Duration) *bestEffortBound {
 	return &bestEffortBound{core: c, now: now, margins: map[string]float64{}, pools: map[string]*poolBound{}}
 }
 
-// exempts reports whether the bound does not apply to a task. nodes are all candidates of its pool.
-func (b *bestEffortBound) exempts(t *task, nodes []*assign.Node) bool {
-	return b.pool(t.job().terms.Pool, nodes).idle && t.job().placed == 0 && b.now-t.queuedAt >= maxIdleWait
-}
-
 // full reports whether no worker could take a task like t earlier in the plan.
-func (b *bestEffortBound) full(t *task, nodes []*assign.Node) bool {
+func (b *bestEffortBound) full(t *task) bool {
 	def := t.step.def
-	for _, size := range b.pool(t.job().terms.Pool, nodes).noHeadroom[def.Image] {
+	for _, size := range b.pool(t.job().terms.Pool).noHeadroom[def.Image] {
 		if size.Fits(def.Size) {
 			return true
 		}
@@ -60,14 +46,14 @@
 }
 
 // noteFull notes that no worker can take a task like t.
-func (b *bestEffortBound) noteFull(t *task, nodes []*assign.Node) {
-	pool, def := b.pool(t.job().terms.Pool, nodes), t.step.def
+func (b *bestEffortBound) noteFull(t *task) {
+	pool, def := b.pool(t.job().terms.Pool), t.step.def
 	pool.noHeadroom[def.Image] = append(pool.noHeadroom[def.Image], def.Size)
 }
 
 // withRoom returns the nodes that have the resources and processors for a task like t, whatever its image.
 func (b *bestEffortBound) withRoom(t *task, nodes []*assign.Node) []*assign.Node {
-	pool, def := b.pool(t.job().terms.Pool, nodes), t.step.def
+	pool, def := b.pool(t.job().terms.Pool), t.step.def
 	if out, ok := pool.withRoom[def.Size]; ok {
 		return out
 	}
@@ -92,7 +78,7 @@
 // admits returns a function that reports whether a node with enough free resources can take a task like t.
 func (b *bestEffortBound) admits(t *task, nodes []*assign.Node) func(*assign.Node) bool {
 	def := t.step.def
-	share := b.share(b.pool(t.job().terms.Pool, nodes), nodes, def.Image)
+	share := b.share(b.pool(t.job().terms.Pool), nodes, def.Image)
 	size := requestedMilliCores(def)
 	return func(n *assign.Node) bool {
 		w := b.core.workersByID[n.Index]
@@ -100,18 +86,12 @@
 	}
 }
 
-func (b *bestEffortBound) pool(name string, nodes []*assign.Node) *poolBound {
+func (b *bestEffortBound) pool(name string) *poolBound {
 	if p, ok := b.pools[name]; ok {
 		return p
 	}
-	requested, capacity := int64(0), int64(0)
-	for _, n := range nodes {
-		requested += n.Reserved.MilliCores + n.BestEffort
-		capacity += n.Capacity.MilliCores
-	}
 	p := &poolBound{shares: map[string]float64{}, noHeadroom: map[string][]resource.Vector{},
-		withRoom: map[resource.Vector][]*assign.Node{},
-		idle:     float64(requested) < idleShare*float64(capacity)}
+		withRoom: map[resource.Vector][]*assign.Node{}}
 	b.pools[name] = p
 	return p
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -111,6 +111,8 @@
 	timing  phaseTimes
 	// planCost is reset with each summary.
 	planCost planCost
+	// lastInTimeWait holds, for each pool, when a best-effort task that can be in time last waited for minInTimeWait.
+	lastInTimeWait map[string]time.Duration
 	// objectives holds the latency objective of each service image.
 	objectives map[string]time.Duration
 }
@@ -141,7 +143,8 @@
 		predecessorUntil: stored.PredecessorUntil, silentLeases: stored.SilentLeases,
 		unfenced: map[catalog.Incarnation]struct{}{}, earlierUntil: stored.EarlierUntil,
 		suspects: map[*task]struct{}{}, storedCrashes: stored.Suspects,
-		model: interference.Restore(now, stored.Interference), objectives: map[string]time.Duration{}}
+		model: interference.Restore(now, stored.Interference), objectives: map[string]time.Duration{},
+		lastInTimeWait: map[string]time.Duration{}}
 	for _, i := range stored.Unfenced {
 		c.unfenced[i] = struct{}{}
 	}
@@ -230,6 +233,10 @@
 
 // release is unplace without a change of the record.
 func (c *Core) release(t *task) {
+	j := t.job()
+	if t.startedAt > 0 {
+		j.idleSince = c.eventTime
+	}
 	t.worker.removeTask(t)
 	c.planNeeded = true
 	t.worker, t.startState, t.commitBatch = nil, startNone, 0
@@ -241,7 +248,6 @@
 	t.percent, t.load, t.cpuLimit, t.cpuLimitInFlight, t.startedAt = 0, 0, noLimitPercent, false, 0
 	t.targetCPULimit, t.slowedSince, t.objectiveViolation = noLimitPercent, 0, objectiveViolation{}
 	delete(c.needsOrder, t)
-	j := t.job()
 	j.placed--
 	if j.placed == 0 && j.state.Over() {
 		j.rounds = nil
--- a/internal/dispatch/exhaustive_test.go
+++ b/internal/dispatch/exhaustive_test.go
@@ -26,9 +26,12 @@
 	held         map[string]bool
 	holds        int
 	bound        *bestEffortBound
-	idle         *bool
-	shares       map[string]float64
-	placements   int
+	// lastInTimeWait is when a best-effort task that can be in time last waited for minInTimeWait; 0 if none has.
+	lastInTimeWait time.Duration
+	// turns counts the tasks that were placed as a turn of their submission.
+	turns      int
+	shares     map[string]float64
+	placements int
 	// uncommitted is the number of uncommitted placements before the plan.
 	uncommitted int
 	lastPlan    time.Duration
@@ -37,7 +40,8 @@
 func newExhaustivePlan(c *Core, now time.Duration) *exhaustivePlan {
 	x := &exhaustivePlan{core: c, now: now, pending: slices.Clone(c.pending), workers: map[string]*worker{},
 		placed: map[*job]int{}, lastShortage: c.lastShortage, held: map[string]bool{}, bound: newBestEffortBound(c, now),
-		shares: map[string]float64{}, uncommitted: len(c.uncommitted), lastPlan: c.lastPlan}
+		shares: map[string]float64{}, uncommitted: len(c.uncommitted), lastPlan: c.lastPlan,
+		lastInTimeWait: c.lastInTimeWait["pool"]}
 	for id, w := range c.workers {
 		o := *w
 		o.tasks, o.node.Services, o.load.BestEffort = maps.Clone(w.tasks), maps.Clone(w.node.Services),
@@ -67,29 +71,49 @@
 }
 
 func (x *exhaustivePlan) admits(t *task, nodes []*assign.Node) func(n *assign.Node) bool {
-	def := t.step.def
-	if x.idle == nil {
-		requested, capacity := int64(0), int64(0)
-		for _, n := range nodes {
-			requested += n.Reserved.MilliCores + n.BestEffort
-			capacity += n.Capacity.MilliCores
-		}
-		idle := float64(requested) < idleShare*float64(capacity)
-		x.idle = &idle
-	}
-	if *x.idle && x.placed[t.job()] == 0 && x.now-t.queuedAt >= maxIdleWait {
-		return func(*assign.Node) bool { return true }
+	def, share := t.step.def, x.share(t, nodes)
+	return func(n *assign.Node) bool {
+		return x.workers[n.ID].load.Fits(x.bound, n.Services, def.Image, requestedMilliCores(def), share)
 	}
-	if _, ok := x.shares[def.Image]; !ok {
+}
+
+func (x *exhaustivePlan) share(t *task, nodes []*assign.Node) float64 {
+	image := t.step.def.Image
+	if _, ok := x.shares[image]; !ok {
 		var services []map[string]int
 		for _, n := range nodes {
 			services = append(services, n.Services)
 		}
-		x.shares[def.Image] = headroom.Share(x.bound, services, def.Image)
+		x.shares[image] = headroom.Share(x.bound, services, image)
 	}
-	return func(n *assign.Node) bool {
-		return x.workers[n.ID].load.Fits(x.bound, n.Services, def.Image, requestedMilliCores(def), x.shares[def.Image])
+	return x.shares[image]
+}
+
+// turnIsDue reports whether a task may take a turn if the pool is idle.
+func (x *exhaustivePlan) turnIsDue(t *task) bool {
+	inTimeWaits := x.lastInTimeWait != 0 && x.now-x.lastInTimeWait < inTimeWaitMemory
+	return x.placed[t.job()] == 0 && x.now-t.job().idleSince >= maxIdleWait && x.now-t.queuedAt >= maxIdleWait &&
+		(t.tier(x.now) == tierOnTime || !inTimeWaits)
+}
+
+// turn returns the node for a turn of a task.
+func (x *exhaustivePlan) turn(t *task, actual string) *assign.Node {
+	nodes := x.candidates(false)
+	reserved, capacity := int64(0), int64(0)
+	for _, n := range nodes {
+		reserved += n.Reserved.MilliCores
+		capacity += n.Capacity.MilliCores
+	}
+	if float64(reserved) >= idleShare*float64(capacity) || !x.turnIsDue(t) {
+		return nil
 	}
+	share := max(turnMarginShare, x.share(t, nodes))
+	nodes = slices.DeleteFunc(nodes, func(n *assign.Node) bool {
+		w := x.workers[n.ID]
+		return !w.load.BelowObjectives() || x.now < w.nextTurn ||
+			!w.load.KeepsMargins(x.bound, n.Services, t.step.def.Image, requestedMilliCores(t.step.def), share)
+	})
+	return x.best(t, nodes, actual)
 }
 
 // tailRise predicts the rise on a copy of a worker. The sums of services depend on the order of tasks by rounding
@@ -117,14 +141,19 @@
 }
 
 func (x *exhaustivePlan) choose(t *task, actual string) *assign.Node {
-	def := t.step.def
 	nodes := x.candidates(t.waitExpired(x.now))
-	if def.BestEffort {
+	if t.step.def.BestEffort {
 		admits := x.admits(t, nodes)
 		nodes = slices.DeleteFunc(slices.Clone(nodes), func(n *assign.Node) bool { return !admits(n) })
 	}
+	return x.best(t, nodes, actual)
+}
+
+// best returns the best of the nodes that the task's step and its failures allow.
+func (x *exhaustivePlan) best(t *task, nodes []*assign.Node, actual string) *assign.Node {
+	def := t.step.def
 	spared := t.lastAttempt() && x.now-t.queuedAt < lastAttemptWait
-	nodes = slices.DeleteFunc(nodes, func(n *assign.Node) bool {
+	nodes = slices.DeleteFunc(slices.Clone(nodes), func(n *assign.Node) bool {
 		w := x.workers[n.ID]
 		return def.MaxPerWorker > 0 && w.countStepTasks(t.step) >= def.MaxPerWorker || spared && w.consecutiveFailures > 0
 	})
@@ -173,6 +202,7 @@
 		actual[t] = t.worker.ID
 	}
 	sortTasks(x.now, x.pending)
+	var rest []*task
 	for _, t := range x.pending {
 		if t.job().state.Over() {
 			continue
@@ -180,6 +210,7 @@
 		scarce := x.lastShortage != 0 && x.now-x.lastShortage < scarcityDuration
 		mustWait := scarce && t.tier(x.now) == tierLongRunning && t.queuedAt > x.core.ownerSince &&
 			!t.waitExpired(x.now)
+		d := t.step.def
 		if x.placements < maxPlacements && t.notBefore <= x.now && !mustWait {
 			n := x.choose(t, actual[t])
 			if n != nil {
@@ -188,20 +219,51 @@
 				continue
 			}
 			x.hold(t)
+			if d.BestEffort && !t.restricted() && x.now-t.queuedAt >= minInTimeWait && t.tier(x.now) == tierOnTime {
+				x.lastInTimeWait = x.now
+			}
 		}
-		require.Empty(tb, actual[t], "worker of %s at %s, which finds no room", t.id, x.now)
-		if d := t.step.def; !d.LongRunning && !d.BestEffort && t.notBefore <= x.now && t.tier(x.now) == tierOnTime {
+		rest = append(rest, t)
+		if !d.LongRunning && !d.BestEffort && t.notBefore <= x.now && t.tier(x.now) == tierOnTime {
 			x.lastShortage = x.now
 		}
 	}
+	x.checkTurns(tb, rest, actual)
+}
+
+// checkTurns requires that the plan has given turns to those of the pending tasks that may have one, and to no others.
+func (x *exhaustivePlan) checkTurns(tb testing.TB, pending []*task, actual map[*task]string) {
+	slices.SortStableFunc(pending, func(a, b *task) int { return compareTurns(x.now, a, b) })
+	tried := map[*job]bool{}
+	for _, t := range pending {
+		if t.step.def.BestEffort && t.notBefore <= x.now && !tried[t.job()] &&
+			x.placements < maxPlacements {
+			tried[t.job()] = x.turnIsDue(t)
+			if n := x.turn(t, actual[t]); n != nil {
+				require.Equal(tb, n.ID, actual[t], "worker of %s, a turn at %s", t.id, x.now)
+				x.workers[n.ID].nextTurn = x.now + turnInterval
+				x.turns++
+				x.add(t, n)
+				continue
+			}
+		}
+		require.Empty(tb, actual[t], "worker of %s at %s, which finds no room", t.id, x.now)
+	}
 }
 
 // Guards against a plan whose cached scores lead to other workers than a search through all of them for each task.
 func TestPlanChoosesLikeAnExhaustiveSearch(t *testing.T) {
-	load := fleetLoad{workers: 60, serviceJobs: 10, batchRate: 1.4, quickRate: 1, exclusiveRate: 20, failShare: 0.03,
+	crowded := fleetLoad{workers: 60, serviceJobs: 10, batchRate: 1.4, quickRate: 1, exclusiveRate: 20, failShare: 0.03,
 		warmUp: 2 * time.Second, steady: 3 * time.Second, burst: 3 * time.Second, end: time.Second}
-	placements, holds, avoided := 0, 0, 0
-	for seed := range uint64(3) {
+	// Few services and more best-effort work than the processors can run.
+	idle := fleetLoad{workers: 20, serviceJobs: 1, batchRate: 4, quickRate: 1, exclusiveRate: 2, failShare: 0.03,
+		warmUp: 2 * time.Second, steady: 3 * time.Second, burst: 3 * time.Second, end: 3 * time.Second}
+	placements, holds, avoided, turns := 0, 0, 0, 0
+	for seed := range uint64(4) {
+		load := crowded
+		if seed == 3 {
+			load = idle
+		}
 		f := newFleet(seed, load)
 		var x *exhaustivePlan
 		steps := 0
@@ -217,7 +279,7 @@
 				return
 			}
 			x.check(t)
-			placements, holds = placements+x.placements, holds+x.holds
+			placements, holds, turns = placements+x.placements, holds+x.holds, turns+x.turns
 			for _, p := range f.core.pending {
 				if p.avoidWorker != "" && p.phase == workflow.Pending {
 					avoided++
@@ -229,4 +291,5 @@
 	assert.Greater(t, placements, 500)
 	assert.Positive(t, holds, "no worker was held")
 	assert.Positive(t, avoided, "no task avoided a worker")
+	assert.Positive(t, turns, "no submission took a turn")
 }
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -70,6 +70,8 @@
 	fullUntil time.Duration
 	// worstTailRatio is the highest ratio of tail latency to objective among the services on the worker.
 	worstTailRatio float64
+	// nextTurn is the time from which the worker may take a turn of another submission.
+	nextTurn time.Duration
 }
 
 // silence is the state of the stored record that a worker does not answer. While the record exists, the worker gets no
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -32,6 +32,8 @@
 	recordChanged, endedStored bool
 	open                       int // number of rounds that are not done
 	placed                     int // number of tasks in the phase workflow.Placed
+	// idleSince is when the last running task ended or was lost; the time of acceptance before the first.
+	idleSince time.Duration
 }
 
 // round is one execution of all steps of a submission.
@@ -174,7 +176,8 @@
 
 // addJob adds a submission and restores the stored state of its tasks.
 func (c *Core) addJob(now time.Duration, stored *catalog.Job) *job {
-	j := &job{submission: stored.Submission, terms: stored.Submission.Terms, offset: stored.Offset}
+	j := &job{submission: stored.Submission, terms: stored.Submission.Terms, offset: stored.Offset,
+		idleSince: now}
 	c.jobs[j.submission.Job] = j
 	c.refreshTerms(j)
 	if err := stored.Submission.Check(); err != nil {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -41,11 +41,13 @@
 		}
 		if t.unplaced = p.tryPlace(t); t.unplaced != unplacedNone {
 			c.noteShortage(now, t)
+			c.noteInTimeWait(now, t)
 			rest = append(rest, t)
 			continue
 		}
 		t.queued = false
 	}
+	rest = p.giveTurns(rest)
 	clear(c.pending[len(rest):])
 	c.pending = rest
 	if p.placed >= maxPlacements {
@@ -111,6 +113,8 @@
 	noRoom   map[noRoomKey]struct{}
 	bound    *bestEffortBound
 	rankings map[rankingKey]*planRanking
+	// turns is set once the plan gives turns to submissions with nothing running.
+	turns *turns
 	// changed holds the nodes that have taken a task, in order.
 	changed []*assign.Node
 	// held is the number of workers that get no other task in this plan.
@@ -142,16 +146,16 @@
 
 // candidateSearch identifies the tasks of a step for which the same workers are candidates in a plan.
 type candidateSearch struct {
-	waitExpired, bounded bool
-	caution              caution
+	waitExpired bool
+	caution     caution
 }
 
 // candidateSearches is the number of different searches.
-const candidateSearches = 16
+const candidateSearches = 8
 
 func (s candidateSearch) index() int {
 	i := 0
-	for _, set := range [...]bool{s.waitExpired, s.bounded, s.caution.spared, s.caution.isolated} {
+	for _, set := range [...]bool{s.waitExpired, s.caution.spared, s.caution.isolated} {
 		i *= 2
 		if set {
 			i++
@@ -261,25 +265,27 @@
 // chooseNode returns the node for a task that does not belong to a gang, or nil.
 func (p *plan) chooseNode(t *task) *assign.Node {
 	def, caution, waitExpired := t.step.def, p.caution(t), t.waitExpired(p.now)
+	filter := p.requireApproval(t, caution.filter(t.job()))
+	if p.turns != nil {
+		return p.chooseTurn(t, filter)
+	}
 	key := p.noRoomKey(t, waitExpired)
 	if _, ok := p.noRoom[key]; ok {
 		return nil
 	}
-	nodes := p.nodes(t, waitExpired)
-	bounded := def.BestEffort && !p.bound.exempts(t, nodes)
-	failedIn := &t.step.noCandidate[candidateSearch{waitExpired: waitExpired, bounded: bounded, caution: caution}.index()]
+	failedIn := &t.step.noCandidate[candidateSearch{waitExpired: waitExpired, caution: caution}.index()]
 	if *failedIn == p.number {
 		return nil
 	}
-	if bounded && p.bound.full(t, nodes) {
+	nodes, bounded := p.nodes(t, waitExpired), def.BestEffort
+	if bounded && p.bound.full(t) {
 		*failedIn = p.number
 		return nil
 	}
 	r := p.ranking(t, nodes, waitExpired, bounded)
 	if bounded && r.Empty() {
-		p.bound.noteFull(t, nodes)
+		p.bound.noteFull(t)
 	}
-	filter := p.requireApproval(t, caution.filter(t.job()))
 	var accept func(*assign.Node) bool
 	if t.restricted() || filter != nil {
 		accept = func(n *assign.Node) bool { return p.allows(n, t, filter) }
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -23,6 +23,10 @@
 	// bestEffort is the thousandths of a core that the placed best-effort tasks request, waitingBestEffort that of the
 	// waiting ones.
 	bestEffort, waitingBestEffort int64
+	// idleSubmissions counts the submissions whose waiting tasks could run while none is placed; longestIdle is the longest
+	// time without a running task among them.
+	idleSubmissions int
+	longestIdle     time.Duration
 	// longRunning is what the long-running tasks among the placed ones reserve.
 	longRunning resource.Vector
 }
@@ -32,7 +36,12 @@
 
 func (c *Core) newSummary(now time.Duration) summary {
 	s := summary{workers: len(c.workers), waitingByQueue: map[string]int{}, waitingByTier: map[string]int{}}
+	idle := map[*job]struct{}{}
 	for _, t := range c.pending {
+		if j := t.job(); j.placed == 0 {
+			idle[j] = struct{}{}
+			s.longestIdle = max(s.longestIdle, t.idleTime(now))
+		}
 		s.waiting++
 		s.asked = s.asked.Add(t.reserved())
 		s.waitingByQueue[t.job().terms.Queue]++
@@ -44,6 +53,7 @@
 			s.waitingBestEffort += requestedMilliCores(t.step.def)
 		}
 	}
+	s.idleSubmissions = len(idle)
 	for _, w := range c.workers {
 		s.placed += len(w.tasks)
 		if w.failingSince != 0 {
@@ -73,7 +83,8 @@
 	c.logWaitingServices(now)
 	c.logger.Info("placement summary", "epoch", c.epoch, "workers", s.workers, "usable", s.usable, "silent", s.silent,
 		"placed", s.placed, "waiting", s.waiting, "image_mixtures", s.mixtures,
-		"waiting_services", s.waitingServices, "waiting_by_queue", s.waitingByQueue,
+		"waiting_services", s.waitingServices, "idle_submissions", s.idleSubmissions,
+		"longest_idle_ms", s.longestIdle.Milliseconds(), "waiting_by_queue", s.waitingByQueue,
 		"waiting_by_tier", s.waitingByTier, "best_effort_cores", s.bestEffort/1000,
 		"waiting_best_effort_cores", s.waitingBestEffort/1000, "asked_cores", s.asked.MilliCores/1000,
 		"asked_mb", s.asked.MemoryMB, "cores", s.capacity.MilliCores/1000,
--- a/internal/headroom/headroom.go
+++ b/internal/headroom/headroom.go
@@ -60,7 +60,7 @@
 	for _, m := range l.BestEffort {
 		requested += m
 	}
-	return l.HasProcessors(requested, milliCores) && l.keepsMargins(i, services, image, milliCores, share)
+	return l.HasProcessors(requested, milliCores) && l.KeepsMargins(i, services, image, milliCores, share)
 }
 
 // HasProcessors reports the conditions of Fits that do not depend on images: no service is near its objective, and the
@@ -68,10 +68,14 @@
 // may be larger than what is ever left. requested is the sum of BestEffort.
 func (l *Load) HasProcessors(requested, milliCores int64) bool {
 	left := l.Capacity - l.Exclusive - int64(serviceUse*float64(l.Services))
-	return l.TailRatio < maxTailRatio && (requested == 0 || requested+milliCores <= left)
+	return l.BelowObjectives() && (requested == 0 || requested+milliCores <= left)
 }
 
-func (l *Load) keepsMargins(i Interference, services map[string]int, image string, milliCores int64,
+// BelowObjectives reports whether no service is near its objective.
+func (l *Load) BelowObjectives() bool { return l.TailRatio < maxTailRatio }
+
+// KeepsMargins reports the condition of Fits that depends on images: the services stay within the share of their margins.
+func (l *Load) KeepsMargins(i Interference, services map[string]int, image string, milliCores int64,
 	share float64) bool {
 	capacity := float64(max(1, l.Capacity))
 	for service := range services {
--- a/internal/headroom/headroom_test.go
+++ b/internal/headroom/headroom_test.go
@@ -79,3 +79,17 @@
 	assert.Equal(t, cautiousShare, Share(fakeInterference{}, workers(20, 0), "harmless"))
 	assert.Equal(t, cautiousShare, Share(fakeInterference{}, nil, "harmless"), "no worker is known")
 }
+
+func TestKeepsMargins(t *testing.T) {
+	sensitive := map[string]int{"sensitive": 2}
+	full := Load{Capacity: 32000, Services: 32000, BestEffort: map[string]int64{"harmless": 40000}}
+	assert.True(t, full.KeepsMargins(fakeInterference{}, sensitive, "harmful", 4000, fullShare), "whatever processors are left")
+	disturbed := Load{Capacity: 32000, Services: 10000, BestEffort: map[string]int64{"harmful": 10000}}
+	assert.False(t, disturbed.KeepsMargins(fakeInterference{}, sensitive, "harmful", 4000, fullShare))
+	assert.True(t, disturbed.KeepsMargins(fakeInterference{}, nil, "harmful", 4000, cautiousShare), "no service is disturbed")
+}
+
+func TestBelowObjectives(t *testing.T) {
+	assert.True(t, (&Load{}).BelowObjectives())
+	assert.False(t, (&Load{TailRatio: 0.8}).BelowObjectives())
+}
