Repeat a stop at the next incarnation of a worker

After a start without an answer, a stop makes the worker refuse the run, and the next list decides. If the worker restarted under its id after it had answered the stop, the next incarnation had refused nothing, but its list decided: a copy of the start could still begin there after the task was placed elsewhere.

A stop that was answered no longer clears hadUnansweredStart, so that a restart is followed by another stop.

TestStopIsRepeatedAfterARestart failed before.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -181,7 +181,7 @@
 		// An earlier incarnation has answered. The newest one may still get the start.
 		t.retryAt = now + callRetryDelay
 	case err == nil:
-		t.startState, t.settledAt, t.hadUnansweredStart = startSettled, now, false
+		t.startState, t.settledAt = startSettled, now
 		t.retryAt = now + stopRetryDelay
 		if !t.stopWanted {
 			delete(c.needsOrder, t)
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -226,3 +227,41 @@
 		}
 	}
 }
+
+// Guards against a task that runs twice: a start without an answer reaches a worker that has restarted after it had
+// answered the stop.
+func TestStopIsRepeatedAfterARestart(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.run(20 * time.Second)
+	sim.submit("0000000000000001", batchStep(1, 10*time.Second))
+	sim.run(13 * time.Millisecond)
+	b := sim.core.TakeBatch()
+	if b == nil {
+		b = sim.tasksInFlight
+	}
+	sim.tasksInFlight = nil
+	sim.core.Committed(sim.now, b.ID)
+	stops := func() (out []StopOrder) {
+		for _, o := range sim.core.Orders() {
+			if s, ok := o.(StopOrder); ok {
+				out = append(out, s)
+			}
+		}
+		return out
+	}
+	stops()
+	task := sim.core.jobs["0000000000000001"].rounds[0].steps[0].tasks[0]
+	order := StartOrder{Member: task.worker.Member, task: task, Call: StartCall{Attempt: task.attempt()}}
+	sim.core.StartReturned(sim.now, order, CallAnswer{}, &NoAnswerError{Err: io.EOF})
+	task.startCalls = maxStartCalls
+	sim.now += callRetryDelay
+	sim.core.Act(sim.now)
+	sent := stops()
+	require.Len(t, sent, 1)
+	earlier := CallAnswer{StartedAt: sim.workers["a"].startedAt, Clock: sim.clock(sim.workers["a"])}
+	sim.core.StopReturned(sim.now, sent[0], earlier, nil)
+	sim.restart("a")
+	sim.now += stopRetryDelay
+	sim.core.Act(sim.now)
+	assert.Len(t, stops(), 1, "the next incarnation has not refused the start")
+}
