Send no start that was held back by a pause of the owner

Callers would see: a task runs twice (TWICE). A worker refuses a late start by its epoch, its run or its expiry. One that has restarted under its id knows none of the three, so a start that a paused owner sends when it wakes up can begin there after the task was placed elsewhere.

Evidence: TestStartDecidedBeforeAPauseIsNotSent fails without the check.

--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"clementinewalk.example/clementinewalk/internal/clock"
 )
 
 const (
@@ -44,11 +46,12 @@
 // End ends a turn.
 func (t Turns) End() { <-t }
 
-// NotSentError reports a call that was not sent, because too many others were in flight. It has no effect.
+// NotSentError reports a call that was not sent, because too many others were in flight or because it was held back for
+// too long. It has no effect.
 type NotSentError struct{}
 
 // Error implements error.
-func (e *NotSentError) Error() string { return "call was not sent: too many others are in flight" }
+func (e *NotSentError) Error() string { return "call was not sent in time" }
 
 // LimitedWorkers bounds the calls about tasks that are in flight. More of them than the link carries within their time
 // limit would look like calls without an answer, and their repetitions would load the link further. Lease calls are not
@@ -92,7 +95,7 @@
 }
 
 func (l *LimitedWorkers) limit(ctx context.Context, m Member, do func() (CallAnswer, error)) (CallAnswer, error) {
-	w := l.worker(m.ID)
+	began, w := clock.Now(), l.worker(m.ID)
 	defer l.leave(m.ID, w)
 	if err := w.turns.Wait(ctx); err != nil {
 		return CallAnswer{}, err
@@ -102,6 +105,10 @@
 		return CallAnswer{}, err
 	}
 	defer l.turns.End()
+	if clock.Now()-began > 2*maxTurnWait {
+		// The process was paused while the call waited.
+		return CallAnswer{}, &NotSentError{}
+	}
 	return do()
 }
 
--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/clock"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 	"clementinewalk.example/clementinewalk/internal/queue"
 	"clementinewalk.example/clementinewalk/internal/standin/memlog"
@@ -272,3 +273,14 @@
 		assert.Equal(t, c.state, o.statusInterval(entries(c.bytes)), "states %+v", c)
 	}
 }
+
+// Guards against a task that runs twice: a process that was paused sends a start that it decided before.
+func TestStartDecidedBeforeAPauseIsNotSent(t *testing.T) {
+	o := &Owner{workers: noWorkers{}}
+	order := StartOrder{Member: Member{Incarnation: Incarnation{ID: "a"}}}
+	_, err := o.executeOrder(t.Context(), &Core{}, clock.Now()-3*time.Second, order)
+	var notSent *NotSentError
+	require.ErrorAs(t, err, &notSent)
+	_, err = o.executeOrder(t.Context(), &Core{}, clock.Now(), order)
+	assert.True(t, isUnanswered(err))
+}
--- a/internal/dispatch/sending.go
+++ b/internal/dispatch/sending.go
@@ -37,6 +37,8 @@
 
 // executeOrder sends an order and returns the report of its outcome to the core, with the error of the call.
 func (o *Owner) executeOrder(ctx context.Context, core *Core, sent time.Duration, order Order) (func(time.Duration), error) {
+	// A process that was paused must not send a start of before: a worker that has restarted meanwhile would accept it.
+	heldBack := clock.Now()-sent > maxTurnWait
 	switch c := order.(type) {
 	case AdviceOrder:
 		ids := make([]string, len(c.Workers))
@@ -46,6 +48,10 @@
 		a, err := o.advisor.Advise(ctx, c.Step, ids, c.Takes)
 		return func(now time.Duration) { core.AdviceReturned(now, c, a, err) }, err
 	case StartOrder:
+		if heldBack {
+			err := &NotSentError{}
+			return func(now time.Duration) { core.StartReturned(now, c, CallAnswer{}, err) }, err
+		}
 		a, err := o.workers.Start(ctx, c.Member, c.Call)
 		return func(now time.Duration) { core.StartReturned(now, c, a, err) }, err
 	case StopOrder:
