Halve the interval that plans add for each waiting task

Cause: suspected. With 1,600 waiting tasks a plan came every 20 ms; turns come at the end of a plan, and late submissions get none for half a second after a task that can be in time has waited too long.

Change: 5 us for each waiting task instead of 10.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -16,7 +16,7 @@
 	// minPlanInterval limits how often plans are made; tasks that become pending in between are placed together.
 	minPlanInterval = 10 * time.Millisecond
 	// planIntervalPerTask makes plans rarer while many tasks wait: a plan goes through all of them, for up to 2 us each.
-	planIntervalPerTask = 10 * time.Microsecond
+	planIntervalPerTask = 5 * time.Microsecond
 	// noRoomRetryInterval is the interval at which tasks that found no room are tried again if nothing has changed.
 	noRoomRetryInterval = 100 * time.Millisecond
 )
