Log the incarnations behind each lost attempt

Of two runs of one task, the logs told that the first was given up, and not by which evidence about which incarnation of its worker. The line of a lost attempt now names the incarnations (placed on, accepted by, newest) and whether a start had no answer; placements and unexpected attempts name theirs; the lost attempts are counted by evidence. An entry or answer of an earlier incarnation is logged when it is ignored: a worker whose clock was set back before it restarted was not used without any line that says so.

go test ./internal/dispatch passes.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -277,7 +277,7 @@
 	w.fenced = false
 	c.noteLost(now, w)
 	for t := range w.tasks {
-		c.attemptLost(now, t, "worker lease expired")
+		c.attemptLost(now, t, lossLeaseExpired)
 	}
 	return true
 }
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"log/slog"
 	"time"
 
 	"clementinewalk.example/clementinewalk/internal/workflow"
@@ -232,14 +233,28 @@
 	c.enqueue(now, s.tasks[0])
 }
 
+// lossReason is the evidence by which an attempt has certainly ended without a report.
+type lossReason string
+
+const (
+	lossLeaseExpired lossReason = "worker lease expired"
+	lossRestarted    lossReason = "worker restarted"
+	lossUnlisted     lossReason = "attempt not in the worker's list"
+)
+
+// LogValue implements slog.LogValuer.
+func (r lossReason) LogValue() slog.Value { return slog.StringValue(string(r)) }
+
 // attemptLost requeues a task whose attempt has certainly ended without a report.
-func (c *Core) attemptLost(now time.Duration, t *task, reason string) {
+func (c *Core) attemptLost(now time.Duration, t *task, reason lossReason) {
 	// The end of another task of its gang may already have removed it from the worker.
 	if t.phase != workflow.Placed {
 		return
 	}
 	c.logger.Info("attempt lost", "task", t.id, "run", t.run, "worker", t.worker.ID, "reason", reason,
-		"outlived_start_ms", t.outlivedStart().Milliseconds())
+		"outlived_start_ms", t.outlivedStart().Milliseconds(), "placed_on", t.workerStartedAt, "accepted_by", t.acceptedBy,
+		"born", t.worker.StartedAt, "unanswered_start", t.hadUnansweredStart)
+	c.metrics.attemptLost(reason)
 	since := c.silentSince(now, t.worker)
 	c.requeue(now, t, EndLapsed)
 	if t.queued && t.step.def.LongRunning {
@@ -287,14 +302,14 @@
 		if a, started := t.attemptLostWith(); started && t.outdated() {
 			c.countCrash(a, w, blameUncertain)
 		}
-		c.attemptLost(now, t, "attempt not in the worker's list")
+		c.attemptLost(now, t, lossUnlisted)
 	}
 }
 
 // stopUnexpected stops an attempt that is not the current one of a placed task, for example because the submission is
 // over.
 func (c *Core) stopUnexpected(w *worker, r *Running) {
-	c.logger.Warn("stopping unexpected attempt on worker", "task", r.Task, "run", r.Run, "worker", w.ID)
+	c.logger.Warn("stopping unexpected attempt on worker", "task", r.Task, "run", r.Run, "worker", w.ID, "born", w.StartedAt)
 	c.orders = append(c.orders, StopOrder{Member: w.Member, Call: StopCall{Attempt: r.Attempt, Epoch: c.epoch}})
 }
 
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -20,6 +20,8 @@
 	// describedIncarnation is the StartedAt of the entry from which the other fields of Member were taken. It is earlier
 	// than that of Member while the entry of the newest incarnation has not been read.
 	describedIncarnation int64
+	// ignoredStart is the StartedAt of the newest entry or answer that was ignored as that of an earlier incarnation.
+	ignoredStart int64
 	// fencedIncarnation is the StartedAt of the newest incarnation that has answered a lease call of this owner. It refuses
 	// calls of earlier owners for its whole life.
 	fencedIncarnation int64
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -14,8 +14,12 @@
 // observeIncarnation applies the start of a worker that an entry or an answer contains; 0 if it contains none. It reports
 // whether that is the newest known incarnation.
 func (c *Core) observeIncarnation(now time.Duration, w *worker, startedAt int64) bool {
-	if startedAt > w.StartedAt {
+	switch {
+	case startedAt > w.StartedAt:
 		c.workerRestarted(now, w, startedAt)
+	case startedAt < w.StartedAt && startedAt != 0 && startedAt != w.ignoredStart:
+		w.ignoredStart = startedAt
+		c.logger.Warn("ignoring an earlier incarnation of a worker", "worker", w.ID, "born", startedAt, "newest", w.StartedAt)
 	}
 	return startedAt == 0 || startedAt == w.StartedAt
 }
@@ -109,7 +113,7 @@
 		// The next list of the newest incarnation shows whether the attempt runs.
 		t.settledAt = now
 	default:
-		c.attemptLost(now, t, "worker restarted")
+		c.attemptLost(now, t, lossRestarted)
 	}
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -258,7 +258,7 @@
 	c.uncommitted = append(c.uncommitted, t)
 	c.markDirty(j)
 	p.placed++
-	c.logger.Info("task placed", "task", t.id, "run", run, "worker", w.ID,
+	c.logger.Info("task placed", "task", t.id, "run", run, "worker", w.ID, "born", w.StartedAt,
 		"waited_ms", (p.now - t.queuedAt).Milliseconds(), "failures", t.failures,
 		"millicores", t.step.def.Size.MilliCores, "mb", t.step.def.Size.MemoryMB)
 }
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -101,6 +101,8 @@
 	// calls holds the calls in flight and the longest delay of an event; answers counts the calls.
 	calls   *prometheus.GaugeVec
 	answers *prometheus.CounterVec
+	// lost counts the attempts that ended without a report, by the evidence.
+	lost *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of an owner.
@@ -113,8 +115,11 @@
 		calls: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_load",
 			Help: "Most calls in flight, longest delay of an event, and time of all plans and of the longest one in milliseconds since the last summary."}, []string{"what"}),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_calls_total",
-			Help: "Calls to workers and to the advisor, by whether they were answered."}, []string{"outcome"})}
-	r.MustRegister(m.waiting, m.cores, m.calls, m.answers)
+			Help: "Calls to workers and to the advisor, by whether they were answered."}, []string{"outcome"}),
+		lost: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_attempts_lost_total",
+			Help: "Attempts that were given up without a report of their end, by the evidence that they have ended."},
+			[]string{"reason"})}
+	r.MustRegister(m.waiting, m.cores, m.calls, m.answers, m.lost)
 	return m
 }
 
@@ -146,6 +151,12 @@
 	m.answers.WithLabelValues("unanswered").Add(float64(l.unanswered))
 }
 
+func (m *Metrics) attemptLost(reason lossReason) {
+	if m != nil {
+		m.lost.WithLabelValues(string(reason)).Inc()
+	}
+}
+
 // reset sets the metrics of an instance that is no longer the owner.
 func (m *Metrics) reset() {
 	m.set(&summary{})
