Start tasks only on workers that have just been heard

An idle worker is asked every 4 s. One that restarted under its id in between got starts, leases and confirmations that were meant for its earlier incarnation: a start by its earlier labels (ROUTE), the longest lease by the clock of before (a second run, if it was then cut off), and confirmations that make it forget ends which nobody has read. None of the guards of a late call holds there: the new incarnation has seen no epoch and no run, and its clock began anew.

The class is a call that was decided for one incarnation and is carried out by a later one. A start is now sent only if the worker has answered within 100 ms, or holds a call whose connection would have been closed at its end. Otherwise a lease call that grants and confirms nothing asks it first; it is sent when the task is placed, beside the append that stores the placement. A start that was held back is revoked as soon as that call fails, where it was sent again and again until the lease of a dead worker was over.

Tests of what happens when a start does reach a later incarnation or a dead worker make the owner count its workers as heard, and check what they did before.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -166,7 +166,8 @@
 		default:
 			t.storedAt = now
 			c.timing.observe(phaseStore, now-t.placedAt)
-			c.sendStart(now, t)
+			t.startState = startStored
+			c.startIfHeard(now, t)
 		}
 	}
 	c.uncommitted = rest
--- a/internal/dispatch/batch_test.go
+++ b/internal/dispatch/batch_test.go
@@ -14,6 +14,7 @@
 func TestStartWaitsForTheBatchWithItsPlacement(t *testing.T) {
 	sim := newSimulation(t, 1, 2)
 	sim.run(200 * time.Millisecond)
+	sim.assumeHeard()
 	starts := func() (jobs []workflow.JobID) {
 		for _, o := range sim.core.Orders() {
 			if s, ok := o.(StartOrder); ok {
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -20,6 +20,19 @@
 	unhealthyPause = 1500 * time.Millisecond
 )
 
+// startIfHeard sends the start of an attempt whose placement is stored if its worker has been heard. Otherwise a lease call
+// asks the worker first.
+func (c *Core) startIfHeard(now time.Duration, t *task) {
+	switch w := t.worker; {
+	case t.stopWanted, w.unschedulable(), w.overcommitted(), w.failingSince != 0:
+		c.revokePlacement(now, t)
+	case t.retryAt > now, !c.heard(now, w):
+		c.needsOrder[t] = struct{}{}
+	default:
+		c.sendStart(now, t)
+	}
+}
+
 func (c *Core) sendStart(now time.Duration, t *task) {
 	t.startState = startInFlight
 	t.startCalls++
@@ -40,13 +53,15 @@
 	switch {
 	case errors.As(err, &notSent):
 		// The start is decided anew: its submission may have been cancelled, or the worker may leave.
-		if t.hadUnansweredStart || !t.stopWanted && !t.worker.unschedulable() {
-			t.startState, t.retryAt = startUnanswered, now+callRetryDelay
-			t.startCalls--
-			c.needsOrder[t] = struct{}{}
+		t.retryAt = now + callRetryDelay
+		t.startCalls--
+		c.needsOrder[t] = struct{}{}
+		if t.hadUnansweredStart {
+			t.startState = startUnanswered
 			return
 		}
-		c.revokePlacement(now, t)
+		t.startState = startStored
+		c.startIfHeard(now, t)
 	case err == nil:
 		if !c.observeAnswer(now, t.worker, a) {
 			c.startedEarlier(now, t, a.StartedAt)
@@ -140,11 +155,13 @@
 			continue
 		}
 		switch {
+		case t.startState == startStored:
+			c.startIfHeard(now, t)
 		case t.retryAt > now || t.stopInFlight || t.startState == startInFlight || t.startState == startUncommitted:
 		case t.worker.Addr == "", t.startState == startUnanswered && !t.stopWanted && t.startCalls < maxStartCalls &&
-			!t.outdated() && !t.worker.mayLease():
-			// The worker's address is not known to this owner yet, or a start would grant it a lease that it must not
-			// get.
+			!t.outdated() && !(t.worker.mayLease() && c.heard(now, t.worker)):
+			// The worker's address is not known to this owner yet, a start would grant it a lease that it must not get, or
+			// it is not known which incarnation the start would reach.
 		case t.worker.failingSince != 0 && now-t.worker.failingSince > time.Second:
 			// The worker has not answered for a second, so no order is sent. If it does not answer again, the attempt
 			// is lost when its lease expires.
@@ -290,7 +307,7 @@
 		return w.retryInterval
 	case !w.fenced, w.confirmedEnd > w.sentConfirmation:
 		return 0
-	case w.appliedEnd > w.confirmedEnd:
+	case w.appliedEnd > w.confirmedEnd && !w.hasStoredStart():
 		return unconfirmedRenewInterval
 	case len(w.tasks) == 0:
 		return idleRenewInterval
@@ -298,8 +315,49 @@
 	return 0
 }
 
+// minRestartTime is the time within which no worker ends and answers as its next incarnation.
+const minRestartTime = 100 * time.Millisecond
+
+// heard reports whether the newest known incarnation of a worker has certainly been alive just now: it has answered, or holds
+// a call whose connection would have been closed at its end. The next call could otherwise reach a later incarnation.
+func (c *Core) heard(now time.Duration, w *worker) bool {
+	return w.fenced && (w.holdsCall || w.heardIn == c.steps || now-w.heardAt <= minRestartTime)
+}
+
+// hasStoredStart reports whether the start of a task waits until the worker has been heard.
+func (w *worker) hasStoredStart() bool {
+	for t := range w.tasks {
+		if t.startState == startStored {
+			return true
+		}
+	}
+	return false
+}
+
+// busy reports whether the worker may have begun a task.
+func (w *worker) busy() bool {
+	for t := range w.tasks {
+		if !t.neverSent() {
+			return true
+		}
+	}
+	return false
+}
+
+// neverSent reports whether no start of the attempt has been sent.
+func (t *task) neverSent() bool {
+	return t.startState == startUncommitted || t.startState == startStored
+}
+
 func (c *Core) sendLease(now time.Duration, w *worker) {
 	call := LeaseCall{Epoch: c.epoch}
+	w.leaseSentAt = now
+	delete(c.callable, w)
+	defer func() { c.orders = append(c.orders, LeaseOrder{Member: w.Member, Call: call, worker: w}) }()
+	if !c.heard(now, w) && !w.busy() {
+		// A later incarnation would take the longest lease by the clock of the earlier one, and forget ends that nobody has read.
+		return
+	}
 	// A worker that did not answer may have restarted, and would discard the ends of its new incarnation.
 	if w.confirmedEnd > w.receivedConfirmation && w.failingSince == 0 {
 		call.LastStoredEnd, w.sentConfirmation = w.confirmedEnd, w.confirmedEnd
@@ -316,16 +374,15 @@
 			if w.watchesSuspect() {
 				call.Wait = min(call.Wait, startProof)
 			}
+			w.holdsCall = true
 		}
 	}
-	w.leaseSentAt = now
-	delete(c.callable, w)
-	c.orders = append(c.orders, LeaseOrder{Member: w.Member, Call: call, worker: w})
 }
 
 // LeaseFailed applies the refusal of a lease call, or the lack of an answer.
 func (c *Core) LeaseFailed(now time.Duration, o LeaseOrder, err error) {
 	w := o.worker
+	w.holdsCall = false
 	c.callable[w], c.unresponsive[w] = struct{}{}, struct{}{}
 	if o.Call.LastStoredEnd > 0 && w.sentConfirmation == o.Call.LastStoredEnd {
 		// The worker may not have received the confirmation, so it is sent again.
@@ -347,6 +404,17 @@
 		c.logger.Info("worker does not answer", "worker", w.ID, "error", err, "tasks", len(w.tasks))
 	}
 	w.retryInterval = min(max(2*w.retryInterval, minLeaseRetry), maxLeaseRetry)
+	c.startHeard(now, w)
+}
+
+// startHeard sends or revokes the starts that have waited for an answer of the worker.
+func (c *Core) startHeard(now time.Duration, w *worker) {
+	for t := range w.tasks {
+		// A gang whose member is revoked removes others of the worker.
+		if t.phase == workflow.Placed && t.startState == startStored {
+			c.startIfHeard(now, t)
+		}
+	}
 }
 
 // Act queues the orders that are due: lease renewals, repeated starts and stops. Orders returns them.
@@ -354,4 +422,5 @@
 	c.summarize(now)
 	c.renewLeases(now)
 	c.sendTaskOrders(now)
+	c.steps++
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -38,6 +38,8 @@
 // Core is the state of an owner. All times count from the start of the instance.
 type Core struct {
 	params Params
+	// steps counts the calls of Act.
+	steps  int64
 	logger *slog.Logger
 	epoch  int64
 	config *queue.Config
@@ -217,7 +219,7 @@
 	if t.phase != workflow.Placed {
 		return
 	}
-	if t.startState == startUncommitted {
+	if t.neverSent() {
 		c.unplace(t)
 		return
 	}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -143,6 +143,7 @@
 	sim.run(time.Second)
 	dead := sim.workers["a"]
 	delete(sim.workers, "a")
+	sim.delayLeaseCalls(100 * time.Millisecond)
 	sim.submit("sound", workflow.Step{Count: 1, Size: smallTask, Estimate: time.Second})
 	sim.run(200 * time.Millisecond)
 	task := sim.core.jobs["sound"].rounds[0].steps[0].tasks[0]
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -21,6 +21,7 @@
 	c.eventTime = now
 	w := o.worker
 	c.callable[w] = struct{}{}
+	w.holdsCall = false
 	if !c.observeAnswer(now, w, CallAnswer{StartedAt: a.StartedAt, Clock: a.Clock}) {
 		return
 	}
@@ -30,6 +31,7 @@
 	// The worker has been cut off and has not crashed.
 	w.lost = nil
 	w.answeredAt, w.failingSince, w.retryInterval = now, 0, 0
+	w.heardAt, w.heardIn = now, c.steps
 	w.fencedIncarnation = w.StartedAt
 	if !w.fenced {
 		w.fenced, c.planNeeded = true, true
@@ -41,6 +43,7 @@
 	}
 	c.applyRunning(now, sent, w, &a)
 	c.adjustCPULimits(now, w)
+	c.startHeard(now, w)
 }
 
 func (c *Core) applyEnd(now time.Duration, w *worker, e *End) {
@@ -91,7 +94,7 @@
 	case workflow.Pending:
 		return t.step.ready
 	case workflow.Placed:
-		return t.startState == startUncommitted && (t.worker != w || t.run != e.Run)
+		return t.neverSent() && (t.worker != w || t.run != e.Run)
 	}
 	return false
 }
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -48,6 +48,11 @@
 	// the worker has answered. It is not sent again: a later incarnation would discard ends that were not read.
 	appliedEnd, confirmedEnd, sentConfirmation, receivedConfirmation int64
 	endMarks                                                         []endMark
+	// heardAt is when the newest answer to a lease call was received, heardIn the step in which it was handled. holdsCall is set
+	// while the worker, which had been heard before, holds a lease call.
+	heardAt   time.Duration
+	heardIn   int64
+	holdsCall bool
 	// silence is the state of the record that the worker does not answer; silenceBatch is the status batch that removes
 	// the record.
 	silence      silence
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -92,7 +92,7 @@
 			continue
 		}
 		switch t.startState {
-		case startUncommitted:
+		case startUncommitted, startStored:
 			c.revokePlacement(now, t)
 		case startSettled:
 			c.resolveSettled(now, t)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -76,6 +76,8 @@
 	startNone startState = iota
 	// startUncommitted: the placement is not stored yet, so no start was sent.
 	startUncommitted
+	// startStored: the placement is stored. The start is sent once the worker has been heard.
+	startStored
 	// startInFlight: the start call is in flight.
 	startInFlight
 	// startUnanswered: the last start call had no answer and may still be carried out, or it arrived after its
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -90,6 +90,7 @@
 	var orders []StartOrder
 	for len(orders) < 2 {
 		sim.now += tick
+		sim.assumeHeard()
 		sim.storeBatches()
 		sim.core.Plan(sim.now)
 		sim.core.Act(sim.now)
@@ -106,6 +107,7 @@
 	started := map[workflow.JobID]int{}
 	for range 50 {
 		sim.now += tick
+		sim.assumeHeard()
 		sim.storeBatches()
 		sim.core.Act(sim.now)
 		for _, o := range sim.core.Orders() {
--- a/internal/dispatch/outage_test.go
+++ b/internal/dispatch/outage_test.go
@@ -68,6 +68,7 @@
 	sim := newSimulation(t, 1, 2)
 	sim.run(200 * time.Millisecond)
 	sim.submit("0000000000000001", batchStep(4, 3*time.Second))
+	sim.assumeHeard()
 	// The placement is stored, and the starts are queued but not sent.
 	sim.core.Plan(sim.now)
 	b := sim.core.TakeBatch()
@@ -97,6 +98,7 @@
 	sim := newSimulation(t, 1, 1)
 	sim.run(200 * time.Millisecond)
 	sim.submit("0000000000000001", batchStep(1, 3*time.Second))
+	sim.assumeHeard()
 	sim.core.Plan(sim.now)
 	b := sim.core.TakeBatch()
 	sim.core.Committed(sim.now, b.ID)
