Wait for the longest lease of a start that nobody has confirmed

A start that a worker gets right after it restarted is carried out by the new incarnation, whose clock began anew: the limit of the call, a reading of the earlier clock, becomes the longest lease of the platform. If that worker is cut off before it answers, the owner counted with the usual lease and started the task elsewhere while it still ran.

Only an attempt whose start had no answer and whose worker has been silent since is now given up by the longest lease; the others on the worker are given up as before. A worker whose connections are closed or refused is not cut off, so its attempts don't wait either.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -34,7 +34,7 @@
 }
 
 func (c *Core) sendStart(now time.Duration, t *task) {
-	t.startState = startInFlight
+	t.startState, t.startSentAt = startInFlight, now
 	t.startCalls++
 	c.orders = append(c.orders, StartOrder{Member: t.worker.Member, task: t,
 		Call: StartCall{Attempt: t.attempt(), Spec: t.job().submission.Spec,
@@ -289,16 +289,37 @@
 			return false
 		}
 	}
-	c.logger.Warn("worker lease expired", "worker", w.ID, "tasks", len(w.tasks),
+	var ended []*task
+	for t := range w.tasks {
+		if now > t.longestLeaseEnd(c.params.MaxLease) {
+			ended = append(ended, t)
+		}
+	}
+	if len(ended) == 0 {
+		return false
+	}
+	c.logger.Warn("worker lease expired", "worker", w.ID, "tasks", len(w.tasks), "ended", len(ended),
 		"silent_ms", (now - max(w.answeredAt, c.ownerSince)).Milliseconds())
 	w.fenced = false
-	c.noteLost(now, w)
-	for t := range w.tasks {
+	c.noteLost(now, w, ended)
+	for _, t := range ended {
 		c.attemptLost(now, t, lossLeaseExpired)
 	}
 	return true
 }
 
+// longestLeaseEnd returns the time by which the longest lease has expired that a start may have granted to an incarnation
+// that nobody has heard; 0 if there is no such start. A worker whose connections are closed or refused is not cut off: a
+// later incarnation would answer.
+func (t *task) longestLeaseEnd(longest time.Duration) time.Duration {
+	w := t.worker
+	if w == nil || !t.hadUnansweredStart || t.acceptedBy != 0 || w.heardAt > t.startSentAt ||
+		w.failingSince != 0 && w.connectionLost {
+		return 0
+	}
+	return t.startSentAt + withDrift(longest)
+}
+
 // renewInterval returns the time between two lease calls. It is 0 for a worker with tasks: each call waits at the
 // worker for leaseCallWait.
 func (c *Core) renewInterval(w *worker) time.Duration {
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -97,9 +97,9 @@
 		confirmed || adopted || t.startCutShort
 }
 
-// noteLost keeps the attempts of a worker whose lease has expired until it is known whether the worker has crashed.
-func (c *Core) noteLost(now time.Duration, w *worker) {
-	for t := range w.tasks {
+// noteLost keeps attempts on a worker whose lease has expired until it is known whether the worker has crashed.
+func (c *Core) noteLost(now time.Duration, w *worker, tasks []*task) {
+	for _, t := range tasks {
 		if a, started := t.attemptLostWith(); started {
 			w.lost, w.lostAt = append(w.lost, a), now
 			t.lostUnproven = t.lostUnproven || !a.proven
--- a/internal/dispatch/heard_test.go
+++ b/internal/dispatch/heard_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
@@ -55,6 +56,31 @@
 	}
 }
 
+// Guards against a task that runs twice: as above, and the worker restarted right after it had been heard.
+func TestStartThatNoIncarnationHasConfirmedMayHoldTheLongestLease(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newSimulation(t, seed, 2)
+			sim.holdsCalls = true
+			sim.run(60*time.Second + time.Duration(seed)*200*time.Millisecond)
+			f := sim.restartUnlisted("a", time.Hour)
+			sim.delayLeaseCalls(100 * time.Millisecond)
+			sim.submit("0000000000000001", batchStep(8, 30*time.Second))
+			for range 20 {
+				sim.run(time.Millisecond)
+				if len(f.running) > 0 {
+					break
+				}
+			}
+			require.NotEmpty(t, f.running)
+			f.disconnected = true
+			sim.core.SetMember(sim.now, sim.member(sim.addWorker("c")))
+			sim.run(90 * time.Second)
+			assert.Equal(t, workflow.Done, sim.state("0000000000000001"))
+		})
+	}
+}
+
 // Guards against lease calls that grant a later incarnation the longest lease, or make it forget ends that nobody has read.
 func TestCallToAWorkerThatWasNotHeardGrantsAndConfirmsNothing(t *testing.T) {
 	sim := newSimulation(t, 1, 1)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -106,7 +106,9 @@
 	// attempt, it is not running.
 	settledAt  time.Duration
 	startCalls int
-	retryAt    time.Duration
+	// startSentAt is when the newest start call was sent.
+	startSentAt time.Duration
+	retryAt     time.Duration
 	// placedAt is when the task was placed; storedAt is when its placement was stored.
 	placedAt, storedAt time.Duration
 	// hadUnansweredStart is set when a start call of this run had no answer or arrived after its deadline. The refusal
