Make no lease calls and CPU limits that were decided before a pause of the owner

An owner whose process was paused after it had decided a call sent it when it woke up. Only starts were checked. A worker that has restarted under its id has seen no epoch and its clock began anew, so it accepts a lease by the earlier clock (the longest one) and forgets ends of its own that the call confirms for its predecessor.

Calls carry a guard in their context, which is asked right before the call is passed to a connection or to a session with an agent, after all waits for turns and sessions. The owner's guard is the age of the decision by its own clock, which includes suspended time: 1 s for calls about tasks, 2 s for lease calls, since these wait for a session for up to 1.5 s. Calls about tasks count as not sent, lease calls as unanswered.

--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -361,6 +361,12 @@
 		p.calls.WithLabelValues("direct").Inc()
 		return result{}, false
 	}
+	if !dispatch.MayCall(ctx) {
+		if c.lease != nil {
+			return result{err: &dispatch.NoAnswerError{Err: context.DeadlineExceeded}}, true
+		}
+		return result{err: &dispatch.NotSentError{}}, true
+	}
 	r := s.do(ctx, c, limit)
 	route := "agent"
 	if isLost(r.err) {
--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -4,8 +4,6 @@
 	"context"
 	"sync"
 	"time"
-
-	"clementinewalk.example/clementinewalk/internal/clock"
 )
 
 const (
@@ -69,8 +67,8 @@
 	users int
 }
 
-// NewLimitedWorkers returns workers with a bound for an instance with the given bandwidth; 0 if unknown. Calls about
-// tasks return *NotSentError too.
+// NewLimitedWorkers returns workers with a bound for an instance with the given bandwidth; 0 if unknown. Calls that the
+// guard of their context forbids are not made. Calls about tasks return *NotSentError too.
 func NewLimitedWorkers(w Workers, linkBytesPerSecond float64) *LimitedWorkers {
 	n := maxInFlight
 	if linkBytesPerSecond > 0 {
@@ -94,8 +92,16 @@
 	return l.limit(ctx, m, func() (CallAnswer, error) { return l.Workers.LimitCPU(ctx, m, c) })
 }
 
+// Renew implements Workers.
+func (l *LimitedWorkers) Renew(ctx context.Context, m Member, c LeaseCall) (LeaseAnswer, error) {
+	if !MayCall(ctx) {
+		return LeaseAnswer{}, &NoAnswerError{Err: context.DeadlineExceeded}
+	}
+	return l.Workers.Renew(ctx, m, c)
+}
+
 func (l *LimitedWorkers) limit(ctx context.Context, m Member, do func() (CallAnswer, error)) (CallAnswer, error) {
-	began, w := clock.Now(), l.worker(m.ID)
+	w := l.worker(m.ID)
 	defer l.leave(m.ID, w)
 	if err := w.turns.Wait(ctx); err != nil {
 		return CallAnswer{}, err
@@ -105,8 +111,7 @@
 		return CallAnswer{}, err
 	}
 	defer l.turns.End()
-	if clock.Now()-began > 2*maxTurnWait {
-		// The process was paused while the call waited.
+	if !MayCall(ctx) {
 		return CallAnswer{}, &NotSentError{}
 	}
 	return do()
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -135,3 +135,51 @@
 	sim.run(3 * time.Second)
 	assert.Len(t, sim.core.Members(), 4)
 }
+
+// countingWorkers answers all calls and counts them.
+type countingWorkers struct{ calls int }
+
+func (w *countingWorkers) Start(context.Context, Member, StartCall) (CallAnswer, error) {
+	w.calls++
+	return CallAnswer{}, nil
+}
+
+func (w *countingWorkers) Stop(context.Context, Member, StopCall) (CallAnswer, error) {
+	w.calls++
+	return CallAnswer{}, nil
+}
+
+func (w *countingWorkers) LimitCPU(context.Context, Member, CPULimitCall) (CallAnswer, error) {
+	w.calls++
+	return CallAnswer{}, nil
+}
+
+func (w *countingWorkers) Renew(context.Context, Member, LeaseCall) (LeaseAnswer, error) {
+	w.calls++
+	return LeaseAnswer{}, nil
+}
+
+// Guards against calls of before a pause, which a worker that has restarted meanwhile would accept.
+func TestCallsThatTheirGuardForbidsAreNotMade(t *testing.T) {
+	allowed := func() bool { return true }
+	forbidden := func() bool { return false }
+	for _, c := range []struct{ outer, inner func() bool }{{forbidden, allowed}, {allowed, forbidden}, {allowed, allowed}} {
+		ctx := WithGuard(WithGuard(t.Context(), c.outer), c.inner)
+		counted := &countingWorkers{}
+		w := NewLimitedWorkers(counted, 0)
+		_, startErr := w.Start(ctx, Member{}, StartCall{})
+		_, stopErr := w.Stop(ctx, Member{}, StopCall{})
+		_, limitErr := w.LimitCPU(ctx, Member{}, CPULimitCall{})
+		_, leaseErr := w.Renew(ctx, Member{}, LeaseCall{})
+		if c.outer() && c.inner() {
+			assert.Equal(t, 4, counted.calls)
+			continue
+		}
+		assert.Zero(t, counted.calls)
+		var notSent *NotSentError
+		for _, err := range []error{startErr, stopErr, limitErr} {
+			assert.ErrorAs(t, err, &notSent)
+		}
+		assert.True(t, isUnanswered(leaseErr))
+	}
+}
--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -284,3 +284,20 @@
 	_, err = o.executeOrder(t.Context(), &Core{}, clock.Now(), order)
 	assert.True(t, isUnanswered(err))
 }
+
+// Guards against a task that runs twice: a process that was paused makes lease calls and CPU limits that it decided before.
+func TestCallsDecidedBeforeAPauseAreNotMade(t *testing.T) {
+	counted := &countingWorkers{}
+	o := &Owner{workers: NewLimitedWorkers(counted, 0)}
+	orders := []Order{LeaseOrder{worker: &worker{}}, CPULimitOrder{}, StopOrder{}, StartOrder{}}
+	for _, order := range orders {
+		_, err := o.executeOrder(t.Context(), &Core{}, clock.Now()-3*time.Second, order)
+		assert.Error(t, err)
+	}
+	assert.Zero(t, counted.calls)
+	for _, order := range orders {
+		_, err := o.executeOrder(t.Context(), &Core{}, clock.Now(), order)
+		assert.NoError(t, err)
+	}
+	assert.Equal(t, len(orders), counted.calls)
+}
--- a/internal/dispatch/sending.go
+++ b/internal/dispatch/sending.go
@@ -7,6 +7,12 @@
 	"clementinewalk.example/clementinewalk/internal/clock"
 )
 
+// Limits of the time between the decision of a call and its transmission. Lease calls may wait for a session with an agent.
+const (
+	maxTaskCallAge  = 2 * maxTurnWait
+	maxLeaseCallAge = 2 * time.Second
+)
+
 // sendOrders starts the calls for the core's orders.
 func (o *Owner) sendOrders(ctx context.Context, now time.Duration) {
 	for _, order := range o.core.Orders() {
@@ -37,8 +43,12 @@
 
 // executeOrder sends an order and returns the report of its outcome to the core, with the error of the call.
 func (o *Owner) executeOrder(ctx context.Context, core *Core, sent time.Duration, order Order) (func(time.Duration), error) {
-	// A process that was paused must not send a start of before: a worker that has restarted meanwhile would accept it.
-	heldBack := clock.Now()-sent > maxTurnWait
+	// A process that was paused must not make a call of before: a worker that has restarted meanwhile would accept it.
+	maxAge := maxTaskCallAge
+	if _, ok := order.(LeaseOrder); ok {
+		maxAge = maxLeaseCallAge
+	}
+	ctx = WithGuard(ctx, func() bool { return clock.Now()-sent <= maxAge })
 	switch c := order.(type) {
 	case AdviceOrder:
 		ids := make([]string, len(c.Workers))
@@ -48,7 +58,7 @@
 		a, err := o.advisor.Advise(ctx, c.Step, ids, c.Takes)
 		return func(now time.Duration) { core.AdviceReturned(now, c, a, err) }, err
 	case StartOrder:
-		if heldBack {
+		if clock.Now()-sent > maxTurnWait {
 			err := &NotSentError{}
 			return func(now time.Duration) { core.StartReturned(now, c, CallAnswer{}, err) }, err
 		}
