Make no calls of before after a pause of an agent

An agent that was paused (a stopped process or a suspended machine) made the calls that it held or that had arrived meanwhile when it woke up. Its owner had ended the session after 0.9 s and may have placed the tasks elsewhere: if the worker had restarted under its id, it accepted the start, and the task ran twice. Lease calls and CPU limits were made likewise. Seen with real nodes, traced once.

An agent now notices that nothing in its process checked the clock for 0.7 s, which is less than what an owner waits before it ends a session. A timer checks, and so does whoever is about to carry out a frame or a call, so that the order in which goroutines wake up does not matter. All sessions of before the pause end then, and none of their calls is made; sessions begin when the connection is accepted, not with the first frame, which may have waited. A call that is older than 0.5 s since it was read, or whose session has ended, is not made either.

--- a/internal/agent/pool_test.go
+++ b/internal/agent/pool_test.go
@@ -57,6 +57,12 @@
 	return r.starts
 }
 
+func (r *recorder) leaseCalls() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leases
+}
+
 func (r *recorder) Start(_ context.Context, m dispatch.Member, c dispatch.StartCall) (dispatch.CallAnswer, error) {
 	defer r.enter()()
 	if c.Spec == "panic" {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -4,7 +4,9 @@
 	"context"
 	"log/slog"
 	"sync"
+	"time"
 
+	"clementinewalk.example/clementinewalk/internal/clock"
 	"clementinewalk.example/clementinewalk/internal/dispatch"
 	"clementinewalk.example/clementinewalk/internal/relay"
 )
@@ -12,26 +14,38 @@
 // maxSessionCalls limits the calls of one session that are in progress. Beyond it, the agent reads no further frame.
 const maxSessionCalls = 4096
 
+// maxCallAge limits the time between the arrival of a call and its transmission to the worker. The owner may give up a
+// call that takes longer.
+const maxCallAge = 500 * time.Millisecond
+
 // Server is the agent of an instance: it makes the calls of owners to workers.
 type Server struct {
 	workers            dispatch.Workers
 	linkBytesPerSecond float64
 	logger             *slog.Logger
+	now                func() time.Duration
+	pauses             pauses
 }
 
 // NewServer returns an agent that makes its calls with workers. linkBytesPerSecond is the bandwidth of the instance's
 // link; 0 if unknown.
 func NewServer(workers dispatch.Workers, linkBytesPerSecond float64, l *slog.Logger) *Server {
-	return &Server{workers: workers, linkBytesPerSecond: linkBytesPerSecond, logger: l}
+	return newServer(workers, linkBytesPerSecond, l, clock.Now)
+}
+
+func newServer(workers dispatch.Workers, linkBytesPerSecond float64, l *slog.Logger, now func() time.Duration) *Server {
+	return &Server{workers: workers, linkBytesPerSecond: linkBytesPerSecond, logger: l, now: now, pauses: pauses{now: now}}
 }
 
 // serving is the agent's end of a session.
 type serving struct {
-	server  *Server
-	answers *sender[answer]
-	slots   chan struct{}
-	workers map[int]dispatch.Member
-	specs   *specs
+	server *Server
+	// done is closed at the end of the session, paused at the first pause of the process in it.
+	done, paused <-chan struct{}
+	answers      *sender[answer]
+	slots        chan struct{}
+	workers      map[int]dispatch.Member
+	specs        *specs
 	// lists is used by the goroutine that encodes.
 	lists lists
 }
@@ -47,7 +61,9 @@
 	moreEnds bool
 }
 
-// Serve makes the calls of one session until its stream ends. Calls in progress then end by their own time limits.
+// Serve makes the calls of one session until its stream ends or the process was paused. Calls in progress then end by
+// their own time limits. Calls that the owner may have given up meanwhile are not made: a worker that has restarted would
+// accept them.
 func (s *Server) Serve(ctx context.Context, peer string, stream relay.Stream) {
 	done := make(chan struct{})
 	var once sync.Once
@@ -65,7 +81,9 @@
 			end(nil)
 		}
 	}()
-	v := &serving{server: s, slots: make(chan struct{}, maxSessionCalls), workers: map[int]dispatch.Member{},
+	paused, leave := s.pauses.join()
+	defer leave()
+	v := &serving{server: s, done: done, paused: paused, slots: make(chan struct{}, maxSessionCalls), workers: map[int]dispatch.Member{},
 		specs: newSpecs(), lists: lists{}}
 	v.answers = newSender(stream, delayFor(s.linkBytesPerSecond), v.encode)
 	s.logger.Info("session began", "peer", peer)
@@ -75,21 +93,53 @@
 		}
 	}()
 	defer context.AfterFunc(ctx, func() { end(ctx.Err()) })()
+	go func() {
+		select {
+		case <-paused:
+			end(&PausedError{})
+		case <-done:
+		}
+	}()
 	for {
 		var f callFrame
 		if err := readFrame(stream, &f); err != nil {
 			end(err)
 			return
 		}
-		if err := v.handle(context.WithoutCancel(ctx), done, &f); err != nil {
+		if !v.mayCall() {
+			end(&PausedError{})
+			return
+		}
+		arrived := s.now()
+		fresh := func() bool { return s.now()-arrived <= maxCallAge }
+		guarded := dispatch.WithGuard(context.WithoutCancel(ctx), func() bool { return fresh() && v.mayCall() })
+		if err := v.handle(guarded, &f); err != nil {
 			end(err)
 			return
 		}
+		if !fresh() {
+			// The frames that wait to be read may be as old.
+			end(&PausedError{})
+			return
+		}
+	}
+}
+
+// mayCall reports whether the session goes on.
+func (v *serving) mayCall() bool {
+	v.server.pauses.observe()
+	select {
+	case <-v.done:
+		return false
+	case <-v.paused:
+		return false
+	default:
+		return true
 	}
 }
 
 // handle begins the calls of a frame. It returns a *FrameError.
-func (v *serving) handle(ctx context.Context, done <-chan struct{}, f *callFrame) error {
+func (v *serving) handle(ctx context.Context, f *callFrame) error {
 	for _, w := range f.Workers {
 		v.workers[w.Number] = dispatch.Member{Incarnation: dispatch.Incarnation{ID: w.ID}, Addr: w.Addr}
 	}
@@ -99,7 +149,7 @@
 		if !ok {
 			return &FrameError{Problem: "unknown worker"}
 		}
-		v.begin(done, func() answer { return v.renew(ctx, member, m) })
+		v.begin(func() answer { return v.renew(ctx, member, m) })
 	}
 	for i := range f.Tasks {
 		m := &f.Tasks[i]
@@ -111,7 +161,7 @@
 		if err != nil {
 			return err
 		}
-		v.begin(done, func() answer {
+		v.begin(func() answer {
 			a, err := do()
 			return answer{outcome: newOutcome(m.Call, a, err)}
 		})
@@ -120,10 +170,10 @@
 }
 
 // begin makes a call in a goroutine, once fewer than maxSessionCalls are in progress.
-func (v *serving) begin(done <-chan struct{}, do func() answer) {
+func (v *serving) begin(do func() answer) {
 	select {
 	case v.slots <- struct{}{}:
-	case <-done:
+	case <-v.done:
 		return
 	}
 	go func() {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"math/big"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -91,7 +92,8 @@
 // Endpoint returns what peers need to call this server.
 func (s *Server) Endpoint() catalog.Endpoint { return s.endpoint }
 
-// Sessions serves sessions of other instances. Serve returns when the stream has ended.
+// Sessions serves sessions of other instances. Serve is called before the first bytes have arrived, and returns when the
+// stream has ended.
 type Sessions interface {
 	Serve(ctx context.Context, peer string, stream Stream)
 }
@@ -127,13 +129,8 @@
 }
 
 func (s *Server) serveSession(ctx context.Context, conn *quic.Conn, sessions Sessions) {
-	stream, err := conn.AcceptStream(ctx)
-	if err != nil {
-		s.logger.Info("session without stream", "peer", conn.RemoteAddr(), "error", err)
-		_ = conn.CloseWithError(0, "no stream")
-		return
-	}
-	sessions.Serve(ctx, conn.RemoteAddr().String(), &sessionStream{Stream: stream, conn: conn})
+	sessions.Serve(ctx, conn.RemoteAddr().String(), &acceptedStream{conn: conn,
+		accept: sync.OnceValues(func() (*quic.Stream, error) { return conn.AcceptStream(ctx) })})
 }
 
 func (s *Server) serveStream(ctx context.Context, stream *quic.Stream, h Handler) {
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -31,6 +31,42 @@
 // Close implements io.Closer.
 func (s *sessionStream) Close() error { return s.conn.CloseWithError(0, "session ended") }
 
+// acceptedStream is the first stream of a connection that was accepted. Its methods but Close wait for the stream.
+type acceptedStream struct {
+	conn   *quic.Conn
+	accept func() (*quic.Stream, error)
+}
+
+// Read implements io.Reader.
+func (s *acceptedStream) Read(b []byte) (int, error) {
+	stream, err := s.accept()
+	if err != nil {
+		return 0, err
+	}
+	return stream.Read(b)
+}
+
+// Write implements io.Writer.
+func (s *acceptedStream) Write(b []byte) (int, error) {
+	stream, err := s.accept()
+	if err != nil {
+		return 0, err
+	}
+	return stream.Write(b)
+}
+
+// SetWriteDeadline implements Stream.
+func (s *acceptedStream) SetWriteDeadline(t time.Time) error {
+	stream, err := s.accept()
+	if err != nil {
+		return err
+	}
+	return stream.SetWriteDeadline(t)
+}
+
+// Close implements io.Closer.
+func (s *acceptedStream) Close() error { return s.conn.CloseWithError(0, "session ended") }
+
 // DialSession opens a session with an instance. It returns *UnreachableError. The peer takes part once the first bytes
 // have arrived there.
 func DialSession(ctx context.Context, to catalog.Endpoint) (Stream, error) {
