Describe and mutate what keeps calls from later incarnations

The mutant without the wait for an answer survived at first: the call that asks a worker was always answered before the placement was stored.

--- a/internal/dispatch/heard_test.go
+++ b/internal/dispatch/heard_test.go
@@ -22,6 +22,10 @@
 			sim.run(5*time.Second + time.Duration(seed)*200*time.Millisecond)
 			sim.restartUnlisted("a", heartbeat, "usual")
 			sim.run(minRestartTime)
+			if seed%2 == 1 {
+				// The placement is stored before the worker can answer.
+				sim.occupyLeaseCalls(60*time.Millisecond, false)
+			}
 			step := batchStep(4, time.Second)
 			step.Label = "rare"
 			sim.submit("0000000000000001", step)
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -555,10 +555,15 @@
 
 // delayLeaseCalls keeps the owner from making lease calls for a while, as if the last ones were still in flight.
 func (sim *simulation) delayLeaseCalls(d time.Duration) {
+	sim.occupyLeaseCalls(d, true)
+}
+
+// occupyLeaseCalls is delayLeaseCalls; held is set if the workers hold the calls, rather than that they are slow to arrive.
+func (sim *simulation) occupyLeaseCalls(d time.Duration, held bool) {
 	core := sim.core
 	for _, w := range core.workers {
 		delete(core.callable, w)
-		w.holdsCall = true
+		w.holdsCall = held
 		sim.schedule(d, func() { core.callable[w], w.holdsCall = struct{}{}, false })
 	}
 }
