A worker whose clock was set back before it restarted is not mistaken for its predecessor

The owner took the incarnation with the highest start for the newest. It accepted no list of one that had a lower start, so that it kept the worker as idle, and took each acceptance of a start there as one by an incarnation that had ended: the attempt counted as lost and ran on without a stop.

An incarnation that answers a call which was decided after the newest known one had been seen is at least as new, whatever its start says. Such an answer now counts as a restart, and the incarnations before are remembered as ended, so that their entries don't bring them back. TestRestartAfterTheClockWasSetBack fails in 60 of 60 cases without the change, and in none with it.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -48,7 +48,7 @@
 		}
 		c.revokePlacement(now, t)
 	case err == nil:
-		if !c.observeAnswer(now, t.worker, a) {
+		if !c.observeAnswer(now, t.worker, o.Member.StartedAt, a) {
 			c.startedEarlier(now, t, a.StartedAt)
 			return
 		}
@@ -59,7 +59,7 @@
 			c.needsOrder[t] = struct{}{}
 		}
 	case errors.As(err, &refused):
-		c.startRefused(now, t, refused)
+		c.startRefused(now, t, o.Member.StartedAt, refused)
 	default:
 		c.logger.Info("worker did not answer start", "task", t.id, "run", t.run, "worker", o.Member.ID,
 			"tries", t.startCalls, "error", err)
@@ -84,9 +84,9 @@
 	c.resolveSettled(now, t)
 }
 
-func (c *Core) startRefused(now time.Duration, t *task, r *RefusedError) {
+func (c *Core) startRefused(now time.Duration, t *task, sentTo int64, r *RefusedError) {
 	w := t.worker
-	newest := c.observeAnswer(now, w, ownAnswer(r.Answer, r))
+	newest := c.observeAnswer(now, w, sentTo, ownAnswer(r.Answer, r))
 	c.logger.Info("worker refused start", "task", t.id, "run", t.run, "worker", w.ID, "reason", r.Reason)
 	switch r.Reason {
 	case ReasonFenced:
@@ -174,7 +174,7 @@
 	t.stopInFlight = false
 	c.logger.Info("stop call finished", "task", t.id, "run", t.run, "worker", o.Member.ID, "error", err)
 	var refused *RefusedError
-	switch newest := c.observeAnswer(now, t.worker, ownAnswer(a, err)); {
+	switch newest := c.observeAnswer(now, t.worker, o.Member.StartedAt, ownAnswer(a, err)); {
 	case errors.As(err, &refused) && refused.Reason == ReasonFenced:
 		c.superseded = true
 	case !newest:
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -21,7 +21,7 @@
 	c.eventTime = now
 	w := o.worker
 	c.callable[w] = struct{}{}
-	if !c.observeAnswer(now, w, CallAnswer{StartedAt: a.StartedAt, Clock: a.Clock}) {
+	if !c.observeAnswer(now, w, o.Member.StartedAt, CallAnswer{StartedAt: a.StartedAt, Clock: a.Clock}) {
 		return
 	}
 	if o.Member.StartedAt == w.StartedAt {
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -22,6 +22,8 @@
 	describedIncarnation int64
 	// ignoredStart is the StartedAt of the newest entry or answer that was ignored as that of an earlier incarnation.
 	ignoredStart int64
+	// ended holds the StartedAt of the incarnations that are known to have ended; nil if there are none.
+	ended map[int64]struct{}
 	// fencedIncarnation is the StartedAt of the newest incarnation that has answered a lease call of this owner. It refuses
 	// calls of earlier owners for its whole life.
 	fencedIncarnation int64
@@ -269,7 +271,7 @@
 // SetMember applies an entry of the worker list.
 func (c *Core) SetMember(now time.Duration, m Member) {
 	w := c.worker(m.ID)
-	if !c.observeIncarnation(now, w, m.StartedAt) {
+	if !c.observeIncarnation(now, w, m.StartedAt, 0) {
 		return
 	}
 	if w.listed && !w.Leaving && m.Leaving {
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -11,11 +11,15 @@
 // A worker that restarts under its id receives the calls that were meant for its earlier incarnation. What is known of
 // one incarnation does not hold for another: its labels and capacity, its clock, its lease and its attempts.
 
-// observeIncarnation applies the start of a worker that an entry or an answer contains; 0 if it contains none. It reports
-// whether that is the newest known incarnation.
-func (c *Core) observeIncarnation(now time.Duration, w *worker, startedAt int64) bool {
+// observeIncarnation applies the start of a worker that an entry or an answer contains; 0 if it contains none. sentTo is the
+// incarnation that was the newest known one when the answered call was decided; 0 for an entry. It reports whether it is the
+// newest known incarnation.
+func (c *Core) observeIncarnation(now time.Duration, w *worker, startedAt, sentTo int64) bool {
+	// The clock of a worker may be set back before it restarts. Whatever answers a call that was decided after the newest
+	// known incarnation had started is at least as new.
+	answersNewest := sentTo != 0 && sentTo == w.StartedAt
 	switch {
-	case startedAt > w.StartedAt:
+	case startedAt > w.StartedAt && !w.hasEnded(startedAt), startedAt != 0 && startedAt != w.StartedAt && answersNewest:
 		c.workerRestarted(now, w, startedAt)
 	case startedAt < w.StartedAt && startedAt != 0 && startedAt != w.ignoredStart:
 		w.ignoredStart = startedAt
@@ -24,10 +28,17 @@
 	return startedAt == 0 || startedAt == w.StartedAt
 }
 
+// hasEnded reports whether an incarnation of the worker is known to have ended.
+func (w *worker) hasEnded(startedAt int64) bool {
+	_, ok := w.ended[startedAt]
+	return ok
+}
+
 // observeAnswer applies the incarnation and the clock reading of an answer, and reports whether the newest known
 // incarnation may have answered. Any incarnation may have sent an answer that names none.
-func (c *Core) observeAnswer(now time.Duration, w *worker, a CallAnswer) bool {
-	if !c.observeIncarnation(now, w, a.StartedAt) {
+// sentTo is as for observeIncarnation.
+func (c *Core) observeAnswer(now time.Duration, w *worker, sentTo int64, a CallAnswer) bool {
+	if !c.observeIncarnation(now, w, a.StartedAt, sentTo) {
 		return false
 	}
 	if a.StartedAt != 0 {
@@ -57,6 +68,13 @@
 	if !first {
 		c.logger.Info("worker restarted", "worker", w.ID, "before", w.StartedAt, "born", startedAt, "tasks", len(w.tasks))
 	}
+	if !first {
+		if w.ended == nil {
+			w.ended = map[int64]struct{}{}
+		}
+		w.ended[w.StartedAt] = struct{}{}
+	}
+	delete(w.ended, startedAt)
 	w.StartedAt = startedAt
 	c.resolveEarlierIncarnations(now, w)
 	if first {
@@ -81,7 +99,8 @@
 
 // outdated reports whether a later incarnation of the worker is known than the one on which the task was placed.
 func (t *task) outdated() bool {
-	return t.workerStartedAt != 0 && t.workerStartedAt < t.worker.StartedAt
+	w := t.worker
+	return t.workerStartedAt != 0 && (t.workerStartedAt < w.StartedAt || w.hasEnded(t.workerStartedAt))
 }
 
 // resolveEarlierIncarnations ends the attempts that have certainly ended with an earlier incarnation. The newest one may
