Ends that were stored late are confirmed only to a worker that has just answered

While the store was slow or away, a worker that had restarted under its id could get the confirmation of its earlier incarnation: up to 0.6 s passed between its last answer and the confirmation. A worker that lists no end with a number up to the highest one that was ever confirmed to it then never listed its next ends; their tasks ran again after they had been done. The protocol can be read like that.

Once its last answer is older than 60 ms, the worker is asked first, without a confirmation and without a wait. A worker that restarts within the 60 ms can still get the confirmation. TestLateConfirmationFollowsAnAnswer fails without the change.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -205,6 +205,9 @@
 	mixedLeaseCallWait = 400 * time.Millisecond
 	// unconfirmedRenewInterval is the interval of renewals while the newest end of the worker is not stored yet.
 	unconfirmedRenewInterval = 600 * time.Millisecond
+	// maxConfirmationAge is how long after the last answer of a worker ends are confirmed to it without asking again. One that
+	// has restarted meanwhile would discard ends that were not read.
+	maxConfirmationAge = 60 * time.Millisecond
 	// idleRenewInterval is the interval of renewals for a worker without tasks.
 	idleRenewInterval = 4 * time.Second
 	// Limits of the exponential backoff for a worker that does not answer.
@@ -301,14 +304,16 @@
 func (c *Core) sendLease(now time.Duration, w *worker) {
 	call := LeaseCall{Epoch: c.epoch}
 	// A worker that did not answer may have restarted, and would discard the ends of its new incarnation.
-	if w.confirmedEnd > w.receivedConfirmation && w.failingSince == 0 {
+	confirms := w.confirmedEnd > w.receivedConfirmation && w.failingSince == 0
+	recent := now-w.answeredAt <= maxConfirmationAge
+	if confirms && recent {
 		call.LastStoredEnd, w.sentConfirmation = w.confirmedEnd, w.confirmedEnd
 	}
 	// A worker that left a call unanswered gets no new lease until it answers, so that the owner knows by when its
 	// tasks have ended.
 	if w.mayLease() {
 		call.ExpiresAt = w.grantLease(now, c.params.Lease)
-		if len(w.tasks) > 0 && w.appliedEnd == w.confirmedEnd {
+		if len(w.tasks) > 0 && w.appliedEnd == w.confirmedEnd && (recent || !confirms) {
 			call.Wait = leaseCallWait
 			if w.isMixed() {
 				call.Wait = mixedLeaseCallWait
