--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -63,7 +63,7 @@
 		t.startState = startStored
 		c.startIfHeard(now, t)
 	case err == nil:
-		if !c.observeAnswer(now, t.worker, a) {
+		if !c.observeAnswer(now, t.worker, o.Member.StartedAt, a) {
 			c.startedEarlier(now, t, a.StartedAt)
 			return
 		}
@@ -74,7 +74,7 @@
 			c.needsOrder[t] = struct{}{}
 		}
 	case errors.As(err, &refused):
-		c.startRefused(now, t, refused)
+		c.startRefused(now, t, o.Member.StartedAt, refused)
 	default:
 		c.logger.Info("worker did not answer start", "task", t.id, "run", t.run, "worker", o.Member.ID,
 			"tries", t.startCalls, "error", err)
@@ -99,9 +99,9 @@
 	c.resolveSettled(now, t)
 }
 
-func (c *Core) startRefused(now time.Duration, t *task, r *RefusedError) {
+func (c *Core) startRefused(now time.Duration, t *task, sentTo int64, r *RefusedError) {
 	w := t.worker
-	newest := c.observeAnswer(now, w, ownAnswer(r.Answer, r))
+	newest := c.observeAnswer(now, w, sentTo, ownAnswer(r.Answer, r))
 	c.logger.Info("worker refused start", "task", t.id, "run", t.run, "worker", w.ID, "reason", r.Reason)
 	switch r.Reason {
 	case ReasonFenced:
@@ -191,7 +191,7 @@
 	t.stopInFlight = false
 	c.logger.Info("stop call finished", "task", t.id, "run", t.run, "worker", o.Member.ID, "error", err)
 	var refused *RefusedError
-	switch newest := c.observeAnswer(now, t.worker, ownAnswer(a, err)); {
+	switch newest := c.observeAnswer(now, t.worker, o.Member.StartedAt, ownAnswer(a, err)); {
 	case errors.As(err, &refused) && refused.Reason == ReasonFenced:
 		c.superseded = true
 	case !newest:
@@ -337,7 +337,7 @@
 }
 
 // minRestartTime is the time within which no worker ends and answers as its next incarnation.
-const minRestartTime = 100 * time.Millisecond
+const minRestartTime = 60 * time.Millisecond
 
 // heard reports whether the newest known incarnation of a worker has certainly been alive just now: it has answered, or holds
 // a call whose connection would have been closed at its end. The next call could otherwise reach a later incarnation.
@@ -375,19 +375,20 @@
 	w.leaseSentAt = now
 	delete(c.callable, w)
 	defer func() { c.orders = append(c.orders, LeaseOrder{Member: w.Member, Call: call, worker: w}) }()
-	if !c.heard(now, w) && !w.busy() {
+	heard := c.heard(now, w)
+	if !heard && !w.busy() {
 		// A later incarnation would take the longest lease by the clock of the earlier one, and forget ends that nobody has read.
 		return
 	}
 	// A worker that did not answer may have restarted, and would discard the ends of its new incarnation.
-	if w.confirmedEnd > w.receivedConfirmation && w.failingSince == 0 {
+	if heard && w.confirmedEnd > w.receivedConfirmation && w.failingSince == 0 {
 		call.LastStoredEnd, w.sentConfirmation = w.confirmedEnd, w.confirmedEnd
 	}
 	// A worker that left a call unanswered gets no new lease until it answers, so that the owner knows by when its
 	// tasks have ended.
 	if w.mayLease() {
 		call.ExpiresAt = w.grantLease(now, c.params.Lease)
-		if len(w.tasks) > 0 && w.appliedEnd == w.confirmedEnd {
+		if heard && len(w.tasks) > 0 && w.appliedEnd == w.confirmedEnd {
 			call.Wait = leaseCallWait
 			if w.isMixed() {
 				call.Wait = mixedLeaseCallWait
