An unnamed answer to a stop does not count for a later incarnation

The owner took such an answer for one of the newest known incarnation, also if the stop had been sent before the restart was known. A start without an answer could then still reach the newest one, while the next list gave the attempt up: the task ran twice. The stop is now repeated. TestUnnamedAnswerToAStopOfAnEarlierIncarnation fails without the change.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -174,11 +174,18 @@
 	t.stopInFlight = false
 	c.logger.Info("stop call finished", "task", t.id, "run", t.run, "worker", o.Member.ID, "error", err)
 	var refused *RefusedError
-	switch newest := c.observeAnswer(now, t.worker, o.Member.StartedAt, ownAnswer(a, err)); {
+	own := ownAnswer(a, err)
+	newest := c.observeAnswer(now, t.worker, o.Member.StartedAt, own)
+	// Without a name, an answer to a call that was meant for an earlier incarnation may be its own.
+	newest = newest && (own.StartedAt != 0 || o.Member.StartedAt == t.worker.StartedAt)
+	switch {
 	case errors.As(err, &refused) && refused.Reason == ReasonFenced:
 		c.superseded = true
+	case errors.As(err, &refused) && refused.Reason == ReasonRestarted:
+		t.worker.fenced = false
+		t.retryAt = now + stopRetryDelay
 	case !newest:
-		// An earlier incarnation has answered. The newest one may still get the start.
+		// An earlier incarnation may have answered. The newest one may still get the start.
 		t.retryAt = now + callRetryDelay
 	case err == nil:
 		t.startState, t.settledAt = startSettled, now
@@ -186,9 +193,6 @@
 		if !t.stopWanted {
 			delete(c.needsOrder, t)
 		}
-	case errors.As(err, &refused) && refused.Reason == ReasonRestarted:
-		t.worker.fenced = false
-		t.retryAt = now + stopRetryDelay
 	case errors.As(err, &refused) && refused.Reason == ReasonStaleAttempt:
 		t.startState, t.settledAt = startSettled, now
 		t.retryAt = now + stopRetryDelay
