Write no call to an agent that was given up meanwhile

A call that waited in the queue of a session, behind a slow write or a pause, was written after its owner had given it up, and the agent counted its age from then: the worker could begin a task that had been started elsewhere. The queue now asks whether the outcome is still awaited and the call may be made.

--- a/internal/agent/pause_test.go
+++ b/internal/agent/pause_test.go
@@ -185,3 +185,36 @@
 	assert.Len(t, d.agents["a"].started(), 1-len(d.agents["b"].started()))
 	assert.Zero(t, d.agents["a"].leaseCalls()+d.agents["b"].leaseCalls()+d.local.leaseCalls())
 }
+
+// Guards against a task that runs twice: a call that waited behind a slow write is sent after its owner has given it up.
+func TestCallThatWasGivenUpIsNotWritten(t *testing.T) {
+	a := newPausedAgent(t)
+	blocked := make(chan struct{})
+	var writes atomic.Int64
+	s := a.session(func() {
+		if writes.Add(1) == 2 {
+			<-blocked
+		}
+	})
+	require.NoError(t, a.start(s, "before"))
+	go func() { _ = a.start(s, "slow") }()
+	require.Eventually(t, func() bool { return writes.Load() == 2 }, 2*time.Second, time.Millisecond)
+	given, giveUp := context.WithCancel(t.Context())
+	c, outcome := start("given up", "spec"), make(chan result, 1)
+	go func() { outcome <- s.do(given, call{member: members(1)[0], start: &c}, time.Minute) }()
+	var allowed atomic.Bool
+	forbidden := start("forbidden", "spec")
+	go func() {
+		_ = s.do(dispatch.WithGuard(t.Context(), allowed.Load), call{member: members(1)[0], start: &forbidden}, time.Minute)
+	}()
+	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.pending) == 3 }, 2*time.Second, time.Millisecond)
+	giveUp()
+	assert.Error(t, (<-outcome).err)
+	close(blocked)
+	require.NoError(t, a.start(s, "after"))
+	var jobs []string
+	for _, c := range a.calls.started() {
+		jobs = append(jobs, string(c.Task.Job))
+	}
+	assert.ElementsMatch(t, []string{"before", "slow", "after"}, jobs)
+}
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -33,6 +33,8 @@
 	stop   *dispatch.StopCall
 	limit  *dispatch.CPULimitCall
 	lease  *dispatch.LeaseCall
+	// mayCall is asked when the call is written.
+	mayCall func() bool
 }
 
 // session is the owner's end of a session with an agent.
@@ -124,7 +126,7 @@
 	answered, sent := make(chan result, 1), int64(clock.Now())
 	s.mu.Lock()
 	s.last++
-	c.number = s.last
+	c.number, c.mayCall = s.last, func() bool { return dispatch.MayCall(ctx) }
 	s.pending[c.number] = answered
 	s.mu.Unlock()
 	s.calls.add(c, c.lease != nil)
@@ -159,6 +161,9 @@
 	var f callFrame
 	for i := range batch {
 		c := &batch[i]
+		if !s.awaits(c.number) || !c.mayCall() {
+			continue
+		}
 		key := workerKey{c.member.ID, c.member.Addr}
 		worker, ok := s.workers[key]
 		if !ok {
@@ -225,6 +230,14 @@
 	return nil
 }
 
+// awaits reports whether the outcome of a call is still awaited.
+func (s *session) awaits(number uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.pending[number]
+	return ok
+}
+
 // answer passes an outcome on, unless its call has been given up.
 func (s *session) answer(number uint64, r result) {
 	s.mu.Lock()
