Take back orders that were decided while the owner must not act

Events of an isolated owner still queued starts, which were sent when it could act again, up to seconds later and with the age of that moment, so that no guard of late calls saw it. They now count as not sent.

--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -13,6 +13,23 @@
 	return o
 }
 
+// RevokeOrders takes back the orders about tasks that were decided while the owner must not act. Lease calls and requests for
+// advice are decided only when it may.
+func (c *Core) RevokeOrders(now time.Duration) {
+	c.steps++
+	err := &NotSentError{}
+	for _, o := range c.Orders() {
+		switch o := o.(type) {
+		case StartOrder:
+			c.StartReturned(now, o, CallAnswer{}, err)
+		case StopOrder:
+			c.StopReturned(now, o, CallAnswer{}, err)
+		case CPULimitOrder:
+			c.CPULimitReturned(now, o, CallAnswer{}, err)
+		}
+	}
+}
+
 // Order is a call that Owner sends. Its outcome is reported to the Core.
 type Order interface{ isOrder() }
 
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -330,6 +330,8 @@
 		}
 		o.core.Act(now)
 		o.sendOrders(o.tenure, now)
+	} else {
+		o.core.RevokeOrders(now)
 	}
 	o.flushTasks(o.tenure, now)
 	o.flushStatus(o.tenure, now)
