Count what was heard of a worker, and its longest lease, from when it is certain

An adopted attempt no longer keeps the CPU limit of the earlier incarnation. Simulated lease calls to a worker that was cut off end without an answer.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -295,7 +295,7 @@
 	}
 	var ended []*task
 	for t := range w.tasks {
-		if now > t.longestLeaseEnd(c.params.MaxLease) {
+		if !t.neverSent() && now > t.longestLeaseEnd(c.params.MaxLease) {
 			ended = append(ended, t)
 		}
 	}
@@ -312,16 +312,18 @@
 	return true
 }
 
-// longestLeaseEnd returns the time by which the longest lease has expired that a start may have granted to an incarnation
-// that nobody has heard; 0 if there is no such start. A worker whose connections are closed or refused is not cut off: a
-// later incarnation would answer.
+// maxStartAge limits the time from the decision of a start to its transmission, also by an agent.
+const maxStartAge = maxTaskCallAge + maxTurnWait
+
+// longestLeaseEnd returns the time by which the longest lease has expired that the start of a task may have granted to an
+// incarnation that has not been heard since; 0 if there is no such start. A worker that has closed or refused the newest
+// connection is not cut off: a later incarnation would answer.
 func (t *task) longestLeaseEnd(longest time.Duration) time.Duration {
 	w := t.worker
-	if w == nil || !t.hadUnansweredStart || t.acceptedBy != 0 || w.heardAt > t.startSentAt ||
-		w.failingSince != 0 && w.connectionLost {
+	if t.startCalls == 0 || t.acceptedBy != 0 || w.askedAt > t.startSentAt || w.failingSince != 0 && w.connectionLost {
 		return 0
 	}
-	return t.startSentAt + withDrift(longest)
+	return t.startSentAt + maxStartAge + withDrift(longest)
 }
 
 // renewInterval returns the time between two lease calls. It is 0 for a worker with tasks: each call waits at the
@@ -343,10 +345,12 @@
 // minRestartTime is the time within which no worker ends and answers as its next incarnation.
 const minRestartTime = 60 * time.Millisecond
 
-// heard reports whether the newest known incarnation of a worker has certainly been alive just now: it has answered, or holds
-// a call whose connection would have been closed at its end. The next call could otherwise reach a later incarnation.
+// heard reports whether the newest known incarnation of a worker was alive just now: its answer has been handled, also late by
+// a slow owner, or it holds a call whose connection it would have closed at its end. The next call could otherwise reach a
+// later incarnation.
 func (c *Core) heard(now time.Duration, w *worker) bool {
-	return w.fenced && (w.holdsCall || w.heardIn == c.steps || now-w.heardAt <= minRestartTime)
+	age := now - w.heardAt
+	return w.fenced && (w.holdsCall || age <= minRestartTime || w.heardIn == c.steps && age <= maxTurnWait)
 }
 
 // hasStoredStart reports whether the start of a task waits until the worker has been heard.
@@ -426,9 +430,10 @@
 		}
 	}
 	if w.failingSince == 0 {
-		w.failingSince, w.connectionLost = now, ConnectionLost(err)
+		w.failingSince = now
 		c.logger.Info("worker does not answer", "worker", w.ID, "error", err, "tasks", len(w.tasks))
 	}
+	w.connectionLost = ConnectionLost(err)
 	w.retryInterval = min(max(2*w.retryInterval, minLeaseRetry), maxLeaseRetry)
 	c.startHeard(now, w)
 }
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -31,7 +31,10 @@
 	// The worker has been cut off and has not crashed.
 	w.lost = nil
 	w.answeredAt, w.failingSince, w.retryInterval = now, 0, 0
-	w.heardAt, w.heardIn = now, c.steps
+	w.askedAt = sent
+	if now-sent <= o.Call.Wait+maxLeaseCallAge {
+		w.heardAt, w.heardIn = now, c.steps
+	}
 	w.fencedIncarnation = w.StartedAt
 	if !w.fenced {
 		w.fenced, c.planNeeded = true, true
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -50,8 +50,9 @@
 	// the worker has answered. It is not sent again: a later incarnation would discard ends that were not read.
 	appliedEnd, confirmedEnd, sentConfirmation, receivedConfirmation int64
 	endMarks                                                         []endMark
-	// heardAt is when the newest answer to a lease call was received, heardIn the step in which it was handled. holdsCall is set
-	// while the worker, which had been heard before, holds a lease call.
+	// askedAt is when the newest lease call that was answered was sent. heardAt is when the newest answer was handled that was
+	// not held back, heardIn the step. holdsCall is set while the worker, which had been heard before, holds a lease call.
+	askedAt   time.Duration
 	heardAt   time.Duration
 	heardIn   int64
 	holdsCall bool
@@ -118,7 +119,11 @@
 			delete(c.unresponsive, w)
 		}
 		if w.silence == silenceRecorded {
-			silent[w.ID] = catalog.SilentWorker{StartedAt: w.StartedAt, Remaining: max(0, w.leaseEnd-now)}
+			end := w.leaseEnd
+			for t := range w.tasks {
+				end = max(end, t.longestLeaseEnd(c.params.MaxLease))
+			}
+			silent[w.ID] = catalog.SilentWorker{StartedAt: w.StartedAt, Remaining: max(0, end-now)}
 		}
 	}
 	if !changed {
--- a/internal/dispatch/heard_test.go
+++ b/internal/dispatch/heard_test.go
@@ -62,26 +62,25 @@
 
 // Guards against a task that runs twice: as above, and the worker restarted right after it had been heard.
 func TestStartThatNoIncarnationHasConfirmedMayHoldTheLongestLease(t *testing.T) {
-	for seed := range uint64(20) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			sim := newSimulation(t, seed, 2)
-			sim.holdsCalls = true
-			sim.run(60*time.Second + time.Duration(seed)*200*time.Millisecond)
-			f := sim.restartUnlisted("a", time.Hour)
-			sim.delayLeaseCalls(100 * time.Millisecond)
-			sim.submit("0000000000000001", batchStep(8, 30*time.Second))
-			for range 20 {
-				sim.run(time.Millisecond)
-				if len(f.running) > 0 {
-					break
+	for name, answered := range map[string]bool{"unanswered": false, "answer without incarnation": true} {
+		for seed := range uint64(20) {
+			t.Run(fmt.Sprint(name, seed), func(t *testing.T) {
+				sim := newSimulation(t, seed, 2)
+				sim.holdsCalls, sim.unnamedAnswers = true, answered
+				sim.run(60*time.Second + time.Duration(seed)*200*time.Millisecond)
+				f := sim.restartUnlisted("a", time.Hour)
+				sim.delayLeaseCalls(100 * time.Millisecond)
+				sim.submit("0000000000000001", batchStep(8, 30*time.Second))
+				sim.stepUntilStarted(f)
+				if answered {
+					sim.run(tick)
 				}
-			}
-			require.NotEmpty(t, f.running)
-			f.disconnected = true
-			sim.core.SetMember(sim.now, sim.member(sim.addWorker("c")))
-			sim.run(90 * time.Second)
-			assert.Equal(t, workflow.Done, sim.state("0000000000000001"))
-		})
+				f.disconnected = true
+				sim.core.SetMember(sim.now, sim.member(sim.addWorker("c")))
+				sim.run(90 * time.Second)
+				assert.Equal(t, workflow.Done, sim.state("0000000000000001"))
+			})
+		}
 	}
 }
 
@@ -94,10 +93,9 @@
 	w.receivedConfirmation, w.sentConfirmation = 0, 0
 	sim.core.Orders()
 	sim.core.sendLease(sim.now+time.Second, w)
-	for _, o := range sim.core.Orders() {
-		if l, ok := o.(LeaseOrder); ok {
-			assert.Zero(t, l.Call.LastStoredEnd)
-			assert.Zero(t, l.Call.ExpiresAt)
-		}
-	}
+	orders := sim.core.Orders()
+	require.Len(t, orders, 1)
+	call := orders[0].(LeaseOrder).Call
+	assert.Zero(t, call.LastStoredEnd)
+	assert.Zero(t, call.ExpiresAt)
 }
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -150,7 +150,7 @@
 	}
 	c.logger.Info("attempt adopted from a restarted worker", "task", t.id, "run", t.run, "worker", w.ID,
 		"before", t.workerStartedAt, "born", w.StartedAt)
-	t.workerStartedAt, t.adopted = w.StartedAt, true
+	t.workerStartedAt, t.adopted, t.cpuLimit = w.StartedAt, true, unknownCPULimit
 	c.markDirty(t.job())
 	if w.describedIncarnation == w.StartedAt && !w.suits(t) {
 		c.stopAttempt(t)
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -509,6 +509,9 @@
 		case sim.workers[f.id] != f:
 			reply(LeaseAnswer{}, &NoAnswerError{Err: io.EOF})
 		case f.disconnected:
+			sim.schedule(max(0, until-sim.now)+600*time.Millisecond, func() {
+				reply(LeaseAnswer{}, &NoAnswerError{Err: context.DeadlineExceeded})
+			})
 		case len(f.ends) > 0 || sim.now >= until:
 			reply(sim.list(f), nil)
 		default:
