--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"log/slog"
+	"slices"
 	"time"
 
 	"clementinewalk.example/clementinewalk/internal/workflow"
@@ -41,6 +43,8 @@
 		c.logger.Info("worker now refuses earlier owners", "worker", w.ID, "epoch", c.epoch,
 			"running", len(a.Running), "ends", len(a.Ends))
 	}
+	// Ends are applied, and confirmed, up to the newest number.
+	slices.SortFunc(a.Ends, func(x, y End) int { return cmp.Compare(x.Number, y.Number) })
 	for i := range a.Ends {
 		c.applyEnd(now, w, &a.Ends[i])
 	}
--- a/internal/dispatch/unheard_test.go
+++ b/internal/dispatch/unheard_test.go
@@ -255,3 +255,31 @@
 	sim.run(5 * time.Second)
 	assert.Equal(t, workflow.Done, sim.state("0000000000000001"))
 }
+
+// Guards against ends that are confirmed without being applied: a worker lists them in another order than that of their numbers.
+func TestEndsAreAppliedInAnyOrder(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.submit("0000000000000001", batchStep(3, 100*time.Millisecond))
+	sim.run(90 * time.Millisecond)
+	w, f := sim.core.workers["a"], sim.workers["a"]
+	require.Len(t, f.running, 3)
+	a := sim.list(f)
+	for i, r := range a.Running {
+		a.Ends = append(a.Ends, End{Number: int64(3 - i), Attempt: r.Attempt, Outcome: EndDone})
+	}
+	a.Running = nil
+	sim.core.LeaseAnswered(sim.now, sim.now-tick, LeaseOrder{Member: w.Member, worker: w}, a)
+	assert.Equal(t, workflow.Done, sim.core.jobs["0000000000000001"].state)
+}
+
+// Guards against a lease that is longer than expected: a call for the earlier incarnation is answered once the later one is known.
+func TestAnswerToACallForAnEarlierIncarnationMayGrantTheLongestLease(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.run(60 * time.Second)
+	w := sim.core.workers["a"]
+	before := w.Member
+	sim.restart("a")
+	sim.now += 3 * time.Second
+	sim.core.LeaseAnswered(sim.now, sim.now-tick, LeaseOrder{Member: before, worker: w}, sim.list(sim.workers["a"]))
+	assert.GreaterOrEqual(t, w.leaseEnd, sim.now+withDrift(sim.params.MaxLease))
+}
