--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -379,14 +379,19 @@
 }
 
 func (c *Core) sendLease(now time.Duration, w *worker) {
-	call := LeaseCall{Epoch: c.epoch}
+	call := c.leaseCall(now, w)
 	w.leaseSentAt = now
 	delete(c.callable, w)
-	defer func() { c.orders = append(c.orders, LeaseOrder{Member: w.Member, Call: call, worker: w}) }()
+	c.orders = append(c.orders, LeaseOrder{Member: w.Member, Call: call, worker: w})
+}
+
+// leaseCall returns the next lease call to a worker. To an idle one that has not been heard it grants and confirms nothing: a
+// later incarnation would take the longest lease by the clock of the earlier one, and forget ends that nobody has read.
+func (c *Core) leaseCall(now time.Duration, w *worker) LeaseCall {
+	call := LeaseCall{Epoch: c.epoch}
 	heard := c.heard(now, w)
 	if !heard && !w.busy() {
-		// A later incarnation would take the longest lease by the clock of the earlier one, and forget ends that nobody has read.
-		return
+		return call
 	}
 	// A worker that did not answer may have restarted, and would discard the ends of its new incarnation.
 	if heard && w.confirmedEnd > w.receivedConfirmation && w.failingSince == 0 {
@@ -407,6 +412,7 @@
 			w.holdsCall = true
 		}
 	}
+	return call
 }
 
 // LeaseFailed applies the refusal of a lease call, or the lack of an answer.
--- a/internal/dispatch/confirmation_test.go
+++ b/internal/dispatch/confirmation_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"io"
 	"testing"
 	"time"
 
@@ -45,35 +44,9 @@
 
 // Guards against a task that runs twice: the answer to a stop names no incarnation, and arrives after the restart was known.
 func TestUnnamedAnswerToAStopOfAnEarlierIncarnation(t *testing.T) {
-	sim := newSimulation(t, 1, 1)
-	sim.run(20 * time.Second)
-	sim.submit("0000000000000001", batchStep(1, 10*time.Second))
-	sim.run(13 * time.Millisecond)
-	b := sim.core.TakeBatch()
-	if b == nil {
-		b = sim.tasksInFlight
-	}
-	sim.tasksInFlight = nil
-	sim.core.Committed(sim.now, b.ID)
-	stops := func() (out []StopOrder) {
-		for _, o := range sim.core.Orders() {
-			if s, ok := o.(StopOrder); ok {
-				out = append(out, s)
-			}
-		}
-		return out
-	}
-	stops()
-	task := sim.core.jobs["0000000000000001"].rounds[0].steps[0].tasks[0]
-	order := StartOrder{Member: task.worker.Member, task: task, Call: StartCall{Attempt: task.attempt()}}
-	sim.core.StartReturned(sim.now, order, CallAnswer{}, &NoAnswerError{Err: io.EOF})
-	task.startCalls = maxStartCalls
-	sim.now += callRetryDelay
-	sim.core.Act(sim.now)
-	sent := stops()
-	require.Len(t, sent, 1)
+	sim, stops, sent := stopOfAnUnansweredStart(t)
 	sim.restart("a")
-	sim.core.StopReturned(sim.now, sent[0], CallAnswer{}, nil)
+	sim.core.StopReturned(sim.now, sent, CallAnswer{}, nil)
 	sim.now += stopRetryDelay
 	sim.core.Act(sim.now)
 	assert.Len(t, stops(), 1, "the start without an answer may still reach the newest incarnation")
--- a/internal/dispatch/heard_test.go
+++ b/internal/dispatch/heard_test.go
@@ -65,13 +65,7 @@
 	for name, answered := range map[string]bool{"unanswered": false, "answer without incarnation": true} {
 		for seed := range uint64(20) {
 			t.Run(fmt.Sprint(name, seed), func(t *testing.T) {
-				sim := newSimulation(t, seed, 2)
-				sim.holdsCalls, sim.unnamedAnswers = true, answered
-				sim.run(60*time.Second + time.Duration(seed)*200*time.Millisecond)
-				f := sim.restartUnlisted("a", time.Hour)
-				sim.delayLeaseCalls(100 * time.Millisecond)
-				sim.submit("0000000000000001", batchStep(8, 30*time.Second))
-				sim.stepUntilStarted(f)
+				sim, _, f := startAfterRestart(t, seed, answered)
 				if answered {
 					sim.run(tick)
 				}
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -39,8 +39,7 @@
 }
 
 // observeAnswer applies the incarnation and the clock reading of an answer, and reports whether the newest known
-// incarnation may have answered. Any incarnation may have sent an answer that names none.
-// sentTo is as for observeIncarnation.
+// incarnation may have answered. Any incarnation may have sent an answer that names none. sentTo is as for observeIncarnation.
 func (c *Core) observeAnswer(now time.Duration, w *worker, sentTo int64, a CallAnswer) bool {
 	if !c.observeIncarnation(now, w, a.StartedAt, sentTo) {
 		return false
@@ -71,8 +70,6 @@
 	c.workerCrashed(w, startedAt)
 	if !first {
 		c.logger.Info("worker restarted", "worker", w.ID, "before", w.StartedAt, "born", startedAt, "tasks", len(w.tasks))
-	}
-	if !first {
 		if w.ended == nil {
 			w.ended = map[int64]struct{}{}
 		}
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -228,9 +228,9 @@
 	}
 }
 
-// Guards against a task that runs twice: a start without an answer reaches a worker that has restarted after it had
-// answered the stop.
-func TestStopIsRepeatedAfterARestart(t *testing.T) {
+// stopOfAnUnansweredStart returns a simulation whose owner has sent a stop after a start without an answer, a function that
+// takes the stops that it has ordered since, and the stop.
+func stopOfAnUnansweredStart(t *testing.T) (*simulation, func() []StopOrder, StopOrder) {
 	sim := newSimulation(t, 1, 1)
 	sim.run(20 * time.Second)
 	sim.submit("0000000000000001", batchStep(1, 10*time.Second))
@@ -258,8 +258,15 @@
 	sim.core.Act(sim.now)
 	sent := stops()
 	require.Len(t, sent, 1)
+	return sim, stops, sent[0]
+}
+
+// Guards against a task that runs twice: a start without an answer reaches a worker that has restarted after it had
+// answered the stop.
+func TestStopIsRepeatedAfterARestart(t *testing.T) {
+	sim, stops, sent := stopOfAnUnansweredStart(t)
 	earlier := CallAnswer{StartedAt: sim.workers["a"].startedAt, Clock: sim.clock(sim.workers["a"])}
-	sim.core.StopReturned(sim.now, sent[0], earlier, nil)
+	sim.core.StopReturned(sim.now, sent, earlier, nil)
 	sim.restart("a")
 	sim.now += stopRetryDelay
 	sim.core.Act(sim.now)
--- a/internal/dispatch/unheard_test.go
+++ b/internal/dispatch/unheard_test.go
@@ -23,17 +23,24 @@
 	require.NotEmpty(sim.t, f.running)
 }
 
+// startAfterRestart returns a simulation in which a worker has restarted right after it was heard and has just begun a task, and
+// the earlier and the new incarnation. The owner has no answer yet.
+func startAfterRestart(t *testing.T, seed uint64, unnamed bool) (sim *simulation, before, f *fakeWorker) {
+	sim = newSimulation(t, seed, 2)
+	sim.holdsCalls, sim.unnamedAnswers = true, unnamed
+	sim.run(60*time.Second + time.Duration(seed)*200*time.Millisecond)
+	before, f = sim.workers["a"], sim.restartUnlisted("a", time.Hour)
+	sim.delayLeaseCalls(100 * time.Millisecond)
+	sim.submit("0000000000000001", batchStep(8, 30*time.Second))
+	sim.stepUntilStarted(f)
+	return sim, before, f
+}
+
 // Guards against a task that runs twice: the call that the earlier incarnation held was closed, and the later one is then cut off.
 func TestConnectionThatClosedBeforeACutEndsNoLongestLease(t *testing.T) {
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			sim := newSimulation(t, seed, 2)
-			sim.holdsCalls = true
-			sim.run(60*time.Second + time.Duration(seed)*200*time.Millisecond)
-			f := sim.restartUnlisted("a", time.Hour)
-			sim.delayLeaseCalls(100 * time.Millisecond)
-			sim.submit("0000000000000001", batchStep(8, 30*time.Second))
-			sim.stepUntilStarted(f)
+			sim, _, f := startAfterRestart(t, seed, false)
 			f.disconnected = true
 			// The call that the earlier incarnation held has ended with it.
 			w := sim.core.workers["a"]
@@ -208,28 +215,19 @@
 
 // Guards against a task that runs twice: the successor of an owner counts with the usual lease of a worker recorded as silent.
 func TestSuccessorWaitsForTheLongestLeaseOfASilentWorker(t *testing.T) {
-	for _, after := range []time.Duration{3 * time.Second} {
-		for seed := range uint64(10) {
-			t.Run(fmt.Sprint(after, seed), func(t *testing.T) {
-				sim := newSimulation(t, seed, 2)
-				sim.holdsCalls = true
-				sim.run(60*time.Second + time.Duration(seed)*200*time.Millisecond)
-				before := sim.workers["a"]
-				f := sim.restartUnlisted("a", time.Hour)
-				sim.delayLeaseCalls(100 * time.Millisecond)
-				sim.submit("0000000000000001", batchStep(8, 30*time.Second))
-				sim.stepUntilStarted(f)
-				f.disconnected = true
-				sim.run(after)
-				sim.workers["a"] = before
-				sim.takeOver()
-				sim.workers["a"] = f
-				// The entry of the earlier incarnation is the newest that was read.
-				sim.core.SetMember(sim.now, sim.member(sim.addWorker("c")))
-				sim.run(90 * time.Second)
-				assert.Equal(t, workflow.Done, sim.state("0000000000000001"))
-			})
-		}
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim, before, f := startAfterRestart(t, seed, false)
+			f.disconnected = true
+			sim.run(3 * time.Second)
+			// The entry of the earlier incarnation is the newest that was read.
+			sim.workers["a"] = before
+			sim.takeOver()
+			sim.workers["a"] = f
+			sim.core.SetMember(sim.now, sim.member(sim.addWorker("c")))
+			sim.run(90 * time.Second)
+			assert.Equal(t, workflow.Done, sim.state("0000000000000001"))
+		})
 	}
 }
 
