--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -25,11 +25,12 @@
 		w.ignoredStart = startedAt
 		c.logger.Warn("ignoring an earlier incarnation of a worker", "worker", w.ID, "born", startedAt, "newest", w.StartedAt)
 	}
-	if startedAt == w.StartedAt && sentTo != 0 && sentTo != startedAt {
+	newest := startedAt == w.StartedAt
+	if newest && sentTo != 0 && sentTo != startedAt {
 		// The limit of a call that was meant for an earlier incarnation may have granted the longest lease.
 		w.extendLease(now + withDrift(c.params.MaxLease))
 	}
-	return startedAt == 0 || startedAt == w.StartedAt
+	return newest || startedAt == 0
 }
 
 // hasEnded reports whether an incarnation of the worker is known to have ended.
