Send a start only over a connection to the incarnation it is meant for

Cause: a call goes to an address, and the HTTP client opens a new connection to whoever listens there. The owner takes a worker as just heard while it holds a lease call, but a machine that loses power closes no connection, and a start may wait up to 1.5 s for its turn, at an agent, or for its repetition.

Agents get the incarnation as well.

--- a/internal/agent/frame.go
+++ b/internal/agent/frame.go
@@ -60,14 +60,15 @@
 }
 
 // startMessage holds the specification of the submission in the first start of one of its tasks; SpecKnown reports
-// that the agent has it.
+// that the agent has it. The start must reach no other incarnation of the worker than WorkerStartedAt.
 type startMessage struct {
-	_              struct{} `cbor:",toarray"`
-	SpecKnown      bool
-	Spec           string
-	Checkpoint     string
-	Ticket         string
-	DeadlineMillis int64
+	_               struct{} `cbor:",toarray"`
+	SpecKnown       bool
+	Spec            string
+	Checkpoint      string
+	Ticket          string
+	DeadlineMillis  int64
+	WorkerStartedAt int64
 }
 
 type attemptMessage struct {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -210,6 +210,7 @@
 		}
 		c := dispatch.StartCall{Attempt: attempt, Spec: v.specs.known[attempt.Task.Job], Checkpoint: m.Start.Checkpoint,
 			Ticket: m.Start.Ticket, Epoch: m.Epoch, Deadline: millis(m.Start.DeadlineMillis)}
+		w.StartedAt = m.Start.WorkerStartedAt
 		return func() (dispatch.CallAnswer, error) { return v.server.workers.Start(ctx, w, c) }, nil
 	case opStop:
 		c := dispatch.StopCall{Attempt: attempt, Epoch: m.Epoch}
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -189,7 +189,7 @@
 		m.Operation, m.Attempt, m.Epoch = opStart, newAttemptMessage(c.start.Attempt), c.start.Epoch
 		job := c.start.Task.Job
 		m.Start = &startMessage{SpecKnown: s.specs.has(job), Checkpoint: c.start.Checkpoint, Ticket: c.start.Ticket,
-			DeadlineMillis: c.start.Deadline.Milliseconds()}
+			DeadlineMillis: c.start.Deadline.Milliseconds(), WorkerStartedAt: c.member.StartedAt}
 		if !m.Start.SpecKnown {
 			m.Start.Spec = c.start.Spec
 			s.specs.add(job, "")
--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -17,6 +17,7 @@
 	startedAt    int64
 	bornAt       time.Duration
 	highestEpoch int64
+	pool         string
 	labels       []string
 	// leaseUntil is the reading of the worker's clock at which its lease ends.
 	leaseUntil time.Duration
@@ -151,6 +152,7 @@
 	require.True(sim.t, sim.reservedWith(f, s).Fits(f.capacity), "worker %s is overcommitted by %s", f.id, c.Task)
 	require.True(sim.t, s.Label == "" || slices.Contains(f.labels, s.Label), "%s starts on %s without label %s", c.Task,
 		f.id, s.Label)
+	require.Equal(sim.t, testPool, f.pool, "%s starts on %s, which belongs to another pool", c.Task, f.id)
 	require.False(sim.t, sim.doneConfirmed[c.Task], "%s starts after its end was confirmed", c.Task)
 	for _, other := range sim.workers {
 		for a := range other.running {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -194,7 +194,7 @@
 }
 
 // Workers sends calls to workers. Each method returns *RefusedError or *NoAnswerError, and *NotSentError if it is a call
-// about a task.
+// about a task. Start reaches the incarnation of m only: it is refused with ReasonRestarted if a later one answers.
 type Workers interface {
 	Start(ctx context.Context, m Member, c StartCall) (CallAnswer, error)
 	Stop(ctx context.Context, m Member, c StopCall) (CallAnswer, error)
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -79,6 +79,13 @@
 	holdsCalls bool
 	// unnamedAnswers leaves the incarnation out of the answers to calls about tasks.
 	unnamedAnswers bool
+	// pinnedStarts makes starts reach the incarnation that they are meant for only, as the contract of Workers says. Without it,
+	// a later incarnation accepts them, which tests what the core does about attempts of which it does not know who runs them.
+	pinnedStarts bool
+	// heldStarts is how long starts wait between their decision and their transmission.
+	heldStarts time.Duration
+	// staleEntries holds, by id, the newest entries in the log of workers that have not written one since their restart.
+	staleEntries map[string]Member
 }
 
 type event struct {
@@ -102,21 +109,24 @@
 
 func discardLogger() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
+// testPool is the pool of the test queue, and of workers unless a test says otherwise.
+const testPool = "pool"
+
 func testConfig() *queue.Config {
-	terms := workflow.Terms{Queue: "q", Pool: "pool", MaxAttempts: 3, Stretch: 2, Allowance: time.Second}
+	terms := workflow.Terms{Queue: "q", Pool: testPool, MaxAttempts: 3, Stretch: 2, Allowance: time.Second}
 	return queue.New(1, []queue.Queue{{Host: "h", PathPrefix: "/", Terms: terms}}, nil, queue.Limits{})
 }
 
 func (sim *simulation) addWorker(id string) *fakeWorker {
 	f := &fakeWorker{id: id, addr: "addr-" + id, startedAt: int64(sim.now/time.Millisecond) + 1, bornAt: sim.now,
-		capacity: sim.capacity,
-		running:  map[Attempt]*fakeRun{}, highestRun: map[workflow.TaskID]int{}}
+		capacity: sim.capacity, pool: testPool,
+		running: map[Attempt]*fakeRun{}, highestRun: map[workflow.TaskID]int{}}
 	sim.workers[id] = f
 	return f
 }
 
 func (sim *simulation) member(f *fakeWorker) Member {
-	return Member{Incarnation: Incarnation{ID: f.id, StartedAt: f.startedAt}, Pool: "pool", Addr: f.addr,
+	return Member{Incarnation: Incarnation{ID: f.id, StartedAt: f.startedAt}, Pool: f.pool, Addr: f.addr,
 		Capacity: f.capacity, Labels: f.labels}
 }
 
@@ -147,7 +157,12 @@
 
 func (sim *simulation) listWorkers() {
 	for _, f := range sim.workers {
-		sim.core.SetMember(sim.now, sim.member(f))
+		if _, stale := sim.staleEntries[f.id]; !stale {
+			sim.core.SetMember(sim.now, sim.member(f))
+		}
+	}
+	for _, m := range sim.staleEntries {
+		sim.core.SetMember(sim.now, m)
 	}
 }
 
@@ -366,6 +381,21 @@
 			}
 		})
 	}
+	if _, ok := o.(StartOrder); ok && sim.heldStarts > 0 {
+		sim.schedule(min(sim.heldStarts, maxStartAge), func() {
+			if sim.heldStarts > maxStartAge {
+				sim.reportError(core, o, &NotSentError{})
+				return
+			}
+			sim.transmit(core, o, member, answer)
+		})
+		return
+	}
+	sim.transmit(core, o, member, answer)
+}
+
+// transmit delivers a call, or loses it or its answer.
+func (sim *simulation) transmit(core *Core, o Order, member Member, answer func(func())) {
 	if sim.rng.Float64() < sim.callLossShare {
 		if sim.rng.IntN(2) == 0 {
 			// The worker holds the call, which ends with its incarnation.
@@ -462,6 +492,10 @@
 	// A worker that has restarted under its id accepts calls that were meant for its earlier incarnation.
 	switch c := o.(type) {
 	case StartOrder:
+		if sim.pinnedStarts && f.startedAt != m.StartedAt {
+			answer(func() { sim.reportError(core, o, &RefusedError{Reason: ReasonRestarted}) })
+			return
+		}
 		a, err := sim.unname(sim.start(f, c.Call))
 		answer(func() { core.StartReturned(sim.now, c, a, err) })
 	case StopOrder:
