Test the real programs with crowds of clients outside the limits

make client-test starts clementine-node and clementine-gateway on the loopback network, one case at a time, and opens 400 connections that send what clients outside the limits send. It checks that the process lives, keeps within 96 MB and 256 descriptors, the limits in its settings, and answers an ordinary request while the crowd is connected. These numbers stay as they are.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build tools check format lint test models mutants demo up faults process-test soak experiment bench capacity clean
+.PHONY: build tools check format lint test models mutants demo up faults process-test client-test soak experiment bench capacity clean
 
 build:
 	@mkdir -p $(BIN)
@@ -50,6 +50,11 @@
 	@$(GO) test -c -o $(BIN)/faults.test ./test/faults
 	@cd test/faults && PROCESSES=1 KEEP="$(KEEP)" ../../$(BIN)/faults.test -test.timeout 5m -test.run TestProcesses
 
+# Sends clementine-node and clementine-gateway what clients outside the limits send, one case at a time: CASE=pattern
+# selects some, as of go test -run.
+client-test:
+	@CLIENTS=1 $(GO) test -count=1 -timeout 15m -run "$(or $(CASE),.)" ./test/clients
+
 # Compares policies on a deployment of the real programs: EXP is the name of a file in examples/experiments;
 # scripts/experiment.sh lists the settings.
 experiment:
@@ -70,7 +75,7 @@
 tools:
 	@for t in gcc spin; do command -v $$t >/dev/null || { echo "$$t is not installed; on Debian: apt-get install gcc libc6-dev spin" >&2; exit 2; }; done
 
-check: tools format lint test models mutants process-test
+check: tools format lint test models mutants process-test client-test
 
 clean:
 	@rm -rf $(BIN) out
