--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -14,7 +14,7 @@
 // Name identifies an assertion in the metric and in docs/proofs.md.
 type Name string
 
-// The assertions. The prefix pN is the number of the guarantee in docs/design.md that the assertion checks.
+// The assertions. The prefix pN is the number of the guarantee in docs/design.md that the assertion checks; others guard resources of the process.
 const (
 	WorkerCapacity     Name = "p1_worker_capacity"
 	QuotaShare         Name = "p1_quota_share"
@@ -27,6 +27,7 @@
 	NoWorkWhenLeaving  Name = "p7_no_work_when_leaving"
 	StopDrained        Name = "p8_stop_drained"
 	ConfigForward      Name = "p9_config_forward"
+	IngressReleased    Name = "ingress_released"
 )
 
 // Violations counts the violations by name of the assertion.
