Limit the texts and lists of new submissions

An empty step has one byte in a relayed entry and some 250 in memory, so lists are limited while they are decoded. Stored submissions are not checked again: an earlier version may have accepted them.

--- a/internal/catalog/endpoint.go
+++ b/internal/catalog/endpoint.go
@@ -116,12 +116,12 @@
 	case isCancellation:
 		return nil
 	}
-	var s workflow.Submission
-	if err := workflow.Decode("submission", e.Value, &s); err != nil {
+	s, err := workflow.DecodeNew(e.Value)
+	if err != nil {
 		return err
 	}
 	if string(s.Job) != id {
 		return &EntryError{Key: e.Key, Problem: "holds another submission"}
 	}
-	return s.Check()
+	return s.CheckNew()
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -105,7 +105,7 @@
 // Submit returns once the submission is stored. It returns an *workflow.InvalidError, *RefusedError or
 // *UncertainError.
 func (a *API) Submit(ctx context.Context, s *workflow.Submission) error {
-	if err := s.Check(); err != nil {
+	if err := s.CheckNew(); err != nil {
 		a.logger.Info("submission refused as invalid", "job", s.Job, "queue", s.Terms.Queue, "error", err)
 		return err
 	}
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -114,6 +114,27 @@
 	return b, nil
 }
 
+// boundedDecoding refuses lists that are longer than those of a valid submission before they are decoded: an empty step
+// has one byte in its encoded form and some 250 in memory.
+var boundedDecoding = newBoundedDecoding()
+
+func newBoundedDecoding() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: MaxSteps, MaxMapPairs: MaxSteps}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// DecodeNew decodes a submission of another process that is not checked yet. It returns a *DecodeError.
+func DecodeNew(b []byte) (*Submission, error) {
+	var s Submission
+	if err := boundedDecoding.Unmarshal(b, &s); err != nil {
+		return nil, &DecodeError{What: "submission", Err: err}
+	}
+	return &s, nil
+}
+
 // Decode is the inverse of Encode. It returns a *DecodeError.
 func Decode(what string, b []byte, v any) error {
 	if err := cbor.Unmarshal(b, v); err != nil {
--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -125,9 +125,12 @@
 	return s.First.Add(time.Duration(round) * s.Interval)
 }
 
+// MaxSteps limits the steps of a submission, and with them the entries of every list in it.
+const MaxSteps = 200
+
 // Limits of a submission. They bound the memory that one submission can take.
 const (
-	maxSteps  = 200
+	maxSteps  = MaxSteps
 	maxTasks  = 5000
 	maxRounds = 10000
 	// maxTasksAllRounds limits the tasks of all rounds together, so that the record of a submission fits into one
@@ -142,6 +145,10 @@
 	maxFirst = 253402300799
 	// maxObjective limits the latency objective, whatever the terms of the queue say.
 	maxObjective = 366 * 24 * time.Hour
+	// maxSpecBytes is the longest specification that the platform passes on. maxNameBytes limits the names of labels,
+	// racks and images, which are stored with every step; the platform's have less than a hundred bytes.
+	maxSpecBytes = 4000
+	maxNameBytes = 256
 )
 
 // Objective returns the latency objective of a submission with a given longest chain of steps.
@@ -185,6 +192,28 @@
 	return nil
 }
 
+// CheckNew is like Check for a submission that is not stored yet, whose texts and lists it limits as well. A stored one
+// may be from a version without these limits and must be carried out.
+func (s *Submission) CheckNew() error {
+	if err := s.Check(); err != nil {
+		return err
+	}
+	if len(s.Spec) > maxSpecBytes {
+		return &InvalidError{"specification", fmt.Sprintf("has %d bytes; at most %d are allowed", len(s.Spec), maxSpecBytes)}
+	}
+	for i := range s.Steps {
+		st := &s.Steps[i]
+		field := fmt.Sprintf("step %d", i)
+		if n := max(len(st.Label), len(st.DataRack), len(st.Image)); n > maxNameBytes {
+			return &InvalidError{field, fmt.Sprintf("has a label, rack or image of %d bytes; at most %d are allowed", n, maxNameBytes)}
+		}
+		if len(st.After) > maxSteps {
+			return &InvalidError{field, fmt.Sprintf("waits for %d steps; at most %d are allowed", len(st.After), maxSteps)}
+		}
+	}
+	return nil
+}
+
 func (s *Submission) checkStep(i int) error {
 	st := &s.Steps[i]
 	field := fmt.Sprintf("step %d", i)
