Bound what clients can make clementine-node hold

Bodies, connections of callers, the ports for readiness checks and metrics and the relay use the budgets of internal/ingress. Frames of sessions grow with what arrives.

--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -12,6 +12,7 @@
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/dispatch"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/ingress"
 	"clementinewalk.example/clementinewalk/internal/intake"
 	"clementinewalk.example/clementinewalk/internal/node"
 	"clementinewalk.example/clementinewalk/internal/process"
@@ -39,6 +40,20 @@
 	configMargin = 300 * time.Millisecond
 )
 
+const (
+	// bodyShare is the part of the memory for the bodies of callers and peers, as a divisor: the owner needs most of it
+	// for its submissions. workFactor is what a submission takes in all: its text, its decoded form and two encoded
+	// copies on the way to the log.
+	bodyShare  = 8
+	workFactor = 4
+)
+
+// newGate returns the bounds of what callers and peers take.
+func newGate(s *platform.Settings, l *slog.Logger, r *prometheus.Registry) *ingress.Gate {
+	return ingress.New(ingress.Settings{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors, BodyShare: bodyShare,
+		WorkFactor: workFactor}, process.WithPrefix(l, "ingress"), r)
+}
+
 func newStore(s *platform.Settings) eventlog.Log {
 	return platform.NewStore(s.StoreAddr, platform.NewTransport())
 }
@@ -100,11 +115,11 @@
 	return api
 }
 
-func newRelay(s *platform.Settings, b *eventlog.Batcher, api *intake.API, a *agent.Server,
+func newRelay(s *platform.Settings, b *eventlog.Batcher, api *intake.API, a *agent.Server, g *ingress.Gate,
 	l *slog.Logger) *node.Relay {
 	return &node.Relay{Instance: s.Instance, Addr: s.RelayAddr, Log: b, Handler: intake.NewPeerHandler(b, api),
 		Sessions: a, Published: catalog.Endpoint{DataCentre: s.DataCentre, Cores: s.Cores,
-			LinkBytesPerSecond: s.LinkBytesPerSecond}, Logger: process.WithPrefix(l, "relay")}
+			LinkBytesPerSecond: s.LinkBytesPerSecond}, Gate: g, Logger: process.WithPrefix(l, "relay")}
 }
 
 func newOwner(
@@ -125,14 +140,14 @@
 }
 
 func newNode(o *Options, s *platform.Settings, t node.Topics, q *queue.Current, v *node.Views, b *eventlog.Batcher,
-	owner *dispatch.Owner, api *intake.API, peers *node.Relay, l *slog.Logger, r *prometheus.Registry) *node.Node {
+	owner *dispatch.Owner, api *intake.API, peers *node.Relay, g *ingress.Gate, l *slog.Logger, r *prometheus.Registry) *node.Node {
 	health := &process.Health{}
 	addr := netip.MustParseAddrPort(s.CallerAddr).Addr()
 	return node.New(node.Settings{Instance: s.Instance, Topics: t, StopTime: s.StopTime,
 		Listeners: node.Listeners{Callers: s.CallerAddr, Ready: s.ReadyAddr,
 			Metrics: netip.AddrPortFrom(addr, o.MetricsPort).String()}},
-		node.Deps{Config: q, Views: v, Batcher: b, Owner: owner, Relay: peers,
-			Callers: platform.NewCallers(api, s.AdvisorAddr != "", process.WithPrefix(l, "callers")),
+		node.Deps{Config: q, Views: v, Batcher: b, Owner: owner, Relay: peers, Gate: g,
+			Callers: platform.NewCallers(api, g, s.AdvisorAddr != "", process.WithPrefix(l, "callers")),
 			Ready:   platform.NewReady(health.Ready), Metrics: promhttp.HandlerFor(r, promhttp.HandlerOpts{}),
 			Reload: checkChangedSettings(o, l),
 			Health: health, Logger: process.WithPrefix(l, "node")})
--- a/cmd/clementine-node/wire_gen.go
+++ b/cmd/clementine-node/wire_gen.go
@@ -28,7 +28,8 @@
 	owner := newOwner(s, log, pool, advisor, topics, current, catalog, views, l, r)
 	api := newIntakeAPI(s, batcher, catalog, current, views, l, r)
 	server := newAgent(s, limitedWorkers, l)
-	relay := newRelay(s, batcher, api, server, l)
-	nodeNode := newNode(o, s, topics, current, views, batcher, owner, api, relay, l, r)
+	gate := newGate(s, l, r)
+	relay := newRelay(s, batcher, api, server, gate, l)
+	nodeNode := newNode(o, s, topics, current, views, batcher, owner, api, relay, gate, l, r)
 	return nodeNode
 }
--- a/internal/agent/frame.go
+++ b/internal/agent/frame.go
@@ -283,6 +283,24 @@
 	return append(binary.BigEndian.AppendUint32(make([]byte, 0, frameHeaderBytes+len(b)), uint32(len(b))), b...), nil
 }
 
+// firstFrameBytes is the most that is allocated for a frame before any of it has arrived.
+const firstFrameBytes = 64 << 10
+
+// readGrowing reads n bytes into a buffer that grows with what arrives: a peer may announce a long frame and send nothing.
+func readGrowing(r io.Reader, n int) ([]byte, error) {
+	b, read := make([]byte, min(n, firstFrameBytes)), 0
+	for {
+		m, err := io.ReadFull(r, b[read:])
+		read += m
+		if err != nil || read == n {
+			return b, err
+		}
+		grown := make([]byte, min(n, 4*read))
+		copy(grown, b)
+		b = grown
+	}
+}
+
 // readFrame reads one frame into v. It returns the error of r or a *FrameError.
 func readFrame(r io.Reader, v any) error {
 	var header [frameHeaderBytes]byte
@@ -293,8 +311,8 @@
 	if n > maxFrameBytes {
 		return &FrameError{Problem: "too long"}
 	}
-	b := make([]byte, n)
-	if _, err := io.ReadFull(r, b); err != nil {
+	b, err := readGrowing(r, int(n))
+	if err != nil {
 		return errors.WithStack(err)
 	}
 	if err := cbor.Unmarshal(b, v); err != nil {
--- a/internal/agent/suspend_test.go
+++ b/internal/agent/suspend_test.go
@@ -13,11 +13,13 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/dispatch"
+	"clementinewalk.example/clementinewalk/internal/ingress"
 	"clementinewalk.example/clementinewalk/internal/relay"
 )
 
@@ -30,7 +32,7 @@
 	if os.Getenv(agentProcessVariable) == "" {
 		return
 	}
-	r, err := relay.Listen("agent", "127.0.0.1:0", discard())
+	r, err := relay.Listen("agent", "127.0.0.1:0", ingress.New(ingress.Settings{}, discard(), prometheus.NewRegistry()), discard())
 	require.NoError(t, err)
 	fmt.Printf("endpoint %s %s\n", r.Endpoint().Addr, hex.EncodeToString(r.Endpoint().Fingerprint))
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"clementinewalk.example/clementinewalk/internal/clock"
 	"clementinewalk.example/clementinewalk/internal/dispatch"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/ingress"
 	"clementinewalk.example/clementinewalk/internal/process"
 	"clementinewalk.example/clementinewalk/internal/queue"
 )
@@ -52,6 +53,8 @@
 	Relay   *Relay
 	// Callers serves the callers, Ready the readiness checks of the load balancer.
 	Callers, Ready, Metrics http.Handler
+	// Gate bounds what clients take.
+	Gate *ingress.Gate
 	// Reload reads the settings file again.
 	Reload func()
 	Health *process.Health
@@ -222,7 +225,8 @@
 	var g errgroup.Group
 	g.Go(func() error { n.deps.Owner.Run(ctx); return nil })
 	g.Go(func() error {
-		return process.ServeHTTP(serving, process.NewHTTPServer(n.deps.Ready, readTimeout), ready, exitMargin)
+		server := process.NewHTTPServer(n.deps.Ready, readTimeout)
+		return process.ServeHTTP(serving, server, n.deps.Gate.GuardOps(server, ready, "ready"), exitMargin)
 	})
 	g.Go(func() error { defer stopServing(); return n.serveCallers(ctx, callers) })
 	n.deps.Logger.Info("started", "callers", n.settings.Listeners.Callers)
@@ -234,6 +238,7 @@
 func (n *Node) serveCallers(ctx context.Context, ln net.Listener) error {
 	server := process.NewHTTPServer(n.deps.Callers, readTimeout)
 	server.IdleTimeout = idleTimeout
+	ln = n.deps.Gate.GuardCallers(server, ln)
 	drain := process.Drain{MinDrain: notReadyLead, QuietPeriod: quietTime, MaxDrain: n.settings.StopTime - 2*exitMargin,
 		ShutdownTimeout: exitMargin}
 	stopLog := context.AfterFunc(ctx, func() {
@@ -286,7 +291,9 @@
 		n.deps.Logger.Warn("metrics listener failed, metrics are not served", "error", err)
 		return
 	}
-	if err := process.ServeHTTP(ctx, process.NewHTTPServer(n.deps.Metrics, readTimeout), ln, exitMargin); err != nil {
+	server := process.NewHTTPServer(n.deps.Metrics, readTimeout)
+	ln = n.deps.Gate.GuardOps(server, ln, "metrics")
+	if err := process.ServeHTTP(ctx, server, ln, exitMargin); err != nil {
 		n.deps.Logger.Warn("metrics server ended, metrics are no longer served", "error", err)
 	}
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -7,6 +7,7 @@
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/ingress"
 	"clementinewalk.example/clementinewalk/internal/relay"
 )
 
@@ -21,6 +22,7 @@
 	Sessions relay.Sessions
 	// Published is what the endpoint tells about the instance, beside its address.
 	Published catalog.Endpoint
+	Gate      *ingress.Gate
 	Logger    *slog.Logger
 }
 
@@ -37,7 +39,7 @@
 	if r.Addr == "" {
 		return
 	}
-	server, err := relay.Listen(r.Instance, r.Addr, r.Logger)
+	server, err := relay.Listen(r.Instance, r.Addr, r.Gate, r.Logger)
 	if err != nil {
 		r.Logger.Warn("cannot listen, other instances cannot use this one", "addr", r.Addr, "error", err)
 		return
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
@@ -71,12 +72,14 @@
 }
 
 func exchange(stream *quic.Stream, b []byte) (response, error) {
-	if _, err := stream.Write(b); err != nil {
-		return response{}, err
+	_, sendErr := stream.Write(b)
+	if sendErr == nil {
+		sendErr = stream.Close()
 	}
-	if err := stream.Close(); err != nil {
-		return response{}, err
+	if sendErr != nil && !cancelledByPeer(sendErr) {
+		return response{}, sendErr
 	}
+	// A peer that refuses a call may do so before it has received all of it.
 	b, err := readMessage(stream)
 	if err != nil {
 		return response{}, err
@@ -88,6 +91,11 @@
 	return r, nil
 }
 
+func cancelledByPeer(err error) bool {
+	var e *quic.StreamError
+	return errors.As(err, &e) && e.Remote
+}
+
 // conn returns the open connection to an endpoint, or a new one.
 func (c *Client) conn(ctx context.Context, to catalog.Endpoint) (*quic.Conn, error) {
 	key := string(to.Fingerprint)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,12 +9,14 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/quic-go/quic-go"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/ingress"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -59,7 +61,8 @@
 }
 
 func startServer(t *testing.T, h Handler) *Server {
-	s, err := Listen("peer", "127.0.0.1:0", slog.New(slog.NewTextHandler(io.Discard, nil)))
+	l := slog.New(slog.NewTextHandler(io.Discard, nil))
+	s, err := Listen("peer", "127.0.0.1:0", ingress.New(ingress.Settings{}, l, prometheus.NewRegistry()), l)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -10,6 +10,8 @@
 	"io"
 	"log/slog"
 	"math/big"
+	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"time"
@@ -20,6 +22,7 @@
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/ingress"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -29,6 +32,10 @@
 	sessionProtocol = "clementine-session"
 	// maxStreams limits the concurrent calls of one peer.
 	maxStreams = 128
+	// The receive windows limit what a peer can make an instance hold before it is read. The largest has room for one
+	// call of usual size or a part of a frame, and lets a session use 100 Mbit/s at 10 ms.
+	firstWindowBytes = 128 << 10
+	maxWindowBytes   = 512 << 10
 	// requestTimeout limits the time to receive a request, answerTimeout that to carry it out and to answer.
 	requestTimeout = time.Second
 	answerTimeout  = 2 * time.Second
@@ -41,22 +48,29 @@
 
 func quicConfig() *quic.Config {
 	return &quic.Config{MaxIdleTimeout: idleTimeout, HandshakeIdleTimeout: handshakeTimeout,
-		MaxIncomingStreams: maxStreams, MaxIncomingUniStreams: -1}
+		MaxIncomingStreams: maxStreams, MaxIncomingUniStreams: -1,
+		InitialStreamReceiveWindow: firstWindowBytes, MaxStreamReceiveWindow: maxWindowBytes,
+		InitialConnectionReceiveWindow: firstWindowBytes, MaxConnectionReceiveWindow: maxWindowBytes}
 }
 
 // Server answers the calls of peers.
 type Server struct {
 	endpoint catalog.Endpoint
 	listener *quic.Listener
-	logger   *slog.Logger
+	// close closes the socket and all connections.
+	close  func()
+	gate   *ingress.Gate
+	peers  *ingress.Slots
+	logger *slog.Logger
 }
 
 // quietBuffers keeps quic-go from writing to standard error, past the log, that the system limits the receive buffer.
 // Relayed calls are few and small, so the default buffer suffices.
 const quietBuffers = "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING"
 
-// Listen opens the socket of the relay and creates its key. Calls are answered while Serve runs.
-func Listen(instance, addr string, l *slog.Logger) (*Server, error) {
+// Listen opens the socket of the relay and creates its key. Calls are answered while Serve runs. gate bounds what peers
+// take.
+func Listen(instance, addr string, gate *ingress.Gate, l *slog.Logger) (*Server, error) {
 	if err := os.Setenv(quietBuffers, "true"); err != nil {
 		return nil, errors.WithStack(err)
 	}
@@ -64,14 +78,41 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	listener, err := quic.ListenAddr(addr, &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: []string{alpnProtocol, sessionProtocol},
+	udpAddr, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	socket, err := net.ListenUDP("udp", udpAddr)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	s := &Server{gate: gate, peers: gate.PeerSlots(), logger: l}
+	// A client must prove its address while many connections are open, so that a forged one takes no slot.
+	transport := &quic.Transport{Conn: socket, ConnContext: s.admit,
+		VerifySourceAddress: func(net.Addr) bool { return s.peers.Busy() }}
+	s.close = func() { _, _ = transport.Close(), socket.Close() }
+	s.listener, err = transport.Listen(&tls.Config{MinVersion: tls.VersionTLS13, NextProtos: []string{alpnProtocol, sessionProtocol},
 		Certificates: []tls.Certificate{certificate}, SessionTicketsDisabled: true}, quicConfig())
 	if err != nil {
+		s.close()
 		return nil, errors.WithStack(err)
 	}
 	hash := sha256.Sum256(certificate.Certificate[0])
-	return &Server{endpoint: catalog.Endpoint{Instance: instance, Addr: listener.Addr().String(), Fingerprint: hash[:]},
-		listener: listener, logger: l}, nil
+	s.endpoint = catalog.Endpoint{Instance: instance, Addr: s.listener.Addr().String(), Fingerprint: hash[:]}
+	return s, nil
+}
+
+// slotKey is the key of a connection's *ingress.Slot in its context.
+type slotKey struct{}
+
+// admit takes a slot for a connection whose handshake begins. It is released when the connection or the handshake ends.
+func (s *Server) admit(ctx context.Context, c *quic.ClientInfo) (context.Context, error) {
+	slot, err := s.peers.Take(c.RemoteAddr)
+	if err != nil {
+		return nil, err
+	}
+	context.AfterFunc(ctx, slot.Release)
+	return context.WithValue(ctx, slotKey{}, slot), nil
 }
 
 func newCertificate() (tls.Certificate, error) {
@@ -100,7 +141,9 @@
 
 // Serve answers calls until ctx ends.
 func (s *Server) Serve(ctx context.Context, h Handler, sessions Sessions) {
+	defer s.close()
 	defer context.AfterFunc(ctx, func() { _ = s.listener.Close() })()
+	sessionSlots := s.gate.SessionSlots()
 	for {
 		conn, err := s.listener.Accept(ctx)
 		if err != nil {
@@ -109,31 +152,41 @@
 			}
 			return
 		}
+		// admit has stored the slot.
+		slot := conn.Context().Value(slotKey{}).(*ingress.Slot)
+		slot.MayClose(func() { go func() { _ = conn.CloseWithError(0, "inactive") }() })
 		if conn.ConnectionState().TLS.NegotiatedProtocol == sessionProtocol {
-			go s.serveSession(ctx, conn, sessions)
+			go s.serveSession(ctx, conn, slot, sessionSlots, sessions)
 			continue
 		}
-		go s.serveConn(ctx, conn, h)
+		go s.serveConn(ctx, conn, slot, h)
 	}
 }
 
-func (s *Server) serveConn(ctx context.Context, conn *quic.Conn, h Handler) {
+func (s *Server) serveConn(ctx context.Context, conn *quic.Conn, slot *ingress.Slot, h Handler) {
 	defer context.AfterFunc(ctx, func() { _ = conn.CloseWithError(0, "stopping") })()
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
 			return
 		}
-		go s.serveStream(ctx, stream, h)
+		go s.serveStream(ctx, stream, conn.RemoteAddr(), slot, h)
 	}
 }
 
-func (s *Server) serveSession(ctx context.Context, conn *quic.Conn, sessions Sessions) {
-	sessions.Serve(ctx, conn.RemoteAddr().String(), &acceptedStream{conn: conn,
+func (s *Server) serveSession(ctx context.Context, conn *quic.Conn, slot *ingress.Slot, slots *ingress.Slots, sessions Sessions) {
+	session, err := slots.Take(conn.RemoteAddr())
+	if err != nil {
+		_ = conn.CloseWithError(0, "too many sessions")
+		return
+	}
+	defer session.Release()
+	session.MayClose(func() { go func() { _ = conn.CloseWithError(0, "inactive") }() })
+	sessions.Serve(ctx, conn.RemoteAddr().String(), &acceptedStream{conn: conn, slots: []*ingress.Slot{slot, session},
 		accept: sync.OnceValues(func() (*quic.Stream, error) { return conn.AcceptStream(ctx) })})
 }
 
-func (s *Server) serveStream(ctx context.Context, stream *quic.Stream, h Handler) {
+func (s *Server) serveStream(ctx context.Context, stream *quic.Stream, peer net.Addr, slot *ingress.Slot, h Handler) {
 	defer func() {
 		// A fault in the handling of one call must not end the process.
 		if p := recover(); p != nil {
@@ -142,13 +195,14 @@
 		}
 	}()
 	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
-	r, err := readRequest(stream)
+	body, r, err := s.readRequest(ctx, stream, peer)
 	if err != nil {
-		s.logger.Info("call of a peer cannot be read", "error", err)
-		stream.CancelRead(0)
-		stream.CancelWrite(0)
+		s.gate.Report("call of a peer cannot be read", "peer", peer, "error", err)
+		s.refuse(stream, err)
 		return
 	}
+	defer body.Close()
+	slot.Progress(len(body.Bytes), true)
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	b, err := cbor.Marshal(handle(ctx, r, h))
@@ -165,16 +219,39 @@
 	_ = stream.Close()
 }
 
-func readRequest(r io.Reader) (request, error) {
-	b, err := readMessage(r)
+// refuse tells the peer that its call was not carried out, if the call was refused to protect the process.
+func (s *Server) refuse(stream *quic.Stream, err error) {
+	stream.CancelRead(0)
+	var refused *ingress.RefusedError
+	b, encodeErr := cbor.Marshal(response{Outcome: outcomeRefused, Reason: err.Error()})
+	if encodeErr != nil || !errors.As(err, &refused) {
+		stream.CancelWrite(0)
+		return
+	}
+	_ = stream.SetWriteDeadline(time.Now().Add(requestTimeout))
+	if _, err := stream.Write(b); err == nil {
+		_ = stream.Close()
+	}
+}
+
+// readRequest returns a call and its body, which holds the memory of the call until it is closed.
+func (s *Server) readRequest(ctx context.Context, stream *quic.Stream, peer net.Addr) (*ingress.Body, request, error) {
+	client, _ := netip.ParseAddrPort(peer.String())
+	body, err := s.gate.Read(stream, -1, maxMessageBytes, client.Addr(), func() { _ = stream.SetReadDeadline(time.Unix(1, 0)) })
 	if err != nil {
-		return request{}, err
+		return nil, request{}, err
 	}
 	var q request
-	if err := cbor.Unmarshal(b, &q); err != nil {
-		return request{}, &MessageError{Problem: err.Error()}
+	done, err := s.gate.AwaitTurn(ctx, len(body.Bytes))
+	if err == nil {
+		err = cbor.Unmarshal(body.Bytes, &q)
+		done()
+	}
+	if err != nil {
+		body.Close()
+		return nil, request{}, err
 	}
-	return q, nil
+	return body, q, nil
 }
 
 func readMessage(r io.Reader) ([]byte, error) {
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -8,6 +8,7 @@
 	"github.com/quic-go/quic-go"
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/ingress"
 )
 
 const (
@@ -33,7 +34,9 @@
 
 // acceptedStream is the first stream of a connection that was accepted. Its methods but Close wait for the stream.
 type acceptedStream struct {
-	conn   *quic.Conn
+	conn *quic.Conn
+	// slots are those of the connection and of the session.
+	slots  []*ingress.Slot
 	accept func() (*quic.Stream, error)
 }
 
@@ -43,7 +46,11 @@
 	if err != nil {
 		return 0, err
 	}
-	return stream.Read(b)
+	n, err := stream.Read(b)
+	for _, slot := range s.slots {
+		slot.Progress(n, false)
+	}
+	return n, err
 }
 
 // Write implements io.Writer.
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -7,8 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/ingress"
 )
 
 // echo returns what a session sends, until it ends.
@@ -21,7 +24,8 @@
 }
 
 func startSessions(t *testing.T) (*Server, *echo) {
-	s, err := Listen("peer", "127.0.0.1:0", slog.New(slog.NewTextHandler(io.Discard, nil)))
+	l := slog.New(slog.NewTextHandler(io.Discard, nil))
+	s, err := Listen("peer", "127.0.0.1:0", ingress.New(ingress.Settings{}, l, prometheus.NewRegistry()), l)
 	require.NoError(t, err)
 	e := &echo{ended: make(chan struct{}, 8)}
 	ctx, cancel := context.WithCancel(context.Background())
