Use the same bounds for callers in clementine-gateway

The limiter of the gateway counted only the announced length of requests, so 128 MB of bodies were allowed whatever the instance had, and read with buffers that grow by copying. TestBoundsOfBodies now checks the budget that replaces the limiter: as many bodies as fit, a usual one beside them, everything released; the limit on requests in progress is the one on connections.

--- a/cmd/clementine-gateway/main.go
+++ b/cmd/clementine-gateway/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"os"
+	"runtime/debug"
 
 	"clementinewalk.example/clementinewalk/internal/entry"
 	"clementinewalk.example/clementinewalk/internal/gateway"
@@ -42,6 +43,9 @@
 
 // start builds and runs the program and returns the exit code of the process.
 func start(s *Settings, l *slog.Logger) int {
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB<<20)))
+	}
 	p, err := initialize(s, l)
 	if err != nil {
 		l.Error("process: not started", "error", err)
--- a/cmd/clementine-gateway/providers.go
+++ b/cmd/clementine-gateway/providers.go
@@ -23,6 +23,7 @@
 	t *link.Transport, w *upstream.Client, f *config.Follower, r *prometheus.Registry, h *process.Health,
 ) *gateway.Gateway {
 	return gateway.New(gateway.Settings{ID: instance.ID(s.ID), Incarnation: inc, DataCentre: s.DataCentre,
-		LinkAddr: s.LinkListen, HTTPAddr: s.HTTPListen, DrainDelay: s.DrainDelay},
+		LinkAddr: s.LinkListen, HTTPAddr: s.HTTPListen, DrainDelay: s.DrainDelay,
+		MemoryBytes: int64(s.MemoryMB) << 20, Descriptors: s.MaxFDs},
 		gateway.Deps{Log: log, List: list, Link: t, Workers: w, Config: f, Logger: l, Registry: r, Health: h})
 }
--- a/internal/gateway/bounds.go
+++ b/internal/gateway/bounds.go
@@ -2,19 +2,20 @@
 
 import (
 	"net/http"
-	"sync/atomic"
+	"strconv"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"clementinewalk.example/clementinewalk/internal/ingress"
+	"clementinewalk.example/clementinewalk/internal/process"
 )
 
 const (
-	// maxInProgressRequests limits the requests of callers in progress, including those whose body is still being
-	// received.
-	maxInProgressRequests = 4096
-	// maxBodyMemoryBytes limits the memory that request bodies occupy. Entry instances are small: 4096 bodies of 1 MiB
-	// would not fit.
-	maxBodyMemoryBytes = 128 << 20
-	// writeTimeout limits the time that a caller may take to receive an answer, which has at most 1 MiB.
-	writeTimeout = 10 * time.Second
+	// bodyShare is the part of the memory for the bodies of callers, as a divisor. A body is passed on as it is, so the
+	// work on it takes no more than the body itself.
+	bodyShare  = 4
+	workFactor = 1
 	// idleTimeout is how long an unused connection of a caller stays open. It is longer than the idle timeout of common
 	// load balancers (60 s), so that a balancer never sends a request on a connection that the gateway is closing.
 	idleTimeout = 2 * time.Minute
@@ -22,37 +23,26 @@
 
 const reasonTooMany = "too-many-requests-in-progress"
 
-// inProgressLimiter limits the requests in progress and the memory of their bodies. It is safe for concurrent use.
-type inProgressLimiter struct {
-	requests atomic.Int64
-	bytes    atomic.Int64
-}
-
-// tryAcquire reserves capacity for a request with a body of length bytes; a length of -1 is unknown and reserves
-// maxBodyBytes. The result releases the capacity. It is nil if a limit is reached.
-func (l *inProgressLimiter) tryAcquire(length int64) (release func()) {
-	if length < 0 || length > maxBodyBytes {
-		length = maxBodyBytes
-	}
-	release = func() {
-		l.requests.Add(-1)
-		l.bytes.Add(-length)
-	}
-	requests, bytes := l.requests.Add(1), l.bytes.Add(length)
-	if requests > maxInProgressRequests || bytes > maxBodyMemoryBytes {
-		release()
-		return nil
-	}
-	return release
+// newGate returns the bounds of what callers take.
+func newGate(s Settings, d Deps) *ingress.Gate {
+	return ingress.New(ingress.Settings{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors, BodyShare: bodyShare,
+		WorkFactor: workFactor}, process.WithPrefix(d.Logger, "ingress"), d.Registry)
 }
 
-// setWriteTimeout limits the time for writing an answer. Zero removes the limit that an earlier request set on the same
-// connection.
-func setWriteTimeout(w http.ResponseWriter, d time.Duration) {
-	deadline := time.Time{}
-	if d > 0 {
-		deadline = time.Now().Add(d)
+// readBody returns the body of a request, which must be closed, or why the request is refused. A refused request was not
+// run.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limit int64) (*ingress.Body, *rejection) {
+	b, err := g.gate.ReadBody(w, r, limit)
+	var refused *ingress.RefusedError
+	var tooLarge *ingress.TooLargeError
+	switch {
+	case err == nil:
+		return b, nil
+	case errors.As(err, &refused):
+		return nil, reject(http.StatusServiceUnavailable, reasonTooMany, err.Error())
+	case errors.As(err, &tooLarge):
+		return nil, reject(http.StatusRequestEntityTooLarge, reasonBodyTooLarge,
+			"the limit is "+strconv.FormatInt(limit, 10)+" bytes")
 	}
-	// The recorders of tests support no deadline; the error is ignored.
-	_ = http.NewResponseController(w).SetWriteDeadline(deadline)
+	return nil, reject(http.StatusBadRequest, reasonBodyNotWhole, err.Error())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"clementinewalk.example/clementinewalk/internal/admission"
+	"clementinewalk.example/clementinewalk/internal/ingress"
 	"clementinewalk.example/clementinewalk/internal/invariant"
 	"clementinewalk.example/clementinewalk/internal/process"
 	"clementinewalk.example/clementinewalk/internal/ticket"
@@ -37,7 +38,7 @@
 	directory atomic.Pointer[directory]
 	owners    owners
 	stopping  atomic.Bool
-	limiter   inProgressLimiter
+	gate      *ingress.Gate
 	breaker   breaker
 
 	// control is accessed by the control loop only.
@@ -54,6 +55,7 @@
 	g := &Gateway{Settings: s, deps: d, log: process.WithPrefix(d.Logger, "gateway"), metrics: newMetrics(d.Registry),
 		events: make(chan func(time.Time), 1024), loopDone: make(chan struct{}),
 		issuer: ticket.NewIssuer(s.Incarnation, key, ticket.DefaultLifetime)}
+	g.gate = newGate(s, d)
 	g.directory.Store(&directory{})
 	g.control = newControl()
 	return g
@@ -71,6 +73,7 @@
 	served := make(chan error, 1)
 	server := process.NewHTTPServer(g.handler(), readTimeout)
 	server.IdleTimeout = idleTimeout
+	ln = g.gate.GuardCallers(server, ln)
 	go func() { served <- process.ServeHTTP(serve, server, ln, stopTimeout) }()
 	loopDone := make(chan struct{})
 	go func() {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -14,8 +17,10 @@
 	"github.com/stretchr/testify/require"
 
 	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/ingress"
 	"clementinewalk.example/clementinewalk/internal/manifest"
 	"clementinewalk.example/clementinewalk/internal/platform"
+	"clementinewalk.example/clementinewalk/internal/process"
 	"clementinewalk.example/clementinewalk/internal/upstream"
 )
 
@@ -400,23 +405,30 @@
 
 // Guards against bodies that exhaust the memory of a small instance, and against capacity that is not released.
 func TestBoundsOfBodies(t *testing.T) {
-	var b inProgressLimiter
-	var leave []func()
-	for {
-		l := b.tryAcquire(-1)
-		if l == nil {
-			break
+	const memoryBytes = 128 << 20
+	registry := process.NewRegistry()
+	g := newGate(Settings{MemoryBytes: memoryBytes}, Deps{Logger: slog.New(slog.DiscardHandler), Registry: registry})
+	long := bytes.Repeat([]byte("x"), maxBodyBytes)
+	for range 2 {
+		var bodies []*ingress.Body
+		for {
+			r := httptest.NewRequest("POST", "/", bytes.NewReader(long))
+			b, err := g.ReadBody(httptest.NewRecorder(), r, maxBodyBytes)
+			if err != nil {
+				var refused *ingress.RefusedError
+				require.ErrorAs(t, err, &refused)
+				break
+			}
+			bodies = append(bodies, b)
+		}
+		// Long bodies may take five eighths of the quarter of the memory that is for bodies. The buffer of the last one
+		// grows from a quarter of its size, which it has as well for a moment.
+		require.Len(t, bodies, (memoryBytes/bodyShare*5/8-maxBodyBytes/4)/maxBodyBytes)
+		small, err := g.ReadBody(httptest.NewRecorder(), httptest.NewRequest("POST", "/", strings.NewReader("x")), maxBodyBytes)
+		require.NoError(t, err, "usual requests have room beside long ones")
+		small.Close()
+		for _, b := range bodies {
+			b.Close()
 		}
-		leave = append(leave, l)
-	}
-	require.Len(t, leave, maxBodyMemoryBytes/maxBodyBytes)
-	for _, l := range leave {
-		l()
-	}
-	for range maxInProgressRequests {
-		require.NotNil(t, b.tryAcquire(0))
 	}
-	require.Nil(t, b.tryAcquire(0))
-	require.Equal(t, int64(maxInProgressRequests), b.requests.Load())
-	require.Zero(t, b.bytes.Load())
 }
--- a/internal/gateway/http.go
+++ b/internal/gateway/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"math"
 	"net/http"
 	"regexp"
@@ -10,9 +9,9 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/pkg/errors"
 
 	"clementinewalk.example/clementinewalk/internal/contract"
+	"clementinewalk.example/clementinewalk/internal/ingress"
 	"clementinewalk.example/clementinewalk/internal/instance"
 	"clementinewalk.example/clementinewalk/internal/manifest"
 	"clementinewalk.example/clementinewalk/internal/process"
@@ -65,7 +64,6 @@
 	mux.HandleFunc("GET /v1/shards", g.handleShards)
 	mux.HandleFunc("POST /v1/drain", g.handleDrain)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		setWriteTimeout(w, 0)
 		w.Header().Set(headerTicket, g.issuer.Issue(time.Now()))
 		if g.stopping.Load() {
 			// Callers open their next connection to another gateway, so that no request is sent on a connection that is
@@ -77,19 +75,13 @@
 }
 
 func (g *Gateway) handleRequest(w http.ResponseWriter, hr *http.Request) {
-	release := g.limiter.tryAcquire(hr.ContentLength)
-	if release == nil {
-		g.refuseUnchecked(w, hr, http.StatusServiceUnavailable,
-			answer{state: contract.AnswerNotRun, reason: reasonTooMany, retryAfter: time.Second})
-		return
-	}
-	defer release()
-	r, refusal, status := g.parseRequest(w, hr)
+	r, body, refusal, status := g.parseRequest(w, hr)
 	if refusal != nil {
 		w.Header().Set(headerRequestID, r.id)
 		g.refuseUnchecked(w, hr, status, *refusal)
 		return
 	}
+	defer body.Close()
 	w.Header().Set(headerRequestID, r.id)
 	a := g.serve(hr.Context(), r, false)
 	g.metrics.observeAnswer(r, a)
@@ -104,16 +96,17 @@
 	w.Header().Set(headerOutcome, outcomeName(a.state))
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	setWriteTimeout(w, writeTimeout)
 	_, _ = w.Write(a.body)
 }
 
-// parseRequest reads and validates a request. A request with a refusal was not run; status is the HTTP status of the
-// refusal.
-func (g *Gateway) parseRequest(w http.ResponseWriter, hr *http.Request) (r request, refusal *answer, status int) {
+// parseRequest reads and validates a request, whose body must be closed. A request with a refusal was not run and has no
+// body; status is the HTTP status of the refusal.
+func (g *Gateway) parseRequest(w http.ResponseWriter, hr *http.Request) (
+	r request, body *ingress.Body, refusal *answer, status int,
+) {
 	r = request{arrived: time.Now(), ticket: hr.Header.Get(headerTicket)}
-	refuse := func(status int, reason, detail string) (request, *answer, int) {
-		return r, &answer{state: contract.AnswerNotRun, reason: reason, detail: detail}, status
+	refuse := func(status int, reason, detail string) (request, *ingress.Body, *answer, int) {
+		return r, nil, &answer{state: contract.AnswerNotRun, reason: reason, detail: detail}, status
 	}
 	// Proxies disagree on which of two header values applies, so a request with two ids could get the answer to another
 	// one.
@@ -150,17 +143,12 @@
 			headerTimeout+" must be a positive number of milliseconds")
 	}
 	r.deadline = r.arrived.Add(timeout)
-	var err error
-	r.body, err = io.ReadAll(http.MaxBytesReader(w, hr.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return refuse(http.StatusRequestEntityTooLarge, reasonBodyTooLarge,
-			"the limit is "+strconv.Itoa(maxBodyBytes)+" bytes")
-	case err != nil:
-		return refuse(http.StatusBadRequest, reasonBodyNotWhole, err.Error())
+	body, rej := g.readBody(w, hr, maxBodyBytes)
+	if rej != nil {
+		return r, nil, &rej.answer, rej.status
 	}
-	return r, nil, 0
+	r.body = body.Bytes
+	return r, body, nil, 0
 }
 
 // timeoutOf returns how long the caller waits, at most maxTimeout: the time in the header, else the deadline of the
@@ -238,7 +226,6 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	setWriteTimeout(w, writeTimeout)
 	w.WriteHeader(status)
 	_, _ = w.Write(data)
 }
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -79,7 +80,7 @@
 		return
 	}
 	var s submission
-	if rej := decodeBody(w, r, &s); rej != nil {
+	if rej := g.decodeBody(w, r, &s); rej != nil {
 		writeRefusal(w, rej.status, rej.answer)
 		return
 	}
@@ -98,14 +99,16 @@
 	writeJSON(w, http.StatusAccepted, map[string]string{"job": body.Job})
 }
 
-func decodeBody(w http.ResponseWriter, r *http.Request, v any) *rejection {
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxJobBodyBytes))
+// decodeBody decodes the JSON body of a request.
+func (g *Gateway) decodeBody(w http.ResponseWriter, r *http.Request, v any) *rejection {
+	body, rej := g.readBody(w, r, maxJobBodyBytes)
+	if rej != nil {
+		return rej
+	}
+	defer body.Close()
+	d := json.NewDecoder(bytes.NewReader(body.Bytes))
 	d.DisallowUnknownFields()
-	var tooLarge *http.MaxBytesError
-	switch err := d.Decode(v); {
-	case errors.As(err, &tooLarge):
-		return reject(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "")
-	case err != nil:
+	if err := d.Decode(v); err != nil {
 		return reject(http.StatusBadRequest, reasonMalformed, err.Error())
 	}
 	return nil
@@ -288,7 +291,7 @@
 		Worker instance.ID `json:"worker"`
 		Drain  bool        `json:"drain"`
 	}
-	if rej := decodeBody(w, r, &in); rej != nil {
+	if rej := g.decodeBody(w, r, &in); rej != nil {
 		writeRefusal(w, rej.status, rej.answer)
 		return
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -30,6 +30,9 @@
 	DataCentre  string
 	// LinkAddr and HTTPAddr are the addresses that other processes and callers connect to.
 	LinkAddr, HTTPAddr string
+	// MemoryBytes is the memory above which the process is killed, Descriptors the most open descriptors; 0 if unknown.
+	MemoryBytes int64
+	Descriptors int
 	// DrainDelay is how long a stopping gateway keeps serving after it has become not ready, so that load balancers
 	// notice.
 	DrainDelay time.Duration
