--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -61,8 +62,11 @@
 }
 
 func startServer(t *testing.T, h Handler) *Server {
-	l := slog.New(slog.NewTextHandler(io.Discard, nil))
-	s, err := Listen("peer", "127.0.0.1:0", ingress.New(ingress.Settings{}, l, prometheus.NewRegistry()), l)
+	return startServerWith(t, h, ingress.New(ingress.Settings{}, slog.New(slog.DiscardHandler), prometheus.NewRegistry()))
+}
+
+func startServerWith(t *testing.T, h Handler, g *ingress.Gate) *Server {
+	s, err := Listen("peer", "127.0.0.1:0", g, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -149,3 +153,57 @@
 	var unreachable *UnreachableError
 	assert.ErrorAs(t, NewClient().Append(callContext(t, 2*time.Second), to, eventlog.Entry{Key: "x"}), &unreachable)
 }
+
+// smallGate is a gate of an instance with almost no memory: 2 MB of bodies, of which the largest may take 1.25 MB, and 16
+// connections, 14 of one address.
+func smallGate() *ingress.Gate {
+	return ingress.New(ingress.Settings{MemoryBytes: 1, BodyShare: 8}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
+}
+
+// Guards against a call that was refused to protect the peer and counts as unknown, so that the caller's request ends
+// without an outcome.
+func TestCallRefusedForLackOfMemory(t *testing.T) {
+	h, g := &fakeHandler{}, smallGate()
+	to, c := startServerWith(t, h, g).Endpoint(), NewClient()
+	ctx := callContext(t, 5*time.Second)
+	require.NoError(t, c.Append(ctx, to, eventlog.Entry{Key: "first"}))
+	var held []*ingress.Body
+	for {
+		b, err := g.Read(bytes.NewReader(make([]byte, 1000)), 1000, 1000, netip.MustParseAddr("127.0.0.1"), func() {})
+		if err != nil {
+			break
+		}
+		held = append(held, b)
+	}
+	var refused *RefusedError
+	assert.ErrorAs(t, c.Append(ctx, to, eventlog.Entry{Key: "x", Value: make([]byte, 300<<10)}), &refused)
+	for _, b := range held {
+		b.Close()
+	}
+	assert.NoError(t, c.Append(ctx, to, eventlog.Entry{Key: "last"}))
+	assert.Len(t, h.stored(), 2)
+}
+
+// Guards against idle connections that keep peers out, and against one of a peer that is given up for them.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	to, known := startServerWith(t, &fakeHandler{}, smallGate()).Endpoint(), NewClient()
+	ctx := callContext(t, 20*time.Second)
+	require.NoError(t, known.Append(ctx, to, eventlog.Entry{Key: "known"}))
+	before, err := known.conn(ctx, to)
+	require.NoError(t, err)
+	var idle []*quic.Conn
+	for range 40 {
+		// The server refuses connections while those that it gives up are not closed yet.
+		if conn, err := quic.DialAddr(ctx, to.Addr, clientTLS(to), quicConfig()); err == nil {
+			idle = append(idle, conn)
+		}
+	}
+	require.Greater(t, len(idle), 20)
+	require.Eventually(t, func() bool { return NewClient().Append(ctx, to, eventlog.Entry{Key: "new"}) == nil }, 10*time.Second,
+		10*time.Millisecond)
+	assert.Error(t, idle[0].Context().Err(), "the first idle one was closed")
+	require.NoError(t, known.Append(ctx, to, eventlog.Entry{Key: "known"}))
+	after, err := known.conn(ctx, to)
+	require.NoError(t, err)
+	assert.Same(t, before, after, "a connection with calls goes last")
+}
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -72,3 +72,40 @@
 	var unreachable *UnreachableError
 	assert.ErrorAs(t, err, &unreachable)
 }
+
+// Guards against sessions without bound, and against a session of an owner that ends because of others.
+func TestSessionsAreLimited(t *testing.T) {
+	server, e := startSessions(t)
+	ctx := callContext(t, 10*time.Second)
+	exchange := func(s Stream) error {
+		if _, err := s.Write([]byte("x")); err != nil {
+			return err
+		}
+		_, err := io.ReadFull(s, make([]byte, 1))
+		return err
+	}
+	var open []Stream
+	for range 4 {
+		s, err := DialSession(ctx, server.Endpoint())
+		require.NoError(t, err)
+		defer func() { _ = s.Close() }()
+		require.NoError(t, exchange(s))
+		open = append(open, s)
+	}
+	if s, err := DialSession(ctx, server.Endpoint()); err == nil {
+		require.Error(t, exchange(s), "a fifth session")
+	}
+	for _, s := range open {
+		require.NoError(t, exchange(s))
+	}
+	require.NoError(t, open[0].Close())
+	<-e.ended
+	require.Eventually(t, func() bool {
+		s, err := DialSession(ctx, server.Endpoint())
+		if err != nil {
+			return false
+		}
+		defer func() { _ = s.Close() }()
+		return exchange(s) == nil
+	}, 5*time.Second, 10*time.Millisecond)
+}
