--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -32,10 +32,10 @@
 	sessionProtocol = "clementine-session"
 	// maxStreams limits the concurrent calls of one peer.
 	maxStreams = 128
-	// The receive windows limit what a peer can make an instance hold before it is read. The largest has room for one
-	// call of usual size or a part of a frame, and lets a session use 100 Mbit/s at 10 ms.
-	firstWindowBytes = 128 << 10
-	maxWindowBytes   = 512 << 10
+	// The receive windows limit what a peer can make an instance hold before it is read. The largest lets a session use
+	// 200 Mbit/s at 10 ms.
+	firstWindowBytes = 64 << 10
+	maxWindowBytes   = 256 << 10
 	// requestTimeout limits the time to receive a request, answerTimeout that to carry it out and to answer.
 	requestTimeout = time.Second
 	answerTimeout  = 2 * time.Second
--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -146,7 +146,7 @@
 	// maxObjective limits the latency objective, whatever the terms of the queue say.
 	maxObjective = 366 * 24 * time.Hour
 	// maxSpecBytes is the longest specification that the platform passes on. maxNameBytes limits the names of labels,
-	// racks and images, which are stored with every step; the platform's have less than a hundred bytes.
+	// racks and images, which are stored with every step; those of the platform are far shorter.
 	maxSpecBytes = 4000
 	maxNameBytes = 256
 )
