--- a/cmd/clementine-scheduler/main.go
+++ b/cmd/clementine-scheduler/main.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"clementinewalk.example/clementinewalk/internal/entry"
+	"clementinewalk.example/clementinewalk/internal/ingress"
 	"clementinewalk.example/clementinewalk/internal/process"
 	"clementinewalk.example/clementinewalk/internal/scheduler"
 )
@@ -26,6 +27,7 @@
 	support   *entry.Support
 	scheduler *scheduler.Scheduler
 	registry  *prometheus.Registry
+	logger    *slog.Logger
 }
 
 // run runs until ctx ends and the shards have been handed over.
@@ -35,6 +37,8 @@
 		return err
 	}
 	server := process.NewHTTPServer(p.scheduler.Ops(p.registry), opsReadTimeout)
+	gate := ingress.New(ingress.Settings{}, process.WithPrefix(p.logger, "ingress"), p.registry)
+	ln = gate.GuardOps(server, ln, "ops")
 	return p.support.Run(ctx, p.scheduler.Handle, p.scheduler.Run,
 		func(ctx context.Context) error { return process.ServeHTTP(ctx, server, ln, opsStopTimeout) })
 }
--- a/cmd/clementine-scheduler/wire_gen.go
+++ b/cmd/clementine-scheduler/wire_gen.go
@@ -53,6 +53,7 @@
 		support:   support,
 		scheduler: scheduler,
 		registry:  registry,
+		logger:    l,
 	}
 	return mainProgram, nil
 }
--- a/internal/gateway/bounds.go
+++ b/internal/gateway/bounds.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"clementinewalk.example/clementinewalk/internal/contract"
 	"clementinewalk.example/clementinewalk/internal/ingress"
 	"clementinewalk.example/clementinewalk/internal/process"
 )
@@ -23,6 +24,23 @@
 
 const reasonTooMany = "too-many-requests-in-progress"
 
+// maxQueries limits the queries of operators in progress. Their answers have no bound, and a slow client holds one for
+// up to 10 s.
+const maxQueries = 32
+
+// limitQueries returns a handler that refuses queries beyond maxQueries.
+func (g *Gateway) limitQueries(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case g.queries <- struct{}{}:
+			defer func() { <-g.queries }()
+			h(w, r)
+		default:
+			writeRefusal(w, http.StatusServiceUnavailable, answer{state: contract.AnswerNotRun, reason: reasonTooMany})
+		}
+	}
+}
+
 // newGate returns the bounds of what callers take.
 func newGate(s Settings, d Deps) *ingress.Gate {
 	return ingress.New(ingress.Settings{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors, BodyShare: bodyShare,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,7 @@
 	owners    owners
 	stopping  atomic.Bool
 	gate      *ingress.Gate
+	queries   chan struct{}
 	breaker   breaker
 
 	// control is accessed by the control loop only.
@@ -55,7 +56,7 @@
 	g := &Gateway{Settings: s, deps: d, log: process.WithPrefix(d.Logger, "gateway"), metrics: newMetrics(d.Registry),
 		events: make(chan func(time.Time), 1024), loopDone: make(chan struct{}),
 		issuer: ticket.NewIssuer(s.Incarnation, key, ticket.DefaultLifetime)}
-	g.gate = newGate(s, d)
+	g.gate, g.queries = newGate(s, d), make(chan struct{}, maxQueries)
 	g.directory.Store(&directory{})
 	g.control = newControl()
 	return g
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -432,3 +432,21 @@
 		}
 	}
 }
+
+// Guards against queries with large answers that many slow clients hold at the same time.
+func TestFewQueriesAtATime(t *testing.T) {
+	tc := newTestCluster(t)
+	g := tc.start("g")
+	for range maxQueries {
+		g.queries <- struct{}{}
+	}
+	for _, path := range []string{"/v1/jobs", "/v1/jobs/bne-0~x", "/v1/shards", "/v1/explain/w"} {
+		r := g.do(t, http.MethodGet, path, "")
+		require.Equal(t, http.StatusServiceUnavailable, r.status, path)
+		require.Contains(t, r.body, reasonTooMany)
+		require.NotEmpty(t, r.header.Get("Retry-After"))
+	}
+	require.Equal(t, http.StatusOK, g.do(t, http.MethodGet, "/v1/status", "").status)
+	<-g.queries
+	require.Equal(t, http.StatusOK, g.do(t, http.MethodGet, "/v1/shards", "").status)
+}
--- a/internal/process/ops.go
+++ b/internal/process/ops.go
@@ -19,6 +19,9 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	maxHeaderBytes    = 16 << 10
+	// maxMetricsRequests limits the requests for metrics in progress. Each takes several hundred kilobytes until its
+	// client has read the response.
+	maxMetricsRequests = 16
 )
 
 // Health holds the readiness that /readyz reports. It is not ready until SetReady(true) is called.
@@ -43,7 +46,7 @@
 // HandleOps registers /metrics, /healthz and /readyz on mux. /healthz always answers 200; /readyz answers 503 while the
 // process is not ready.
 func HandleOps(mux *http.ServeMux, h *Health, r *prometheus.Registry) {
-	mux.Handle("GET /metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{MaxRequestsInFlight: maxMetricsRequests}))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if !h.Ready() {
