--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -16,6 +16,8 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/process"
 )
 
 func TestLimitsFollowFromTheSettings(t *testing.T) {
@@ -58,7 +60,7 @@
 	p.Stall, p.MinRate, p.Grace = 200*time.Millisecond, minBodyRate, rateGrace
 	s.gate.registry = prometheus.NewRegistry()
 	s.gate.bodies = newAccount[*Body](s.gate, "body_bytes", p)
-	server := &http.Server{ReadTimeout: 2 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := process.NewHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/work" {
 			s.began <- struct{}{}
 			<-s.working
@@ -70,7 +72,7 @@
 		}
 		defer b.Close()
 		_, _ = fmt.Fprintf(w, "%d bytes", len(b.Bytes))
-	})}
+	}), 2*time.Second)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s.addr = ln.Addr().String()
