--- a/internal/agent/frame_test.go
+++ b/internal/agent/frame_test.go
@@ -113,3 +113,20 @@
 		}
 	})
 }
+
+// Guards against memory for a frame that a peer announces and does not send, and against frames that are cut when their
+// buffer grows.
+func TestFramesGrowWithWhatArrives(t *testing.T) {
+	for _, n := range []int{0, 1, firstFrameBytes, firstFrameBytes + 1, 5*firstFrameBytes + 3, maxFrameBytes} {
+		sent := make([]byte, n)
+		for i := range sent {
+			sent[i] = byte(i % 251)
+		}
+		got, err := readGrowing(bytes.NewReader(sent), n)
+		require.NoError(t, err)
+		require.Equal(t, sent, got)
+	}
+	got, err := readGrowing(bytes.NewReader(make([]byte, 10)), maxFrameBytes)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	assert.LessOrEqual(t, cap(got), firstFrameBytes)
+}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -43,7 +43,7 @@
 
 const bodyLimit = 256 << 10
 
-// testServer answers a POST with the length of its body. A request to /work waits until working is closed.
+// testServer answers with the length of the body of a POST. A request to /work waits until working is closed.
 type testServer struct {
 	gate    *Gate
 	addr    string
@@ -61,16 +61,19 @@
 	s.gate.registry = prometheus.NewRegistry()
 	s.gate.bodies = newAccount[*Body](s.gate, "body_bytes", p)
 	server := process.NewHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b := &Body{}
+		if r.Method == http.MethodPost {
+			var err error
+			if b, err = s.gate.ReadBody(w, r, bodyLimit); err != nil {
+				http.Error(w, err.Error(), http.StatusServiceUnavailable)
+				return
+			}
+			defer b.Close()
+		}
 		if r.URL.Path == "/work" {
 			s.began <- struct{}{}
 			<-s.working
 		}
-		b, err := s.gate.ReadBody(w, r, bodyLimit)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
-			return
-		}
-		defer b.Close()
 		_, _ = fmt.Fprintf(w, "%d bytes", len(b.Bytes))
 	}), 2*time.Second)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -158,6 +161,22 @@
 	assert.Equal(t, 1.0, testutil.ToFloat64(s.gate.evicted.WithLabelValues("body_bytes")))
 }
 
+// Guards against a body that is given up while the process works on it, and against work that is not counted.
+func TestWorkOnABodyIsCountedAndStays(t *testing.T) {
+	s := startServer(t, limits{bodyBytes: 256 << 10, connections: 100})
+	long := strings.Repeat("x", 64<<10)
+	work := s.dial(t, header("/work", len(long))+long)
+	<-s.began
+	assert.Equal(t, 2.0*float64(len(long)), s.held(t, "body_bytes"))
+	time.Sleep(250 * time.Millisecond)
+	status, text, _ := response(t, s.dial(t, header("/", len(long))+long))
+	assert.Equal(t, 503, status)
+	assert.Contains(t, text, causeBudget)
+	close(s.working)
+	status, _, _ = response(t, work)
+	assert.Equal(t, 200, status)
+}
+
 // Guards against bodies that stay for ever, and against their memory.
 func TestEveryBodyHasATimeLimit(t *testing.T) {
 	s := startServer(t, limits{bodyBytes: 1 << 20, connections: 100})
