--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"clementinewalk.example/clementinewalk/internal/ingress/ledger"
@@ -32,7 +33,7 @@
 	h := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r.Context())
-		defer c.unpin(true)
+		defer c.done()
 		if r.Body == http.NoBody {
 			c.pin()
 		}
@@ -73,18 +74,22 @@
 		if c.holder, ok = l.account.open(client.Addr(), c, 1, false); ok {
 			return c, nil
 		}
-		_ = raw.Close()
 		_ = l.gate.refuse(causeConnection)
 		l.gate.Report("connection refused, all others are in use", "client", raw.RemoteAddr(), "resource", l.account.name)
+		_ = raw.Close()
 	}
 }
 
-// conn is a connection of a client. Its methods pin and unpin may be called on nil.
+// conn is a connection of a client. Its activity is the begin of a request or the end of its processing: a client that
+// sends a request byte by byte becomes the least active one in the course of time. Its methods pin and done may be called
+// on nil.
 type conn struct {
 	net.Conn
 	listener *listener
 	holder   *ledger.Holder[*conn]
-	once     sync.Once
+	// inRequest reports whether some of a request has arrived that is not processed yet.
+	inRequest atomic.Bool
+	once      sync.Once
 }
 
 // evict closes the connection. The server then calls Close.
@@ -96,17 +101,20 @@
 	}
 }
 
-func (c *conn) unpin(known bool) {
-	if c != nil && c.listener.protect {
-		c.listener.account.unpin(c.holder, known)
+// done records that a request has been processed.
+func (c *conn) done() {
+	if c != nil {
+		c.inRequest.Store(false)
+		c.listener.account.progress(c.holder, 1)
+		c.listener.account.unpin(c.holder, true)
 	}
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.listener.account.progress(c.holder, n)
+	if n > 0 && c.inRequest.CompareAndSwap(false, true) {
+		c.listener.account.progress(c.holder, 1)
 	}
 	return n, err
 }
@@ -114,11 +122,9 @@
 // Write implements net.Conn. The request has been processed when its response is written, so a client that does not
 // read it may be evicted.
 func (c *conn) Write(b []byte) (int, error) {
-	c.unpin(false)
+	c.listener.account.unpin(c.holder, false)
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	n, err := c.Conn.Write(b)
-	c.listener.account.progress(c.holder, n)
-	return n, err
+	return c.Conn.Write(b)
 }
 
 // CloseWrite lets the server send a response before it closes a connection whose request was not read to its end.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -234,6 +235,34 @@
 	assert.Equal(t, 200, status, "work in progress is not given up")
 }
 
+// Guards against clients that send requests byte by byte and so seem more active than a caller whose body is on its way.
+func TestTrickledRequestsAreNotActive(t *testing.T) {
+	s := startServer(t, limits{bodyBytes: 1 << 20, connections: 8})
+	ctx, cancel := context.WithCancel(t.Context())
+	var trickling sync.WaitGroup
+	defer func() { cancel(); trickling.Wait() }()
+	for range 6 {
+		c := s.dial(t, "GET / HTTP/1.1\r\nX-Long: ")
+		trickling.Go(func() {
+			for ctx.Err() == nil {
+				_, _ = io.WriteString(c, "x")
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(20 * time.Millisecond)
+	caller := s.dial(t, header("/", 2)+"x")
+	time.Sleep(20 * time.Millisecond)
+	for range 3 {
+		status, _, _ := response(t, s.dial(t, header("/", 1)+"x"))
+		assert.Equal(t, 200, status)
+	}
+	_, err := io.WriteString(caller, "x")
+	require.NoError(t, err)
+	status, text, _ := response(t, caller)
+	assert.Equal(t, 200, status, text)
+}
+
 // Guards against more connections than allowed while all of them work, and against slots that are lost.
 func TestConnectionsThatAllWork(t *testing.T) {
 	s := startServer(t, limits{bodyBytes: 1 << 20, connections: 8})
