--- /dev/null
+++ b/internal/evacuation/moves_test.go
@@ -0,0 +1,127 @@
+package evacuation
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"clementinewalk.example/clementinewalk/internal/resource"
+)
+
+func cores(n int64) resource.Vector { return resource.Vector{MilliCores: n * 1000, MemoryMB: 100} }
+
+func workers(n int, free resource.Vector) []resource.Vector {
+	out := make([]resource.Vector, n)
+	for i := range out {
+		out[i] = free
+	}
+	return out
+}
+
+// Guards against moves that take tasks down beyond their budgets, that take the room of others, or that never come.
+func TestMoves(t *testing.T) {
+	step := func(size int64, budget, down, movable int) Step {
+		return Step{Size: cores(size), Budget: budget, Down: down, Movable: movable}
+	}
+	for name, test := range map[string]struct {
+		pool Pool
+		want []int
+		held Held
+	}{
+		"nothing to move":            {pool: Pool{Free: workers(40, cores(8))}, want: []int{}, held: HeldNot},
+		"all within the budget":      {pool: Pool{Free: workers(100, cores(8)), Steps: []Step{step(4, 5, 0, 3)}}, want: []int{3}, held: HeldNot},
+		"no budget":                  {pool: Pool{Free: workers(100, cores(8)), Steps: []Step{step(4, 0, 0, 3)}}, want: []int{0}, held: HeldBudget},
+		"budget counts what is down": {pool: Pool{Free: workers(100, cores(8)), Steps: []Step{step(4, 3, 2, 3)}}, want: []int{1}, held: HeldBudget},
+		"more down than the budget":  {pool: Pool{Free: workers(100, cores(8)), Steps: []Step{step(4, 1, 2, 3)}}, want: []int{0}, held: HeldBudget},
+		"a step without budget does not hold up others": {pool: Pool{Free: workers(100, cores(8)),
+			Steps: []Step{step(4, 0, 0, 3), step(4, 2, 0, 2)}}, want: []int{0, 2}, held: HeldBudget},
+		"gradually": {pool: Pool{Free: workers(40, cores(8)), Steps: []Step{step(4, 9, 0, 9), step(4, 9, 0, 9)}},
+			want: []int{2, 0}, held: HeldMoving},
+		"moves in progress count": {pool: Pool{Free: workers(40, cores(8)), Moving: 1, Steps: []Step{step(4, 9, 0, 9)}},
+			want: []int{1}, held: HeldMoving},
+		"one at a time in a small pool": {pool: Pool{Free: workers(3, cores(8)), Steps: []Step{step(4, 9, 0, 9)}},
+			want: []int{1}, held: HeldMoving},
+		"callers wait": {pool: Pool{Free: workers(40, cores(8)), CallersWait: true, Steps: []Step{step(4, 9, 0, 9)}},
+			want: []int{0}, held: HeldCallers},
+		"every data centre closed": {pool: Pool{Steps: []Step{step(4, 9, 0, 9)}}, want: []int{0}, held: HeldNoRoom},
+		"no worker has room":       {pool: Pool{Free: workers(40, cores(3)), Steps: []Step{step(4, 9, 0, 9)}}, want: []int{0}, held: HeldNoRoom},
+		"a smaller task has room": {pool: Pool{Free: workers(40, cores(3)), Steps: []Step{step(4, 9, 0, 9), step(5, 9, 0, 1), step(2, 9, 0, 1)}},
+			want: []int{0, 0, 1}, held: HeldNoRoom},
+		"a worker takes one task": {pool: Pool{Free: append(workers(99, cores(1)), cores(64)), Steps: []Step{step(4, 9, 0, 9)}},
+			want: []int{1}, held: HeldNoRoom},
+		"room of short tasks is kept": {pool: Pool{Free: workers(40, cores(4)), Short: 157_000, Steps: []Step{step(3, 9, 0, 9)}},
+			want: []int{1}, held: HeldNoRoom},
+		"room of waiting tasks is kept": {pool: Pool{Free: workers(40, cores(4)), Promised: 158_000, Steps: []Step{step(3, 9, 0, 9)}},
+			want: []int{0}, held: HeldNoRoom},
+		"overcommitted workers have no room": {pool: Pool{Free: append(workers(2, cores(-100)), cores(4)), Steps: []Step{step(4, 9, 0, 9)}},
+			want: []int{1}, held: HeldMoving},
+		"limits of the step": {pool: Pool{Free: workers(100, cores(8)),
+			Steps: []Step{{Size: cores(4), Budget: 9, Movable: 9, Admits: func(w int) bool { return w == 7 || w == 9 }}, step(4, 1, 0, 1)}},
+			want: []int{2, 1}, held: HeldNoRoom},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, held := test.pool.Moves()
+			assert.Equal(t, test.want, got)
+			assert.Equal(t, test.held, held)
+		})
+	}
+}
+
+// Guards against any state of a pool in which a decision breaks a limit: the budgets, the number of moves, the room that is
+// kept, or the room on the workers.
+func TestMovesKeepTheirLimits(t *testing.T) {
+	for seed := range uint64(2000) {
+		rng := rand.New(rand.NewPCG(seed, 13))
+		p := Pool{Short: rng.Int64N(60_000), Promised: rng.Int64N(20_000), Moving: rng.IntN(4), CallersWait: rng.IntN(8) == 0}
+		for range rng.IntN(120) {
+			p.Free = append(p.Free, cores(rng.Int64N(10)))
+		}
+		for range rng.IntN(8) {
+			s := Step{Size: cores(1 + rng.Int64N(9)), Budget: rng.IntN(4), Down: rng.IntN(4), Movable: rng.IntN(6)}
+			if rng.IntN(3) == 0 {
+				s.Admits = func(w int) bool { return w%3 == 0 }
+			}
+			p.Steps = append(p.Steps, s)
+		}
+		moves, held := p.Moves()
+		total, taken, left := 0, int64(0), false
+		var sizes []resource.Vector
+		for i, n := range moves {
+			s := &p.Steps[i]
+			assert.LessOrEqual(t, n, max(0, s.Budget-s.Down), "seed %d", seed)
+			assert.LessOrEqual(t, n, s.Movable, "seed %d", seed)
+			total += n
+			taken += int64(n) * s.Size.MilliCores
+			left = left || n < s.Movable
+			for range n {
+				sizes = append(sizes, s.Size)
+			}
+		}
+		assert.Equal(t, left, held != HeldNot, "seed %d: %s", seed, held)
+		if total == 0 {
+			continue
+		}
+		assert.False(t, p.CallersWait, "seed %d", seed)
+		assert.LessOrEqual(t, total+p.Moving, max(1, len(p.Free)/20), "seed %d", seed)
+		free := int64(0)
+		for _, f := range p.Free {
+			free += f.MilliCores
+		}
+		assert.LessOrEqual(t, taken+p.Short+p.Promised, free, "seed %d", seed)
+		assert.True(t, fitOneEach(p.Free, sizes), "seed %d: %v into %v", seed, sizes, p.Free)
+	}
+}
+
+// fitOneEach reports whether each size fits on a worker of its own.
+func fitOneEach(free, sizes []resource.Vector) bool {
+	byCores := func(a, b resource.Vector) int { return int(b.MilliCores - a.MilliCores) }
+	free, sizes = slices.SortedFunc(slices.Values(free), byCores), slices.SortedFunc(slices.Values(sizes), byCores)
+	for i, s := range sizes {
+		if i >= len(free) || !s.Fits(free[i]) {
+			return false
+		}
+	}
+	return true
+}
