--- a/internal/agent/takeover_test.go
+++ b/internal/agent/takeover_test.go
@@ -635,7 +635,9 @@
 				submissions.SetPollIntervals(active)
 			}
 		}, logger)
-	return []func(context.Context){submissions.Run, progress.Run, i.owner.Run}
+	closures := eventlog.NewFollower(log, "closures", active, logger,
+		func(b eventlog.Batch) { i.owner.ClosuresRead(nil, b.AsOf) })
+	return []func(context.Context){submissions.Run, progress.Run, closures.Run, i.owner.Run}
 }
 
 var siteTerms = workflow.Terms{Queue: "q", Pool: "pool", MaxAttempts: 3, Stretch: 2, Allowance: time.Second}
--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -25,6 +25,8 @@
 	Slack float64
 	// RecentlyFailed reports whether the last attempts on the worker failed.
 	RecentlyFailed bool
+	// Cold reports whether the worker is slow for a while after its start.
+	Cold bool
 }
 
 // Free returns the resources that can still be reserved.
@@ -62,7 +64,10 @@
 const (
 	recentFailurePenalty = 4.0
 	avoidPenalty         = 8.0
-	remoteDataPenalty    = 1.0
+	// coldPenalty outweighs the sum of the others that apply to tasks without a tail rise, except avoidPenalty: a cold worker
+	// is used after the warm ones with room.
+	coldPenalty       = 7.5
+	remoteDataPenalty = 1.0
 	// tailRisePenalty makes a worker on which a best-effort task would double a tail latency worse than a full
 	// one.
 	tailRisePenalty = 4.0
@@ -100,6 +105,9 @@
 	if n.RecentlyFailed {
 		result -= recentFailurePenalty
 	}
+	if n.Cold {
+		result -= coldPenalty
+	}
 	if t.AvoidWorker == n.ID {
 		result -= avoidPenalty
 	}
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -26,7 +26,7 @@
 	switch w := t.worker; {
 	case t.stopWanted, w.unschedulable(), w.overcommitted(), w.failingSince != 0:
 		c.revokePlacement(now, t)
-	case t.retryAt > now, !c.heard(now, w):
+	case t.retryAt > now, c.startsHeld, !c.heard(now, w):
 		c.needsOrder[t] = struct{}{}
 	default:
 		c.sendStart(now, t)
@@ -39,7 +39,7 @@
 	c.orders = append(c.orders, StartOrder{Member: t.worker.Member, task: t,
 		Call: StartCall{Attempt: t.attempt(), Spec: t.job().submission.Spec,
 			Checkpoint: t.checkpoint, Ticket: t.step.approvals[t.worker.Incarnation].ticket, Epoch: c.epoch,
-			Deadline: t.worker.grantLease(now, c.params.Lease)}})
+			Deadline: t.worker.grantLease(now, c.params.startLimit())}})
 }
 
 // StartReturned applies the outcome of a start.
@@ -159,14 +159,14 @@
 			c.startIfHeard(now, t)
 		case t.retryAt > now || t.stopInFlight || t.startState == startInFlight || t.startState == startUncommitted:
 		case t.worker.Addr == "", t.startState == startUnanswered && !t.stopWanted && t.startCalls < maxStartCalls &&
-			!t.outdated() && !(t.worker.mayLease() && c.heard(now, t.worker)):
-			// The worker's address is not known to this owner yet, a start would grant it a lease that it must not get, or
-			// it is not known which incarnation the start would reach.
+			!t.outdated() && !t.worker.closed && (c.startsHeld || !t.worker.mayLease() || !c.heard(now, t.worker)):
+			// The worker's address is not known to this owner yet, starts are held, a start would grant the worker a lease that
+			// it must not get, or it is not known which incarnation the start would reach.
 		case t.worker.failingSince != 0 && now-t.worker.failingSince > time.Second:
 			// The worker has not answered for a second, so no order is sent. If it does not answer again, the attempt
 			// is lost when its lease expires.
 		case t.stopWanted || t.startState == startUnanswered &&
-			(t.startCalls >= maxStartCalls || t.outdated() || t.worker.overcommitted()):
+			(t.startCalls >= maxStartCalls || t.outdated() || t.worker.overcommitted() || t.worker.closed):
 			t.stopInFlight = true
 			c.orders = append(c.orders, StopOrder{Member: t.worker.Member, task: t,
 				Call: StopCall{Attempt: t.attempt(), Epoch: c.epoch}})
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -34,7 +34,7 @@
 		o.maybeTakeOver(now)
 		return
 	}
-	if o.stopping || o.claimInFlight || o.config.Load() == nil || now < o.nextClaim || !o.viewsComplete(now) {
+	if o.stopping || o.claimInFlight || o.config.Load() == nil || !o.closuresKnown || now < o.nextClaim || !o.viewsComplete(now) {
 		return
 	}
 	owner := o.catalog.Owner()
@@ -221,7 +221,7 @@
 	o.core = New(o.settings.Params, o.epoch, now, time.Now, o.logger, o.config.Load(), Stored{
 		PredecessorUntil: o.predecessorUntil(), Unfenced: unfenced, EarlierUntil: o.actingUntil(),
 		Jobs: jobs, SilentLeases: o.catalog.SilentLeases(),
-		Suspects: loaded.Suspects, Interference: loaded.Interference})
+		Suspects: loaded.Suspects, Interference: loaded.Interference, Closed: o.closed})
 	o.core.metrics = o.metrics
 	o.settlement = settlement{earlierUntil: o.actingUntil(), next: now + settleDelay}
 	if o.predecessorsEnded && len(unfenced) == 0 {
--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -111,7 +111,7 @@
 		return cat.ApplyProgress([]eventlog.Entry{e})
 	}
 	o.observeOwnership(read(catalog.Ownership{Epoch: 2, Instance: "x"}))
-	o.lastOwnerWrite = -2 * claimSilence
+	o.lastOwnerWrite, o.closuresKnown = -2*claimSilence, true
 	o.maybeClaim(t.Context(), 0)
 	assert.NotZero(t, o.claimAt, "the owner has been silent")
 	newest := read(catalog.Ownership{Epoch: 3, Instance: "y", Claim: "c"})
--- /dev/null
+++ b/internal/dispatch/closures_test.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"maps"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/evacuation"
+)
+
+// dataCentreOf returns the data centre of a simulated worker: those of the ids a, c, e and b, d, f belong together.
+func dataCentreOf(id string) string { return []string{"even", "odd"}[(id[0]-'a')%2] }
+
+// fakeClosures is what the log holds about closed data centres, and how the owner reads it.
+type fakeClosures struct {
+	// since holds when the log confirmed that each closed data centre is closed.
+	since map[string]time.Duration
+	// lag is the time from the confirmation to the owner's knowledge.
+	lag time.Duration
+	// cutOff keeps the owner from reading the log.
+	cutOff bool
+	// seen is what the owner has read, up to asOf.
+	seen evacuation.Set
+	asOf time.Duration
+	// starts counts the starts in closed data centres; latest is how long after the confirmation the last one arrived.
+	starts int
+	latest time.Duration
+}
+
+// useClosures makes the owner read which data centres are closed.
+func (sim *simulation) useClosures(lag time.Duration) {
+	sim.closures = &fakeClosures{since: map[string]time.Duration{}, lag: lag, asOf: sim.now}
+}
+
+// read returns the closed data centres that an owner knows which takes over now.
+func (c *fakeClosures) read() evacuation.Set {
+	if c == nil {
+		return nil
+	}
+	return c.seen
+}
+
+// close closes a data centre unless it is closed, reopen opens it.
+func (sim *simulation) close(dataCentre string) {
+	if _, ok := sim.closures.since[dataCentre]; !ok {
+		sim.closures.since[dataCentre] = sim.now
+	}
+}
+
+func (sim *simulation) reopen(dataCentre string) { delete(sim.closures.since, dataCentre) }
+
+// readClosures passes on what the log holds, and reports whether the owner's view is new enough to place tasks.
+func (sim *simulation) readClosures() bool {
+	c := sim.closures
+	if c == nil {
+		return true
+	}
+	if !c.cutOff && !sim.logDown {
+		set, at := evacuation.Set{}, sim.now
+		for dataCentre := range maps.Keys(c.since) {
+			set[dataCentre] = struct{}{}
+		}
+		sim.schedule(c.lag, func() {
+			c.seen, c.asOf = set, at
+			sim.core.SetClosed(sim.now, set)
+		})
+	}
+	fresh := sim.now-c.asOf < maxViewAge
+	sim.core.HoldStarts(sim.now, !fresh)
+	return fresh
+}
+
+// checkStart asserts that a data centre has not been closed for longer than the limit when an attempt starts there.
+func (c *fakeClosures) checkStart(sim *simulation, f *fakeWorker, a Attempt) {
+	if c == nil {
+		return
+	}
+	since, ok := c.since[f.dataCentre]
+	if !ok {
+		return
+	}
+	c.starts, c.latest = c.starts+1, sim.now-since
+	require.LessOrEqual(sim.t, c.latest, sim.params.EvacuationLimit, "%v starts on %s, whose data centre is closed", a, f.id)
+}
--- a/internal/dispatch/congestion_test.go
+++ b/internal/dispatch/congestion_test.go
@@ -212,8 +212,9 @@
 		WorkersTopic: "workers", SubmissionsTopic: "submissions", Retention: time.Hour,
 		Params: Params{Lease: 5 * time.Second, Isolation: 5 * time.Second}}, log, limited, nil, l.decode, config, cat,
 		Views{Submissions: submissions, Progress: progress}, func(bool) {}, discardLogger())
+	closures := followClosures(log, pace, func() *Owner { return o })
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){submissions.Run, progress.Run, o.Run} {
+	for _, run := range []func(context.Context){submissions.Run, progress.Run, closures.Run, o.Run} {
 		running.Go(func() { run(ctx) })
 	}
 	t.Cleanup(func() { cancel(); running.Wait() })
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/evacuation"
 	"clementinewalk.example/clementinewalk/internal/interference"
 	"clementinewalk.example/clementinewalk/internal/queue"
 	"clementinewalk.example/clementinewalk/internal/workflow"
@@ -25,6 +26,8 @@
 	// Isolation is how long an owner acts without a confirmed append. A previous owner may have acted for as long
 	// after the claim of its successor.
 	Isolation time.Duration
+	// EvacuationLimit is the time after which nothing may start any more in a closed data centre; 0 for no limit.
+	EvacuationLimit time.Duration
 	// ObjectiveTolerance is how long the best-effort tasks beside a service may keep it over its latency objective.
 	ObjectiveTolerance time.Duration
 }
@@ -117,6 +120,14 @@
 	lastInTimeWait map[string]time.Duration
 	// objectives holds the latency objective of each service image.
 	objectives map[string]time.Duration
+	// closed holds the closed data centres. startsHeld is set while starts must not be sent.
+	closed     evacuation.Set
+	startsHeld bool
+	// moving holds the tasks that were stopped in a closed data centre and do not serve again yet, movesHeld why no more
+	// tasks of a pool are moved. nextMoves is the earliest time of the next moves.
+	moving    map[*task]struct{}
+	movesHeld map[string]evacuation.Held
+	nextMoves time.Duration
 }
 
 // Stored is what a new owner knows from the log.
@@ -131,6 +142,8 @@
 	SilentLeases map[catalog.Incarnation]time.Duration
 	Suspects     map[string]catalog.Crashes
 	Interference interference.State
+	// Closed holds the closed data centres.
+	Closed evacuation.Set
 }
 
 // New returns the Core of an owner that has just claimed the epoch.
@@ -146,7 +159,8 @@
 		unfenced: map[catalog.Incarnation]struct{}{}, earlierUntil: stored.EarlierUntil,
 		suspects: map[*task]struct{}{}, storedCrashes: stored.Suspects,
 		model: interference.Restore(now, stored.Interference), objectives: map[string]time.Duration{},
-		lastInTimeWait: map[string]time.Duration{}}
+		lastInTimeWait: map[string]time.Duration{}, closed: stored.Closed, moving: map[*task]struct{}{},
+		movesHeld: map[string]evacuation.Held{}}
 	for _, i := range stored.Unfenced {
 		c.unfenced[i] = struct{}{}
 	}
--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -18,6 +18,7 @@
 	bornAt       time.Duration
 	highestEpoch int64
 	pool         string
+	dataCentre   string
 	labels       []string
 	// leaseUntil is the reading of the worker's clock at which its lease ends.
 	leaseUntil time.Duration
@@ -152,6 +153,7 @@
 	require.True(sim.t, sim.reservedWith(f, s).Fits(f.capacity), "worker %s is overcommitted by %s", f.id, c.Task)
 	require.True(sim.t, s.Label == "" || slices.Contains(f.labels, s.Label), "%s starts on %s without label %s", c.Task,
 		f.id, s.Label)
+	sim.closures.checkStart(sim, f, c.Attempt)
 	require.Equal(sim.t, testPool, f.pool, "%s starts on %s, which belongs to another pool", c.Task, f.id)
 	require.False(sim.t, sim.doneConfirmed[c.Task], "%s starts after its end was confirmed", c.Task)
 	for _, other := range sim.workers {
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -15,6 +15,10 @@
 // worker is the owner's view of one worker.
 type worker struct {
 	Member
+	// closed reports whether the data centre of the worker is closed.
+	closed bool
+	// coldUntil is the time until which the worker is slow after its start.
+	coldUntil time.Duration
 	// listed reports whether the worker list contains the worker.
 	listed bool
 	// describedIncarnation is the StartedAt of the entry from which the other fields of Member were taken. It is earlier
@@ -223,7 +227,10 @@
 func (w *worker) extendLease(to time.Duration) { w.leaseEnd = max(w.leaseEnd, to) }
 
 // unschedulable reports whether the worker must get no new task.
-func (w *worker) unschedulable() bool {
+func (w *worker) unschedulable() bool { return w.closed || w.unavailable() }
+
+// unavailable reports whether the worker must get no new task, whether or not its data centre is closed.
+func (w *worker) unavailable() bool {
 	return !w.listed || w.Leaving || !w.fenced || w.silence != silenceNone || w.describedIncarnation != w.StartedAt
 }
 
@@ -295,6 +302,7 @@
 	m.Capacity = m.Capacity.Max(resource.Vector{})
 	described := w.describedIncarnation == m.StartedAt
 	w.Member, w.listed, w.describedIncarnation, c.planNeeded = m, true, m.StartedAt, true
+	w.closed, w.coldUntil = c.closed.Contains(m.DataCentre), now+m.ColdFor
 	if !described {
 		c.stopUnsuited(w)
 	}
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"sort"
 
 	"clementinewalk.example/clementinewalk/internal/assign"
@@ -35,6 +36,10 @@
 // fitGang returns a node for each task, or nil. If the step asks for one rack, a rack with room for all is preferred.
 func (p *plan) fitGang(s *step) []*assign.Node {
 	nodes := p.gangNodes(s)
+	if warm := slices.DeleteFunc(slices.Clone(nodes), func(n *assign.Node) bool { return n.Cold }); s.hasSlots(warm) {
+		// A gang is as slow as its slowest task.
+		nodes = warm
+	}
 	if !s.hasSlots(nodes) {
 		return nil
 	}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -7,6 +7,7 @@
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/clock"
+	"clementinewalk.example/clementinewalk/internal/evacuation"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 	"clementinewalk.example/clementinewalk/internal/queue"
 	"clementinewalk.example/clementinewalk/internal/workflow"
@@ -58,8 +59,9 @@
 	maxRoundTrip = 25 * time.Millisecond
 	// minCores limits the claim delay of an instance whose processor time is unknown.
 	minCores = 0.05
-	// No task is placed while the view of submissions or workers is older than maxViewAge. It is well below the time
-	// after which a cancelled submission or a leaving worker must get no more starts.
+	// No task is placed while the view of submissions, workers or closed data centres is older than maxViewAge, and none is
+	// started while the last one is. It is well below the time after which a cancelled submission, a leaving worker or a
+	// closed data centre must get no more starts.
 	maxViewAge = 1400 * time.Millisecond
 	// ownerTick and standbyTick are the intervals at which the loop runs without an event.
 	ownerTick   = 20 * time.Millisecond
@@ -178,6 +180,10 @@
 	// nextClaim is the earliest time of the next claim; claimAt is when the scheduled claim is due, 0 if there is none.
 	nextClaim time.Duration
 	claimAt   time.Duration
+	// closed holds the closed data centres as of closedAsOf; closuresKnown is set once they have been read.
+	closed        evacuation.Set
+	closedAsOf    time.Duration
+	closuresKnown bool
 	// newestEpoch is the highest epoch that was read from the log.
 	newestEpoch int64
 }
@@ -324,6 +330,7 @@
 	}
 	// Without confirmed appends, another instance may have become the owner, so no order is sent.
 	if now-o.lastConfirmed < o.settings.Isolation {
+		o.core.HoldStarts(now, !o.closuresFresh(now))
 		if o.viewsFresh(now) {
 			o.core.Plan(now)
 			o.load.planned(clock.Now() - now)
@@ -343,7 +350,7 @@
 func (o *Owner) viewsFresh(now time.Duration) bool {
 	submissions, ok := o.views.Submissions.AsOf()
 	workers, okWorkers := o.workerList.AsOf()
-	return ok && okWorkers && now-submissions < maxViewAge && now-workers < maxViewAge
+	return o.closuresFresh(now) && ok && okWorkers && now-submissions < maxViewAge && now-workers < maxViewAge
 }
 
 // applyMembers applies a batch of the worker list; one with Reset set contains the whole list.
--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -81,8 +81,10 @@
 			defer i.mu.Unlock()
 			i.owns = owns
 		}, discardLogger())
+	closures := followClosures(log, pace, func() *Owner { return i.owner })
 	go submissions.Run(ctx)
 	go progress.Run(ctx)
+	go closures.Run(ctx)
 	go func() {
 		i.owner.Run(ctx)
 		close(i.done)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -24,6 +24,7 @@
 // Plan places the pending tasks for which there is room.
 func (c *Core) Plan(now time.Duration) {
 	c.activateDueRounds(now)
+	c.moveOut(now)
 	if len(c.pending) == 0 || now-c.lastPlan < c.planInterval() ||
 		!c.planNeeded && now-c.lastPlan < noRoomRetryInterval {
 		return
@@ -123,6 +124,8 @@
 	heldLimits map[poolLabel]int
 	// noHold holds the tasks for which no other worker can be held.
 	noHold map[holdKey]struct{}
+	// warm leaves out the cold workers.
+	warm bool
 }
 
 // rankingKey holds what the scores of the workers depend on.
@@ -169,6 +172,10 @@
 		if e := w.exclusion(p.now); e != excludedNone && (skipQuarantined || e != excludedQuarantined) {
 			continue
 		}
+		w.node.Cold = w.coldUntil > p.now
+		if p.warm && w.node.Cold {
+			continue
+		}
 		w.node.ID, w.node.Rack, w.node.Index, w.node.Capacity = w.ID, w.Rack, i, w.Capacity
 		w.load.Capacity = w.Capacity.MilliCores
 		w.node.Slack, w.node.RecentlyFailed = 1-w.worstTailRatio, w.consecutiveFailures > 0
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -29,13 +29,14 @@
 	longestIdle     time.Duration
 	// longRunning is what the long-running tasks among the placed ones reserve.
 	longRunning resource.Vector
+	closed      closedLoad
 }
 
 var tierNames = map[int]string{tierRestart: "restart", tierOnTime: "on-time", tierLate: "late",
 	tierLongRunning: "long-running", tierTooLate: "too-late"}
 
 func (c *Core) newSummary(now time.Duration) summary {
-	s := summary{workers: len(c.workers), waitingByQueue: map[string]int{}, waitingByTier: map[string]int{}}
+	s := summary{workers: len(c.workers), closed: c.newClosedLoad(), waitingByQueue: map[string]int{}, waitingByTier: map[string]int{}}
 	idle := map[*job]struct{}{}
 	for _, t := range c.pending {
 		if j := t.job(); j.placed == 0 {
@@ -81,6 +82,7 @@
 	c.metrics.set(&s)
 	c.logger.Info("start summary", c.timing.take()...)
 	c.logWaitingServices(now)
+	c.logClosed(&s.closed)
 	c.logger.Info("placement summary", "epoch", c.epoch, "workers", s.workers, "usable", s.usable, "silent", s.silent,
 		"placed", s.placed, "waiting", s.waiting, "image_mixtures", s.mixtures,
 		"waiting_services", s.waitingServices, "idle_submissions", s.idleSubmissions,
@@ -103,6 +105,9 @@
 	answers *prometheus.CounterVec
 	// lost counts the attempts that ended without a report, by the evidence.
 	lost *prometheus.CounterVec
+	// closed counts tasks that closed data centres concern, moves the tasks that were moved out of them.
+	closed *prometheus.GaugeVec
+	moves  prometheus.Counter
 }
 
 // NewMetrics registers the metrics of an owner.
@@ -118,8 +123,13 @@
 			Help: "Calls to workers and to the advisor, by whether they were answered."}, []string{"outcome"}),
 		lost: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_attempts_lost_total",
 			Help: "Attempts that were given up without a report of their end, by the evidence that they have ended."},
-			[]string{"reason"})}
-	r.MustRegister(m.waiting, m.cores, m.calls, m.answers, m.lost)
+			[]string{"reason"}),
+		closed: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_closed_data_centre_tasks",
+			Help: "Tasks that wait while a closed data centre has room for them, long-running tasks left in closed data centres, and tasks that are being moved out."},
+			[]string{"what"}),
+		moves: prometheus.NewCounter(prometheus.CounterOpts{Name: "clementine_owner_moves_total",
+			Help: "Long-running tasks that were stopped in a closed data centre to start elsewhere."})}
+	r.MustRegister(m.waiting, m.cores, m.calls, m.answers, m.lost, m.closed, m.moves)
 	return m
 }
 
@@ -137,6 +147,9 @@
 		"best-effort": s.bestEffort, "waiting-best-effort": s.waitingBestEffort} {
 		m.cores.WithLabelValues(use).Set(float64(milliCores) / millisPerCore)
 	}
+	m.closed.WithLabelValues("waiting").Set(float64(s.closed.waiting))
+	m.closed.WithLabelValues("left").Set(float64(s.closed.remaining))
+	m.closed.WithLabelValues("moving").Set(float64(s.closed.moving))
 }
 
 func (m *Metrics) setCalls(l *callLoad) {
@@ -157,6 +170,12 @@
 	}
 }
 
+func (m *Metrics) moved() {
+	if m != nil {
+		m.moves.Inc()
+	}
+}
+
 // reset sets the metrics of an instance that is no longer the owner.
 func (m *Metrics) reset() {
 	m.set(&summary{})
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -31,6 +31,8 @@
 	excludedNone exclusion = iota
 	// excludedUnschedulable: see worker.unschedulable.
 	excludedUnschedulable
+	// excludedClosed: the data centre of the worker is closed, and nothing else keeps it from getting tasks.
+	excludedClosed
 	// excludedSilent: the last lease call failed.
 	excludedSilent
 	// excludedFull: the worker has recently refused a start.
@@ -39,13 +41,15 @@
 	excludedQuarantined
 )
 
-var exclusionNames = [...]string{excludedNone: "usable", excludedUnschedulable: "unschedulable", excludedSilent: "silent",
+var exclusionNames = [...]string{excludedNone: "usable", excludedUnschedulable: "unschedulable", excludedClosed: "closed data centre", excludedSilent: "silent",
 	excludedFull: "full", excludedQuarantined: "quarantined"}
 
 func (w *worker) exclusion(now time.Duration) exclusion {
 	switch {
-	case w.unschedulable():
+	case w.unavailable():
 		return excludedUnschedulable
+	case w.closed:
+		return excludedClosed
 	case w.failingSince != 0:
 		return excludedSilent
 	case w.fullUntil > now:
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -26,6 +26,8 @@
 	Capacity               resource.Vector
 	Labels                 []string
 	Leaving                bool
+	// ColdFor is how much longer the worker is slow after its start, as of its entry.
+	ColdFor time.Duration
 	// Rack is the label that names the rack; empty if unknown.
 	Rack string
 }
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -84,6 +84,8 @@
 	pinnedStarts bool
 	// heldStarts is how long starts wait between their decision and their transmission.
 	heldStarts time.Duration
+	// closures is what the log holds about closed data centres; nil if the owner does not read it.
+	closures *fakeClosures
 	// staleEntries holds, by id, the newest entries in the log of workers that have not written one since their restart.
 	staleEntries map[string]Member
 }
@@ -96,7 +98,8 @@
 func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
 	sim := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Minute, workers: map[string]*fakeWorker{},
 		steps: map[workflow.JobID][]workflow.Step{}, tasks: map[string]eventlog.Entry{},
-		params:  Params{Lease: 6 * time.Second, MaxLease: 10 * time.Second, Isolation: 5 * time.Second, ObjectiveTolerance: 4 * time.Second},
+		params: Params{Lease: 6 * time.Second, MaxLease: 10 * time.Second, Isolation: 5 * time.Second, ObjectiveTolerance: 4 * time.Second,
+			EvacuationLimit: 5 * time.Second},
 		catalog: catalog.New(discardLogger()), doneConfirmed: map[workflow.TaskID]bool{},
 		crashes: map[workflow.TaskID]int{}, downtime: 3300 * time.Millisecond,
 		capacity: resource.Vector{MilliCores: 4000, MemoryMB: 8000}, listedEnds: listedEnds}
@@ -119,7 +122,7 @@
 
 func (sim *simulation) addWorker(id string) *fakeWorker {
 	f := &fakeWorker{id: id, addr: "addr-" + id, startedAt: int64(sim.now/time.Millisecond) + 1, bornAt: sim.now,
-		capacity: sim.capacity, pool: testPool,
+		capacity: sim.capacity, pool: testPool, dataCentre: dataCentreOf(id),
 		running: map[Attempt]*fakeRun{}, highestRun: map[workflow.TaskID]int{}}
 	sim.workers[id] = f
 	return f
@@ -127,7 +130,7 @@
 
 func (sim *simulation) member(f *fakeWorker) Member {
 	return Member{Incarnation: Incarnation{ID: f.id, StartedAt: f.startedAt}, Pool: f.pool, Addr: f.addr,
-		Capacity: f.capacity, Labels: f.labels}
+		DataCentre: f.dataCentre, Capacity: f.capacity, Labels: f.labels}
 }
 
 // takeOver replaces the owner by one that knows only what is stored. Calls of the previous owner that are in flight
@@ -141,7 +144,8 @@
 	require.True(sim.t, complete)
 	sim.core = New(sim.params, sim.epoch, sim.now, func() time.Time { return time.Unix(0, int64(sim.now)) },
 		discardLogger(), testConfig(), Stored{PredecessorUntil: sim.predecessorUntil, Jobs: jobs,
-			SilentLeases: sim.silentLeases(), Suspects: loaded.Suspects, Interference: loaded.Interference})
+			SilentLeases: sim.silentLeases(), Suspects: loaded.Suspects, Interference: loaded.Interference,
+			Closed: sim.closures.read()})
 	sim.listWorkers()
 }
 
@@ -206,7 +210,9 @@
 			sim.advanceWorker(f)
 		}
 		sim.storeBatches()
-		sim.core.Plan(sim.now)
+		if sim.readClosures() {
+			sim.core.Plan(sim.now)
+		}
 		sim.core.Act(sim.now)
 		for _, o := range sim.core.Orders() {
 			sim.sendOrder(o)
