--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -80,8 +80,9 @@
 func maxConfigAge(s *platform.Settings) time.Duration { return s.ConfigApply - configMargin }
 
 func newViews(s *platform.Settings, log eventlog.Log, t node.Topics, c *catalog.Catalog, q *queue.Current,
-	l *slog.Logger) *node.Views {
-	return node.NewViews(log, t, platform.DecodeConfig, c, q, maxConfigAge(s), process.WithPrefix(l, "views"))
+	l *slog.Logger, r *prometheus.Registry) *node.Views {
+	d := node.Decoders{Config: platform.DecodeConfig, Closure: platform.DecodeClosure}
+	return node.NewViews(log, t, d, c, q, maxConfigAge(s), process.WithPrefix(l, "views"), r)
 }
 
 func newBatcher(log eventlog.Log, t node.Topics, l *slog.Logger) *eventlog.Batcher {
@@ -117,7 +118,7 @@
 		WorkersTopic: platform.TopicWorkers, SubmissionsTopic: t.Submissions,
 		Retention: s.StatusRetention + retentionMargin,
 		Params: dispatch.Params{Lease: min(leaseDuration, s.MaxLease), MaxLease: s.MaxLease,
-			Isolation: isolationLimit, ObjectiveTolerance: s.InterferenceTolerance}}
+			Isolation: isolationLimit, EvacuationLimit: s.EvacuationLimit, ObjectiveTolerance: s.InterferenceTolerance}}
 	owner := dispatch.NewOwner(settings, log, w, a, platform.DecodeMember, q, c,
 		dispatch.Views{Submissions: v.Submissions, Progress: v.Progress}, v.RoleChanged, process.WithPrefix(l, "owner"))
 	owner.UseMetrics(dispatch.NewMetrics(r))
--- a/cmd/clementine-node/wire_gen.go
+++ b/cmd/clementine-node/wire_gen.go
@@ -20,7 +20,7 @@
 	current := newConfig()
 	log := newStore(s)
 	catalog := newCatalog(l)
-	views := newViews(s, log, topics, catalog, current, l)
+	views := newViews(s, log, topics, catalog, current, l, r)
 	batcher := newBatcher(log, topics, l)
 	limitedWorkers := newWorkers(s)
 	pool := newPool(s, limitedWorkers, catalog, l, r)
--- a/internal/dispatch/closures_test.go
+++ b/internal/dispatch/closures_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"clementinewalk.example/clementinewalk/internal/evacuation"
+	"clementinewalk.example/clementinewalk/internal/eventlog"
 )
 
 // dataCentreOf returns the data centre of a simulated worker: those of the ids a, c, e and b, d, f belong together.
@@ -83,3 +84,23 @@
 	c.starts, c.latest = c.starts+1, sim.now-since
 	require.LessOrEqual(sim.t, c.latest, sim.params.EvacuationLimit, "%v starts on %s, whose data centre is closed", a, f.id)
 }
+
+// closuresTopic is the topic whose keys are the closed data centres in tests with an Owner.
+const closuresTopic = "closures"
+
+// followClosures returns a follower that passes the closed data centres on to an owner.
+func followClosures(log eventlog.Log, pace eventlog.PollIntervals, owner func() *Owner) *eventlog.Follower {
+	state := &evacuation.State{}
+	return eventlog.NewFollower(log, closuresTopic, pace, discardLogger(), func(b eventlog.Batch) {
+		batch := evacuation.Batch{Reset: b.Reset, Next: b.Next}
+		for _, e := range b.Entries {
+			r := evacuation.Record{DataCentre: e.Key, Content: evacuation.Closed, Offset: e.Offset}
+			if e.Value == nil {
+				r.Content = evacuation.Open
+			}
+			batch.Records = append(batch.Records, r)
+		}
+		state.Apply(batch)
+		owner().ClosuresRead(state.Closed(), b.AsOf)
+	})
+}
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -291,6 +291,7 @@
 func randomFaults(t *testing.T, seed uint64) {
 	sim := newSimulation(t, seed, 5)
 	sim.callLossShare, sim.listedEnds = 0.08, fewListedEnds
+	sim.useClosures(time.Duration(sim.rng.IntN(1300)) * time.Millisecond)
 	cancelled := map[workflow.JobID]bool{}
 	var jobs []workflow.JobID
 	for round := range 60 {
@@ -306,7 +307,9 @@
 		sim.injectFault(jobs, cancelled)
 		sim.run(time.Duration(50+sim.rng.IntN(800)) * time.Millisecond)
 	}
-	sim.callLossShare, sim.logDown = 0, false
+	sim.callLossShare, sim.logDown, sim.closures.cutOff = 0, false, false
+	sim.reopen("even")
+	sim.reopen("odd")
 	for _, f := range sim.workers {
 		f.disconnected = false
 	}
@@ -323,7 +326,7 @@
 
 func (sim *simulation) injectFault(jobs []workflow.JobID, cancelled map[workflow.JobID]bool) {
 	f := sim.workers[string(rune('a'+sim.rng.IntN(5)))]
-	switch sim.rng.IntN(8) {
+	switch sim.rng.IntN(11) {
 	case 0:
 		f.disconnected = true
 	case 1:
@@ -338,5 +341,11 @@
 		id := jobs[sim.rng.IntN(len(jobs))]
 		cancelled[id] = true
 		sim.cancel(id)
+	case 6:
+		sim.close(f.dataCentre)
+	case 7:
+		sim.reopen(f.dataCentre)
+	case 8:
+		sim.closures.cutOff = !sim.closures.cutOff
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,11 +13,13 @@
 	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/clock"
 	"clementinewalk.example/clementinewalk/internal/dispatch"
+	"clementinewalk.example/clementinewalk/internal/evacuation"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 	"clementinewalk.example/clementinewalk/internal/process"
 	"clementinewalk.example/clementinewalk/internal/queue"
@@ -63,6 +65,8 @@
 type Views struct {
 	Submissions, Progress, Config *eventlog.Follower
 	feed                          *feed
+	// standbyConfigPoll is the poll interval of the configuration on an instance that is not the owner.
+	standbyConfigPoll eventlog.PollIntervals
 	// owner reports whether this instance is the owner. The owner applies its own records before it reads them back.
 	owner atomic.Bool
 }
@@ -101,16 +105,28 @@
 		IdlePause: 10 * time.Millisecond}
 )
 
+// maxOwnerConfigWait limits the reads of the topic Config on the owner, which starts nothing with an old view of the
+// closed data centres.
+const maxOwnerConfigWait = 600 * time.Millisecond
+
+// Decoders decode the entries of the topic Config.
+type Decoders struct {
+	Config func([]byte) (*queue.Config, error)
+	// Closure returns what an entry says about a data centre, and false if it concerns none.
+	Closure func(eventlog.Entry) (evacuation.Record, bool)
+}
+
 // NewViews returns the followers of a node, which keep the catalog and the configuration up to date. While the log can
-// be read, the view of the configuration is at most maxConfigAge old. decode decodes a configuration.
+// be read, the view of the configuration is at most maxConfigAge old.
 func NewViews(
-	l eventlog.Log, t Topics, decode func([]byte) (*queue.Config, error), cat *catalog.Catalog, config *queue.Current,
-	maxConfigAge time.Duration, logger *slog.Logger,
+	l eventlog.Log, t Topics, d Decoders, cat *catalog.Catalog, config *queue.Current, maxConfigAge time.Duration,
+	logger *slog.Logger, r prometheus.Registerer,
 ) *Views {
 	poll := configPoll
 	poll.Wait = min(poll.Wait, maxConfigAge*2/3)
-	f := &feed{topics: t, decode: decode, catalog: cat, config: config, logger: logger}
-	return &Views{feed: f,
+	f := &feed{topics: t, decode: d.Config, catalog: cat, config: config, logger: logger,
+		closures: newClosures(d.Closure, logger, r)}
+	return &Views{feed: f, standbyConfigPoll: poll,
 		Submissions: eventlog.NewFollower(l, t.Submissions, standbySubmissionsPoll, logger, f.submissions),
 		Progress:    eventlog.NewFollower(l, t.Progress, standbyProgressPoll, logger, f.progress),
 		Config:      eventlog.NewFollower(l, t.Config, poll, logger, f.configuration)}
@@ -122,8 +138,10 @@
 	decode  func([]byte) (*queue.Config, error)
 	catalog *catalog.Catalog
 	config  *queue.Current
-	owner   *dispatch.Owner
-	logger  *slog.Logger
+	// closures is used by the goroutine of the follower of Config only.
+	closures *closures
+	owner    *dispatch.Owner
+	logger   *slog.Logger
 }
 
 // submissions handles a batch of the topic Submissions.
@@ -154,6 +172,7 @@
 			f.owner.ConfigChanged()
 		}
 	}
+	f.owner.ClosuresRead(f.closures.apply(b), b.AsOf)
 }
 
 // RoleChanged sets the poll intervals when this instance becomes the owner or ceases to be it.
@@ -162,8 +181,12 @@
 	if owner {
 		v.Submissions.SetPollIntervals(ownerSubmissionsPoll)
 		v.Progress.SetPollIntervals(ownerProgressPoll)
+		poll := v.standbyConfigPoll
+		poll.Wait = min(poll.Wait, maxOwnerConfigWait)
+		v.Config.SetPollIntervals(poll)
 		return
 	}
+	v.Config.SetPollIntervals(v.standbyConfigPoll)
 	v.Submissions.SetPollIntervals(standbySubmissionsPoll)
 	v.Progress.SetPollIntervals(standbyProgressPoll)
 }
