--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"clementinewalk.example/clementinewalk/internal/invariant"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -34,6 +35,7 @@
 }
 
 func (c *Core) sendStart(now time.Duration, t *task) {
+	invariant.Check(invariant.NoStartInClosed, !t.worker.closed && !c.startsHeld, "task", t.id, "worker", t.worker.ID)
 	t.startState, t.startSentAt = startInFlight, now
 	t.startCalls++
 	c.orders = append(c.orders, StartOrder{Member: t.worker.Member, task: t,
--- a/internal/dispatch/closures_test.go
+++ b/internal/dispatch/closures_test.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"context"
 	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -104,3 +106,32 @@
 		owner().ClosuresRead(state.Closed(), b.AsOf)
 	})
 }
+
+// topicCut is an instance's connection to the log that refuses reads of one topic while cut is set.
+type topicCut struct {
+	eventlog.Log
+	topic string
+	cut   atomic.Bool
+}
+
+func (l *topicCut) refuses(topic string) bool { return topic == l.topic && l.cut.Load() }
+
+// Read implements eventlog.Log.
+func (l *topicCut) Read(ctx context.Context, topic string, from int64, wait time.Duration) (eventlog.Page, error) {
+	if l.refuses(topic) {
+		return eventlog.Page{}, &eventlog.RefusedError{Op: "read", Status: 503}
+	}
+	p, err := l.Log.Read(ctx, topic, from, wait)
+	if l.refuses(topic) {
+		return eventlog.Page{}, &eventlog.RefusedError{Op: "read", Status: 503}
+	}
+	return p, err
+}
+
+// Newest implements eventlog.Log.
+func (l *topicCut) Newest(ctx context.Context, topic string) (eventlog.Page, error) {
+	if l.refuses(topic) {
+		return eventlog.Page{}, &eventlog.RefusedError{Op: "newest", Status: 503}
+	}
+	return l.Log.Newest(ctx, topic)
+}
--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -219,7 +219,7 @@
 }
 
 // couldHold reports whether the worker could take a task if it were empty.
-func (w *worker) couldHold(t *task) bool { return w.suits(t) && t.reserved().Fits(w.Capacity) }
+func (w *worker) couldHold(t *task) bool { return t.reserved().Fits(w.Capacity) && w.suits(t) }
 
 // closedLoad is what closed data centres cost at the time of a summary.
 type closedLoad struct {
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -25,6 +25,7 @@
 	NotRunWasNotSent   Name = "p5_not_run_was_not_sent"
 	TicketDispatchOnce Name = "p6_ticket_dispatch_once"
 	NoWorkWhenLeaving  Name = "p7_no_work_when_leaving"
+	NoStartInClosed    Name = "p7_no_start_in_closed_data_centre"
 	StopDrained        Name = "p8_stop_drained"
 	ConfigForward      Name = "p9_config_forward"
 )
