--- a/internal/dispatch/closedowner_test.go
+++ b/internal/dispatch/closedowner_test.go
@@ -145,6 +145,7 @@
 // Guards against a successor that starts tasks in a data centre that was closed before its claim, whether or not the owner
 // before it had read that, and after a restart of all instances.
 func TestSuccessorKnowsTheClosures(t *testing.T) {
+	// Each case returns the time from which no start is allowed.
 	for name, play := range map[string]func(c *closureTest, a *testInstance, cut *refusingLog) time.Duration{
 		"read by its predecessor": func(c *closureTest, a *testInstance, cut *refusingLog) time.Duration {
 			b := c.start(c.log, "b")
@@ -154,7 +155,7 @@
 			cut.refuseAppends.Store(true)
 			c.flood(claimSilence)
 			eventually(c.t, "b owns", b.isOwner)
-			return closed
+			return closed + notice
 		},
 		"not read by its predecessor": func(c *closureTest, a *testInstance, cut *refusingLog) time.Duration {
 			b := c.start(c.log, "b")
@@ -165,12 +166,14 @@
 			closed := c.put("tema", true)
 			c.flood(claimSilence)
 			eventually(c.t, "b owns", b.isOwner)
-			return closed
+			return closed + maxViewAge + notice
 		},
 		"all instances restarted": func(c *closureTest, a *testInstance, _ *refusingLog) time.Duration {
 			a.stop()
 			<-a.done
 			closed := c.put("tema", true)
+			// These tasks are placed as soon as b owns.
+			c.flood(500 * time.Millisecond)
 			b := c.start(c.log, "b")
 			eventually(c.t, "b owns", b.isOwner)
 			return closed
@@ -183,10 +186,9 @@
 			a := c.start(cut, "a")
 			eventually(t, "a owns", a.isOwner)
 			c.flood(500 * time.Millisecond)
-			closed := play(c, a, cut)
-			owned := clock.Now()
+			since := play(c, a, cut)
 			c.flood(3 * time.Second)
-			c.none("tema", "accra", max(owned, closed+maxViewAge+notice))
+			c.none("tema", "accra", since)
 		})
 	}
 }
