--- a/internal/assign/assign_test.go
+++ b/internal/assign/assign_test.go
@@ -41,6 +41,27 @@
 		}, Task{Size: small}, "a"},
 		{"not where it failed", func() []*Node { return []*Node{node("a", 0), node("b", 8000)} },
 			Task{Size: small, AvoidWorker: "a"}, "b"},
+		{"rather a full warm worker far from its data than a cold one", func() []*Node {
+			a, b := node("a", 0), node("b", 9000)
+			a.Cold = true
+			return []*Node{a, b}
+		}, Task{Size: small, DataRack: "r-a"}, "b"},
+		{"rather unproven than cold", func() []*Node {
+			a, b := node("a", 0), node("b", 9000)
+			a.Cold, b.RecentlyFailed = true, true
+			return []*Node{a, b}
+		}, Task{Size: small, DataRack: "r-a"}, "b"},
+		{"a service rather beside another image than on a cold worker", func() []*Node {
+			a, b := node("a", 0), node("b", 9000)
+			a.Cold = true
+			a.Services["y"], b.Services["x"] = 1, 1
+			return []*Node{a, b}
+		}, Task{Size: small, LatencyCritical: true, Image: "y", DataRack: "r-a"}, "b"},
+		{"cold if nothing else has room", func() []*Node {
+			a, b := node("a", 0), node("b", 9500)
+			a.Cold = true
+			return []*Node{a, b}
+		}, Task{Size: small}, "a"},
 		{"near its data", func() []*Node { return []*Node{node("a", 0), node("b", 8000)} },
 			Task{Size: small, DataRack: "r-b"}, "b"},
 		{"beside services of its image", func() []*Node {
--- a/internal/dispatch/evacuate_test.go
+++ b/internal/dispatch/evacuate_test.go
@@ -327,12 +327,18 @@
 	sim.submit("service", service)
 	sim.run(time.Second)
 	require.Equal(t, 3, sim.running("service", "odd"))
+	sim.addWorker("g")
+	sim.listWorkers()
 	sim.workers["a"].disconnected = true
 	sim.run(500 * time.Millisecond)
 	sim.close("odd")
 	// The silent worker keeps its task until its lease ends.
-	sim.run(5 * time.Second)
+	sim.run(4 * time.Second)
 	assert.Equal(t, 3, sim.running("service", "odd"), "one task may already be down")
+	sim.workers["a"].disconnected = false
+	sim.run(4 * time.Second)
+	assert.Equal(t, 2, sim.running("service", "odd"), "the new worker has room for one")
+	assert.Len(t, sim.workers["g"].running, 1)
 }
 
 // Guards against services that are stopped without room elsewhere, and then do not run anywhere.
