--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -50,6 +50,9 @@
 
 // HoldStarts keeps starts from being sent, or permits them again. The view of the closed data centres may be too old.
 func (c *Core) HoldStarts(now time.Duration, hold bool) {
+	if hold != c.startsHeld {
+		c.logger.Info("view of closed data centres checked", "starts_held", hold)
+	}
 	c.startsHeld = hold
 	if hold {
 		c.revokeStarts(now, func(*Member) bool { return true })
