--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -128,6 +128,10 @@
 	moving    map[*task]struct{}
 	movesHeld map[string]evacuation.Held
 	nextMoves time.Duration
+	// demand is that of short tasks, largestShort the processors of the largest one placed since it was last observed, by
+	// pool.
+	demand       map[string]*evacuation.Demand
+	largestShort map[string]int64
 }
 
 // Stored is what a new owner knows from the log.
@@ -160,7 +164,7 @@
 		suspects: map[*task]struct{}{}, storedCrashes: stored.Suspects,
 		model: interference.Restore(now, stored.Interference), objectives: map[string]time.Duration{},
 		lastInTimeWait: map[string]time.Duration{}, closed: stored.Closed, moving: map[*task]struct{}{},
-		movesHeld: map[string]evacuation.Held{}}
+		movesHeld: map[string]evacuation.Held{}, demand: map[string]*evacuation.Demand{}, largestShort: map[string]int64{}}
 	for _, i := range stored.Unfenced {
 		c.unfenced[i] = struct{}{}
 	}
--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -117,10 +117,14 @@
 
 // moveOut stops long-running tasks in closed data centres, so that they start elsewhere.
 func (c *Core) moveOut(now time.Duration) {
-	if len(c.closed) == 0 && len(c.moving) == 0 || now < c.nextMoves {
+	if now < c.nextMoves {
 		return
 	}
 	c.nextMoves = now + moveInterval
+	c.observeDemand(now)
+	if len(c.closed) == 0 && len(c.moving) == 0 {
+		return
+	}
 	for t := range c.moving {
 		if t.serving() || t.job().state.Over() {
 			delete(c.moving, t)
@@ -139,6 +143,34 @@
 	}
 }
 
+// observeDemand notes what short tasks need, also before a data centre is closed.
+func (c *Core) observeDemand(now time.Duration) {
+	reserved := map[string]int64{}
+	for _, w := range c.workers {
+		reserved[w.Pool] += w.node.Reserved.MilliCores - w.longRunning.MilliCores
+	}
+	for pool, r := range reserved {
+		c.demandOf(pool).Observe(now, r, c.largestShort[pool])
+	}
+	clear(c.largestShort)
+}
+
+func (c *Core) demandOf(pool string) *evacuation.Demand {
+	d := c.demand[pool]
+	if d == nil {
+		d = &evacuation.Demand{}
+		c.demand[pool] = d
+	}
+	return d
+}
+
+// noteShort notes the size of a placed task that is not long-running.
+func (c *Core) noteShort(t *task) {
+	if pool := t.job().terms.Pool; !t.step.def.LongRunning {
+		c.largestShort[pool] = max(c.largestShort[pool], t.reserved().MilliCores)
+	}
+}
+
 func compareSteps(a, b *step) int {
 	return cmp.Or(cmp.Compare(a.round.job.offset, b.round.job.offset), cmp.Compare(a.round.index, b.round.index),
 		cmp.Compare(a.index, b.index))
@@ -149,11 +181,13 @@
 	p := c.newPlan(now)
 	p.warm = true
 	nodes := p.candidates(pool)
-	e := evacuation.Pool{CallersWait: c.scarce(now) || p.callersLackRoom(pool)}
+	d, short := c.demandOf(pool), int64(0)
+	e := evacuation.Pool{CallersWait: c.scarce(now) || p.callersLackRoom(pool), Unit: d.Unit()}
 	for _, n := range nodes {
 		e.Free = append(e.Free, n.Free())
-		e.Short += n.Reserved.MilliCores - c.workersByID[n.Index].longRunning.MilliCores
+		short += n.Reserved.MilliCores - c.workersByID[n.Index].longRunning.MilliCores
 	}
+	e.Needed = d.Needed(short)
 	for t := range c.moving {
 		if t.job().terms.Pool == pool {
 			e.Moving++
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -263,6 +263,7 @@
 		j.state = workflow.Running
 	}
 	c.uncommitted = append(c.uncommitted, t)
+	c.noteShort(t)
 	c.markDirty(j)
 	p.placed++
 	c.logger.Info("task placed", "task", t.id, "run", run, "worker", w.ID, "born", w.StartedAt,
--- a/internal/evacuation/moves.go
+++ b/internal/evacuation/moves.go
@@ -14,9 +14,9 @@
 type Pool struct {
 	// Free is what each warm worker in an open data centre that may get tasks has free.
 	Free []resource.Vector
-	// Short is the thousandths of a core that tasks which are not long-running reserve on them. As much must stay free:
-	// the demand for such tasks may double within seconds, and a moved task stays where it is.
-	Short int64
+	// Needed is the thousandths of a core that must stay free for tasks which are not long-running, in pieces of Unit, which
+	// is at least 1. See Demand.
+	Needed, Unit int64
 	// Promised is the thousandths of a core that tasks which are being moved or wait will take.
 	Promised int64
 	// CallersWait reports that a task that callers wait for lacks room.
@@ -62,10 +62,10 @@
 // It runs through the workers once for each step at most.
 func (p *Pool) Moves() ([]int, Held) {
 	moves := make([]int, len(p.Steps))
-	m := mover{pool: p, taken: make([]bool, len(p.Free)), spare: -p.Short - p.Promised,
+	m := mover{pool: p, taken: make([]bool, len(p.Free)), spare: -p.Needed - p.Promised,
 		left: max(1, int(maxMovingShare*float64(len(p.Free)))) - p.Moving}
 	for _, free := range p.Free {
-		m.spare += max(0, free.MilliCores)
+		m.spare += max(0, free.MilliCores) / p.Unit * p.Unit
 	}
 	held := HeldNot
 	for i := range p.Steps {
@@ -96,6 +96,8 @@
 // move returns how many tasks of a step are to be moved, and why it is not more.
 func (m *mover) move(s *Step) (int, Held) {
 	n, worker := 0, 0
+	// A task takes every piece that it touches.
+	cost := (s.Size.MilliCores + m.pool.Unit - 1) / m.pool.Unit * m.pool.Unit
 	for ; n < s.Movable; n++ {
 		switch {
 		case m.pool.CallersWait:
@@ -104,11 +106,11 @@
 			return n, HeldBudget
 		case m.left <= 0:
 			return n, HeldMoving
-		case s.Size.MilliCores > m.spare || !m.findRoom(s, &worker):
+		case cost > m.spare || !m.findRoom(s, &worker):
 			return n, HeldNoRoom
 		}
 		m.taken[worker] = true
-		m.spare -= s.Size.MilliCores
+		m.spare -= cost
 		m.left--
 	}
 	return n, HeldNot
