--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -292,6 +292,7 @@
 	sim := newSimulation(t, seed, 5)
 	sim.callLossShare, sim.listedEnds = 0.08, fewListedEnds
 	sim.useClosures(time.Duration(sim.rng.IntN(1300)) * time.Millisecond)
+	sim.submit("service", budgetedServices(3, 2))
 	cancelled := map[workflow.JobID]bool{}
 	var jobs []workflow.JobID
 	for round := range 60 {
@@ -310,6 +311,7 @@
 	sim.callLossShare, sim.logDown, sim.closures.cutOff = 0, false, false
 	sim.reopen("even")
 	sim.reopen("odd")
+	sim.cancel("service")
 	for _, f := range sim.workers {
 		f.disconnected = false
 	}
