--- a/internal/dispatch/evacuate_test.go
+++ b/internal/dispatch/evacuate_test.go
@@ -446,6 +446,43 @@
 	assert.Zero(t, sim.running("service", "odd"))
 }
 
+// Guards against services that run twice, run in a closed data centre again, or are lost, when data centres close and open
+// beside other faults. In the end one of them stays closed, and every service must have left it.
+func TestServicesMoveBesideRandomFaults(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sim := newSimulation(t, seed, 6)
+			sim.useClosures(readLag)
+			sim.callLossShare = 0.03
+			services := []workflow.JobID{"service-1", "service-2", "service-3"}
+			for i, id := range services {
+				step := budgetedServices(3, 1+i%2)
+				step.MaxPerWorker = i
+				sim.submit(id, step)
+			}
+			for round := range 40 {
+				if round%4 == 0 {
+					sim.submit(workflow.JobID(fmt.Sprintf("short-%d", round)), batchStep(2, 300*time.Millisecond))
+				}
+				sim.injectFault([]workflow.JobID{"none"}, map[workflow.JobID]bool{})
+				sim.run(time.Duration(200+sim.rng.IntN(2000)) * time.Millisecond)
+			}
+			sim.callLossShare, sim.logDown, sim.closures.cutOff = 0, false, false
+			for _, f := range sim.workers {
+				f.disconnected = false
+			}
+			sim.reopen("even")
+			sim.close("odd")
+			sim.run(90 * time.Second)
+			for _, id := range services {
+				assert.Equal(t, 3, sim.running(id, ""), id)
+				assert.Zero(t, sim.running(id, "odd"), id)
+			}
+		})
+	}
+}
+
 // The summary and the exclusion of workers tell which tasks wait because of a closed data centre.
 func TestTasksThatWaitForAClosedDataCentreAreReported(t *testing.T) {
 	sim := newSimulation(t, 1, 2)
