Estimate the state of the log from an instance's own calls

storehealth.Estimator turns the results and durations of appends and reads into usable, slow, silent, refusing or resetting, with the expected time of an append. It is pure; nothing uses it yet. One lost response does not count as a failure of the log.

Tested with tables: go test ./internal/storehealth.

--- /dev/null
+++ b/internal/storehealth/storehealth.go
@@ -0,0 +1,208 @@
+// Package storehealth estimates from an instance's own calls whether the log can store an entry now, and how long that
+// takes. It has no clock, network or goroutine.
+//
+// The load it handles: appends to one partition are made one at a time, so 36 instances with 40 entries a second cannot
+// all append while an append takes 264 ms instead of 4 ms. The log may also not answer, refuse, or reset every call for
+// some seconds, or lose a third of the responses to appends that took effect. An entry must then be refused before it is
+// sent, because its outcome is unknown afterwards; lost responses alone are no reason to refuse.
+package storehealth
+
+import "time"
+
+// Operation is the kind of a call.
+type Operation uint8
+
+// The operations.
+const (
+	Append Operation = iota
+	Read
+)
+
+// Outcome is how a call ended.
+type Outcome uint8
+
+// The outcomes. NoAnswer is a call whose time limit passed, Reset one whose connection failed.
+const (
+	Done Outcome = iota
+	NoAnswer
+	Refused
+	Reset
+)
+
+// Call is a call that has ended. Times count from any origin; Wait is how long a read may wait for a record.
+type Call struct {
+	Operation    Operation
+	Outcome      Outcome
+	Began, Ended time.Duration
+	Wait         time.Duration
+}
+
+// State is what an instance can expect of the log.
+type State uint8
+
+// The states. In Silent and Resetting, an append would most likely end without an answer.
+const (
+	Usable State = iota
+	Slow
+	Silent
+	Refusing
+	Resetting
+)
+
+// States are all states.
+var States = [...]State{Usable, Slow, Silent, Refusing, Resetting}
+
+// String returns the name for log lines and metrics.
+func (s State) String() string {
+	return [...]string{"usable", "slow", "silent", "refusing", "resetting"}[s]
+}
+
+const (
+	// SlowAfter is the time of an append from which the log counts as slow. Usual appends take 10 to 20 ms.
+	SlowAfter = 60 * time.Millisecond
+	// silentAfter is how long no call has been answered, and one is overdue, in a silent log. At 66 times the usual times,
+	// a read is answered 0.3 s after its wait.
+	silentAfter = 700 * time.Millisecond
+	// probeAfter is how long a failure counts as evidence. The reads of followers, at most 0.4 s apart, renew it.
+	probeAfter = 500 * time.Millisecond
+	// timesKept is how long the time of an append is expected for the next one.
+	timesKept = 2 * time.Second
+	// hintKept is how long a time that another instance has told is expected.
+	hintKept = time.Second
+	// maxPendingTime limits what an append without an answer adds to the expected time: its answer may be lost.
+	maxPendingTime = 400 * time.Millisecond
+	// maxSingleTime limits what one append adds to the expected time.
+	maxSingleTime = 500 * time.Millisecond
+	// evidentFailures is the number of successive appends without an answer after which further ones are refused. A first
+	// one may be a lost answer.
+	evidentFailures = 2
+)
+
+// Assessment is the result of an Estimator. Append is the expected time of an append.
+type Assessment struct {
+	State  State
+	Append time.Duration
+	// OneAtATime reports that a second append must not be sent while one is in flight.
+	OneAtATime bool
+}
+
+// Unreachable reports whether nothing should be sent, because it would most likely get no answer.
+func (a Assessment) Unreachable() bool { return a.State == Silent || a.State == Resetting }
+
+// Pending describes the calls that have no answer yet.
+type Pending struct {
+	// Append is the age of the oldest append, Overdue the longest time by which an append or a read is over its wait. They
+	// are 0 if there is none.
+	Append, Overdue time.Duration
+}
+
+// sample is a duration and the time at which it was learned.
+type sample struct {
+	at, value time.Duration
+	known     bool
+}
+
+func (s sample) valid(now, kept time.Duration) bool { return s.known && now-s.at < kept }
+
+// failure is the newest failure of an operation; count are the successive ones.
+type failure struct {
+	at      time.Duration
+	outcome Outcome
+	count   int
+}
+
+// Estimator learns from calls. The zero value expects a usable log.
+type Estimator struct {
+	answered     sample
+	append, hint sample
+	// last is the time of the newest append. The expected time is the shorter of the last two: one may have waited behind
+	// the appends of instances that have not known yet that the log is slow.
+	last     time.Duration
+	failures [2]failure
+}
+
+// Observe notes the end of a call.
+func (e *Estimator) Observe(c Call) {
+	if c.Outcome != Done {
+		f := &e.failures[c.Operation]
+		f.at, f.outcome, f.count = c.Ended, c.Outcome, f.count+1
+		return
+	}
+	e.answered = sample{at: c.Ended, known: true}
+	e.clear(Append, c)
+	e.clear(Read, c)
+	if c.Operation == Append {
+		e.learn(c.Ended, c.Ended-c.Began)
+	}
+}
+
+// clear forgets failures that the successful call c disproves. A refusal of appends is disproved by an append only.
+func (e *Estimator) clear(o Operation, c Call) {
+	if f := &e.failures[o]; f.outcome != Refused || o == c.Operation || c.Operation == Append {
+		*f = failure{}
+	}
+}
+
+func (e *Estimator) learn(now, d time.Duration) {
+	previous := maxSingleTime
+	if e.append.valid(now, timesKept) {
+		previous = e.last
+	}
+	e.append = sample{at: now, value: min(d, max(previous, SlowAfter)), known: true}
+	e.last = d
+	// A fast append shows that no other is queued, whatever others have told before.
+	if d < SlowAfter {
+		e.hint = sample{}
+	}
+}
+
+// Hint notes the time of an append that another instance has told. It may have waited behind others.
+func (e *Estimator) Hint(now, d time.Duration) {
+	d = min(d, maxSingleTime)
+	e.hint = sample{at: now, value: d, known: true}
+	if d < SlowAfter {
+		e.append, e.last = e.hint, d
+	}
+}
+
+// Assess returns the state of the log.
+func (e *Estimator) Assess(now time.Duration, p Pending) Assessment {
+	a := Assessment{}
+	if e.append.valid(now, timesKept) {
+		a.Append = e.append.value
+	}
+	if e.hint.valid(now, hintKept) {
+		a.Append = max(a.Append, e.hint.value)
+	}
+	a.Append = max(a.Append, min(p.Append, maxPendingTime))
+	appends, reads := e.failures[Append], e.failures[Read]
+	a.State = Usable
+	if a.Append >= SlowAfter {
+		a.State = Slow
+	}
+	a.OneAtATime = a.State == Slow || appends.recent(now, 1)
+	switch {
+	case reads.recent(now, 1):
+		a.State = reads.state()
+	case appends.recent(now, evidentFailures) || appends.outcome == Refused && appends.recent(now, 1):
+		a.State = appends.state()
+	case p.Overdue >= silentAfter && (!e.answered.known || now-e.answered.at >= silentAfter):
+		a.State = Silent
+	}
+	a.OneAtATime = a.OneAtATime || a.State != Usable
+	return a
+}
+
+func (f failure) recent(now time.Duration, count int) bool {
+	return f.count >= count && now-f.at < probeAfter
+}
+
+func (f failure) state() State {
+	switch f.outcome {
+	case Refused:
+		return Refusing
+	case Reset:
+		return Resetting
+	}
+	return Silent
+}
--- /dev/null
+++ b/internal/storehealth/storehealth_test.go
@@ -0,0 +1,66 @@
+package storehealth
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const ms = time.Millisecond
+
+func call(o Operation, outcome Outcome, began, ended time.Duration) Call {
+	return Call{Operation: o, Outcome: outcome, Began: began * ms, Ended: ended * ms}
+}
+
+func TestAssess(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		calls   []Call
+		now     time.Duration
+		pending Pending
+		want    State
+		append  time.Duration
+		one     bool
+	}{
+		{name: "nothing known"},
+		{"fast append", []Call{call(Append, Done, 0, 15)}, 20, Pending{}, Usable, 15, false},
+		{"slow append", []Call{call(Append, Done, 0, 264)}, 300, Pending{}, Slow, 264, true},
+		{"one append behind others", []Call{call(Append, Done, 0, 1500)}, 1500, Pending{}, Slow, 500, true},
+		{"the next one", []Call{call(Append, Done, 0, 1500), call(Append, Done, 1500, 1764)}, 1800, Pending{}, Slow, 264, true},
+		{"all appends are slow", []Call{call(Append, Done, 0, 1000), call(Append, Done, 1000, 2000)}, 2000, Pending{}, Slow, 1000, true},
+		{"first slow one", []Call{call(Append, Done, 0, 15), call(Append, Done, 100, 364)}, 400, Pending{}, Slow, 60, true},
+		{"slow append long ago", []Call{call(Append, Done, 0, 264)}, 3000, Pending{}, Usable, 0, false},
+		{"fast after slow", []Call{call(Append, Done, 0, 264), call(Append, Done, 270, 285)}, 300, Pending{}, Usable, 15, false},
+		{"append without an answer yet", nil, 200, Pending{Append: 100 * ms, Overdue: 100 * ms}, Slow, 100, true},
+		{"its answer may be lost", []Call{call(Read, Done, 0, 900)}, 1000, Pending{Append: 900 * ms, Overdue: 900 * ms}, Slow, 400, true},
+		{"no call is answered", []Call{call(Read, Done, 0, 100)}, 1000, Pending{Overdue: 800 * ms}, Silent, 0, true},
+		{"one lost answer", []Call{call(Append, Reset, 0, 10)}, 20, Pending{}, Usable, 0, true},
+		{"lost answers and reads", []Call{call(Append, Reset, 0, 10), call(Read, Done, 0, 20), call(Append, Reset, 20, 30)}, 40, Pending{}, Usable, 0, true},
+		{"two appends reset", []Call{call(Append, Reset, 0, 10), call(Append, Reset, 70, 80)}, 90, Pending{}, Resetting, 0, true},
+		{"a read reset", []Call{call(Append, Done, 0, 10), call(Read, Reset, 0, 20)}, 30, Pending{}, Resetting, 10, true},
+		{"reset long ago: probe", []Call{call(Read, Reset, 0, 20)}, 600, Pending{}, Usable, 0, false},
+		{"read after resets", []Call{call(Read, Reset, 0, 20), call(Read, Done, 70, 80)}, 90, Pending{}, Usable, 0, false},
+		{"a read got no answer", []Call{call(Read, NoAnswer, 0, 1600)}, 1700, Pending{}, Silent, 0, true},
+		{"append refused", []Call{call(Append, Refused, 0, 10)}, 20, Pending{}, Refusing, 0, true},
+		{"append refused, reads work", []Call{call(Append, Refused, 0, 10), call(Read, Done, 0, 20)}, 30, Pending{}, Refusing, 0, true},
+	} {
+		var e Estimator
+		for _, x := range c.calls {
+			e.Observe(x)
+		}
+		assert.Equal(t, Assessment{State: c.want, Append: c.append * ms, OneAtATime: c.one}, e.Assess(c.now*ms, c.pending), c.name)
+	}
+}
+
+// Guards against an instance that keeps passing entries to others after the log is fast again, or that is not told of a
+// slow log before its own append has shown it.
+func TestHint(t *testing.T) {
+	var e Estimator
+	e.Hint(0, 264*ms)
+	assert.Equal(t, Slow, e.Assess(500*ms, Pending{}).State)
+	assert.Equal(t, Usable, e.Assess(1100*ms, Pending{}).State, "the hint was not renewed")
+	e.Observe(call(Append, Done, 1100, 1364))
+	e.Hint(1400*ms, 15*ms)
+	assert.Equal(t, Usable, e.Assess(1400*ms, Pending{}).State)
+}
