Await the next read after a failed one before the log counts as usable

A log that answers nothing was taken for usable again 0.5 s after a failed read, while the next read was still in progress, so appends were sent to it. A read that began before a failure also ended it, although the log may answer earlier calls while it resets new ones.

A failed read now counts until a call that began after it is answered. An append without an answer within its limit counts in full as the expected time, a single long one at most 0.5 s, because it may have waited behind others.

Tested with tables: go test ./internal/storehealth.

--- a/internal/storehealth/storehealth.go
+++ b/internal/storehealth/storehealth.go
@@ -63,12 +63,13 @@
 	// silentAfter is how long no call has been answered, and one is overdue, in a silent log. At 66 times the usual times,
 	// a read is answered 0.3 s after its wait.
 	silentAfter = 700 * time.Millisecond
-	// probeAfter is how long a failure counts as evidence. The reads of followers, at most 0.4 s apart, renew it.
+	// probeAfter is how long a failure counts as evidence if no read is in progress. The reads of followers are at most 0.4 s
+	// apart; without them, single appends find the return of the log.
 	probeAfter = 500 * time.Millisecond
 	// timesKept is how long the time of an append is expected for the next one.
 	timesKept = 2 * time.Second
 	// hintKept is how long a time that another instance has told is expected.
-	hintKept = time.Second
+	hintKept = 2 * time.Second
 	// maxPendingTime limits what an append without an answer adds to the expected time: its answer may be lost.
 	maxPendingTime = 400 * time.Millisecond
 	// maxSingleTime limits what one append adds to the expected time.
@@ -84,16 +85,22 @@
 	Append time.Duration
 	// OneAtATime reports that a second append must not be sent while one is in flight.
 	OneAtATime bool
+	// ReadsRefused reports that the log refuses all calls, not only appends because their queue is full.
+	ReadsRefused bool
 }
 
-// Unreachable reports whether nothing should be sent, because it would most likely get no answer.
-func (a Assessment) Unreachable() bool { return a.State == Silent || a.State == Resetting }
+// Unreachable reports whether nothing should be sent, because the log would most likely not store it.
+func (a Assessment) Unreachable() bool {
+	return a.State == Silent || a.State == Resetting || a.ReadsRefused
+}
 
 // Pending describes the calls that have no answer yet.
 type Pending struct {
 	// Append is the age of the oldest append, Overdue the longest time by which an append or a read is over its wait. They
 	// are 0 if there is none.
 	Append, Overdue time.Duration
+	// Reading reports that a read has no answer yet. After a failed read, its answer is awaited.
+	Reading bool
 }
 
 // sample is a duration and the time at which it was learned.
@@ -126,6 +133,11 @@
 	if c.Outcome != Done {
 		f := &e.failures[c.Operation]
 		f.at, f.outcome, f.count = c.Ended, c.Outcome, f.count+1
+		if c.Operation == Append && c.Outcome == NoAnswer {
+			// Either the answer is lost or the append is still queued, and the next one takes as long.
+			e.last = c.Ended - c.Began
+			e.append = sample{at: c.Ended, value: e.last, known: true}
+		}
 		return
 	}
 	e.answered = sample{at: c.Ended, known: true}
@@ -136,11 +148,14 @@
 	}
 }
 
-// clear forgets failures that the successful call c disproves. A refusal of appends is disproved by an append only.
+// clear forgets failures that the successful call c disproves. A refusal of appends is disproved by an append only, and a
+// failed read by a call that began after it: a log that resets new calls may still answer earlier ones.
 func (e *Estimator) clear(o Operation, c Call) {
-	if f := &e.failures[o]; f.outcome != Refused || o == c.Operation || c.Operation == Append {
-		*f = failure{}
+	f := &e.failures[o]
+	if o == Append && c.Operation == Read && f.outcome == Refused || o == Read && c.Began < f.at {
+		return
 	}
+	*f = failure{}
 }
 
 func (e *Estimator) learn(now, d time.Duration) {
@@ -182,8 +197,9 @@
 	}
 	a.OneAtATime = a.State == Slow || appends.recent(now, 1)
 	switch {
-	case reads.recent(now, 1):
+	case reads.recent(now, 1) || reads.count > 0 && p.Reading:
 		a.State = reads.state()
+		a.ReadsRefused = a.State == Refusing
 	case appends.recent(now, evidentFailures) || appends.outcome == Refused && appends.recent(now, 1):
 		a.State = appends.state()
 	case p.Overdue >= silentAfter && (!e.answered.known || now-e.answered.at >= silentAfter):
