Report an append for which there was no connection as refused

An append whose connection could not be opened was reported as unknown, so callers got 504 for a submission that was never sent.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -46,14 +46,22 @@
 	Newest(ctx context.Context, topic string) (Page, error)
 }
 
-// RefusedError reports a call that the log has refused; it had no effect.
+// RefusedError reports a call that the log has refused; it had no effect. Status is 0 if the call was not sent, because
+// there was no connection; Err is the cause then.
 type RefusedError struct {
 	Op     string
 	Status int
+	Err    error
 }
 
+// Unwrap returns the cause.
+func (e *RefusedError) Unwrap() error { return e.Err }
+
 // Error implements error.
 func (e *RefusedError) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("log cannot be called for %s: %v", e.Op, e.Err)
+	}
 	return fmt.Sprintf("log refused %s with status %d", e.Op, e.Status)
 }
 
