--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -94,31 +94,44 @@
 // maxConfigAge returns the maximum age of the view of the configuration from which a queue may be reported as missing.
 func maxConfigAge(s *platform.Settings) time.Duration { return s.ConfigApply - configMargin }
 
-func newViews(s *platform.Settings, log eventlog.Log, t node.Topics, c *catalog.Catalog, q *queue.Current,
+// newMonitor returns the log for the calls of the callers' side. The owner's appends have queues of their own.
+func newMonitor(log eventlog.Log, t node.Topics, l *slog.Logger, r *prometheus.Registry) *eventlog.Monitor {
+	return eventlog.NewMonitor(log, t.Submissions, process.WithPrefix(l, "intake"), r)
+}
+
+func newViews(s *platform.Settings, log *eventlog.Monitor, t node.Topics, c *catalog.Catalog, q *queue.Current,
 	l *slog.Logger, r *prometheus.Registry) *node.Views {
 	d := node.Decoders{Config: platform.DecodeConfig, Closure: platform.DecodeClosure}
 	return node.NewViews(log, t, d, c, q, maxConfigAge(s), process.WithPrefix(l, "views"), r)
 }
 
-func newBatcher(log eventlog.Log, t node.Topics, l *slog.Logger) *eventlog.Batcher {
+func newBatcher(log *eventlog.Monitor, t node.Topics, l *slog.Logger) *eventlog.Batcher {
 	return eventlog.NewBatcher(log, t.Submissions, process.WithPrefix(l, "intake"))
 }
 
+func newRelayClient() *relay.Client { return relay.NewClient() }
+
+func newCollectors(s *platform.Settings, client *relay.Client, c *catalog.Catalog, log *eventlog.Monitor, l *slog.Logger,
+	r *prometheus.Registry) *intake.Collectors {
+	return intake.NewCollectors(s.Instance, client, c, log, process.WithPrefix(l, "intake"), r)
+}
+
 func newIntakeAPI(
-	s *platform.Settings, b *eventlog.Batcher, c *catalog.Catalog, q *queue.Current, v *node.Views, l *slog.Logger,
-	r *prometheus.Registry,
+	s *platform.Settings, b *eventlog.Batcher, client *relay.Client, collectors *intake.Collectors, c *catalog.Catalog,
+	q *queue.Current, v *node.Views, l *slog.Logger, r *prometheus.Registry,
 ) *intake.API {
 	ages := intake.MaxAges{Submissions: s.VisibilityLimit - visibilityMargin, Config: maxConfigAge(s)}
 	l = process.WithPrefix(l, "intake")
-	peers := intake.NewPeers(s.Instance, relay.NewClient(), c, v.Submissions, l, r)
-	api := intake.New(&intake.RelayedAppender{Local: b, Peers: peers}, c, q, v, v.Submissions, v.Config, ages, l, r)
+	peers := intake.NewPeers(s.Instance, client, c, v.Submissions, l, r)
+	log := &intake.RelayedAppender{Local: b, Peers: peers, Collectors: collectors}
+	api := intake.New(log, c, q, v, v.Submissions, v.Config, ages, l, r)
 	api.UsePeers(peers)
 	return api
 }
 
-func newRelay(s *platform.Settings, b *eventlog.Batcher, api *intake.API, a *agent.Server, g *ingress.Gate,
+func newRelay(s *platform.Settings, b *eventlog.Batcher, api *intake.API, c *intake.Collectors, a *agent.Server, g *ingress.Gate,
 	l *slog.Logger) *node.Relay {
-	return &node.Relay{Instance: s.Instance, Addr: s.RelayAddr, Log: b, Handler: intake.NewPeerHandler(b, api),
+	return &node.Relay{Instance: s.Instance, Addr: s.RelayAddr, Log: b, Handler: intake.NewPeerHandler(b, api, c),
 		Sessions: a, Published: catalog.Endpoint{DataCentre: s.DataCentre, Cores: s.Cores,
 			LinkBytesPerSecond: s.LinkBytesPerSecond}, Gate: g, Logger: process.WithPrefix(l, "relay")}
 }
--- a/cmd/clementine-node/wire.go
+++ b/cmd/clementine-node/wire.go
@@ -14,5 +14,5 @@
 
 func initialize(o *Options, s *platform.Settings, l *slog.Logger, r *prometheus.Registry) *node.Node {
 	panic(wire.Build(newStore, newWorkers, newAdvisor, newTopics, newConfig, newCatalog, newViews,
-		newBatcher, newGate, newIntakeAPI, newPool, newAgent, newRelay, newOwner, newNode))
+		newMonitor, newRelayClient, newCollectors, newBatcher, newGate, newIntakeAPI, newPool, newAgent, newRelay, newOwner, newNode))
 }
--- a/internal/eventlog/batcher.go
+++ b/internal/eventlog/batcher.go
@@ -3,25 +3,49 @@
 import (
 	"context"
 	"log/slog"
+	"math"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"clementinewalk.example/clementinewalk/internal/storehealth"
 )
 
 // Batcher combines the entries of concurrent Append calls into few appends to the log. A retried batch may be stored
 // more than once, so readers must tolerate repeated entries.
 type Batcher struct {
-	log      Log
-	topic    string
-	logger   *slog.Logger
-	queue    chan *waiter
-	inFlight chan struct{}
+	log    *Monitor
+	topic  string
+	logger *slog.Logger
+	// wake makes Run look at the queue.
+	wake chan struct{}
+
+	mu     sync.Mutex
+	queue  []*waiter
+	closed bool
+	// inFlight holds the begin of each batch that is being stored.
+	inFlight map[*batch]time.Time
 }
 
-// waiter is an entry whose Append call waits for the outcome.
+type batch struct{ waiters []*waiter }
+
+// waiter is an entry whose Append call waits for the outcome. sent and gone require the mutex of the batcher.
 type waiter struct {
 	entry Entry
-	done  chan error
+	// deadline is the zero time if the call may wait without limit.
+	deadline time.Time
+	done     chan error
+	// sent is whether the entry may be stored because of an attempt. gone is whether the call has returned.
+	sent, gone bool
+}
+
+// timeLeft returns how long the call still waits.
+func (w *waiter) timeLeft() time.Duration {
+	if w.deadline.IsZero() {
+		return math.MaxInt64
+	}
+	return time.Until(w.deadline)
 }
 
 const (
@@ -36,6 +60,15 @@
 	maxAppendAttempts = 3
 	// appendRetryDelay is the time between two attempts.
 	appendRetryDelay = 60 * time.Millisecond
+	// lostAnswerFactor is after how many times the expected time an answer counts as lost, so that a second append is
+	// sent also while the log is slow. minLostAnswerAge is the least such time.
+	lostAnswerFactor = 3
+	minLostAnswerAge = 300 * time.Millisecond
+	// maxNextAppend limits the expected time of an append behind one of this instance that is in flight: what it waited
+	// for is stored by then.
+	maxNextAppend = 400 * time.Millisecond
+	// recheckInterval is how often the queue is looked at while appends are in flight.
+	recheckInterval = 50 * time.Millisecond
 )
 
 // QueueFullError reports that Limit entries already wait for an append. The entry was not stored.
@@ -44,77 +77,175 @@
 // Error implements error.
 func (e *QueueFullError) Error() string { return "too many entries wait for the log" }
 
+// UnsentError reports an entry that was not sent, and never will be, because the log would not have stored it in time.
+type UnsentError struct {
+	Health storehealth.Assessment
+}
+
+// Error implements error.
+func (e *UnsentError) Error() string {
+	return "the log cannot store the entry in time: it is " + e.Health.State.String() + ", an append takes " +
+		e.Health.Append.String()
+}
+
 // NewBatcher returns a batcher for one topic. Entries are appended while Run is running.
-func NewBatcher(log Log, topic string, logger *slog.Logger) *Batcher {
-	return &Batcher{log: log, topic: topic, logger: logger, queue: make(chan *waiter, maxQueuedEntries),
-		inFlight: make(chan struct{}, maxConcurrentAppends)}
+func NewBatcher(log *Monitor, topic string, logger *slog.Logger) *Batcher {
+	return &Batcher{log: log, topic: topic, logger: logger, wake: make(chan struct{}, 1), inFlight: map[*batch]time.Time{}}
 }
 
-// Append stores an entry. It returns *QueueFullError or *RefusedError if the entry was not stored and will not be, and
-// *UnknownError if it may have been stored or may be later.
+// Append stores an entry. It returns *QueueFullError, *UnsentError or *RefusedError if the entry was not stored and will
+// not be, and *UnknownError if it may have been stored or may be later.
 func (b *Batcher) Append(ctx context.Context, e Entry) error {
 	w := &waiter{entry: e, done: make(chan error, 1)}
-	select {
-	case b.queue <- w:
-	default:
-		return &QueueFullError{Limit: maxQueuedEntries}
+	w.deadline, _ = ctx.Deadline()
+	if err := b.enqueue(ctx, w); err != nil {
+		return err
 	}
 	select {
 	case err := <-w.done:
 		return err
 	case <-ctx.Done():
-		return &UnknownError{Op: "append", Err: ctx.Err()}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w.gone = true
+	select {
+	case err := <-w.done:
+		return err
+	default:
+	}
+	if !w.sent {
+		return &UnsentError{Health: b.log.Health()}
+	}
+	return &UnknownError{Op: "append", Err: ctx.Err()}
+}
+
+func (b *Batcher) enqueue(ctx context.Context, w *waiter) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.log.Health()
+	switch {
+	case ctx.Err() != nil || b.closed || h.Unreachable() || w.timeLeft() < b.expectedTime(h):
+		return &UnsentError{Health: h}
+	case len(b.queue) >= maxQueuedEntries:
+		return &QueueFullError{Limit: maxQueuedEntries}
+	}
+	b.queue = append(b.queue, w)
+	b.notify()
+	return nil
+}
+
+// expectedTime returns how long an entry that arrives now takes. It requires b.mu.
+func (b *Batcher) expectedTime(h storehealth.Assessment) time.Duration {
+	if h.Append < storehealth.SlowAfter || len(b.inFlight) == 0 {
+		return h.Append
+	}
+	var rest time.Duration
+	for _, began := range b.inFlight {
+		rest = max(rest, h.Append-time.Since(began))
+	}
+	return rest + time.Duration(1+len(b.queue)/maxBatchEntries)*min(h.Append, maxNextAppend)
+}
+
+func (b *Batcher) notify() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
 	}
 }
 
 // Run appends the queued entries until ctx ends.
 func (b *Batcher) Run(ctx context.Context) {
+	t := time.NewTicker(recheckInterval)
+	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			b.close()
 			return
-		case b.inFlight <- struct{}{}:
+		case <-b.wake:
+		case <-t.C:
 		}
-		batch := b.collect(ctx)
-		if batch == nil {
-			return
+		if b.dispatch(ctx) {
+			t.Reset(recheckInterval)
+		} else {
+			t.Stop()
 		}
+	}
+}
+
+// close refuses what is queued and all later entries.
+func (b *Batcher) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	b.refuse(b.queue, b.log.Health())
+	b.queue = nil
+}
+
+func (b *Batcher) refuse(waiters []*waiter, h storehealth.Assessment) {
+	for _, w := range waiters {
+		w.done <- &UnsentError{Health: h}
+	}
+}
+
+// dispatch sends what may be sent now. It returns whether entries remain queued.
+func (b *Batcher) dispatch(ctx context.Context) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		h := b.log.Health()
+		b.dropLate(h)
+		if len(b.queue) == 0 || !b.maySend(h) {
+			return len(b.queue) > 0
+		}
+		n := min(len(b.queue), maxBatchEntries)
+		next := &batch{waiters: append([]*waiter(nil), b.queue[:n]...)}
+		b.queue = b.queue[n:]
+		b.inFlight[next] = time.Now()
 		go func() {
-			defer func() { <-b.inFlight }()
-			err := b.store(ctx, batch)
-			for _, w := range batch {
-				w.done <- err
-			}
+			b.store(ctx, next)
+			b.mu.Lock()
+			delete(b.inFlight, next)
+			b.mu.Unlock()
+			b.notify()
 		}()
 	}
 }
 
-// collect waits for the first entry and returns it with the others that are queued; it returns nil when ctx ends.
-func (b *Batcher) collect(ctx context.Context) []*waiter {
-	var batch []*waiter
-	select {
-	case <-ctx.Done():
-		return nil
-	case w := <-b.queue:
-		batch = append(batch, w)
-	}
-	for len(batch) < maxBatchEntries {
-		select {
-		case w := <-b.queue:
-			batch = append(batch, w)
+// dropLate refuses the queued entries that cannot be stored in time, and forgets those whose calls have returned. It
+// requires b.mu.
+func (b *Batcher) dropLate(h storehealth.Assessment) {
+	kept := b.queue[:0]
+	for _, w := range b.queue {
+		switch {
+		case w.gone:
+		case h.Unreachable() || w.timeLeft() < h.Append:
+			w.done <- &UnsentError{Health: h}
 		default:
-			return batch
+			kept = append(kept, w)
 		}
 	}
-	return batch
+	clear(b.queue[len(kept):])
+	b.queue = kept
 }
 
-// store appends a batch, in up to maxAppendAttempts attempts.
-func (b *Batcher) store(ctx context.Context, batch []*waiter) error {
-	entries := make([]Entry, len(batch))
-	for i, w := range batch {
-		entries[i] = w.entry
+// maySend reports whether another append may be sent. It requires b.mu.
+func (b *Batcher) maySend(h storehealth.Assessment) bool {
+	if len(b.inFlight) == 0 || len(b.inFlight) >= maxConcurrentAppends || !h.OneAtATime {
+		return len(b.inFlight) < maxConcurrentAppends
 	}
+	lost := max(minLostAnswerAge, lostAnswerFactor*h.Append)
+	for _, began := range b.inFlight {
+		if time.Since(began) < lost {
+			return false
+		}
+	}
+	return true
+}
+
+// store appends a batch, in up to maxAppendAttempts attempts, and answers its calls.
+func (b *Batcher) store(ctx context.Context, current *batch) {
 	// After an attempt with an unknown outcome, a later refusal does not prove that nothing was stored.
 	var unknownErr *UnknownError
 	var last error
@@ -122,16 +253,65 @@
 		if attempt > 0 {
 			sleep(ctx, appendRetryDelay)
 		}
+		entries := b.prepare(current, unknownErr != nil)
+		if len(entries) == 0 {
+			break
+		}
 		_, err := b.log.Append(ctx, b.topic, nil, entries)
 		if err == nil {
-			return nil
+			unknownErr, last = nil, nil
+			break
 		}
 		b.logger.Info("append attempt failed", "topic", b.topic, "entries", len(entries), "try", attempt, "error", err)
 		last = err
 		errors.As(err, &unknownErr)
+		if unknownErr == nil {
+			b.markUnsent(current)
+		}
 	}
 	if unknownErr != nil {
-		return unknownErr
+		last = unknownErr
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, w := range current.waiters {
+		w.done <- last
+	}
+}
+
+// prepare returns the entries for the next attempt and notes that they are sent. It returns none if the attempt is not
+// worth it. The calls of entries that cannot be stored in time are answered, unless they may be stored already.
+func (b *Batcher) prepare(current *batch, unknown bool) []Entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.log.Health()
+	if unknown && (h.Unreachable() || h.State == storehealth.Slow) {
+		// The entries are read back if they were stored. Another append would only lengthen the log's queue.
+		return nil
+	}
+	kept := current.waiters[:0]
+	var entries []Entry
+	for _, w := range current.waiters {
+		switch {
+		case w.gone:
+			continue
+		case !w.sent && (h.Unreachable() || w.timeLeft() < h.Append):
+			w.done <- &UnsentError{Health: h}
+			continue
+		}
+		w.sent = true
+		kept = append(kept, w)
+		entries = append(entries, w.entry)
+	}
+	current.waiters = kept
+	return entries
+}
+
+// markUnsent notes that no attempt has stored the entries of a batch, and none will.
+func (b *Batcher) markUnsent(current *batch) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, w := range current.waiters {
+		w.sent = false
 	}
-	return last
 }
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -176,10 +177,14 @@
 	return c.Log.Read(ctx, topic, from, wait)
 }
 
+func newBatcher(l eventlog.Log) *eventlog.Batcher {
+	return eventlog.NewBatcher(eventlog.NewMonitor(l, "topic", discardLogger, prometheus.NewRegistry()), "topic", discardLogger)
+}
+
 // startBatcher runs a batcher on l until the test ends.
 func startBatcher(t *testing.T, l eventlog.Log) *eventlog.Batcher {
 	t.Helper()
-	b := eventlog.NewBatcher(l, "topic", discardLogger)
+	b := newBatcher(l)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go b.Run(ctx)
@@ -200,6 +205,10 @@
 	l.SetFaults(memlog.Faults{DelayedAppends: 3, Delay: time.Millisecond})
 	var unknown *eventlog.UnknownError
 	require.ErrorAs(t, b.Append(context.Background(), e), &unknown)
+	// The batcher above sends nothing more for now, because no attempt was answered.
+	var unsent *eventlog.UnsentError
+	require.ErrorAs(t, b.Append(context.Background(), e), &unsent)
+	b = startBatcher(t, l)
 	l.SetFaults(memlog.Faults{DelayedAppends: 1, Delay: time.Millisecond, Down: true})
 	require.ErrorAs(t, b.Append(context.Background(), e), &unknown, "the first attempt may still be carried out")
 }
@@ -207,7 +216,7 @@
 // Guards against a batcher that sends one append for each entry.
 func TestBatcherAppendsTogether(t *testing.T) {
 	l := memlog.New()
-	b := eventlog.NewBatcher(l, "topic", discardLogger)
+	b := newBatcher(l)
 	var wg sync.WaitGroup
 	for range 100 {
 		wg.Add(1)
@@ -223,3 +232,67 @@
 	wg.Wait()
 	assert.LessOrEqual(t, l.Appends(), 3)
 }
+
+// blockedLog answers an append once it is released.
+type blockedLog struct {
+	*memlog.Log
+	release chan struct{}
+}
+
+func (l *blockedLog) Append(ctx context.Context, topic string, p *eventlog.Producer, entries []eventlog.Entry) (int64, error) {
+	<-l.release
+	return l.Log.Append(ctx, topic, p, entries)
+}
+
+// Guards against an entry that is reported as refused and stored later, and against an unknown outcome of one that was
+// never sent.
+func TestQueuedEntryIsWithdrawn(t *testing.T) {
+	l := &blockedLog{Log: memlog.New(), release: make(chan struct{})}
+	b := startBatcher(t, l)
+	var sent []chan error
+	for range 2 {
+		done := make(chan error, 1)
+		ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
+		defer cancel()
+		go func() { done <- b.Append(ctx, eventlog.Entry{Key: "sent", Value: []byte("v")}) }()
+		sent = append(sent, done)
+		time.Sleep(20 * time.Millisecond)
+	}
+	// The caller has gone, without a deadline that has passed.
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	var unsent *eventlog.UnsentError
+	require.ErrorAs(t, b.Append(ctx, eventlog.Entry{Key: "queued", Value: []byte("v")}), &unsent)
+	var unknown *eventlog.UnknownError
+	for _, done := range sent {
+		require.ErrorAs(t, <-done, &unknown, "it may be stored")
+	}
+	close(l.release)
+	require.Eventually(t, func() bool { return l.Appends() > 0 }, time.Second, time.Millisecond)
+	require.NoError(t, b.Append(context.Background(), eventlog.Entry{Key: "next", Value: []byte("v")}))
+	p, err := l.Newest(context.Background(), "topic")
+	require.NoError(t, err)
+	for _, e := range p.Entries {
+		assert.NotEqual(t, "queued", e.Key)
+	}
+}
+
+// Guards against appends that are sent although the reads of the instance show that the log answers nothing.
+func TestFailedReadsStopAppends(t *testing.T) {
+	l := memlog.New()
+	m := eventlog.NewMonitor(l, "topic", discardLogger, prometheus.NewRegistry())
+	b := eventlog.NewBatcher(m, "topic", discardLogger)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go b.Run(ctx)
+	l.SetFaults(memlog.Faults{Down: true})
+	_, err := m.Read(ctx, "other", 0, 0)
+	require.Error(t, err)
+	l.SetFaults(memlog.Faults{})
+	var unsent *eventlog.UnsentError
+	require.ErrorAs(t, b.Append(ctx, eventlog.Entry{Key: "k", Value: []byte("v")}), &unsent)
+	assert.Zero(t, l.Appends())
+	_, err = m.Read(ctx, "other", 0, 0)
+	require.NoError(t, err)
+	assert.NoError(t, b.Append(ctx, eventlog.Entry{Key: "k", Value: []byte("v")}), "at once after a read was answered")
+}
--- a/internal/eventlog/follower.go
+++ b/internal/eventlog/follower.go
@@ -153,7 +153,11 @@
 		from, intervals := next, f.intervals.Load()
 		if loaded {
 			wait := intervals.Wait
-			if requested || probes > 0 {
+			switch {
+			case f.failing.Load():
+				// The read tells at once when the log is back.
+				wait = 0
+			case requested || probes > 0:
 				wait = 0
 				probes--
 			}
--- /dev/null
+++ b/internal/eventlog/monitor.go
@@ -0,0 +1,167 @@
+package eventlog
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"clementinewalk.example/clementinewalk/internal/storehealth"
+)
+
+// Monitor is a log whose calls tell how well the appends to one topic work now. Its methods may be called from any
+// goroutine.
+type Monitor struct {
+	log    Log
+	topic  string
+	logger *slog.Logger
+	began  time.Time
+	onSlow func()
+
+	mu        sync.Mutex
+	estimator storehealth.Estimator
+	// appends and reads hold, for each call without an answer, when an answer is due.
+	appends, reads map[int]time.Duration
+	nextCall       int
+	state          storehealth.State
+	stateGauge     *prometheus.GaugeVec
+	expected       prometheus.Gauge
+}
+
+var _ Log = (*Monitor)(nil)
+
+// NewMonitor returns a monitor of l. Its estimate is about appends to the topic; reads of all topics count.
+func NewMonitor(l Log, topic string, logger *slog.Logger, r prometheus.Registerer) *Monitor {
+	m := &Monitor{log: l, topic: topic, logger: logger, began: time.Now(), onSlow: func() {},
+		appends: map[int]time.Duration{}, reads: map[int]time.Duration{},
+		stateGauge: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_log_state",
+			Help: "1 for the state of the log as this instance sees it."}, []string{"state"}),
+		expected: prometheus.NewGauge(prometheus.GaugeOpts{Name: "clementine_log_append_seconds",
+			Help: "Expected time of an append of submissions."})}
+	r.MustRegister(m.stateGauge, m.expected)
+	for _, s := range storehealth.States {
+		m.stateGauge.WithLabelValues(s.String()).Set(0)
+	}
+	m.stateGauge.WithLabelValues(m.state.String()).Set(1)
+	return m
+}
+
+// OnSlow sets the function that is called when an append has no answer after storehealth.SlowAfter. It must be called
+// before the first append.
+func (m *Monitor) OnSlow(f func()) { m.onSlow = f }
+
+// Health returns what can be expected of the log now.
+func (m *Monitor) Health() storehealth.Assessment {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.assess()
+}
+
+// Hint notes the time of an append that another instance has told.
+func (m *Monitor) Hint(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.estimator.Hint(m.now(), d)
+	m.assess()
+}
+
+func (m *Monitor) now() time.Duration { return time.Since(m.began) }
+
+// assess returns the present estimate, and reports a change of state. It requires m.mu.
+func (m *Monitor) assess() storehealth.Assessment {
+	now := m.now()
+	p := storehealth.Pending{Reading: len(m.reads) > 0}
+	for _, due := range m.appends {
+		p.Append = max(p.Append, now-due)
+	}
+	p.Overdue = p.Append
+	for _, due := range m.reads {
+		p.Overdue = max(p.Overdue, now-due)
+	}
+	a := m.estimator.Assess(now, p)
+	m.expected.Set(a.Append.Seconds())
+	if a.State != m.state {
+		m.stateGauge.WithLabelValues(m.state.String()).Set(0)
+		m.stateGauge.WithLabelValues(a.State.String()).Set(1)
+		m.logger.Info("state of the log changed", "from", m.state, "to", a.State, "append_ms", a.Append.Milliseconds(),
+			"unanswered_ms", p.Overdue.Milliseconds())
+		m.state = a.State
+	}
+	return a
+}
+
+// begin notes a call that may wait, and returns the function to call at its end.
+func (m *Monitor) begin(ctx context.Context, o storehealth.Operation, wait time.Duration) func(error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	pending := m.reads
+	if o == storehealth.Append {
+		pending = m.appends
+	}
+	began, id := m.now(), m.nextCall
+	m.nextCall++
+	pending[id] = began + wait
+	return func(err error) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(pending, id)
+		// A call that the instance has given up says nothing about the log.
+		if err == nil || ctx.Err() == nil {
+			m.estimator.Observe(storehealth.Call{Operation: o, Outcome: outcomeOf(err), Began: began, Ended: m.now()})
+		}
+		m.assess()
+	}
+}
+
+// outcomeOf classifies the error of a call.
+func outcomeOf(err error) storehealth.Outcome {
+	var refused *RefusedError
+	var unknown *UnknownError
+	var timeout net.Error
+	switch {
+	case errors.As(err, &refused) && refused.Err == nil:
+		return storehealth.Refused
+	case errors.Is(err, context.DeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
+		return storehealth.NoAnswer
+	case errors.As(err, &refused), errors.As(err, &unknown):
+		return storehealth.Reset
+	}
+	// Any other error is an answer.
+	return storehealth.Done
+}
+
+// Append implements Log. Appends to other topics have a queue of their own and do not count.
+func (m *Monitor) Append(ctx context.Context, topic string, p *Producer, entries []Entry) (int64, error) {
+	if topic != m.topic {
+		return m.log.Append(ctx, topic, p, entries)
+	}
+	slow := time.AfterFunc(storehealth.SlowAfter, m.onSlow)
+	defer slow.Stop()
+	end := m.begin(ctx, storehealth.Append, 0)
+	offset, err := m.log.Append(ctx, topic, p, entries)
+	end(err)
+	return offset, err
+}
+
+// Read implements Log.
+func (m *Monitor) Read(ctx context.Context, topic string, from int64, wait time.Duration) (Page, error) {
+	end := m.begin(ctx, storehealth.Read, wait)
+	p, err := m.log.Read(ctx, topic, from, wait)
+	end(err)
+	return p, err
+}
+
+// newestAllowance is how long a load of the newest entries may take in several pages before it is overdue.
+const newestAllowance = 2 * time.Second
+
+// Newest implements Log.
+func (m *Monitor) Newest(ctx context.Context, topic string) (Page, error) {
+	end := m.begin(ctx, storehealth.Read, newestAllowance)
+	p, err := m.log.Newest(ctx, topic)
+	end(err)
+	return p, err
+}
--- /dev/null
+++ b/internal/intake/collectors.go
@@ -0,0 +1,358 @@
+package intake
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
+
+	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/relay"
+	"clementinewalk.example/clementinewalk/internal/storehealth"
+)
+
+const (
+	// maxCollectors is how many collectors are tried for one entry. The second one is used only while the first does not
+	// answer: each further collector makes all appends wait longer.
+	maxCollectors = 2
+	// aliveFor is how long a collector that has answered counts as alive. After that it is asked before an entry is sent,
+	// and while a call to it has no answer; aliveTimeout limits its answer. A collector that dies costs the entries that it
+	// holds 0.5 s of the 1.35 s that a request is held, and later ones 0.25 s once.
+	aliveFor     = 250 * time.Millisecond
+	aliveTimeout = 250 * time.Millisecond
+	// suspension is how long a collector that did not answer is left out.
+	suspension = 2 * time.Second
+	// reportTimeout limits a report or hint; a new connection takes two network trips.
+	reportTimeout = 400 * time.Millisecond
+	// reportInterval limits the reports of one instance, hintInterval the hints of a collector. A hint counts for a second.
+	reportInterval = 300 * time.Millisecond
+	hintInterval   = 600 * time.Millisecond
+	// reportsNeeded is the number of instances that must have reported slow appends within reportsKept: one alone may have
+	// been short of processor time.
+	reportsNeeded = 2
+	reportsKept   = 500 * time.Millisecond
+	// maxHintCalls limits the concurrent calls of one round of hints.
+	maxHintCalls = 12
+)
+
+// CollectorClient calls collectors. Its errors are those of relay.Client.
+type CollectorClient interface {
+	Collect(ctx context.Context, to catalog.Endpoint, e eventlog.Entry) (time.Duration, error)
+	Report(ctx context.Context, to catalog.Endpoint, self string, d time.Duration) error
+	Hint(ctx context.Context, to catalog.Endpoint, d time.Duration) error
+}
+
+// Collectors passes the entries of an instance to a collector while appends are slow. The collector is the same on every
+// instance, so that the entries of all are stored with one append.
+type Collectors struct {
+	instance string
+	client   CollectorClient
+	catalog  *catalog.Catalog
+	log      *eventlog.Monitor
+	logger   *slog.Logger
+	entries  *prometheus.CounterVec
+	// asking makes entries share the call that finds out whether a collector is alive.
+	asking singleflight.Group
+
+	mu        sync.Mutex
+	suspended map[string]time.Time
+	// answered holds when each collector has last answered.
+	answered map[string]time.Time
+	// reports holds when each instance has last reported slow appends.
+	reports              map[string]time.Time
+	reported, hinted     time.Time
+	reporting, isHinting bool
+}
+
+// NewCollectors returns the collectors that an instance uses. It is told by log when an append is slow.
+func NewCollectors(instance string, client CollectorClient, c *catalog.Catalog, log *eventlog.Monitor, l *slog.Logger,
+	r prometheus.Registerer) *Collectors {
+	entries := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_intake_entries_total",
+		Help: "Submissions and cancellations by the way to the log: direct, collector, or refused before anything was sent."},
+		[]string{"path"})
+	r.MustRegister(entries)
+	s := &Collectors{instance: instance, client: client, catalog: c, log: log, logger: l, entries: entries,
+		suspended: map[string]time.Time{}, answered: map[string]time.Time{}, reports: map[string]time.Time{}}
+	log.OnSlow(s.appendIsSlow)
+	return s
+}
+
+// count counts an entry that took a path, or was refused before it was sent.
+func (c *Collectors) count(path string, err error) {
+	var unsent *eventlog.UnsentError
+	if errors.As(err, &unsent) {
+		path = "refused"
+	}
+	c.entries.WithLabelValues(path).Inc()
+}
+
+// active reports whether entries go to a collector.
+func (c *Collectors) active() bool {
+	h := c.log.Health()
+	return !h.Unreachable() && (h.State == storehealth.Slow || h.State == storehealth.Refusing)
+}
+
+// choose returns the collectors in the order in which they are tried. The owner comes last, because it is the busiest
+// instance; the most capable of the others comes first.
+func (c *Collectors) choose() []catalog.Endpoint {
+	owner := c.catalog.Owner().Instance
+	all := c.catalog.Endpoints()
+	slices.SortFunc(all, func(a, b catalog.Endpoint) int {
+		if (a.Instance == owner) != (b.Instance == owner) {
+			if a.Instance == owner {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(b.LinkBytesPerSecond, a.LinkBytesPerSecond),
+			cmp.Compare(a.Instance, b.Instance))
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	all = slices.DeleteFunc(all, func(p catalog.Endpoint) bool { return now.Before(c.suspended[p.Instance]) })
+	return all[:min(len(all), maxCollectors)]
+}
+
+func (c *Collectors) suspend(instance string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for name, until := range c.suspended {
+		if now.After(until) {
+			delete(c.suspended, name)
+		}
+	}
+	c.suspended[instance] = now.Add(suspension)
+	c.logger.Warn("collector left out", "collector", instance, "for_ms", suspension.Milliseconds(), "error", err)
+}
+
+// append stores an entry through a collector, or directly if none can be reached or this instance is the collector.
+func (c *Collectors) append(ctx context.Context, e eventlog.Entry, direct Appender) error {
+	unknown, refusals := error(nil), 0
+	for _, to := range c.choose() {
+		if to.Instance == c.instance {
+			break
+		}
+		h := c.log.Health()
+		deadline, limited := ctx.Deadline()
+		if limited && time.Until(deadline) < h.Append {
+			return c.outcome("collector", unknown, &eventlog.UnsentError{Health: h})
+		}
+		d, err := c.collect(ctx, to, e)
+		if d > 0 {
+			c.log.Hint(d)
+		}
+		var refused *relay.RefusedError
+		var noAnswer *relay.NoAnswerError
+		var answered *relay.MessageError
+		switch {
+		case err == nil:
+			c.count("collector", nil)
+			return nil
+		case errors.As(err, &refused) && refused.NoTime:
+			return c.outcome("collector", unknown, &eventlog.UnsentError{Health: c.log.Health()})
+		case errors.As(err, &refused):
+		case errors.As(err, &noAnswer) && errors.As(err, &answered):
+			// The collector does not know the outcome; the entry is read back if it was stored.
+			return c.outcome("collector", &eventlog.UnknownError{Op: "append", Err: err}, nil)
+		case errors.As(err, &noAnswer):
+			unknown = &eventlog.UnknownError{Op: "append", Err: err}
+		}
+		if ctx.Err() != nil {
+			return c.outcome("collector", unknown, &eventlog.UnsentError{Health: h})
+		}
+		if refused != nil {
+			refusals++
+		} else {
+			c.suspend(to.Instance, err)
+		}
+		c.logger.Info("collector did not store an entry", "key", e.Key, "collector", to.Instance, "error", err)
+	}
+	if refusals == maxCollectors {
+		// The log is slow for this instance and stores nothing for others.
+		return c.outcome("collector", unknown, &eventlog.UnsentError{Health: c.log.Health()})
+	}
+	return c.outcome("direct", unknown, direct.Append(ctx, e))
+}
+
+// collect stores an entry through a collector. It sends nothing to a collector that does not answer, and gives the call up
+// when it ceases to answer.
+func (c *Collectors) collect(ctx context.Context, to catalog.Endpoint, e eventlog.Entry) (time.Duration, error) {
+	if !c.alive(ctx, to) {
+		return 0, &relay.UnreachableError{Peer: to.Instance, Err: context.DeadlineExceeded}
+	}
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		append time.Duration
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		d, err := c.client.Collect(callCtx, to, e)
+		done <- result{append: d, err: err}
+	}()
+	t := time.NewTicker(aliveFor)
+	defer t.Stop()
+	for {
+		select {
+		case r := <-done:
+			if r.err == nil {
+				c.noteAnswer(to.Instance)
+			}
+			return r.append, r.err
+		case <-t.C:
+			if !c.alive(ctx, to) {
+				cancel()
+			}
+		}
+	}
+}
+
+func (c *Collectors) noteAnswer(instance string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered[instance] = time.Now()
+}
+
+// alive reports whether a collector has answered of late, or answers now: to a report of no time, which has no effect.
+func (c *Collectors) alive(ctx context.Context, to catalog.Endpoint) bool {
+	c.mu.Lock()
+	recent := time.Since(c.answered[to.Instance]) < aliveFor
+	c.mu.Unlock()
+	if recent {
+		return true
+	}
+	answered := c.asking.DoChan(to.Instance, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), aliveTimeout)
+		defer cancel()
+		err := c.client.Report(ctx, to, c.instance, 0)
+		var refused *relay.RefusedError
+		if err != nil && !errors.As(err, &refused) {
+			return nil, err
+		}
+		c.noteAnswer(to.Instance)
+		return nil, nil
+	})
+	select {
+	case r := <-answered:
+		return r.Err == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// outcome counts an entry and returns its result: that of the last attempt, or unknown if an earlier one may have stored
+// it.
+func (c *Collectors) outcome(path string, unknown, last error) error {
+	if unknown != nil && (last != nil || path == "collector") {
+		last = unknown
+	}
+	c.count(path, last)
+	return last
+}
+
+// appendIsSlow is called when an append of this instance has no answer after storehealth.SlowAfter.
+func (c *Collectors) appendIsSlow() {
+	to := c.choose()
+	d := max(c.log.Health().Append, storehealth.SlowAfter)
+	if len(to) == 0 {
+		return
+	}
+	if to[0].Instance == c.instance {
+		c.hint(d)
+		return
+	}
+	c.mu.Lock()
+	due := !c.reporting && time.Since(c.reported) >= reportInterval
+	if due {
+		c.reporting, c.reported = true, time.Now()
+	}
+	c.mu.Unlock()
+	if !due {
+		return
+	}
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.reporting = false
+	}()
+	for _, p := range to {
+		if p.Instance == c.instance {
+			c.hint(d)
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		err := c.client.Report(ctx, p, c.instance, d)
+		cancel()
+		var refused *relay.RefusedError
+		if err == nil || errors.As(err, &refused) {
+			return
+		}
+		c.suspend(p.Instance, err)
+	}
+}
+
+// report notes that an append of a peer is slow, and tells all instances once enough have reported it.
+func (c *Collectors) report(peer string, d time.Duration) {
+	if d < storehealth.SlowAfter {
+		return
+	}
+	own := c.log.Health().Append >= storehealth.SlowAfter
+	c.mu.Lock()
+	now := time.Now()
+	for name, at := range c.reports {
+		if now.Sub(at) > reportsKept {
+			delete(c.reports, name)
+		}
+	}
+	c.reports[peer] = now
+	enough := own || len(c.reports) >= reportsNeeded
+	c.mu.Unlock()
+	if enough {
+		c.log.Hint(max(d, storehealth.SlowAfter))
+		go c.hint(d)
+	}
+}
+
+// hint tells all instances that appends are slow.
+func (c *Collectors) hint(d time.Duration) {
+	c.mu.Lock()
+	due := !c.isHinting && time.Since(c.hinted) >= hintInterval
+	if due {
+		c.isHinting, c.hinted = true, time.Now()
+	}
+	c.mu.Unlock()
+	if !due {
+		return
+	}
+	var g errgroup.Group
+	g.SetLimit(maxHintCalls)
+	endpoints := c.catalog.Endpoints()
+	for _, to := range endpoints {
+		if to.Instance == c.instance {
+			continue
+		}
+		g.Go(func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+			defer cancel()
+			// An instance that cannot be told finds out by its own appends.
+			_ = c.client.Hint(ctx, to, d)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	c.mu.Lock()
+	c.isHinting = false
+	c.mu.Unlock()
+	c.logger.Info("told all instances that appends are slow", "append_ms", d.Milliseconds(), "instances", len(endpoints))
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -135,8 +135,14 @@
 // readBackInterval is how often the view is searched for an entry whose append is not answered yet.
 const readBackInterval = 50 * time.Millisecond
 
+// answerGrace is how long the outcome of an append is awaited after the time of its caller is over: an entry that was not
+// sent is withdrawn and refused then.
+const answerGrace = 25 * time.Millisecond
+
 // append stores an entry. If the answer of the log is lost, reading the entry back confirms it as well.
 func (a *API) append(ctx context.Context, e eventlog.Entry, stored func() bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	done := make(chan error, 1)
 	go func() { done <- a.log.Append(ctx, e) }()
 	t := time.NewTicker(readBackInterval)
@@ -151,19 +157,38 @@
 				return err
 			}
 			result, answered, done = err, true, nil
+			go a.readBack(ctx)
 		case <-t.C:
 			if stored() {
 				return nil
 			}
 		case <-ctx.Done():
-			if !answered {
-				result = &eventlog.UnknownError{Op: "append", Err: ctx.Err()}
+			if answered {
+				return result
+			}
+			select {
+			case err := <-done:
+				return err
+			case <-time.After(answerGrace):
+				return &eventlog.UnknownError{Op: "append", Err: ctx.Err()}
 			}
-			return result
 		}
 	}
 }
 
+// readBack keeps the view up to date until ctx ends.
+func (a *API) readBack(ctx context.Context) {
+	for ctx.Err() == nil {
+		a.view.RefreshSubmissions(ctx)
+		t := time.NewTimer(readBackInterval)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
 func (a *API) store(ctx context.Context, operation, queueName string, id workflow.JobID, e eventlog.Entry,
 	stored func() bool) error {
 	start := time.Now()
--- a/internal/intake/relayed.go
+++ b/internal/intake/relayed.go
@@ -85,15 +85,41 @@
 	return false, unknown
 }
 
-// RelayedAppender stores entries in the log, through a peer if this instance cannot reach it.
+// RelayedAppender stores entries in the log, through a collector while appends are slow, and through a peer if this
+// instance cannot reach the log.
 type RelayedAppender struct {
 	Local Appender
 	Peers *Peers
+	// Collectors may be nil.
+	Collectors *Collectors
 }
 
-// Append implements Appender. It returns *eventlog.UnknownError if the entry may have been stored by this instance or a
-// peer, and the error of the own log otherwise.
+// Append implements Appender. It returns *eventlog.UnknownError if the entry may have been stored by this instance, a
+// collector or a peer, and the error of the own log otherwise.
 func (a *RelayedAppender) Append(ctx context.Context, e eventlog.Entry) error {
+	if a.Collectors == nil {
+		return a.appendOrRelay(ctx, e)
+	}
+	if !a.Peers.logUnreachable() && a.Collectors.active() {
+		return a.Collectors.append(ctx, e, a.Local)
+	}
+	err := a.appendOrRelay(ctx, e)
+	var refused *eventlog.RefusedError
+	if errors.As(err, &refused) && a.Collectors.active() {
+		// The queue of the log is full, which the collector waits for.
+		return a.Collectors.append(ctx, e, a.Local)
+	}
+	a.Collectors.count("direct", err)
+	return err
+}
+
+// givesUp reports whether no peer is asked after the own log has failed: while appends are slow, further ones only
+// lengthen the queue of the log.
+func (a *RelayedAppender) givesUp(ctx context.Context) bool {
+	return ctx.Err() != nil || a.Collectors != nil && a.Collectors.active()
+}
+
+func (a *RelayedAppender) appendOrRelay(ctx context.Context, e eventlog.Entry) error {
 	unreachable := a.Peers.logUnreachable()
 	unknown := false
 	if unreachable {
@@ -107,7 +133,7 @@
 	if err == nil {
 		return nil
 	}
-	if !unreachable {
+	if !unreachable && !a.givesUp(ctx) {
 		done, u := a.relay(ctx, e)
 		if done {
 			return nil
@@ -139,14 +165,39 @@
 
 // PeerHandler carries out the calls of other instances. It does not pass them on.
 type PeerHandler struct {
-	log Appender
-	api *API
+	log        Appender
+	api        *API
+	collectors *Collectors
 }
 
 var _ relay.Handler = (*PeerHandler)(nil)
 
-// NewPeerHandler returns a handler that stores entries with log and answers questions from the view of api.
-func NewPeerHandler(log Appender, api *API) *PeerHandler { return &PeerHandler{log: log, api: api} }
+// NewPeerHandler returns a handler that stores entries with log and answers questions from the view of api. c may be nil.
+func NewPeerHandler(log Appender, api *API, c *Collectors) *PeerHandler {
+	return &PeerHandler{log: log, api: api, collectors: c}
+}
+
+// AppendTime implements relay.Handler.
+func (h *PeerHandler) AppendTime() time.Duration {
+	if h.collectors == nil {
+		return 0
+	}
+	return h.collectors.log.Health().Append
+}
+
+// Report implements relay.Handler.
+func (h *PeerHandler) Report(peer string, d time.Duration) {
+	if h.collectors != nil {
+		h.collectors.report(peer, d)
+	}
+}
+
+// Hint implements relay.Handler.
+func (h *PeerHandler) Hint(d time.Duration) {
+	if h.collectors != nil {
+		h.collectors.log.Hint(d)
+	}
+}
 
 // Append implements relay.Handler.
 func (h *PeerHandler) Append(ctx context.Context, e eventlog.Entry) error {
--- a/internal/intake/relayed_test.go
+++ b/internal/intake/relayed_test.go
@@ -134,7 +134,7 @@
 // A peer stores only entries that a caller could have sent.
 func TestPeerHandlerChecksEntries(t *testing.T) {
 	local := &fakeAppender{}
-	h := NewPeerHandler(local, newAPI(false))
+	h := NewPeerHandler(local, newAPI(false), nil)
 	good, err := catalog.SubmissionEntry(newSubmission())
 	require.NoError(t, err)
 	empty, err := catalog.SubmissionEntry(&workflow.Submission{Job: "5c0e7a21d94b36f8"})
@@ -157,7 +157,7 @@
 // The states of a peer whose own view is old are not passed on.
 func TestPeerHandlerWithOldView(t *testing.T) {
 	api := newAPI(false)
-	h := NewPeerHandler(&fakeAppender{}, api)
+	h := NewPeerHandler(&fakeAppender{}, api, nil)
 	s, ok := h.State(context.Background(), "5c0e7a21d94b36f8")
 	assert.True(t, ok)
 	assert.False(t, s.Known)
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"crypto/tls"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -33,6 +34,32 @@
 	return err
 }
 
+// linkMargin is subtracted from the time that a peer may use, so that its answer arrives in time.
+const linkMargin = 20 * time.Millisecond
+
+// Collect stores an entry through a peer, which is told how long ctx still lasts and refuses what it cannot store in that
+// time. It returns the expected time of an append at the peer, 0 if that is not known. Its errors are those of Append.
+func (c *Client) Collect(ctx context.Context, to catalog.Endpoint, e eventlog.Entry) (time.Duration, error) {
+	q := request{Op: opAppend, Key: e.Key, Value: e.Value}
+	if deadline, ok := ctx.Deadline(); ok {
+		q.LeftMS = max(1, (time.Until(deadline) - linkMargin).Milliseconds())
+	}
+	r, err := c.call(ctx, to, q)
+	return time.Duration(r.AppendMS) * time.Millisecond, err
+}
+
+// Report tells a peer that an append of this instance takes at least d.
+func (c *Client) Report(ctx context.Context, to catalog.Endpoint, self string, d time.Duration) error {
+	_, err := c.call(ctx, to, request{Op: opReport, Key: self, AppendMS: d.Milliseconds()})
+	return err
+}
+
+// Hint tells a peer that appends take d on the whole fleet.
+func (c *Client) Hint(ctx context.Context, to catalog.Endpoint, d time.Duration) error {
+	_, err := c.call(ctx, to, request{Op: opHint, AppendMS: d.Milliseconds()})
+	return err
+}
+
 // State asks a peer for the state of a submission. Its errors are those of Append.
 func (c *Client) State(ctx context.Context, to catalog.Endpoint, id workflow.JobID) (State, error) {
 	r, err := c.call(ctx, to, request{Op: opState, Key: string(id)})
@@ -50,7 +77,10 @@
 	}
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
-		c.drop(to, conn)
+		// While the peer has as many calls as it takes, the connection is not at fault.
+		if conn.Context().Err() != nil {
+			c.drop(to, conn)
+		}
 		return response{}, &UnreachableError{Peer: to.Instance, Err: err}
 	}
 	defer context.AfterFunc(ctx, func() {
@@ -59,14 +89,17 @@
 	})()
 	answer, err := exchange(stream, b)
 	if err != nil {
-		c.drop(to, conn)
+		// A call that was given up early says nothing about the connection.
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			c.drop(to, conn)
+		}
 		return response{}, &NoAnswerError{Peer: to.Instance, Err: err}
 	}
 	switch answer.Outcome {
 	case outcomeDone:
 		return answer, nil
 	case outcomeRefused:
-		return answer, &RefusedError{Peer: to.Instance, Reason: answer.Reason}
+		return answer, &RefusedError{Peer: to.Instance, Reason: answer.Reason, NoTime: answer.NoTime}
 	}
 	return answer, &NoAnswerError{Peer: to.Instance, Err: &MessageError{Problem: answer.Reason}}
 }
@@ -120,14 +153,17 @@
 	return conn, nil
 }
 
-// drop closes a connection on which a call has failed.
+// dropDelay is how long the other calls on a connection may still be answered after one was not. A call has at most 2 s.
+const dropDelay = 2 * time.Second
+
+// drop makes further calls use a new connection after a call has failed, and closes the old one later.
 func (c *Client) drop(to catalog.Endpoint, conn *quic.Conn) {
 	c.mu.Lock()
 	if c.conns[string(to.Fingerprint)] == conn {
 		delete(c.conns, string(to.Fingerprint))
 	}
 	c.mu.Unlock()
-	_ = conn.CloseWithError(0, "call failed")
+	time.AfterFunc(dropDelay, func() { _ = conn.CloseWithError(0, "call failed") })
 }
 
 // CertificateError reports a peer that does not have the published certificate.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,7 @@
 // Package relay lets an instance that cannot reach the log use another instance that can. While the log turns single
 // instances away, the load balancer may still send them callers; they pass submissions, cancellations and questions
-// about states on, over QUIC.
+// about states on, over QUIC. While appends are slow, all instances pass submissions and cancellations to a collector,
+// and tell each other about it.
 //
 // Each process creates a key at its start and publishes its address and the fingerprint of its certificate in the log,
 // which only instances of the system can write. A client accepts only the published certificate, so nobody else can
@@ -10,6 +11,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 	"clementinewalk.example/clementinewalk/internal/workflow"
@@ -26,6 +28,11 @@
 type Handler interface {
 	// Append stores an entry, with the errors of eventlog.Batcher, or refuses it as *InvalidError.
 	Append(ctx context.Context, e eventlog.Entry) error
+	// AppendTime returns the expected time of an append.
+	AppendTime() time.Duration
+	// Report notes that an append of a peer takes at least d. Hint notes that appends take d on the whole fleet.
+	Report(peer string, d time.Duration)
+	Hint(d time.Duration)
 	// State returns the state of a submission; false if the view of this instance is too old.
 	State(ctx context.Context, id workflow.JobID) (State, bool)
 }
@@ -36,8 +43,11 @@
 // Error implements error.
 func (e *InvalidError) Error() string { return "relayed entry is invalid: " + e.Reason }
 
-// RefusedError reports a call that had no effect.
-type RefusedError struct{ Peer, Reason string }
+// RefusedError reports a call that had no effect. NoTime reports that the log is too slow for the time that was left.
+type RefusedError struct {
+	Peer, Reason string
+	NoTime       bool
+}
 
 // Error implements error.
 func (e *RefusedError) Error() string {
@@ -81,13 +91,19 @@
 const (
 	opAppend operation = iota + 1
 	opState
+	// opReport and opHint carry the time of an append. A peer that does not know them refuses them, which has no effect.
+	opReport
+	opHint
 )
 
-// request is a call. Key and Value are those of the entry of an append; Key is the submission of a question.
+// request is a call. Key and Value are those of the entry of an append; Key is the submission of a question, or the
+// instance of a report. LeftMS is how long the caller of an append waits; 0 if it does not say so.
 type request struct {
-	Op    operation `cbor:"1,keyasint"`
-	Key   string    `cbor:"2,keyasint"`
-	Value []byte    `cbor:"3,keyasint,omitempty"`
+	Op       operation `cbor:"1,keyasint"`
+	Key      string    `cbor:"2,keyasint"`
+	Value    []byte    `cbor:"3,keyasint,omitempty"`
+	LeftMS   int64     `cbor:"4,keyasint,omitempty"`
+	AppendMS int64     `cbor:"5,keyasint,omitempty"`
 }
 
 type outcome uint8
@@ -103,6 +119,9 @@
 	Reason  string         `cbor:"2,keyasint,omitempty"`
 	State   workflow.State `cbor:"3,keyasint,omitempty"`
 	Known   bool           `cbor:"4,keyasint,omitempty"`
+	// AppendMS is the expected time of an append; 0 if it is not known.
+	AppendMS int64 `cbor:"5,keyasint,omitempty"`
+	NoTime   bool  `cbor:"6,keyasint,omitempty"`
 }
 
 // maxMessageBytes limits a message. The largest submission has a few hundred kilobytes.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/quic-go/quic-go"
 	"github.com/stretchr/testify/assert"
@@ -35,6 +36,9 @@
 		return &eventlog.RefusedError{Op: "append", Status: 503}
 	case "unknown":
 		return &eventlog.UnknownError{Op: "append", Err: io.EOF}
+	case "late":
+		<-ctx.Done()
+		return &eventlog.UnsentError{}
 	case "slow":
 		<-ctx.Done()
 		return ctx.Err()
@@ -51,6 +55,18 @@
 	return h.entries
 }
 
+func (h *fakeHandler) AppendTime() time.Duration { return 264 * time.Millisecond }
+
+func (h *fakeHandler) Report(peer string, d time.Duration) { h.note("report of "+peer, d) }
+
+func (h *fakeHandler) Hint(d time.Duration) { h.note("hint", d) }
+
+func (h *fakeHandler) note(key string, d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.entries = append(h.entries, eventlog.Entry{Key: key, Offset: int64(d)})
+}
+
 func (h *fakeHandler) State(_ context.Context, id workflow.JobID) (State, bool) {
 	switch id {
 	case "stale":
@@ -136,6 +152,46 @@
 	assert.NoError(t, c.Append(ctx, to, eventlog.Entry{Key: "next"}))
 }
 
+// Guards against a collector that works on an entry longer than its caller waits, and against a refusal for lack of time
+// that is taken for another one.
+func TestCollect(t *testing.T) {
+	h := &fakeHandler{}
+	to, c := startServer(t, h).Endpoint(), NewClient()
+	d, err := c.Collect(callContext(t, 5*time.Second), to, eventlog.Entry{Key: "k"})
+	require.NoError(t, err)
+	assert.Equal(t, 264*time.Millisecond, d)
+	var refused *RefusedError
+	_, err = c.Collect(callContext(t, 300*time.Millisecond), to, eventlog.Entry{Key: "late"})
+	require.ErrorAs(t, err, &refused, "the collector answers before the caller has given up")
+	assert.True(t, refused.NoTime)
+	_, err = c.Collect(callContext(t, 300*time.Millisecond), to, eventlog.Entry{Key: "refused"})
+	require.ErrorAs(t, err, &refused)
+	assert.False(t, refused.NoTime)
+	require.NoError(t, c.Report(callContext(t, time.Second), to, "a", 80*time.Millisecond))
+	require.NoError(t, c.Hint(callContext(t, time.Second), to, 90*time.Millisecond))
+	assert.Equal(t, []eventlog.Entry{{Key: "k"}, {Key: "report of a", Offset: int64(80 * time.Millisecond)},
+		{Key: "hint", Offset: int64(90 * time.Millisecond)}}, h.stored())
+}
+
+// Guards against an instance of the version before that cannot read a call or an answer with the new fields.
+func TestOldPeers(t *testing.T) {
+	type oldRequest struct {
+		Op    uint8  `cbor:"1,keyasint"`
+		Key   string `cbor:"2,keyasint"`
+		Value []byte `cbor:"3,keyasint,omitempty"`
+	}
+	b, err := cbor.Marshal(request{Op: opAppend, Key: "k", Value: []byte("v"), LeftMS: 5, AppendMS: 7})
+	require.NoError(t, err)
+	var old oldRequest
+	require.NoError(t, cbor.Unmarshal(b, &old))
+	assert.Equal(t, oldRequest{Op: 1, Key: "k", Value: []byte("v")}, old)
+	b, err = cbor.Marshal(old)
+	require.NoError(t, err)
+	var r request
+	require.NoError(t, cbor.Unmarshal(b, &r))
+	assert.Equal(t, outcomeDone, handle(callContext(t, time.Second), r, &fakeHandler{}).Outcome)
+}
+
 // A process that restarts has another key; nothing may be sent to one that answers in its place.
 func TestOnlyThePublishedCertificateIsAccepted(t *testing.T) {
 	h := &fakeHandler{}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -31,7 +31,7 @@
 	// sessionProtocol is the protocol of connections that carry one long session instead of calls.
 	sessionProtocol = "clementine-session"
 	// maxStreams limits the concurrent calls of one peer; further ones wait at the peer. A stream takes 10 KB even if
-	// nothing arrives on it, and an instance passes on a few calls a second, each for 0.5 s at most.
+	// nothing arrives on it, and an instance passes on a few calls a second, each for 1.35 s at most.
 	maxStreams = 16
 	// The receive windows limit what a peer can make an instance hold before it is read. The largest lets a session use
 	// 200 Mbit/s at 10 ms.
@@ -269,15 +269,34 @@
 func handle(ctx context.Context, r request, h Handler) response {
 	switch r.Op {
 	case opAppend:
+		if r.LeftMS > 0 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, time.Duration(min(r.LeftMS, answerTimeout.Milliseconds()))*time.Millisecond)
+			defer cancel()
+		}
 		err := h.Append(ctx, eventlog.Entry{Key: r.Key, Value: r.Value})
+		answer := response{Outcome: outcomeDone, AppendMS: h.AppendTime().Milliseconds()}
 		var unknown *eventlog.UnknownError
+		var unsent *eventlog.UnsentError
 		switch {
 		case err == nil:
-			return response{Outcome: outcomeDone}
+			return answer
 		case errors.As(err, &unknown):
-			return response{Outcome: outcomeUnknown, Reason: err.Error()}
+			answer.Outcome = outcomeUnknown
+		default:
+			answer.Outcome = outcomeRefused
+			answer.NoTime = errors.As(err, &unsent) && !unsent.Health.Unreachable()
+		}
+		answer.Reason = err.Error()
+		return answer
+	case opReport, opHint:
+		d := time.Duration(min(max(0, r.AppendMS), answerTimeout.Milliseconds())) * time.Millisecond
+		if r.Op == opHint {
+			h.Hint(d)
+		} else {
+			h.Report(r.Key, d)
 		}
-		return response{Outcome: outcomeRefused, Reason: err.Error()}
+		return response{Outcome: outcomeDone}
 	case opState:
 		s, ok := h.State(ctx, workflow.JobID(r.Key))
 		if !ok {
