Check configurations of queues and pools with clementinectl

A configuration of routes and services is decoded by the instances without any check: misspelt fields are ignored, a second route with the same prefix gets no request, and a service that is not listed gets no tasks.

Change: the pure package configcheck finds syntax and type errors, fields and names that are given twice, unknown fields, routes that never match, pools without workers, unused pools and limits that contradict each other, each with severity, rule, line and path. clementinectl config check FILE prints them as a table or JSON, and ends with 1 if there is an error. The wire names stay in platform. ticketMargin of dispatch is exported, so that the check uses the same value.

Result: the tests of configcheck and operator pass.

--- a/cmd/clementinectl/main.go
+++ b/cmd/clementinectl/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"clementinewalk.example/clementinewalk/internal/operator"
+	"clementinewalk.example/clementinewalk/platform"
 )
 
 func main() {
@@ -16,3 +17,7 @@
 	stop()
 	os.Exit(code)
 }
+
+func newConfigChecker() *platform.ConfigChecker {
+	return platform.NewConfigChecker(platform.NewTransport())
+}
--- a/cmd/clementinectl/wire_gen.go
+++ b/cmd/clementinectl/wire_gen.go
@@ -16,6 +16,7 @@
 	client := operator.NewHTTPClient()
 	log := operator.NewLog(s, client)
 	list := operator.NewList(s, client)
-	env := operator.NewEnv(s, log, list, client, w)
+	configChecker := newConfigChecker()
+	env := operator.NewEnv(s, log, list, client, configChecker, w)
 	return env
 }
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -27,9 +27,9 @@
 	maxAdviceWorkers = 30
 	// adviceRetryDelay is the pause after a call that failed.
 	adviceRetryDelay = 200 * time.Millisecond
-	// ticketMargin is the remaining validity that a ticket needs at placement, which is stored before the start is
+	// TicketMargin is the remaining validity that a ticket needs at placement, which is stored before the start is
 	// sent.
-	ticketMargin = 500 * time.Millisecond
+	TicketMargin = 500 * time.Millisecond
 )
 
 // approval is the advisor's answer about one incarnation of a worker.
@@ -43,13 +43,13 @@
 
 func (p approvals) valid(now time.Duration, w *worker) bool {
 	e, ok := p[w.Incarnation]
-	return ok && e.ticket != "" && now+ticketMargin < e.expiresAt
+	return ok && e.ticket != "" && now+TicketMargin < e.expiresAt
 }
 
 // unknown reports whether the advisor must be asked about a worker before it can get a task of the step.
 func (p approvals) unknown(now time.Duration, w *worker) bool {
 	e, ok := p[w.Incarnation]
-	return !ok || e.ticket != "" && now+ticketMargin >= e.expiresAt
+	return !ok || e.ticket != "" && now+TicketMargin >= e.expiresAt
 }
 
 func (s *step) id() workflow.StepID {
--- a/internal/operator/cli.go
+++ b/internal/operator/cli.go
@@ -37,6 +37,7 @@
 	Version kong.VersionFlag `help:"Print the version and exit."`
 
 	Check      CheckCommand      `cmd:"" help:"Check a manifest and list every fault with its line."`
+	Config     ConfigCommand     `cmd:"" help:"Check the configuration of queues and pools."`
 	Diff       DiffCommand       `cmd:"" help:"Show what a manifest changes in the version in force."`
 	Publish    PublishCommand    `cmd:"" help:"Put a manifest in force."`
 	History    HistoryCommand    `cmd:"" help:"List the publications that the log keeps, with their outcomes."`
@@ -83,6 +84,7 @@
 	log      platform.Log
 	list     platform.List
 	client   *http.Client
+	configs  ConfigChecker
 	out      io.Writer
 	// progress receives progress messages, which are not part of the result.
 	progress io.Writer
@@ -93,8 +95,8 @@
 type Streams struct{ Out, Err io.Writer }
 
 // NewEnv returns the environment of one command.
-func NewEnv(s *Settings, log platform.Log, list platform.List, c *http.Client, w Streams) *Env {
-	return &Env{settings: s, log: log, list: list, client: c, out: w.Out, progress: w.Err, now: time.Now}
+func NewEnv(s *Settings, log platform.Log, list platform.List, c *http.Client, configs ConfigChecker, w Streams) *Env {
+	return &Env{settings: s, log: log, list: list, client: c, configs: configs, out: w.Out, progress: w.Err, now: time.Now}
 }
 
 // NewHTTPClient returns the client for calls to the platform and to gateways.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -26,6 +26,7 @@
 	"clementinewalk.example/clementinewalk/internal/process"
 	standin "clementinewalk.example/clementinewalk/internal/standin/platform"
 	"clementinewalk.example/clementinewalk/internal/upstream"
+	wire "clementinewalk.example/clementinewalk/platform"
 )
 
 const quotesPath = "../../examples/quotes.yaml"
@@ -46,7 +47,7 @@
 	env.t.Helper()
 	var out, stderr bytes.Buffer
 	code := Main(context.Background(), args, Streams{Out: &out, Err: &stderr}, func(s *Settings, w Streams) *Env {
-		return NewEnv(s, env.log, env.list, NewHTTPClient(), w)
+		return NewEnv(s, env.log, env.list, NewHTTPClient(), wire.NewConfigChecker(http.DefaultTransport), w)
 	})
 	return code, out.String(), stderr.String()
 }
@@ -105,6 +106,49 @@
 	}
 }
 
+// Guards against an exit code that does not tell whether the configuration has errors, against findings that are missing from the
+// output, and against a check that needs more than the file.
+func TestConfigCheck(t *testing.T) {
+	env := newTestEnv(t)
+	write := func(text string) string {
+		path := filepath.Join(t.TempDir(), "config.json")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	const route = `{"version": 8, "routes": [{"name": "till", "host": "h", "path_prefix": "/till/", "service": "s", "max_attempts": 3,
+"stretch": 2, "slo_ms": 300}], "services": [{"name": "s"}]}`
+	require.Contains(t, env.mustRun("config", "check", write(route)), ": 0 errors, 0 warnings.")
+	code, out, stderr := env.run("config", "check", write(strings.Replace(route, `"service": "s"`, `"service": "t"`, 1)), "-o", "json")
+	require.Equal(t, exitFailure, code)
+	var r configResult
+	require.NoError(t, json.Unmarshal([]byte(out), &r))
+	require.Equal(t, []any{1, 1, "routes[0].service", 1}, []any{r.Errors, r.Warnings, r.Findings[0].Path, r.Findings[0].Line})
+	require.Contains(t, stderr, "has 1 error")
+	code, _, _ = env.run("config", "check", write(route), "--store", "nowhere")
+	require.Equal(t, exitUsage, code)
+
+	text := strings.Replace(route, "300", "200", 1)
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		items := []map[string]any{}
+		if r.URL.Query().Get("topic") == wire.TopicConfig {
+			items = append(items, map[string]any{"key": wire.ConfigKey, "value": []byte(text), "offset": 1})
+		}
+		_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "end": 1})
+	}))
+	addr := strings.TrimPrefix(store.URL, "http://")
+	code, out, _ = env.run("config", "check", write(route), "--store", addr)
+	require.Equal(t, exitFailure, code, "the version must grow")
+	require.Contains(t, out, "change   routes[till].slo_ms: 200 to 300")
+	require.Contains(t, out, "1 error, 1 warning, 1 change from version 8")
+	text = strings.Replace(text, `"version": 8`, `"version": 7`, 1)
+	require.Contains(t, env.mustRun("config", "check", write(route), "--store", addr), "no listed worker")
+	store.Close()
+	code, out, stderr = env.run("config", "check", write(route), "--store", addr)
+	require.Equal(t, exitOK, code, "without the store, the file is checked all the same")
+	require.Contains(t, out, "0 warnings.")
+	require.Contains(t, stderr, "Not compared")
+}
+
 // Guards against a publication that replaces a version which the operator has not seen, and against changes of
 // immutable fields.
 func TestPublishDiffHistory(t *testing.T) {
