Warn about manifest values that can never take effect

Change: manifest.Review returns such values as warnings with line and field, and the command check prints them. They are no problems of Parse, because a manifest in force with such a value must stay readable. fitCount of quota is exported for it.

--- a/internal/manifest/manifest_test.go
+++ b/internal/manifest/manifest_test.go
@@ -94,6 +94,50 @@
 	}
 }
 
+// Guards against doubtful values that are not reported or make a manifest that is in force unreadable, and against warnings about
+// the examples, of which one has quotas above the whole.
+func TestReview(t *testing.T) {
+	feed, _ := example(t, "feed.yaml")
+	_, warnings, err := Review("feed.yaml", []byte(feed))
+	require.NoError(t, err)
+	require.Len(t, warnings, 1)
+	require.Equal(t, "teams", warnings[0].Path)
+	text, _ := example(t, "quotes.yaml")
+	_, warnings, err = Review("quotes.yaml", []byte(text))
+	require.NoError(t, err)
+	require.Empty(t, warnings)
+	for _, c := range []struct {
+		old, new, path, message string
+		line                    int
+	}{
+		{"kinds:\n", "  - {name: idle, quota: {cores: 1, memory_gb: 1}, daily_spending: 1}\nkinds:\n", "teams[3].name", "no kind", 39},
+		{"{cores: 1200, memory_gb: 4800}", "{cores: 2000, memory_gb: 4800}", "teams", "quotas add up to 2520 cores", 28},
+		{"replicas: 6", "replicas: 6\n  - {name: more, team: purchasing, class: service, size: {cores: 2, memory_gb: 6}, replicas: 55}",
+			"teams[2].quota", "need 122 cores", 36},
+		{"daily_spending: 250.00", "daily_spending: 0.80", "teams[2].daily_spending", "cost 25.20 a day", 37},
+		{"{cores: 400, memory_gb: 1600}", "{cores: 7, memory_gb: 1600}", "teams[0].quota", "3 of 4 shards", 30},
+		{"spending: 0.02\n    checkpoint_every: 200ms", "spending: 0.02\n    checkpoint_every: 3s", "kinds[3].checkpoint_every", "no checkpoint", 81},
+		{"spending: 0.005", "spending: 901", "kinds[4].spending", "more than the team may spend in a day (900", 92},
+		{"{cores: 2, memory_gb: 6}\n    checkpoint_every: 200ms\n    replicas: 6", "{cores: 17, memory_gb: 6}\n    replicas: 66",
+			"kinds[5].replicas", "have room for 65", 101},
+	} {
+		require.Contains(t, text, c.old)
+		changed := strings.Replace(text, c.old, c.new, 1)
+		if c.path == "kinds[5].replicas" {
+			changed = strings.Replace(changed, "{cores: 120, memory_gb: 400}", "{cores: 2000, memory_gb: 400}", 1)
+		}
+		_, warnings, err := Review("quotes.yaml", []byte(changed))
+		require.NoError(t, err)
+		found := false
+		for _, w := range warnings {
+			found = found || w.Path == c.path && w.Line == c.line && strings.Contains(w.Message, c.message)
+		}
+		require.True(t, found, "%s at line %d: %s; got %v", c.path, c.line, c.message, warnings)
+		_, err = Parse("quotes.yaml", []byte(changed))
+		require.NoError(t, err)
+	}
+}
+
 // Guards against a parser that stops at the first problem or reports wrong lines.
 func TestAllProblemsWithLines(t *testing.T) {
 	_, err := Parse("x", []byte("deployment: A\ncurrency: AUD\nworker:\n  slots: none\n  connections: 0\nextra: 1\n"))
--- a/internal/manifest/parse.go
+++ b/internal/manifest/parse.go
@@ -49,6 +49,12 @@
 // Parse parses and checks the YAML text of a manifest; docs/manifest.md describes the format. name is used in errors
 // only. The error is a *ParseError with the problems that were found, at most 100.
 func Parse(name string, data []byte) (*Manifest, error) {
+	m, _, err := parse(name, data)
+	return m, err
+}
+
+// parse is Parse, and returns the decoder with the lines of the fields.
+func parse(name string, data []byte) (*Manifest, *decoder, error) {
 	d := &decoder{lines: map[string]int{}}
 	m := new(Manifest)
 	if len(data) > MaxBytes {
@@ -60,13 +66,13 @@
 		})
 	}
 	if len(d.problems) == 0 {
-		return m, nil
+		return m, d, nil
 	}
 	if len(d.problems) > maxProblems {
 		d.problems = d.problems[:maxProblems]
 	}
 	slices.SortStableFunc(d.problems, func(a, b Problem) int { return cmp.Compare(a.Line, b.Line) })
-	return nil, &ParseError{Name: name, Problems: d.problems}
+	return nil, nil, &ParseError{Name: name, Problems: d.problems}
 }
 
 func (m *Manifest) decode(o *object) {
--- a/internal/operator/manifests.go
+++ b/internal/operator/manifests.go
@@ -23,6 +23,8 @@
 	Workers    int          `json:"workers"`
 	Shards     int          `json:"shards"`
 	Kinds      []pricedKind `json:"kinds"`
+	// Warnings are the fields that are valid, but of which a part can never take effect.
+	Warnings []manifest.Problem `json:"warnings,omitempty"`
 }
 
 // pricedKind is a kind with its price and permitted spending, in millionths of the currency.
@@ -37,11 +39,15 @@
 
 // Run implements the command.
 func (c *CheckCommand) Run(e *Env) error {
-	_, m, err := loadManifest(c.File)
+	data, err := readFile(c.File)
 	if err != nil {
 		return err
 	}
-	r := checkResult{Deployment: m.Deployment, Shards: len(manifest.Shards(m))}
+	m, warnings, err := manifest.Review(c.File, data)
+	if err != nil {
+		return err
+	}
+	r := checkResult{Deployment: m.Deployment, Shards: len(manifest.Shards(m)), Warnings: warnings}
 	for _, dc := range m.DataCentres {
 		r.Workers += dc.Workers
 	}
@@ -59,6 +65,9 @@
 	}
 	t.footer = "Manifest " + c.File + " is valid: " + plural(r.Workers, "worker") + ", " +
 		plural(r.Shards, "shard") + "."
+	for _, w := range warnings {
+		t.footer += "\nwarning: " + w.String()
+	}
 	return e.print(r, t)
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -36,7 +36,7 @@
 			out[s.Name] = s.Services
 		}
 	}
-	n := fitCount(remainder, largest, len(shards))
+	n := FitCount(remainder, largest, len(shards))
 	if n == 0 {
 		// No task of the largest size fits into the remainder, but smaller tasks may.
 		n, largest = len(shards), resource.Vector{}
@@ -52,8 +52,8 @@
 	return out
 }
 
-// fitCount returns how many tasks of the given size fit into amount, at most limit.
-func fitCount(amount, size resource.Vector, limit int) int {
+// FitCount returns how many tasks of the given size fit into amount, at most limit.
+func FitCount(amount, size resource.Vector, limit int) int {
 	n := int64(limit)
 	for _, c := range [][2]int64{{amount.MilliCores, size.MilliCores}, {amount.MemoryMB, size.MemoryMB},
 		{amount.Accelerators, size.Accelerators}} {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -68,6 +68,6 @@
 		if services.Fits(total) {
 			remainder = total.Sub(services)
 		}
-		require.GreaterOrEqual(t, usableShards, fitCount(remainder, largest, len(shards)))
+		require.GreaterOrEqual(t, usableShards, FitCount(remainder, largest, len(shards)))
 	}
 }
