Use learned durations in the decisions of the owner

Change: the owner learns from undisturbed tasks that end as done, and predicts each step once a second while it waits. Objective and path have the expected durations. Work that does not use idle processors counts as late once even its shortest path misses the objective.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -71,6 +71,7 @@
 		}
 		c.accept(t, a.StartedAt)
 		t.startState, t.settledAt, t.startedAt = startSettled, now, now
+		t.timed = t.isTimed(now, o.Call.Checkpoint)
 		c.timing.observe(phaseStart, now-t.storedAt)
 		if t.stopWanted {
 			c.needsOrder[t] = struct{}{}
@@ -439,6 +440,10 @@
 	}
 	if w.failingSince == 0 {
 		w.failingSince = now
+		for t := range w.tasks {
+			// Its end may be read late.
+			t.timed = false
+		}
 		c.logger.Info("worker does not answer", "worker", w.ID, "error", err, "tasks", len(w.tasks))
 	}
 	w.connectionLost = ConnectionLost(err)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/durations"
 	"clementinewalk.example/clementinewalk/internal/evacuation"
 	"clementinewalk.example/clementinewalk/internal/interference"
 	"clementinewalk.example/clementinewalk/internal/queue"
@@ -132,6 +133,9 @@
 	// pool.
 	demand       map[string]*evacuation.Demand
 	largestShort map[string]int64
+	// durations is what this owner has learned of the durations of tasks.
+	durations     *durations.Model
+	durationStats durationStats
 }
 
 // Stored is what a new owner knows from the log.
@@ -164,7 +168,8 @@
 		suspects: map[*task]struct{}{}, storedCrashes: stored.Suspects,
 		model: interference.Restore(now, stored.Interference), objectives: map[string]time.Duration{},
 		lastInTimeWait: map[string]time.Duration{}, closed: stored.Closed, moving: map[*task]struct{}{},
-		movesHeld: map[string]evacuation.Held{}, demand: map[string]*evacuation.Demand{}, largestShort: map[string]int64{}}
+		movesHeld: map[string]evacuation.Held{}, demand: map[string]*evacuation.Demand{}, largestShort: map[string]int64{},
+		durations: durations.New()}
 	for _, i := range stored.Unfenced {
 		c.unfenced[i] = struct{}{}
 	}
@@ -265,7 +270,7 @@
 	t.adopted, t.acceptedBy = false, 0
 	t.stopWanted, t.stopInFlight, t.hadUnansweredStart, t.reported, t.startCalls, t.retryAt = false, false, false,
 		false, 0, 0
-	t.percent, t.load, t.cpuLimit, t.cpuLimitInFlight, t.startedAt = 0, 0, noLimitPercent, false, 0
+	t.percent, t.load, t.cpuLimit, t.cpuLimitInFlight, t.startedAt, t.timed = 0, 0, noLimitPercent, false, 0, false
 	t.targetCPULimit, t.slowedSince, t.objectiveViolation = noLimitPercent, 0, objectiveViolation{}
 	delete(c.needsOrder, t)
 	j.placed--
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -81,6 +81,7 @@
 	case t.step.def.LongRunning:
 		c.requeue(now, t, e.Outcome)
 	case e.Outcome == EndDone:
+		c.learnDuration(now, t)
 		c.taskDone(now, t)
 	case e.Outcome == EndFailed:
 		c.taskFailed(now, t)
--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -119,7 +119,11 @@
 	}
 	sim.checkStart(f, c, &step)
 	f.highestRun[c.Task] = c.Run
-	f.running[c.Attempt] = &fakeRun{started: sim.now, endsAt: sim.now + step.Estimate, workTime: step.Estimate,
+	work := step.Estimate
+	if sim.workTime != nil {
+		work = sim.workTime(c.Task, &step)
+	}
+	f.running[c.Attempt] = &fakeRun{started: sim.now, endsAt: sim.now + work, workTime: work,
 		longRunning: step.LongRunning}
 	if step.LongRunning {
 		f.running[c.Attempt].endsAt = sim.now + time.Hour
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/durations"
 	"clementinewalk.example/clementinewalk/internal/loadlevel"
 	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/workflow"
@@ -21,10 +22,12 @@
 	stored, published workflow.State
 	// rounds may be nil once the submission is over.
 	rounds []*round
-	// objectiveAt is the time by which the submission should be done.
+	// objectiveAt is the time by which the submission should be done, with the durations that are expected now.
 	objectiveAt time.Duration
-	// latencyObjective is the time from acceptance to objectiveAt.
-	latencyObjective time.Duration
+	// latencyObjective is the time from acceptance to objectiveAt. addedAt is when this owner read the submission.
+	latencyObjective, acceptedAt, addedAt time.Duration
+	// durations is that of the Core.
+	durations *durations.Model
 	// lastBatch is the newest batch that contains the record; 0 if none does.
 	lastBatch int64
 	// finishedAt is when this owner learned that the submission is over.
@@ -46,6 +49,8 @@
 	ready bool
 	steps []*step
 	open  int // number of steps that are not done
+	// predictedAt is when the durations of the steps were last predicted.
+	predictedAt time.Duration
 }
 
 type step struct {
@@ -54,8 +59,10 @@
 	index int
 	tasks []*task
 	open  int // number of tasks that have not ended
-	// path is the total estimate of the longest chain of steps that starts with this one.
-	path time.Duration
+	// duration is the expected duration of one task, path that of the longest chain of steps that starts with this one.
+	duration, path time.Duration
+	// shortestPath is a duration that the path hardly falls below, as far as the durations of its steps are known.
+	shortestPath time.Duration
 	// ready is set when all steps that this one depends on have ended.
 	ready bool
 	// load is the load of a service with an objective.
@@ -128,6 +135,8 @@
 	percentAt time.Duration
 	// startedAt is when the worker confirmed the start, or first listed the attempt.
 	startedAt time.Duration
+	// timed is set while the attempt tells how long a task of its kind takes.
+	timed bool
 	// load is Running.Load: the tail latency in milliseconds of a service task, and the thousandths of a core in use of
 	// any other.
 	load float64
@@ -186,22 +195,22 @@
 // addJob adds a submission and restores the stored state of its tasks.
 func (c *Core) addJob(now time.Duration, stored *catalog.Job) *job {
 	j := &job{submission: stored.Submission, terms: stored.Submission.Terms, offset: stored.Offset,
-		idleSince: now}
+		idleSince: now, addedAt: now, acceptedAt: now - max(0, c.wallClock().Sub(stored.Submission.Accepted)),
+		durations: c.durations}
 	c.jobs[j.submission.Job] = j
 	c.refreshTerms(j)
 	if err := stored.Submission.Check(); err != nil {
 		c.refuseStored(j, stored, err)
 		return j
 	}
-	j.latencyObjective = j.terms.Objective(j.submission.Chain())
-	j.objectiveAt = now + j.latencyObjective - max(0, min(j.latencyObjective, c.wallClock().Sub(j.submission.Accepted)))
 	rec := c.restoreState(j, stored)
 	j.state, j.finishedAt = rec.State, now
+	j.setObjective(j.submission.Chain())
 	if j.state.Over() && len(rec.Tasks) == 0 {
 		return j
 	}
 	for k := range j.submission.Rounds() {
-		r := c.addRound(j, k, rec)
+		r := c.addRound(now, j, k, rec)
 		if r.open > 0 {
 			j.open++
 		}
@@ -228,7 +237,7 @@
 	}
 }
 
-func (c *Core) addRound(j *job, k int, rec workflow.Record) *round {
+func (c *Core) addRound(now time.Duration, j *job, k int, rec workflow.Record) *round {
 	r := &round{job: j, index: k, due: j.submission.Due(k)}
 	j.rounds = append(j.rounds, r)
 	for s := range j.submission.Steps {
@@ -252,21 +261,10 @@
 			r.open++
 		}
 	}
-	r.setPaths()
+	r.predict(now)
 	return r
 }
 
-// setPaths sets the paths of the steps. A step depends on earlier ones only.
-func (r *round) setPaths() {
-	for i := len(r.steps) - 1; i >= 0; i-- {
-		s := r.steps[i]
-		s.path += s.def.Estimate
-		for _, a := range s.def.After {
-			r.steps[a].path = max(r.steps[a].path, s.path)
-		}
-	}
-}
-
 // restoreTask applies the record that an earlier owner stored of a task. A placed task may be running: the next lease
 // answer of its worker shows whether it is.
 func (c *Core) restoreTask(t *task, r *workflow.TaskRecord) {
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -24,16 +24,17 @@
 	tierTooLate
 )
 
-// pathMargin is the factor by which a best-effort task is expected to take longer than its estimate.
+// pathMargin is the factor by which a best-effort task is expected to take longer than expected.
 const pathMargin = 1.2
 
 // tier returns the tier of a task within its priority. A best-effort task waits while more such work than the workers
-// can run is in progress, so it counts as late once the steps that remain can no longer end in time.
+// can run is in progress, so it counts as late once the steps that remain are not expected to end in time. Other work counts as
+// late once they certainly cannot, so that it does not take scarce room from work that can.
 func (t *task) tier(now time.Duration) int {
 	j := t.job()
-	end := now
+	end := now + t.step.shortestPath
 	if t.step.def.BestEffort {
-		end += time.Duration(pathMargin * float64(t.step.path))
+		end = now + time.Duration(pathMargin*float64(t.step.path))
 	}
 	switch {
 	case t.step.def.LongRunning && t.run > 0 && now-t.queuedAt >= restartWait:
@@ -133,6 +134,7 @@
 		}
 		// The short tasks of a step differ in their index only.
 		if s.rankedAt != now {
+			s.round.refresh(now)
 			s.rank, s.rankedAt = t.newRank(now), now
 		}
 		t.rank = s.rank
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -315,7 +315,7 @@
 	j := t.job()
 	switch t.tier(now) {
 	case tierOnTime:
-		remaining := t.step.path - time.Duration(t.percent)*t.step.def.Estimate/completePercent
+		remaining := t.step.path - time.Duration(t.percent)*(t.step.duration/completePercent)
 		return now+time.Duration(pathMargin*float64(remaining))+minThrottleSlack <= j.objectiveAt
 	case tierTooLate:
 		return true
@@ -332,7 +332,7 @@
 		t.stopWanted {
 		return
 	}
-	t.cpuLimitInFlight = true
+	t.cpuLimitInFlight, t.timed = true, false
 	c.orders = append(c.orders, CPULimitOrder{Member: t.worker.Member, task: t,
 		Call: CPULimitCall{Attempt: t.attempt(), Percent: wanted, Epoch: c.epoch}})
 }
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -83,6 +83,7 @@
 	c.logger.Info("start summary", c.timing.take()...)
 	c.logWaitingServices(now)
 	c.logClosed(&s.closed)
+	c.summarizeDurations()
 	c.logger.Info("placement summary", "epoch", c.epoch, "workers", s.workers, "usable", s.usable, "silent", s.silent,
 		"placed", s.placed, "waiting", s.waiting, "image_mixtures", s.mixtures,
 		"waiting_services", s.waitingServices, "idle_submissions", s.idleSubmissions,
@@ -108,6 +109,9 @@
 	// closed counts tasks that closed data centres concern, moves the tasks that were moved out of them.
 	closed *prometheus.GaugeVec
 	moves  prometheus.Counter
+	// durations describes what was learned about the durations of tasks, samples the tasks that completed.
+	durations *prometheus.GaugeVec
+	samples   *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of an owner.
@@ -128,8 +132,13 @@
 			Help: "Tasks that wait while a closed data centre has room for them, long-running tasks left in closed data centres, and tasks that are being moved out."},
 			[]string{"what"}),
 		moves: prometheus.NewCounter(prometheus.CounterOpts{Name: "clementine_owner_moves_total",
-			Help: "Long-running tasks that were stopped in a closed data centre to start elsewhere."})}
-	r.MustRegister(m.waiting, m.cores, m.calls, m.answers, m.lost, m.closed, m.moves)
+			Help: "Long-running tasks that were stopped in a closed data centre to start elsewhere."}),
+		durations: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_durations",
+			Help: "Kinds of tasks whose durations are known, and the mean factors by which the estimates and the predictions for completed tasks were wrong since the last summary."},
+			[]string{"what"}),
+		samples: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_duration_samples_total",
+			Help: "Short tasks that completed, by whether their durations were learned."}, []string{"use"})}
+	r.MustRegister(m.waiting, m.cores, m.calls, m.answers, m.lost, m.closed, m.moves, m.durations, m.samples)
 	return m
 }
 
@@ -170,6 +179,17 @@
 	}
 }
 
+func (m *Metrics) setDurations(kinds int, s *durationStats) {
+	if m == nil {
+		return
+	}
+	m.durations.WithLabelValues("kinds").Set(float64(kinds))
+	m.durations.WithLabelValues("estimates-wrong-by").Set(s.estimateFactor())
+	m.durations.WithLabelValues("predictions-wrong-by").Set(s.predictionFactor())
+	m.samples.WithLabelValues("learned").Add(float64(s.learned))
+	m.samples.WithLabelValues("ignored").Add(float64(s.ignored))
+}
+
 func (m *Metrics) moved() {
 	if m != nil {
 		m.moves.Inc()
@@ -180,4 +200,5 @@
 func (m *Metrics) reset() {
 	m.set(&summary{})
 	m.setCalls(&callLoad{})
+	m.setDurations(0, &durationStats{})
 }
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -51,6 +51,8 @@
 	ticketValidity time.Duration
 	// adviceCalls counts the calls to the advisor, ticketsRefused the starts that were refused without a valid ticket.
 	adviceCalls, ticketsRefused int
+	// workTime returns how long a task takes; nil for its estimate.
+	workTime func(workflow.TaskID, *workflow.Step) time.Duration
 	// listedEnds is the number of ends in one answer.
 	listedEnds int
 	// capacity is the capacity of each new worker.
--- a/internal/durations/durations.go
+++ b/internal/durations/durations.go
@@ -29,6 +29,8 @@
 	minDeviation = 0.7
 	// minVariance keeps a source whose samples agree from outweighing the other one completely; it is a deviation of 5%.
 	minVariance = 0.0025
+	// minKnown is the weight of the samples from which the variances are known.
+	minKnown = 8.0
 	// minDuration is the shortest duration that is told from 0.
 	minDuration = time.Millisecond
 )
@@ -122,15 +124,26 @@
 	delete(m.kinds, oldest)
 }
 
-// Predict returns the expected duration of a task of the kind whose caller has given the estimate; 0 if there is none. It
-// returns the estimate itself for an unknown kind.
-func (m *Model) Predict(k Kind, estimate time.Duration) time.Duration {
+// Prediction is what is expected of the duration of a task.
+type Prediction struct {
+	Expected time.Duration
+	// AtLeast is a duration that at least 5 of 6 such tasks exceed; 0 while too little is known.
+	AtLeast time.Duration
+}
+
+// Predict returns the prediction for a task of the kind whose caller has given the estimate; 0 if there is none. The
+// estimate itself is expected of an unknown kind.
+func (m *Model) Predict(k Kind, estimate time.Duration) Prediction {
 	known := m.kinds[k]
 	if known == nil {
-		return estimate
+		return Prediction{Expected: estimate}
+	}
+	logDuration, variance := known.predict(estimate)
+	p := Prediction{Expected: fromLog(logDuration)}
+	if known.duration.weight >= minKnown {
+		p.AtLeast = fromLog(logDuration - math.Sqrt(variance))
 	}
-	logDuration, _ := known.predict(estimate)
-	return fromLog(logDuration)
+	return p
 }
 
 // predict returns the expected logarithm of the duration in seconds and its variance.
@@ -150,7 +163,7 @@
 func logSeconds(d time.Duration) float64 { return math.Log(max(d, minDuration).Seconds()) }
 
 // maxDuration limits what is returned, so that sums of durations do not overflow.
-const maxDuration = 10 * 366 * 24 * time.Hour
+const maxDuration = 366 * 24 * time.Hour
 
 func fromLog(logSeconds float64) time.Duration {
 	return time.Duration(min(math.Exp(logSeconds)*float64(time.Second), float64(maxDuration)))
--- a/internal/durations/durations_test.go
+++ b/internal/durations/durations_test.go
@@ -33,7 +33,7 @@
 			estimate = 0
 		}
 		if i >= submissions/10 {
-			predicted.mean += math.Abs(logSeconds(m.Predict(request, estimate)) - math.Log(work))
+			predicted.mean += math.Abs(logSeconds(m.Predict(request, estimate).Expected) - math.Log(work))
 			predicted.weight++
 		}
 		if i >= submissions/10 && estimate > 0 {
@@ -74,14 +74,30 @@
 // Guards against a prediction that one step decides, and against one that ignores the kind where nothing else is known.
 func TestFewSamplesHaveLittleWeight(t *testing.T) {
 	m := New()
-	assert.Equal(t, time.Second, m.Predict(request, time.Second), "a successor starts from the estimates")
-	assert.Zero(t, m.Predict(request, 0))
+	assert.Equal(t, time.Second, m.Predict(request, time.Second).Expected, "a successor starts from the estimates")
+	assert.Zero(t, m.Predict(request, 0).Expected)
 	for range 10 {
 		m.Observe(request, 4*time.Second, time.Second, 0.1)
 	}
-	assert.InDelta(t, 1, m.Predict(request, time.Second).Seconds(), 0.6)
-	assert.InDelta(t, 4, m.Predict(request, 0).Seconds(), 0.1, "an estimate of 0 says nothing")
-	assert.Equal(t, time.Second, m.Predict(Kind{Queue: "requests", Step: 1, Image: "render"}, time.Second))
+	assert.InDelta(t, 1, m.Predict(request, time.Second).Expected.Seconds(), 0.6)
+	assert.InDelta(t, 4, m.Predict(request, 0).Expected.Seconds(), 0.1, "an estimate of 0 says nothing")
+	assert.Equal(t, time.Second, m.Predict(Kind{Queue: "requests", Step: 1, Image: "render"}, time.Second).Expected)
+}
+
+// Guards against tasks that count as late too early: the shortest duration is exceeded by most tasks, and unknown at first.
+func TestShortestDurationIsExceeded(t *testing.T) {
+	m, rng, exceeded := New(), rand.New(rand.NewPCG(1, 1)), 0
+	for i := range 1000 {
+		actual := time.Duration(float64(time.Second) * math.Exp(0.3*rng.NormFloat64()))
+		p := m.Predict(request, 0)
+		assert.Equal(t, i < minKnown, p.AtLeast == 0)
+		if actual > p.AtLeast {
+			exceeded++
+		}
+		m.Observe(request, actual, 0, 1)
+	}
+	assert.GreaterOrEqual(t, exceeded, 1000*5/6)
+	assert.Less(t, exceeded, 1000, "it says nothing")
 }
 
 // Guards against a prediction that stays wrong after the program of a kind has changed.
@@ -93,7 +109,7 @@
 	for range 200 {
 		m.Observe(request, 8*time.Second, 0, 1)
 	}
-	assert.InDelta(t, 8, m.Predict(request, 0).Seconds(), 1)
+	assert.InDelta(t, 8, m.Predict(request, 0).Expected.Seconds(), 1)
 }
 
 // Guards against memory that grows with the names that callers choose, and against names that displace kinds in use.
@@ -106,7 +122,7 @@
 		}
 	}
 	assert.Equal(t, maxKinds, m.Kinds())
-	assert.InDelta(t, 2, m.Predict(request, 0).Seconds(), 0.01)
+	assert.InDelta(t, 2, m.Predict(request, 0).Expected.Seconds(), 0.01)
 }
 
 // Absurd durations must not give predictions whose sums overflow.
@@ -115,7 +131,7 @@
 	for _, actual := range []time.Duration{math.MaxInt64, 0, -1, math.MaxInt64, math.MinInt64} {
 		for _, estimate := range []time.Duration{0, 1, math.MaxInt64} {
 			m.Observe(request, actual, estimate, 1)
-			p := m.Predict(request, estimate)
+			p := m.Predict(request, estimate).Expected
 			assert.True(t, p >= 0 && p <= maxDuration, "%s", p)
 		}
 	}
