Run copies of slow tasks on other workers

Cause: a submission ends late when one of its tasks is slow where it runs, or its worker stops answering, although its step allows a second attempt. Change: a copy is a task object beside the original, with the same id and step and a higher run number. It is stored, started, counted and stopped like any other attempt; the first success ends the task, and the other attempt is stopped and awaited. Copies take at most 2% of a pool's cores.

--- a/internal/catalog/tasks.go
+++ b/internal/catalog/tasks.go
@@ -29,6 +29,21 @@
 
 const bitsPerByte = 8
 
+// copiesPrefix is the prefix of the keys of the second attempts of tasks in the tasks topic. They are stored in the same append
+// as the record of their submission. Earlier versions cannot decode these entries and ignore them.
+const copiesPrefix = "copies/"
+
+// CopiesEntry returns the entry with the second attempts of a submission. Its error is a *workflow.EncodeError.
+func CopiesEntry(id workflow.JobID, copies []workflow.CopyRecord) (eventlog.Entry, error) {
+	b, err := workflow.Encode("copies", copies)
+	return eventlog.Entry{Key: copiesPrefix + string(id), Value: b}, err
+}
+
+// RemoveCopiesEntry returns the entry that removes what CopiesEntry has stored.
+func RemoveCopiesEntry(id workflow.JobID) eventlog.Entry {
+	return eventlog.Entry{Key: copiesPrefix + string(id)}
+}
+
 // Set sets the bit of a task.
 func (e Ended) Set(round, step, index int) {
 	for len(e[round][step]) <= index/bitsPerByte {
@@ -71,8 +86,16 @@
 // ignored.
 func DecodeTasks(entries []eventlog.Entry, l *slog.Logger) *Tasks {
 	t := &Tasks{Records: make(map[workflow.JobID]*workflow.Record, len(entries))}
-	ended := map[workflow.JobID]Ended{}
+	ended, copies := map[workflow.JobID]Ended{}, map[workflow.JobID][]workflow.CopyRecord{}
 	for _, e := range entries {
+		if id, ok := strings.CutPrefix(e.Key, copiesPrefix); ok {
+			var c []workflow.CopyRecord
+			if err := workflow.Decode("copies", e.Value, &c); e.Value != nil && err != nil {
+				l.Error("cannot decode copies of tasks, ignoring them", "job", id, "offset", e.Offset, "error", err)
+			}
+			copies[workflow.JobID(id)] = c
+			continue
+		}
 		id, isEnded := strings.CutPrefix(e.Key, endedPrefix)
 		if e.Value == nil {
 			if isEnded {
@@ -100,6 +123,11 @@
 			bits.apply(r)
 		}
 	}
+	for id, c := range copies {
+		if r := t.Records[id]; r != nil {
+			r.Copies = c
+		}
+	}
 	return t
 }
 
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -103,6 +103,16 @@
 	rec := j.record()
 	e, err := catalog.TasksEntry(j.submission.Job, rec)
 	entries := []eventlog.Entry{e}
+	switch {
+	case len(rec.Copies) > 0:
+		copies, copiesErr := catalog.CopiesEntry(j.submission.Job, rec.Copies)
+		if err == nil {
+			err = copiesErr
+		}
+		entries, j.copiesStored = append(entries, copies), true
+	case j.copiesStored:
+		entries, j.copiesStored = append(entries, catalog.RemoveCopiesEntry(j.submission.Job)), false
+	}
 	if len(rec.Tasks) == 0 && j.endedStored {
 		entries = append(entries, catalog.RemoveEndedEntry(j.submission.Job))
 		j.endedStored = false
@@ -117,7 +127,7 @@
 		out[k] = make([][]byte, len(r.steps))
 		for s, st := range r.steps {
 			for i, t := range st.tasks {
-				if t.phase == workflow.Ended {
+				if t.done() {
 					out.Set(k, s, i)
 				}
 			}
@@ -142,9 +152,16 @@
 				if t.phase == workflow.Placed {
 					rows[i].Worker, rows[i].WorkerStartedAt = t.worker.ID, t.workerStartedAt
 				}
+				if t.overtaken {
+					rows[i] = workflow.TaskRecord{Phase: workflow.Ended, Run: t.run, Failures: t.failures}
+				}
 				if t.phase == workflow.Ended {
 					rows[i].Checkpoint = ""
 				}
+				if c, ok := t.copyRecord(); ok {
+					c.Round, c.Step, c.Index = k, s, i
+					rec.Copies = append(rec.Copies, c)
+				}
 			}
 			rec.Tasks[k][s] = rows
 		}
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -41,7 +41,7 @@
 	c.orders = append(c.orders, StartOrder{Member: t.worker.Member, task: t,
 		Call: StartCall{Attempt: t.attempt(), Spec: t.job().submission.Spec,
 			Checkpoint: t.checkpoint, Ticket: t.step.approvals[t.worker.Incarnation].ticket, Epoch: c.epoch,
-			Deadline: t.worker.grantLease(now, c.params.startLimit())}})
+			Deadline: t.worker.grantLease(now, t.startLimit(&c.params))}})
 }
 
 // StartReturned applies the outcome of a start.
--- /dev/null
+++ b/internal/dispatch/copies_test.go
@@ -0,0 +1,450 @@
+package dispatch
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/resource"
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+const slowJob = workflow.JobID("slow")
+
+// usualWork is how long a usual task of the tests takes, slowWork how long a slow one does.
+const (
+	usualWork = time.Second
+	slowWork  = 7 * time.Second
+)
+
+func speculativeStep(count int, after ...int) workflow.Step {
+	s := batchStep(count, usualWork, after...)
+	s.Speculative, s.Image = true, "x"
+	return s
+}
+
+// newCopySimulation returns a simulation whose owner knows how long the tasks of the image x take. Its 6 workers are large enough
+// for 12 copies of one core, 3 of them for tasks that are slow alone. The first run of the first task of slowJob is slow.
+func newCopySimulation(t *testing.T, seed uint64) *simulation {
+	sim := newSimulation(t, seed, 0)
+	sim.capacity = resource.Vector{MilliCores: 100_000, MemoryMB: 100_000}
+	for i := range 6 {
+		sim.addWorker(string(rune('a' + i))).rack = fmt.Sprint("rack-", i/2)
+	}
+	sim.workTime = func(_ *fakeWorker, a Attempt, s *workflow.Step) time.Duration {
+		if a.Task.Job == slowJob && a.Task.Index == 0 && a.Task.Step == 0 && a.Run == 1 {
+			return slowWork
+		}
+		return s.Estimate
+	}
+	sim.listWorkers()
+	// Work that is submitted before the workers have answered would count as short of room.
+	sim.run(200 * time.Millisecond)
+	sim.learn()
+	return sim
+}
+
+// learn runs enough submissions for the owner to know the durations of their tasks.
+func (sim *simulation) learn() {
+	for i := range 12 {
+		sim.submit(workflow.JobID(fmt.Sprintf("learn-%d-%d", sim.epoch, i)), speculativeStep(1), speculativeStep(1, 0))
+	}
+	sim.run(3 * time.Second)
+	require.GreaterOrEqual(sim.t, sim.core.durations.Kinds(), 1)
+}
+
+// runUntilCopied submits a slow job and runs until its first task has a copy that has started.
+func (sim *simulation) runUntilCopied(steps ...workflow.Step) (original, k *task) {
+	sim.submit(slowJob, steps...)
+	original = sim.firstTask()
+	for end := sim.now + 4*time.Second; original.copy == nil || original.copy.startedAt == 0; {
+		require.Less(sim.t, sim.now, end, "no copy was started")
+		sim.run(tick)
+	}
+	return original, original.copy
+}
+
+func (sim *simulation) firstTask() *task { return sim.core.jobs[slowJob].rounds[0].steps[0].tasks[0] }
+
+// slowRuns returns the workers with a run of the first task of the slow job, by run.
+func (sim *simulation) slowRuns() map[int]*fakeWorker {
+	out := map[int]*fakeWorker{}
+	for _, f := range sim.workers {
+		for a := range f.running {
+			if a.Task == (workflow.TaskID{Job: slowJob}) {
+				out[a.Run] = f
+			}
+		}
+	}
+	return out
+}
+
+func (sim *simulation) copyCores() int64 {
+	n := int64(0)
+	for k := range sim.core.copies {
+		n += k.step.def.Size.MilliCores
+	}
+	return n
+}
+
+// Guards against submissions that end late because one of their tasks is slow where it runs.
+func TestSlowTaskGetsACopy(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	submitted := sim.now
+	original, k := sim.runUntilCopied(speculativeStep(5), speculativeStep(1, 0))
+	assert.Less(t, sim.now-submitted, usualWork, "progress tells before the usual duration is over")
+	assert.NotEqual(t, original.worker.Rack, k.worker.Rack)
+	assert.Equal(t, []int{1, 2}, []int{original.run, k.run})
+	assert.Len(t, sim.slowRuns(), 2)
+	sim.run(2500 * time.Millisecond)
+	assert.Equal(t, workflow.Done, sim.state(slowJob), "the copy takes 1 s, and then the next step 1 s")
+	assert.Zero(t, sim.runningTasks(), "the other attempt is stopped")
+	sim.run(time.Second)
+	assert.Empty(t, sim.core.copies)
+	assert.Zero(t, sim.core.jobs[slowJob].placed)
+	for _, w := range sim.core.workers {
+		assert.Zero(t, w.node.Reserved)
+	}
+	for key, e := range sim.tasks {
+		assert.False(t, key == "copies/"+string(slowJob) && e.Value != nil, "a record of copies remains")
+	}
+}
+
+// Guards against copies where two runs of a task are not allowed or not useful.
+func TestOtherTasksGetNoCopy(t *testing.T) {
+	for name, change := range map[string]func(*simulation, *workflow.Step){
+		"step without copies":  func(_ *simulation, s *workflow.Step) { s.Speculative = false },
+		"gang":                 func(_ *simulation, s *workflow.Step) { s.Gang = true },
+		"long-running":         func(_ *simulation, s *workflow.Step) { s.LongRunning = true },
+		"best effort":          func(_ *simulation, s *workflow.Step) { s.BestEffort = true },
+		"unknown kind":         func(_ *simulation, s *workflow.Step) { s.Image = "new" },
+		"larger than allowed":  func(_ *simulation, s *workflow.Step) { s.Size.MilliCores = 13_000 },
+		"no worker with label": func(sim *simulation, s *workflow.Step) { s.Label = sim.labelOne() },
+		"one data centre open": func(sim *simulation, _ *workflow.Step) {
+			for id, f := range sim.workers {
+				f.dataCentre = "odd"
+				if id == "a" {
+					f.dataCentre = "even"
+				}
+				sim.core.SetMember(sim.now, sim.member(f))
+			}
+			sim.useClosures(readLag)
+			sim.close("odd")
+			sim.run(2 * time.Second)
+		},
+		"workers leave": func(sim *simulation, _ *workflow.Step) {
+			for id, f := range sim.workers {
+				m := sim.member(f)
+				m.Leaving = id != "a"
+				sim.core.SetMember(sim.now, m)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newCopySimulation(t, 1)
+			s := speculativeStep(3)
+			change(sim, &s)
+			sim.submit(slowJob, s)
+			for range 30 {
+				sim.run(200 * time.Millisecond)
+				assert.Empty(t, sim.core.copies)
+			}
+		})
+	}
+}
+
+// labelOne gives one worker a label and returns it.
+func (sim *simulation) labelOne() string {
+	f := sim.workers["a"]
+	f.labels = []string{"rare"}
+	sim.core.SetMember(sim.now, sim.member(f))
+	return "rare"
+}
+
+// Guards against a task whose copy takes it along: the worker of one attempt dies, and the other one goes on.
+func TestEitherWorkerOfACopiedTaskDies(t *testing.T) {
+	t.Run("copy", func(t *testing.T) {
+		sim := newCopySimulation(t, 1)
+		original, k := sim.runUntilCopied(speculativeStep(3))
+		sim.crash(sim.workers[k.worker.ID])
+		sim.run(time.Second)
+		assert.Equal(t, workflow.Placed, original.phase)
+		sim.run(slowWork)
+		assert.Equal(t, workflow.Done, sim.state(slowJob))
+		assert.Zero(t, sim.runningTasks())
+	})
+	t.Run("original", func(t *testing.T) {
+		sim := newCopySimulation(t, 1)
+		sim.silentCrashes = true
+		original, _ := sim.runUntilCopied(speculativeStep(3))
+		dead := original.worker
+		sim.crash(sim.workers[dead.ID])
+		sim.run(1500 * time.Millisecond)
+		assert.Equal(t, workflow.Done, sim.state(slowJob), "the copy counts before the lease of the original has ended")
+		assert.Contains(t, dead.tasks, original, "the original counts until it has certainly ended")
+		sim.run(15 * time.Second)
+		assert.Empty(t, dead.tasks)
+	})
+	t.Run("both", func(t *testing.T) {
+		sim := newCopySimulation(t, 1)
+		original, k := sim.runUntilCopied(speculativeStep(3))
+		sim.crash(sim.workers[original.worker.ID])
+		sim.crash(sim.workers[k.worker.ID])
+		sim.run(20 * time.Second)
+		assert.Equal(t, workflow.Done, sim.state(slowJob))
+		assert.Equal(t, 3, sim.startedRun[workflow.TaskID{Job: slowJob}])
+	})
+}
+
+// Guards against a successor that does not know an attempt: it would start the task with a used run number, give its worker too
+// much, or leave an attempt running.
+func TestOwnerDiesBesideACopy(t *testing.T) {
+	for name, prepare := range map[string]func(*simulation){
+		"while both run": func(*simulation) {},
+		"after the original was lost": func(sim *simulation) {
+			f := sim.slowRuns()[1]
+			for a := range f.running {
+				f.end(a, EndLapsed)
+			}
+			sim.run(100 * time.Millisecond)
+		},
+		"after the copy was lost": func(sim *simulation) {
+			f := sim.slowRuns()[2]
+			for a := range f.running {
+				f.end(a, EndFailed)
+			}
+			sim.run(100 * time.Millisecond)
+		},
+		"after the copy has ended": func(sim *simulation) {
+			for len(sim.slowRuns()) == 2 {
+				sim.run(tick)
+			}
+			sim.run(50 * time.Millisecond)
+		},
+		"before the end of the copy is stored": func(sim *simulation) {
+			for len(sim.slowRuns()) == 2 {
+				sim.run(tick)
+			}
+			sim.run(2 * tick)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newCopySimulation(t, 1)
+			sim.runUntilCopied(speculativeStep(3), speculativeStep(1, 0))
+			sim.run(100 * time.Millisecond)
+			prepare(sim)
+			runs := len(sim.slowRuns())
+			sim.takeOver()
+			known := 0
+			for _, w := range sim.core.workers {
+				for t := range w.tasks {
+					if t.id == (workflow.TaskID{Job: slowJob}) {
+						known++
+					}
+				}
+			}
+			assert.GreaterOrEqual(t, known, runs)
+			if first := sim.firstTask(); !first.done() {
+				assert.GreaterOrEqual(t, first.lastRun(), sim.startedRun[first.id])
+			}
+			sim.run(12 * time.Second)
+			assert.Equal(t, workflow.Done, sim.state(slowJob))
+			assert.Zero(t, sim.runningTasks())
+			assert.Empty(t, sim.core.copies)
+		})
+	}
+}
+
+// Guards against a task that counts twice: both attempts end as done at the same time, and a worker reports its end again.
+func TestBothAttemptsEnd(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	slowFirst := sim.workTime
+	sim.workTime = func(f *fakeWorker, a Attempt, s *workflow.Step) time.Duration {
+		if a.Task.Job == slowJob && a.Task.Index == 1 {
+			return 2 * usualWork
+		}
+		return slowFirst(f, a, s)
+	}
+	original, k := sim.runUntilCopied(speculativeStep(2), speculativeStep(1, 0))
+	for _, f := range sim.slowRuns() {
+		for a := range f.running {
+			if a.Task == original.id {
+				sim.finishAttempt(f, a)
+			}
+		}
+	}
+	w, end := k.worker, k.worker.appliedEnd
+	sim.run(30 * time.Millisecond)
+	require.Equal(t, workflow.Ended, original.phase)
+	// The ends that the worker still holds are applied again.
+	w.appliedEnd = end
+	sim.run(500 * time.Millisecond)
+	assert.Equal(t, 1, original.step.open, "the other task of the step")
+	sim.run(3 * time.Second)
+	assert.Equal(t, workflow.Done, sim.state(slowJob))
+	assert.Zero(t, sim.runningTasks())
+	assert.Empty(t, sim.core.copies)
+}
+
+// Guards against an attempt that runs on, or counts no more, because the call that stops it gets no answer.
+func TestStopOfTheOtherAttemptIsLost(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	original, k := sim.runUntilCopied(speculativeStep(1))
+	w, f := original.worker, sim.workers[original.worker.ID]
+	for k.phase == workflow.Placed {
+		sim.run(tick)
+	}
+	f.disconnected = true
+	sim.run(time.Second)
+	assert.Equal(t, workflow.Done, sim.state(slowJob))
+	assert.NotEmpty(t, f.running)
+	assert.Equal(t, int64(1000), w.node.Reserved.MilliCores)
+	f.disconnected = false
+	sim.run(3 * time.Second)
+	assert.Empty(t, f.running)
+	assert.Zero(t, w.node.Reserved.MilliCores)
+}
+
+// Guards against failures of copies that do not count, and against a failure that counts after the task has ended.
+func TestFailuresOfBothAttemptsCount(t *testing.T) {
+	fail := func(sim *simulation, run int) {
+		f := sim.slowRuns()[run]
+		for a := range f.running {
+			if a.Task.Job == slowJob {
+				f.end(a, EndFailed)
+			}
+		}
+		sim.run(50 * time.Millisecond)
+	}
+	sim := newCopySimulation(t, 1)
+	original, _ := sim.runUntilCopied(speculativeStep(1))
+	fail(sim, 2)
+	assert.Equal(t, 1, original.failures)
+	fail(sim, 1)
+	assert.Equal(t, 2, original.failures)
+	sim.run(200 * time.Millisecond)
+	fail(sim, 3)
+	assert.Equal(t, workflow.Failed, sim.core.jobs[slowJob].state)
+
+	sim = newCopySimulation(t, 1)
+	original, k := sim.runUntilCopied(speculativeStep(1), speculativeStep(1, 0))
+	for k.phase == workflow.Placed {
+		sim.run(tick)
+	}
+	fail(sim, 1)
+	assert.Zero(t, original.failures)
+	sim.run(2 * time.Second)
+	assert.Equal(t, workflow.Done, sim.state(slowJob))
+}
+
+// Guards against an attempt that outlives the cancellation of its submission.
+func TestCancellationStopsBothAttempts(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	sim.runUntilCopied(speculativeStep(3))
+	sim.cancel(slowJob)
+	sim.run(time.Second)
+	assert.Zero(t, sim.runningTasks())
+	assert.Empty(t, sim.core.copies)
+}
+
+// Guards against copies that take more than their share of the pool while every task is slow, and against as many again by each
+// new owner.
+func TestCopiesKeepTheirShare(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	sim.workTime = func(*fakeWorker, Attempt, *workflow.Step) time.Duration { return slowWork }
+	sim.submit(slowJob, speculativeStep(200))
+	most := int64(0)
+	for i := range 200 {
+		sim.run(50 * time.Millisecond)
+		most = max(most, sim.copyCores())
+		require.LessOrEqual(t, sim.copyCores(), int64(12_000))
+		if i == 80 {
+			sim.loseOwner()
+		}
+	}
+	assert.Equal(t, int64(3000), most, "tasks that are slow on every worker use a quarter")
+}
+
+// Guards against two runs of a task that must not have two, overcommitted workers, run numbers that are used twice, and late starts,
+// beside random faults while many tasks have copies.
+func TestRandomFaultsBesideCopies(t *testing.T) {
+	var pairs atomic.Int64
+	t.Run("seeds", func(t *testing.T) {
+		for seed := range uint64(20) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				pairs.Add(int64(copiesBesideFaults(t, seed)))
+			})
+		}
+	})
+	t.Logf("%d starts beside another attempt", pairs.Load())
+	assert.Greater(t, pairs.Load(), int64(100), "the test says nothing about copies")
+}
+
+// copiesBesideFaults returns the number of starts beside another attempt.
+func copiesBesideFaults(t *testing.T, seed uint64) int {
+	sim := newCopySimulation(t, seed)
+	sim.useClosures(readLag)
+	sim.callLossShare, sim.listedEnds = 0.05, fewListedEnds
+	sim.workTime = func(f *fakeWorker, _ Attempt, s *workflow.Step) time.Duration {
+		switch {
+		case sim.rng.IntN(10) == 0:
+			return 7 * s.Estimate
+		case f.id == "b":
+			return 5 * s.Estimate
+		}
+		return s.Estimate
+	}
+	cancelled := map[workflow.JobID]bool{}
+	var jobs []workflow.JobID
+	for round := range 40 {
+		id := workflow.JobID(fmt.Sprintf("%016x", round))
+		first, second := speculativeStep(20), speculativeStep(3, 0)
+		// The workers are nearly full, so that a copy which is not counted overcommits one.
+		first.MaxPerWorker, second.Speculative = 4, sim.rng.IntN(2) == 0
+		other := batchStep(1+sim.rng.IntN(11), usualWork)
+		other.Size.MilliCores = 15_000
+		sim.submit(id, first, second, other)
+		jobs = append(jobs, id)
+		sim.injectFault(jobs, cancelled)
+		sim.run(time.Duration(50+sim.rng.IntN(800)) * time.Millisecond)
+	}
+	sim.callLossShare, sim.logDown, sim.closures.cutOff = 0, false, false
+	sim.reopen("even")
+	sim.reopen("odd")
+	for _, f := range sim.workers {
+		f.disconnected = false
+	}
+	sim.run(90 * time.Second)
+	for _, id := range jobs {
+		if !cancelled[id] {
+			assert.Equal(t, workflow.Done, sim.state(id), "%s", id)
+		}
+	}
+	assert.Zero(t, sim.runningTasks())
+	assert.Empty(t, sim.core.copies)
+	return sim.pairs
+}
+
+// Guards against records that one of two versions cannot read.
+func TestRecordsOfCopies(t *testing.T) {
+	rec := &workflow.Record{State: workflow.Running, Tasks: [][][]workflow.TaskRecord{{{{Phase: workflow.Placed, Run: 1, Worker: "a"}}}}}
+	tasks, err := catalog.TasksEntry(slowJob, rec)
+	require.NoError(t, err)
+	for _, copies := range [][]workflow.CopyRecord{{{Run: 2, Worker: "b", WorkerStartedAt: 5}}, {{Run: 2}, {Index: 1, Run: 3}}} {
+		e, err := catalog.CopiesEntry(slowJob, copies)
+		require.NoError(t, err)
+		loaded := catalog.DecodeTasks([]eventlog.Entry{e, tasks}, discardLogger())
+		assert.Equal(t, copies, loaded.Records[slowJob].Copies)
+		loaded = catalog.DecodeTasks([]eventlog.Entry{tasks}, discardLogger())
+		assert.Empty(t, loaded.Records[slowJob].Copies, "a record of an earlier version")
+		// An earlier version takes the entry for the record of a submission and must refuse it.
+		assert.Error(t, workflow.Decode("task record", e.Value, &workflow.Record{}))
+	}
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -17,6 +17,7 @@
 	"clementinewalk.example/clementinewalk/internal/evacuation"
 	"clementinewalk.example/clementinewalk/internal/interference"
 	"clementinewalk.example/clementinewalk/internal/queue"
+	"clementinewalk.example/clementinewalk/internal/speculation"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -136,6 +137,12 @@
 	// durations is what this owner has learned of the durations of tasks.
 	durations     *durations.Model
 	durationStats durationStats
+	// copyable holds the placed tasks that may get a copy, copies the placed copies. copyDecider decides, and copyStats
+	// counts since the last summary. nextCopies is the earliest time of the next decision.
+	copyable, copies map[*task]struct{}
+	copyDecider      speculation.Decider
+	copyStats        copyStats
+	nextCopies       time.Duration
 }
 
 // Stored is what a new owner knows from the log.
@@ -169,7 +176,7 @@
 		model: interference.Restore(now, stored.Interference), objectives: map[string]time.Duration{},
 		lastInTimeWait: map[string]time.Duration{}, closed: stored.Closed, moving: map[*task]struct{}{},
 		movesHeld: map[string]evacuation.Held{}, demand: map[string]*evacuation.Demand{}, largestShort: map[string]int64{},
-		durations: durations.New()}
+		durations: durations.New(), copyable: map[*task]struct{}{}, copies: map[*task]struct{}{}}
 	for _, i := range stored.Unfenced {
 		c.unfenced[i] = struct{}{}
 	}
@@ -232,6 +239,9 @@
 		for _, st := range r.steps {
 			for _, t := range st.tasks {
 				c.stopAttempt(t)
+				if t.copy != nil {
+					c.stopAttempt(t.copy)
+				}
 			}
 		}
 	}
@@ -273,6 +283,7 @@
 	t.percent, t.load, t.cpuLimit, t.cpuLimitInFlight, t.startedAt, t.timed = 0, 0, noLimitPercent, false, 0, false
 	t.targetCPULimit, t.slowedSince, t.objectiveViolation = noLimitPercent, 0, objectiveViolation{}
 	delete(c.needsOrder, t)
+	c.releaseCopy(t)
 	j.placed--
 	if j.placed == 0 && j.state.Over() {
 		j.rounds = nil
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -102,6 +102,7 @@
 	for _, t := range tasks {
 		if a, started := t.attemptLostWith(); started {
 			w.lost, w.lostAt = append(w.lost, a), now
+			t = t.main()
 			t.lostUnproven = t.lostUnproven || !a.proven
 		}
 	}
@@ -184,7 +185,7 @@
 }
 
 func (c *Core) countCrash(a lostAttempt, w *worker, blame int) {
-	t := a.task
+	t := a.task.main()
 	if a.run <= t.crashedRun || t.job().state.Over() {
 		return
 	}
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -59,7 +59,7 @@
 	}
 	w.appliedEnd = e.Number
 	c.unconfirmed[w] = struct{}{}
-	t := c.findTask(e.Task)
+	t := c.findAttempt(e.Attempt)
 	if t != nil && c.doneBefore(t, w, e) {
 		c.logger.Info("earlier attempt had ended as done", "task", t.id, "run", e.Run, "worker", w.ID)
 		c.stopAttempt(t)
@@ -78,6 +78,9 @@
 	}
 	c.updateWorkerHealth(now, w, t, e.Outcome)
 	switch {
+	case t.main().done():
+		// The other attempt has ended as done before.
+		c.unplace(t)
 	case t.step.def.LongRunning:
 		c.requeue(now, t, e.Outcome)
 	case e.Outcome == EndDone:
@@ -95,7 +98,7 @@
 // that one decides.
 func (c *Core) doneBefore(t *task, w *worker, e *End) bool {
 	d := t.step.def
-	if e.Outcome != EndDone || d.LongRunning || d.Gang || e.Run > t.run || t.job().state.Over() {
+	if e.Outcome != EndDone || d.LongRunning || d.Gang || e.Run > t.lastRun() || t.job().state.Over() {
 		return false
 	}
 	switch t.phase {
@@ -115,7 +118,7 @@
 	case EndFailed:
 		// A repeated failure of one task does not count against a worker without failures: the cause is more likely
 		// the task.
-		if t.failures > 0 && w.consecutiveFailures == 0 {
+		if t.main().failures > 0 && w.consecutiveFailures == 0 {
 			return
 		}
 		w.consecutiveFailures++
@@ -126,6 +129,7 @@
 	}
 }
 
+// findTask returns the task with an id, or nil.
 func (c *Core) findTask(id workflow.TaskID) *task {
 	j := c.jobs[id.Job]
 	if j == nil || id.Round >= len(j.rounds) || id.Step >= len(j.rounds[id.Round].steps) {
@@ -142,18 +146,15 @@
 // gang ends all of them.
 func (c *Core) taskDone(now time.Duration, t *task) {
 	s := t.step
-	members := []*task{t}
+	members := []*task{t.main()}
 	if s.def.Gang {
 		members = s.tasks
 	}
 	for _, m := range members {
-		if m.phase == workflow.Ended {
+		if m.done() {
 			continue
 		}
-		if m.phase == workflow.Placed {
-			c.release(m)
-		}
-		m.phase = workflow.Ended
+		c.endTask(m, t)
 		s.open--
 	}
 	r, j := s.round, s.round.job
@@ -178,29 +179,30 @@
 // pending again. A failure of one task of a gang counts for all of them.
 func (c *Core) taskFailed(now time.Duration, t *task) {
 	j := t.job()
-	t.avoidWorker = t.worker.ID
+	main := t.main()
+	main.avoidWorker = t.worker.ID
 	s := t.step
 	if s.def.Gang {
 		for _, m := range s.tasks {
 			m.failures++
 		}
 	} else {
-		t.failures++
+		main.failures++
 	}
-	failures := t.failures
+	failures := main.failures
 	if !j.state.Over() && failures >= max(1, j.terms.MaxAttempts) {
 		c.unplace(t)
 		c.finish(j, workflow.Failed)
 		return
 	}
 	c.requeue(now, t, EndFailed)
-	t.notBefore = now + failedRetryDelay
+	main.notBefore = now + failedRetryDelay
 }
 
 // requeue makes a task pending again after the end of an attempt that did not complete it. A gang restarts as a whole.
 func (c *Core) requeue(now time.Duration, t *task, outcome Outcome) {
 	if outcome == EndFailed || outcome == EndAlone {
-		t.avoidWorker = t.worker.ID
+		t.main().avoidWorker = t.worker.ID
 	}
 	gang := t.step.def.Gang
 	c.unplace(t)
@@ -289,7 +291,7 @@
 	c.lists++
 	for i := range a.Running {
 		r := &a.Running[i]
-		t := c.findTask(r.Task)
+		t := c.findAttempt(r.Attempt)
 		if t == nil || t.phase != workflow.Placed || t.worker != w || t.run != r.Run {
 			c.stopUnexpected(w, r)
 			continue
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -7,6 +7,7 @@
 	"clementinewalk.example/clementinewalk/internal/durations"
 	"clementinewalk.example/clementinewalk/internal/loadlevel"
 	"clementinewalk.example/clementinewalk/internal/resource"
+	"clementinewalk.example/clementinewalk/internal/speculation"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -34,8 +35,10 @@
 	finishedAt time.Duration
 	// recordChanged is set if more than the ends of tasks must be stored; endedStored if their ends may be stored apart.
 	recordChanged, endedStored bool
-	open                       int // number of rounds that are not done
-	placed                     int // number of tasks in the phase workflow.Placed
+	// copiesStored is set while an entry with second attempts is stored.
+	copiesStored bool
+	open         int // number of rounds that are not done
+	placed       int // number of tasks in the phase workflow.Placed
 	// idleSince is when the last running task ended or was lost; the time of acceptance before the first.
 	idleSince time.Duration
 }
@@ -61,6 +64,8 @@
 	open  int // number of tasks that have not ended
 	// duration is the expected duration of one task, path that of the longest chain of steps that starts with this one.
 	duration, path time.Duration
+	// known is set once the duration is learned rather than estimated.
+	known bool
 	// shortestPath is a duration that the path hardly falls below, as far as the durations of its steps are known.
 	shortestPath time.Duration
 	// ready is set when all steps that this one depends on have ended.
@@ -166,6 +171,15 @@
 	lostUnproven bool
 	// objectiveViolation tracks how far the tail latency of a service task is over its objective.
 	objectiveViolation objectiveViolation
+	// copy is the second attempt that is placed beside this one, copyRun the run number of the newest one; copies counts them.
+	// original is set on a copy; see copies.go.
+	copy, original  *task
+	copyRun, copies int
+	// copyCause is why a copy was made, copyOutcome what became of it.
+	copyCause   speculation.Cause
+	copyOutcome copyOutcome
+	// overtaken is set while the attempt is stopped because a copy has ended as done.
+	overtaken bool
 	// avoidWorker is the worker that refused or failed the last attempt, or from which it was moved. Placement
 	// prefers other workers that have room.
 	avoidWorker string
@@ -262,6 +276,11 @@
 		}
 	}
 	r.predict(now)
+	for i := range rec.Copies {
+		if rec.Copies[i].Round == k {
+			c.restoreCopy(r, &rec.Copies[i])
+		}
+	}
 	return r
 }
 
@@ -275,18 +294,24 @@
 	if r.Phase != workflow.Placed {
 		return
 	}
-	w := c.worker(r.Worker)
+	c.restorePlaced(t, r.Worker, r.WorkerStartedAt)
+}
+
+// restorePlaced applies the stored worker of a placed task.
+func (c *Core) restorePlaced(t *task, worker string, startedAt int64) {
+	w := c.worker(worker)
 	t.startState, t.settledAt = startSettled, c.ownerSince
 	t.cpuLimit = unknownCPULimit
 	if t.job().state.Over() {
 		t.stopWanted = true
 		c.needsOrder[t] = struct{}{}
 	}
-	t.workerStartedAt = r.WorkerStartedAt
+	t.workerStartedAt = startedAt
 	w.addTask(t)
+	c.trackCopyable(t)
 	c.nextExpiry = min(c.nextExpiry, w.leaseEnd)
 	t.job().placed++
-	incarnation := catalog.Incarnation{ID: r.Worker, StartedAt: r.WorkerStartedAt}
+	incarnation := catalog.Incarnation{ID: worker, StartedAt: startedAt}
 	if end, ok := c.silentLeases[incarnation]; ok {
 		// The earlier owner granted no lease after it had recorded the worker as silent.
 		w.extendLease(end)
@@ -335,6 +360,11 @@
 }
 
 func (c *Core) enqueue(now time.Duration, t *task) {
+	t = t.main()
+	if t.phase != workflow.Pending || t.copy != nil {
+		// Another attempt is placed, or the task has ended.
+		return
+	}
 	if t.queued || t.job().cancelled || t.job().state.Over() {
 		return
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -25,6 +25,7 @@
 func (c *Core) Plan(now time.Duration) {
 	c.activateDueRounds(now)
 	c.moveOut(now)
+	c.placeCopies(now)
 	if len(c.pending) == 0 || now-c.lastPlan < c.planInterval() ||
 		!c.planNeeded && now-c.lastPlan < noRoomRetryInterval {
 		return
@@ -208,7 +209,7 @@
 		p.hold(t)
 		return false
 	}
-	p.assignTask(t, node, t.run+1)
+	p.assignTask(t, node, t.lastRun()+1)
 	return true
 }
 
@@ -257,6 +258,7 @@
 	t.placedAt = p.now
 	c.timing.observe(phaseWait, p.now-t.queuedAt)
 	w.addTask(t)
+	c.trackCopyable(t)
 	j := t.job()
 	j.placed++
 	if j.state == workflow.Queued {
--- a/internal/dispatch/predict.go
+++ b/internal/dispatch/predict.go
@@ -35,7 +35,7 @@
 		if predictable(s.def) {
 			p = j.durations.Predict(s.kind(), s.def.Estimate)
 		}
-		s.duration = p.Expected
+		s.duration, s.known = p.Expected, p.AtLeast > 0
 		s.path += p.Expected
 		s.shortestPath += p.AtLeast
 		chain = max(chain, s.path)
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -35,6 +35,7 @@
 	var rec workflow.Record
 	if restored.Tasks != nil {
 		rec = *restored.Tasks
+		j.copiesStored = len(rec.Copies) > 0
 	}
 	j.stored = rec.State
 	if r := restored.Record; r != nil {
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"clementinewalk.example/clementinewalk/internal/resource"
+	"clementinewalk.example/clementinewalk/internal/speculation"
 )
 
 // summaryInterval is the time between two summaries in the log and in the metrics.
@@ -84,6 +85,7 @@
 	c.logWaitingServices(now)
 	c.logClosed(&s.closed)
 	c.summarizeDurations()
+	c.summarizeCopies()
 	c.logger.Info("placement summary", "epoch", c.epoch, "workers", s.workers, "usable", s.usable, "silent", s.silent,
 		"placed", s.placed, "waiting", s.waiting, "image_mixtures", s.mixtures,
 		"waiting_services", s.waitingServices, "idle_submissions", s.idleSubmissions,
@@ -112,6 +114,9 @@
 	// durations describes what was learned about the durations of tasks, samples the tasks that completed.
 	durations *prometheus.GaugeVec
 	samples   *prometheus.CounterVec
+	// copies counts the second attempts of tasks, copyCores is what they reserve and may reserve.
+	copies    *prometheus.CounterVec
+	copyCores *prometheus.GaugeVec
 }
 
 // NewMetrics registers the metrics of an owner.
@@ -137,8 +142,12 @@
 			Help: "Kinds of tasks whose durations are known, and the mean factors by which the estimates and the predictions for completed tasks were wrong since the last summary."},
 			[]string{"what"}),
 		samples: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_duration_samples_total",
-			Help: "Short tasks that completed, by whether their durations were learned."}, []string{"use"})}
-	r.MustRegister(m.waiting, m.cores, m.calls, m.answers, m.lost, m.closed, m.moves, m.durations, m.samples)
+			Help: "Short tasks that completed, by whether their durations were learned."}, []string{"use"}),
+		copies: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_copies_total",
+			Help: "Second attempts of slow tasks, by why they were made and by what became of them."}, []string{"cause", "outcome"}),
+		copyCores: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_copy_cores",
+			Help: "Cores that copies of tasks reserve, and may reserve in all pools together."}, []string{"what"})}
+	r.MustRegister(m.waiting, m.cores, m.calls, m.answers, m.lost, m.closed, m.moves, m.durations, m.samples, m.copies, m.copyCores)
 	return m
 }
 
@@ -190,6 +199,19 @@
 	m.samples.WithLabelValues("ignored").Add(float64(s.ignored))
 }
 
+func (m *Metrics) copied(cause speculation.Cause, outcome copyOutcome) {
+	if m != nil {
+		m.copies.WithLabelValues(cause.String(), string(outcome)).Inc()
+	}
+}
+
+func (m *Metrics) setCopyCores(reserved, limit int64) {
+	if m != nil {
+		m.copyCores.WithLabelValues("reserved").Set(float64(reserved) / millisPerCore)
+		m.copyCores.WithLabelValues("limit").Set(float64(limit) / millisPerCore)
+	}
+}
+
 func (m *Metrics) moved() {
 	if m != nil {
 		m.moves.Inc()
@@ -201,4 +223,5 @@
 	m.set(&summary{})
 	m.setCalls(&callLoad{})
 	m.setDurations(0, &durationStats{})
+	m.setCopyCores(0, 0)
 }
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -20,6 +20,7 @@
 	QuotaShare         Name = "p1_quota_share"
 	SlotBudget         Name = "p1_slot_budget"
 	SingleAttempt      Name = "p2_single_attempt"
+	CopyApart          Name = "p2_copy_apart"
 	ResumeOnce         Name = "p3_resume_once"
 	AnswerIdentity     Name = "p4_answer_identity"
 	NotRunWasNotSent   Name = "p5_not_run_was_not_sent"
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -68,6 +68,19 @@
 	State State
 	// Tasks holds the tasks by round and step. It is empty once the submission is over and no task is running.
 	Tasks [][][]TaskRecord
+	// Copies holds the second attempts of tasks. They are stored apart: the lists of a record have a fixed length, and earlier
+	// versions ignore a record with another one.
+	Copies []CopyRecord `cbor:"-"`
+}
+
+// CopyRecord is the stored state of the second attempt of a task, or of the first one if the second has ended as done.
+type CopyRecord struct {
+	_                  struct{} `cbor:",toarray"`
+	Round, Step, Index int
+	Run                int
+	// Worker is empty once the attempt has ended. Its run number is not used again.
+	Worker          string
+	WorkerStartedAt int64
 }
 
 // DecodeError reports a value that cannot be decoded, such as one with another layout.
