--- a/internal/dispatch/copies_test.go
+++ b/internal/dispatch/copies_test.go
@@ -432,6 +432,55 @@
 	return sim.pairs
 }
 
+// Guards against a start of a copy that reaches its worker long after the other attempt has ended.
+func TestStartOfACopyExpires(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	sim.submit(slowJob, speculativeStep(1))
+	for sim.firstTask().copy == nil {
+		sim.run(tick)
+	}
+	sim.heldStarts = 950 * time.Millisecond
+	sim.run(1500 * time.Millisecond)
+	assert.Equal(t, 1, sim.startedRun[workflow.TaskID{Job: slowJob}])
+}
+
+// Guards against a slow task in a hundred that makes a quarter of the submissions late: 3 of 100 attempts take 7 times as long, and
+// the objective is 1.5 times the work and 0.25 s.
+func TestCopiesBringSubmissionsInTime(t *testing.T) {
+	share := func(speculative bool) float64 {
+		sim := newCopySimulation(t, 1)
+		sim.workTime = func(_ *fakeWorker, _ Attempt, s *workflow.Step) time.Duration {
+			if sim.rng.IntN(100) < 3 {
+				return 7 * s.Estimate
+			}
+			return s.Estimate
+		}
+		const submissions = 150
+		done := map[workflow.JobID]time.Duration{}
+		inTime := 0
+		for i := range submissions {
+			id := workflow.JobID(fmt.Sprint("load-", i))
+			s := speculativeStep(10)
+			s.Speculative = speculative
+			sim.submit(id, s)
+			done[id] = sim.now + 1750*time.Millisecond
+			sim.run(200 * time.Millisecond)
+			for id, due := range done {
+				if sim.now >= due {
+					delete(done, id)
+					if sim.state(id) == workflow.Done {
+						inTime++
+					}
+				}
+			}
+		}
+		return float64(inTime) / float64(submissions-len(done))
+	}
+	with, without := share(true), share(false)
+	t.Logf("in time: %.2f with copies, %.2f without", with, without)
+	assert.Less(t, 1-with, (1-without)/2)
+}
+
 // Guards against records that one of two versions cannot read.
 func TestRecordsOfCopies(t *testing.T) {
 	rec := &workflow.Record{State: workflow.Running, Tasks: [][][]workflow.TaskRecord{{{{Phase: workflow.Placed, Run: 1, Worker: "a"}}}}}
