Test that a lost original waits for its copy and that an overtaken attempt is stopped

Change: a test of a lost original, and a check that the overtaken attempt ends while its submission goes on.

--- a/internal/dispatch/copies_test.go
+++ b/internal/dispatch/copies_test.go
@@ -102,9 +102,15 @@
 	assert.NotEqual(t, original.worker.Rack, k.worker.Rack)
 	assert.Equal(t, []int{1, 2}, []int{original.run, k.run})
 	assert.Len(t, sim.slowRuns(), 2)
-	sim.run(2500 * time.Millisecond)
+	for k.phase == workflow.Placed {
+		sim.run(tick)
+	}
+	sim.run(500 * time.Millisecond)
+	require.Equal(t, workflow.Running, sim.state(slowJob), "the next step runs")
+	assert.Empty(t, sim.slowRuns(), "the other attempt is stopped")
+	sim.run(time.Second)
 	assert.Equal(t, workflow.Done, sim.state(slowJob), "the copy takes 1 s, and then the next step 1 s")
-	assert.Zero(t, sim.runningTasks(), "the other attempt is stopped")
+	assert.Zero(t, sim.runningTasks())
 	sim.run(time.Second)
 	assert.Empty(t, sim.core.copies)
 	assert.Zero(t, sim.core.jobs[slowJob].placed)
@@ -202,6 +208,24 @@
 	})
 }
 
+// Guards against a third run beside a copy whose original was lost.
+func TestLostOriginalWaitsForItsCopy(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	original, k := sim.runUntilCopied(speculativeStep(1))
+	f := sim.slowRuns()[1]
+	f.end(original.attempt(), EndLapsed)
+	sim.run(300 * time.Millisecond)
+	require.Equal(t, workflow.Placed, k.phase)
+	assert.Equal(t, workflow.Pending, original.phase)
+	assert.Len(t, sim.slowRuns(), 1)
+	// The task is placed again when its copy has failed.
+	sim.workers[k.worker.ID].end(k.attempt(), EndFailed)
+	sim.run(500 * time.Millisecond)
+	assert.Equal(t, 3, original.run)
+	sim.run(2 * time.Second)
+	assert.Equal(t, workflow.Done, sim.state(slowJob))
+}
+
 // Guards against a successor that does not know an attempt: it would start the task with a used run number, give its worker too
 // much, or leave an attempt running.
 func TestOwnerDiesBesideACopy(t *testing.T) {
