Learn the progress of tasks that may get a copy sooner

Cause: a worker delays its answers for up to 1 s, longer than the task, so that a copy came too late for the objective. Change: answers are delayed by 0.25 s at most while such a task runs, and progress counts after a quarter of the usual duration.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -412,6 +412,9 @@
 			if w.watchesSuspect() {
 				call.Wait = min(call.Wait, startProof)
 			}
+			if w.runsCopyable() {
+				call.Wait = min(call.Wait, copyReportWait)
+			}
 			w.holdsCall = true
 		}
 	}
--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -23,6 +23,9 @@
 	// copyStartLimit is how long after its decision the start of a copy may still be carried out. Nothing of a task may start
 	// later than 1 s after the end of the other attempt was confirmed, and the worker's clock may be 2% slow.
 	copyStartLimit = 900 * time.Millisecond
+	// copyReportWait is how long a worker with a task that may get a copy delays its answer to a lease call. The progress of the task
+	// must be known within a part of its duration.
+	copyReportWait = 250 * time.Millisecond
 	// minSlowPeers is the number of tasks on a worker from which it is known to be slow, slowPeerFactor how many times as long as
 	// their kind most of them then take. If more than maxSlowWorkers of the workers are slow, the tasks are the cause.
 	minSlowPeers   = 2
@@ -243,6 +246,16 @@
 	return float64(slow) <= maxSlowWorkers*float64(len(p.slow))
 }
 
+// runsCopyable reports whether a task on the worker may get a copy once its progress is known.
+func (w *worker) runsCopyable() bool {
+	for t := range w.tasks {
+		if t.original == nil && t.copy == nil && t.step.known && mayHaveCopies(t.step.def) {
+			return true
+		}
+	}
+	return false
+}
+
 // copyDue reports whether a copy of the task may be made now.
 func (t *task) copyDue(now time.Duration) bool {
 	j := t.job()
--- a/internal/speculation/speculation.go
+++ b/internal/speculation/speculation.go
@@ -43,10 +43,9 @@
 	taskFactor    = 3.0
 	overdueFactor = 2.0
 	workerFactor  = 2.0
-	// minElapsed is the part of the expected duration before which progress says nothing about a task; minElapsedWorker
-	// applies on a worker that is known to be bad.
-	minElapsed       = 0.5
-	minElapsedWorker = 0.25
+	// minElapsed is the part of the expected duration before which progress says nothing about a task: it is reported in whole
+	// percent, and later than the start.
+	minElapsed = 0.25
 	// minGain is the least time that a copy is expected to save, as a part of the expected duration.
 	minGain = 0.5
 	// Copies for the cause Task take trialShare of the budget until minOutcomes of them have ended, and while less than
@@ -115,7 +114,7 @@
 	switch {
 	case a.Silence >= minSilence:
 		return Silent
-	case a.BadWorker && (elapsed >= minElapsedWorker && slowness >= workerFactor || elapsed >= workerFactor):
+	case a.BadWorker && (elapsed >= minElapsed && slowness >= workerFactor || elapsed >= workerFactor):
 		return Worker
 	case elapsed >= minElapsed && slowness >= taskFactor, elapsed >= overdueFactor && a.Percent == 0:
 		return Task
