--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -41,7 +41,7 @@
 	c.orders = append(c.orders, StartOrder{Member: t.worker.Member, task: t,
 		Call: StartCall{Attempt: t.attempt(), Spec: t.job().submission.Spec,
 			Checkpoint: t.checkpoint, Ticket: t.step.approvals[t.worker.Incarnation].ticket, Epoch: c.epoch,
-			Deadline: t.worker.grantLease(now, c.params.startLimit())}})
+			Deadline: t.worker.grantLease(now, t.startLimit(&c.params))}})
 }
 
 // StartReturned applies the outcome of a start.
@@ -71,6 +71,7 @@
 		}
 		c.accept(t, a.StartedAt)
 		t.startState, t.settledAt, t.startedAt = startSettled, now, now
+		t.timed = t.isTimed(now, o.Call.Checkpoint)
 		c.timing.observe(phaseStart, now-t.storedAt)
 		if t.stopWanted {
 			c.needsOrder[t] = struct{}{}
@@ -411,6 +412,9 @@
 			if w.watchesSuspect() {
 				call.Wait = min(call.Wait, startProof)
 			}
+			if w.runsCopyable() {
+				call.Wait = min(call.Wait, copyReportWait)
+			}
 			w.holdsCall = true
 		}
 	}
@@ -439,6 +443,10 @@
 	}
 	if w.failingSince == 0 {
 		w.failingSince = now
+		for t := range w.tasks {
+			// Its end may be read late.
+			t.timed = false
+		}
 		c.logger.Info("worker does not answer", "worker", w.ID, "error", err, "tasks", len(w.tasks))
 	}
 	w.connectionLost = ConnectionLost(err)
