Add a decision on arrival and a summary of the owner's backlog

Under more work than a pool can run, submissions of a low priority wait behind those of higher ones until their results have no value, and no instance but the owner knows.

Each instance knows the newest summary and an upper limit of its age that needs no clocks that agree.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -163,6 +163,9 @@
 	silentReadAt time.Duration
 	// silentOffset is the offset of silent in the log.
 	silentOffset int64
+	backlog      publishedBacklog
+	// progressAsOf is the time up to which the progress topic was read, 0 before the first read.
+	progressAsOf time.Duration
 }
 
 // New returns an empty catalog.
@@ -354,6 +357,9 @@
 		case silentKey:
 			c.applySilent(e)
 			continue
+		case backlogKey:
+			c.applyBacklog(e)
+			continue
 		}
 		if e.Value == nil {
 			delete(c.orphans, workflow.JobID(e.Key))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -157,6 +157,7 @@
 // progress handles a batch of the topic Progress.
 func (f *feed) progress(b eventlog.Batch) {
 	f.owner.ProgressRead(b, f.catalog.ApplyProgress(b.Entries))
+	f.catalog.ProgressRead(b.AsOf)
 }
 
 // configuration handles a batch of the topic Config. An entry that cannot be decoded is logged and ignored.
