Publish a summary of the owner's backlog with its states

The instances need to know how much work of a higher priority waits in a pool and how fast it is done.

The owner measures both once a second and adds the summary to an append of states or to a heartbeat. The simulation gets a second queue of lower priority and verdicts on arrival.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -12,6 +12,7 @@
 	"sort"
 	"time"
 
+	"clementinewalk.example/clementinewalk/internal/backlog"
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/evacuation"
 	"clementinewalk.example/clementinewalk/internal/interference"
@@ -132,6 +133,10 @@
 	// pool.
 	demand       map[string]*evacuation.Demand
 	largestShort map[string]int64
+	// meters measure, for each pool, the rate at which short tasks are done.
+	meters map[string]*backlog.Meter
+	// lastPlaced is when a short task of each class was last placed.
+	lastPlaced map[classKey]time.Duration
 }
 
 // Stored is what a new owner knows from the log.
@@ -164,7 +169,8 @@
 		suspects: map[*task]struct{}{}, storedCrashes: stored.Suspects,
 		model: interference.Restore(now, stored.Interference), objectives: map[string]time.Duration{},
 		lastInTimeWait: map[string]time.Duration{}, closed: stored.Closed, moving: map[*task]struct{}{},
-		movesHeld: map[string]evacuation.Held{}, demand: map[string]*evacuation.Demand{}, largestShort: map[string]int64{}}
+		movesHeld: map[string]evacuation.Held{}, demand: map[string]*evacuation.Demand{}, largestShort: map[string]int64{},
+		meters: map[string]*backlog.Meter{}, lastPlaced: map[classKey]time.Duration{}}
 	for _, i := range stored.Unfenced {
 		c.unfenced[i] = struct{}{}
 	}
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -154,6 +154,7 @@
 		}
 		m.phase = workflow.Ended
 		s.open--
+		c.noteWorkDone(m)
 	}
 	r, j := s.round, s.round.job
 	c.markEnded(j)
--- a/internal/dispatch/heavy_test.go
+++ b/internal/dispatch/heavy_test.go
@@ -33,6 +33,10 @@
 	overObjective, serviceTicks int
 	// limitOrders counts the orders that change a CPU limit.
 	limitOrders int
+	// arrive decides whether a submission is admitted; nil admits all.
+	arrive func(*simulation, *layout, []workflow.Step) bool
+	// lowShare is the share of submissions to a queue of lower priority.
+	lowShare float64
 }
 
 const (
@@ -118,6 +122,9 @@
 	objective time.Duration
 	work      float64
 	doneAt    time.Duration
+	terms     workflow.Terms
+	// refused is set if the submission was refused on arrival, doomed if the verdict on it was to refuse it.
+	refused, doomed bool
 }
 
 // playHeavyDay plays services that reserve most processors, and perSecond best-effort submissions of two steps, whose
@@ -192,13 +199,21 @@
 		steps = append(steps, s)
 	}
 	l.objective += time.Second
-	sim.submit(l.id, steps...)
+	l.terms = testConfig().Queues[0].Terms
+	if share := sim.contention.lowShare; share > 0 && rng.Float64() < share {
+		l.terms.Queue, l.terms.Priority = "low", 2
+	}
+	if arrive := sim.contention.arrive; arrive != nil && !arrive(sim, l, steps) {
+		l.refused = true
+		return l
+	}
+	sim.submitOn(l.terms, l.id, steps...)
 	return l
 }
 
 func (c *contention) noteDone(layouts []*layout) {
 	for _, l := range layouts {
-		if l.doneAt == 0 && c.sim.state(l.id) == workflow.Done {
+		if l.doneAt == 0 && !l.refused && c.sim.state(l.id) == workflow.Done {
 			l.doneAt = c.sim.now
 		}
 	}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -4,10 +4,12 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"clementinewalk.example/clementinewalk/internal/backlog"
 )
 
 // lateFactor is the multiple of the latency objective after which a result has no value.
-const lateFactor = 3
+const lateFactor = backlog.LateFactor
 
 // restartWait is how long a long-running task that has run before waits behind short tasks. It must run again within
 // 3 s while there is room; most find room before.
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -143,6 +143,8 @@
 	lastConfirmed  time.Duration
 	lastModelStore time.Duration
 	lastRemoval    time.Duration
+	// lastBacklog is when the backlog was last summarised.
+	lastBacklog time.Duration
 	// unremovedTasks and unremovedStates hold the removed submissions whose records are still to be removed from
 	// TasksTopic, and then from ProgressTopic.
 	unremovedTasks, unremovedStates []workflow.JobID
--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -71,7 +71,10 @@
 	submissions := eventlog.NewFollower(log, "submissions", pace, discardLogger(),
 		func(b eventlog.Batch) { i.owner.SubmissionsChanged(cat.ApplySubmissions(b)) })
 	progress = eventlog.NewFollower(log, "progress", pace, discardLogger(),
-		func(b eventlog.Batch) { i.owner.ProgressRead(b, cat.ApplyProgress(b.Entries)) })
+		func(b eventlog.Batch) {
+			i.owner.ProgressRead(b, cat.ApplyProgress(b.Entries))
+			cat.ProgressRead(b.AsOf)
+		})
 	s := Settings{Instance: name, ProgressTopic: "progress", TasksTopic: "tasks", WorkersTopic: "workers",
 		SubmissionsTopic: "submissions", Retention: time.Hour, Cores: 1000,
 		Params: Params{Lease: 6 * time.Second, Isolation: 5 * time.Second}}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -264,6 +264,7 @@
 	}
 	c.uncommitted = append(c.uncommitted, t)
 	c.noteShort(t)
+	c.notePlaced(p.now, t)
 	c.markDirty(j)
 	p.placed++
 	c.logger.Info("task placed", "task", t.id, "run", run, "worker", w.ID, "born", w.StartedAt,
--- a/internal/dispatch/storing.go
+++ b/internal/dispatch/storing.go
@@ -172,6 +172,7 @@
 		}
 		entries = []eventlog.Entry{e}
 	}
+	entries = append(entries, o.backlogEntries(now)...)
 	sent := now
 	o.send(ctx, now, &o.status, o.statusInterval(entries), entries, func(_ time.Duration, offset int64) {
 		o.lastConfirmed = max(o.lastConfirmed, sent)
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"clementinewalk.example/clementinewalk/internal/backlog"
 	"clementinewalk.example/clementinewalk/internal/resource"
 )
 
@@ -108,6 +109,8 @@
 	// closed counts tasks that closed data centres concern, moves the tasks that were moved out of them.
 	closed *prometheus.GaugeVec
 	moves  prometheus.Counter
+	// backlog holds the accepted work that is not placed, rates the rate at which it is done, by pool.
+	backlog, rates *prometheus.GaugeVec
 }
 
 // NewMetrics registers the metrics of an owner.
@@ -128,8 +131,14 @@
 			Help: "Tasks that wait while a closed data centre has room for them, long-running tasks left in closed data centres, and tasks that are being moved out."},
 			[]string{"what"}),
 		moves: prometheus.NewCounter(prometheus.CounterOpts{Name: "clementine_owner_moves_total",
-			Help: "Long-running tasks that were stopped in a closed data centre to start elsewhere."})}
-	r.MustRegister(m.waiting, m.cores, m.calls, m.answers, m.lost, m.closed, m.moves)
+			Help: "Long-running tasks that were stopped in a closed data centre to start elsewhere."}),
+		backlog: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_backlog_core_seconds",
+			Help: "Estimated work that is accepted, not placed and still of value, by queue, while its pool has a backlog."},
+			[]string{"queue", "pool"}),
+		rates: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_backlog_rate_cores",
+			Help: "Rate at which a pool with a backlog does its work: the best of late, and that of the last seconds."},
+			[]string{"pool", "rate"})}
+	r.MustRegister(m.backlog, m.rates, m.waiting, m.cores, m.calls, m.answers, m.lost, m.closed, m.moves)
 	return m
 }
 
@@ -164,6 +173,23 @@
 	m.answers.WithLabelValues("unanswered").Add(float64(l.unanswered))
 }
 
+// setBacklog sets the metrics of a summary of the backlog.
+func (m *Metrics) setBacklog(s *backlog.Summary) {
+	if m == nil {
+		return
+	}
+	m.backlog.Reset()
+	m.rates.Reset()
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		m.backlog.WithLabelValues(c.Queue, c.Pool).Add(float64(c.Waiting) / millisPerCore)
+	}
+	for _, p := range s.Pools {
+		m.rates.WithLabelValues(p.Name, "best").Set(float64(p.Best) / millisPerCore)
+		m.rates.WithLabelValues(p.Name, "recent").Set(float64(p.Recent) / millisPerCore)
+	}
+}
+
 func (m *Metrics) attemptLost(reason lossReason) {
 	if m != nil {
 		m.lost.WithLabelValues(string(reason)).Inc()
@@ -180,4 +206,5 @@
 func (m *Metrics) reset() {
 	m.set(&summary{})
 	m.setCalls(&callLoad{})
+	m.setBacklog(&backlog.Summary{})
 }
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -171,7 +171,11 @@
 }
 
 func (sim *simulation) submit(id workflow.JobID, steps ...workflow.Step) {
-	s := &workflow.Submission{Job: id, Steps: steps, Terms: testConfig().Queues[0].Terms,
+	sim.submitOn(testConfig().Queues[0].Terms, id, steps...)
+}
+
+func (sim *simulation) submitOn(terms workflow.Terms, id workflow.JobID, steps ...workflow.Step) {
+	s := &workflow.Submission{Job: id, Steps: steps, Terms: terms,
 		Accepted: time.Unix(0, int64(sim.now))}
 	sim.steps[id] = steps
 	e, err := catalog.SubmissionEntry(s)
--- a/internal/headroom/headroom.go
+++ b/internal/headroom/headroom.go
@@ -5,9 +5,9 @@
 // uses no clock, network or goroutine.
 package headroom
 
-// serviceUse is the share of their reserved processors that services use on average. The rest can run best-effort
+// ServiceUse is the share of their reserved processors that services use on average. The rest can run best-effort
 // tasks.
-const serviceUse = 0.5
+const ServiceUse = 0.5
 
 const (
 	// cautiousShare is the share of a service's margin that best-effort tasks may use up. Images that exceed it with a
@@ -72,7 +72,7 @@
 // processors that the other tasks leave unused suffice. A worker without best-effort tasks takes any one, because a task
 // may be larger than what is ever left. requested is the sum of BestEffort.
 func (l *Load) HasProcessors(requested, milliCores int64) bool {
-	left := l.Capacity - l.Exclusive - int64(serviceUse*float64(l.Services))
+	left := l.Capacity - l.Exclusive - int64(ServiceUse*float64(l.Services))
 	return l.BelowObjectives() && (requested == 0 || requested+milliCores <= left)
 }
 
