Refuse submissions that cannot end while their results have value

A submission behind work of a higher priority that takes longer than three times its objective was stored and waited all the same. Negative limits of a step were ignored.

intake.API.Submit refuses it before anything is sent, if a read after its arrival shows that it is not stored, with the time until the backlog is short enough. Negative limits get a workflow.InvalidError.

Old or unreadable summaries, and submissions that they say nothing certain about, refuse nothing.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -72,6 +72,8 @@
 	peers   *Peers
 	logger  *slog.Logger
 	latency *prometheus.HistogramVec
+	// verdicts counts the decisions of checkBacklog.
+	verdicts *prometheus.CounterVec
 }
 
 // New returns an API. SubmissionsFresh and ConfigFresh compare the age of the views with maxAges.
@@ -85,7 +87,7 @@
 	r.MustRegister(h)
 	return &API{log: log, catalog: cat, config: config, view: v,
 		submissionsFreshness: submissionsFreshness, configFreshness: configFreshness,
-		maxAges: maxAges, logger: l, latency: h}
+		maxAges: maxAges, logger: l, latency: h, verdicts: newVerdicts(r)}
 }
 
 // Config returns the configuration in force, or nil before the first.
@@ -113,6 +115,9 @@
 		a.logger.Info("submission already stored", "job", s.Job, "queue", s.Terms.Queue)
 		return nil
 	}
+	if err := a.checkBacklog(ctx, s); err != nil {
+		return err
+	}
 	e, err := catalog.SubmissionEntry(s)
 	if err != nil {
 		return &RefusedError{Reason: "not encodable", Err: err}
--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -207,6 +207,9 @@
 		if n := max(len(st.Label), len(st.DataRack), len(st.Image)); n > maxNameBytes {
 			return &InvalidError{field, fmt.Sprintf("has a label, rack or image of %d bytes; at most %d are allowed", n, maxNameBytes)}
 		}
+		if st.MaxPerWorker < 0 || st.DisruptionBudget < 0 || st.Objective < 0 {
+			return &InvalidError{field, "has a negative limit or objective, which would count as none"}
+		}
 		if len(st.After) > maxSteps {
 			return &InvalidError{field, fmt.Sprintf("waits for %d steps; at most %d are allowed", len(st.After), maxSteps)}
 		}
