Stop tasks of lower priorities for urgent ones without room

A reserving task that found no room waited until others ended, also behind best-effort tasks of minutes that save their progress.

After each plan the owner stops such tasks for one that has waited for 0.2 s and can still be in time. The simulated workers save and resume progress. Tests show what preemption can free, and that it stops nothing where tasks end soon by themselves.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -16,6 +16,7 @@
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/evacuation"
 	"clementinewalk.example/clementinewalk/internal/interference"
+	"clementinewalk.example/clementinewalk/internal/preemption"
 	"clementinewalk.example/clementinewalk/internal/queue"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
@@ -137,6 +138,10 @@
 	meters map[string]*backlog.Meter
 	// lastPlaced is when a short task of each class was last placed.
 	lastPlaced map[classKey]time.Duration
+	// preemptions bound, for each pool, the tasks that are stopped for those of higher priorities.
+	preemptions map[string]*preemption.Limiter
+	// nextPreemptionCheck is the earliest time of the next decisions about such stops.
+	nextPreemptionCheck time.Duration
 }
 
 // Stored is what a new owner knows from the log.
@@ -170,7 +175,8 @@
 		model: interference.Restore(now, stored.Interference), objectives: map[string]time.Duration{},
 		lastInTimeWait: map[string]time.Duration{}, closed: stored.Closed, moving: map[*task]struct{}{},
 		movesHeld: map[string]evacuation.Held{}, demand: map[string]*evacuation.Demand{}, largestShort: map[string]int64{},
-		meters: map[string]*backlog.Meter{}, lastPlaced: map[classKey]time.Duration{}}
+		meters: map[string]*backlog.Meter{}, lastPlaced: map[classKey]time.Duration{},
+		preemptions: map[string]*preemption.Limiter{}}
 	for _, i := range stored.Unfenced {
 		c.unfenced[i] = struct{}{}
 	}
@@ -271,7 +277,7 @@
 	t.adopted, t.acceptedBy = false, 0
 	t.stopWanted, t.stopInFlight, t.hadUnansweredStart, t.reported, t.startCalls, t.retryAt = false, false, false,
 		false, 0, 0
-	t.percent, t.load, t.cpuLimit, t.cpuLimitInFlight, t.startedAt = 0, 0, noLimitPercent, false, 0
+	t.percent, t.load, t.cpuLimit, t.cpuLimitInFlight, t.startedAt, t.checkpointAt = 0, 0, noLimitPercent, false, 0, 0
 	t.targetCPULimit, t.slowedSince, t.objectiveViolation = noLimitPercent, 0, objectiveViolation{}
 	delete(c.needsOrder, t)
 	j.placed--
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -338,8 +338,8 @@
 	if r.Percent != t.percent {
 		t.percent, t.percentAt = r.Percent, now
 	}
-	if r.Checkpoint != "" {
-		t.checkpoint = r.Checkpoint
+	if r.Checkpoint != "" && r.Checkpoint != t.checkpoint {
+		t.checkpoint, t.checkpointAt = r.Checkpoint, now
 	}
 	t.load = r.Load
 }
--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -121,6 +122,9 @@
 	f.highestRun[c.Task] = c.Run
 	f.running[c.Attempt] = &fakeRun{started: sim.now, endsAt: sim.now + step.Estimate, workTime: step.Estimate,
 		longRunning: step.LongRunning}
+	if saved, err := strconv.ParseInt(c.Checkpoint, 10, 64); err == nil && sim.checkpointInterval > 0 {
+		f.running[c.Attempt].endsAt -= time.Duration(saved) * time.Millisecond
+	}
 	if step.LongRunning {
 		f.running[c.Attempt].endsAt = sim.now + time.Hour
 	}
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -88,6 +88,8 @@
 	worstTailRatio float64
 	// nextTurn is the time from which the worker may take a turn of another submission.
 	nextTurn time.Duration
+	// nextPreemption is the earliest time at which tasks on it are stopped for others again.
+	nextPreemption time.Duration
 }
 
 // silence is the state of the stored record that a worker does not answer. While the record exists, the worker gets no
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -148,6 +148,12 @@
 	// evictions and stallMoves are how often the task was moved because it was throttled or stalled.
 	evictions  int
 	stallMoves int
+	// preemptions is how often the task was stopped for others. nextPreemption is the earliest time at which others are stopped
+	// for it again.
+	preemptions    int
+	nextPreemption time.Duration
+	// checkpointAt is when the checkpoint last changed; 0 if it has not in this attempt.
+	checkpointAt time.Duration
 	// crashes counts the workers that crashed under the task; crashedRun is the newest run that was counted.
 	crashes    catalog.Crashes
 	crashedRun int
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -48,6 +48,7 @@
 		}
 		t.queued = false
 	}
+	p.preempt(rest)
 	rest = p.giveTurns(rest)
 	clear(c.pending[len(rest):])
 	c.pending = rest
--- /dev/null
+++ b/internal/dispatch/preempt.go
@@ -0,0 +1,142 @@
+package dispatch
+
+import (
+	"time"
+
+	"clementinewalk.example/clementinewalk/internal/preemption"
+)
+
+const (
+	// minPreemptWait is how long a task must have found no room before others are stopped for it. In a pool of some hundred
+	// tasks of a few seconds, one of them ends in that time.
+	minPreemptWait = 200 * time.Millisecond
+	// preemptTime is the time from the decision to stop a task until its room is free: the calls, the time that
+	// a worker takes to stop a task, and the list that reports the end.
+	preemptTime = 500 * time.Millisecond
+	// preemptInterval is the time between two decisions for one task or one worker. The room that the first one makes is free by then.
+	preemptInterval = 2 * preemptTime
+	// restoreTime is the time that a task takes to resume from a checkpoint. The settings do not tell it.
+	restoreTime = 300 * time.Millisecond
+	// Decisions go through the tasks of all workers, for about 2 ms with 490 workers of 8 tasks, so at most maxPreemptionChecks are made each preemptionCheckInterval. A
+	// task for which nothing could be stopped makes way for others until preemptionRetry has passed.
+	preemptionCheckInterval = 100 * time.Millisecond
+	maxPreemptionChecks     = 2
+	preemptionRetry         = 300 * time.Millisecond
+	// maxRemaining stands for a task of which it is unknown when it ends.
+	maxRemaining = 24 * time.Hour
+	// maxPreemptions is how often one task is stopped for others.
+	maxPreemptions = 1
+)
+
+// preempt stops tasks of lower priorities for those of the pending tasks that have found no room and can still be in time.
+// Best-effort tasks need no reserved room, so nothing is stopped for them.
+func (p *plan) preempt(pending []*task) {
+	if len(pending) == 0 || p.now < p.core.nextPreemptionCheck {
+		return
+	}
+	first, waiting := map[noRoomKey]*task{}, map[noRoomKey]int{}
+	var order []noRoomKey
+	for _, t := range pending {
+		def := t.step.def
+		if def.BestEffort || def.LongRunning || def.Gang || t.restricted() || t.unplaced != unplacedNoWorker ||
+			t.rank.tier != tierOnTime || p.now-t.queuedAt < minPreemptWait || p.now < t.nextPreemption ||
+			p.now+preemptTime+t.step.path > t.job().objectiveAt {
+			continue
+		}
+		// Equal tasks have equal candidates, so one of them is decided on in a plan.
+		key := p.noRoomKey(t, false)
+		if waiting[key]++; waiting[key] == 1 {
+			first[key] = t
+			order = append(order, key)
+		}
+	}
+	if len(order) > 0 {
+		p.core.nextPreemptionCheck = p.now + preemptionCheckInterval
+	}
+	for _, key := range order[:min(len(order), maxPreemptionChecks)] {
+		first[key].nextPreemption = p.now + preemptionRetry
+		p.preemptFor(first[key], waiting[key])
+	}
+}
+
+// preemptFor stops tasks for one of a number of equal waiting tasks if that is worth its cost.
+func (p *plan) preemptFor(t *task, waiting int) {
+	c, pool := p.core, t.job().terms.Pool
+	var workers []preemption.Worker
+	var names []*worker
+	var victims []*task
+	inProgress := 0
+	for _, n := range p.candidates(pool) {
+		w := c.workersByID[n.Index]
+		inProgress += len(w.tasks)
+		if p.now < w.nextPreemption || !t.reserved().Fits(w.Capacity.Sub(w.longRunning)) {
+			continue
+		}
+		out := preemption.Worker{Free: n.Free()}
+		for o := range w.tasks {
+			if o.remaining(p.now) <= preemptTime {
+				out.Ending = append(out.Ending, o.reserved())
+			} else if o.preemptableFor(t) {
+				cost := preemption.Cost(requestedMilliCores(o.step.def), o.unsaved(p.now), restoreTime)
+				out.Victims = append(out.Victims, preemption.Victim{Index: len(victims), Reserved: o.reserved(), Cost: cost})
+				victims = append(victims, o)
+			}
+		}
+		workers, names = append(workers, out), append(names, w)
+	}
+	choice, ok := preemption.Choose(t.reserved(), waiting, t.step.work(), workers)
+	if !ok || !c.preemptionLimiter(pool).Allows(p.now, len(choice.Victims), inProgress) {
+		return
+	}
+	w := names[choice.Worker]
+	t.nextPreemption, w.nextPreemption = p.now+preemptInterval, p.now+preemptInterval
+	for _, i := range choice.Victims {
+		o := victims[i]
+		o.preemptions++
+		o.avoidWorker = w.ID
+		c.logger.Info("task preempted", "task", o.id, "run", o.run, "worker", w.ID, "queue", o.job().terms.Queue, "for", t.id,
+			"for_queue", t.job().terms.Queue, "waited_ms", (p.now - t.queuedAt).Milliseconds(), "lost_core_ms", choice.Cost)
+		c.metrics.preempted(pool)
+		c.stopAttempt(o)
+	}
+}
+
+// preemptableFor reports whether a placed task may be stopped for another one.
+func (t *task) preemptableFor(other *task) bool {
+	def := t.step.def
+	return t.job().terms.Priority > other.job().terms.Priority && def.Checkpoints && !def.LongRunning && !def.Gang &&
+		t.startState == startSettled && t.reported && !t.stopWanted && t.preemptions < maxPreemptions &&
+		t.percent < keepProgressPercent
+}
+
+// remaining returns how much longer a placed task is expected to run, by its progress, or by its estimate before it has any.
+func (t *task) remaining(now time.Duration) time.Duration {
+	switch {
+	case t.step.def.LongRunning || t.startedAt == 0:
+		return maxRemaining
+	case t.stopWanted:
+		return 0
+	case t.percent > 0:
+		perPercent := (t.percentAt - t.startedAt) / time.Duration(t.percent)
+		return perPercent*time.Duration(completePercent-t.percent) - (now - t.percentAt)
+	}
+	return t.step.def.Estimate - (now - t.startedAt)
+}
+
+// unsaved returns how long a task has run without a checkpoint that this owner has seen. A successor does not know when the
+// attempts that it finds have started, but their progress.
+func (t *task) unsaved(now time.Duration) time.Duration {
+	if t.checkpointAt > 0 {
+		return now - t.checkpointAt
+	}
+	return max(now-t.startedAt, time.Duration(t.percent)*t.step.def.Estimate/completePercent)
+}
+
+func (c *Core) preemptionLimiter(pool string) *preemption.Limiter {
+	l := c.preemptions[pool]
+	if l == nil {
+		l = &preemption.Limiter{}
+		c.preemptions[pool] = l
+	}
+	return l
+}
--- /dev/null
+++ b/internal/dispatch/preempt_test.go
@@ -0,0 +1,207 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/assert"
+
+	"clementinewalk.example/clementinewalk/internal/resource"
+	"clementinewalk.example/clementinewalk/internal/workflow"
+)
+
+// fillerStep is a best-effort step whose tasks take a quarter of the processors and the memory of a worker each.
+func fillerStep(count int, estimate time.Duration) workflow.Step {
+	return workflow.Step{Count: count, Size: resource.Vector{MilliCores: 1000, MemoryMB: 2000}, Estimate: estimate,
+		BestEffort: true, Checkpoints: true, Image: "filler"}
+}
+
+func urgentStep(count int, memoryMB int64) workflow.Step {
+	return workflow.Step{Count: count, Size: resource.Vector{MilliCores: 1000, MemoryMB: memoryMB}, Estimate: 800 * time.Millisecond}
+}
+
+// newCompetition returns a simulation with work of a lower priority on all its workers, and its metrics.
+func newCompetition(t *testing.T, seed uint64, workers int, filler ...workflow.Step) (*simulation, *Metrics) {
+	sim := newSimulation(t, seed, 0)
+	for i := range workers {
+		sim.addWorker(fmt.Sprintf("w%03d", i))
+	}
+	sim.listWorkers()
+	sim.checkpointInterval = time.Second
+	m := NewMetrics(prometheus.NewRegistry())
+	sim.core.metrics = m
+	sim.run(200 * time.Millisecond)
+	for i, s := range filler {
+		sim.submitLow(workflow.JobID(fmt.Sprintf("low-%d", i)), s)
+	}
+	sim.run(1200 * time.Millisecond)
+	return sim, m
+}
+
+func (sim *simulation) submitLow(id workflow.JobID, steps ...workflow.Step) {
+	terms := testConfig().Queues[0].Terms
+	terms.Queue, terms.Priority = "low", 2
+	sim.submitOn(terms, id, steps...)
+}
+
+func preempted(m *Metrics) int {
+	return int(testutil.ToFloat64(m.preemptions.WithLabelValues(testPool)))
+}
+
+// took runs the simulation until a submission is over, and returns how long that took.
+func (sim *simulation) took(id workflow.JobID, limit time.Duration) time.Duration {
+	begin := sim.now
+	for !sim.state(id).Over() && sim.now < begin+limit {
+		sim.run(20 * time.Millisecond)
+	}
+	return sim.now - begin
+}
+
+// Guards against an urgent task that waits behind long best-effort tasks for their memory, and against stops that lose the
+// work of tasks that save no progress.
+func TestUrgentTaskGetsTheMemoryOfLongBestEffortTasks(t *testing.T) {
+	for _, saves := range []bool{true, false} {
+		filler := fillerStep(16, 20*time.Second)
+		filler.Checkpoints = saves
+		sim, m := newCompetition(t, 1, 4, filler)
+		assert.Equal(t, 16, sim.runningTasks())
+		urgent := urgentStep(2, 1500)
+		if !saves {
+			// Worth more than the work that a stop would lose.
+			urgent.Estimate = 4 * time.Second
+		}
+		sim.submit("urgent", urgent)
+		took := sim.took("urgent", 5*time.Second)
+		t.Logf("saves progress: %v, took %v, %d preempted", saves, took, preempted(m))
+		if !saves {
+			assert.False(t, sim.state("urgent").Over())
+			assert.Zero(t, preempted(m))
+			continue
+		}
+		assert.Less(t, took, 2600*time.Millisecond, "the objective")
+		assert.Equal(t, 2, preempted(m))
+		sim.run(25 * time.Second)
+		assert.Equal(t, workflow.Done, sim.state("low-0"), "those that were stopped end, too")
+	}
+}
+
+// Guards against an urgent task that waits for processors that tasks of a lower priority reserve.
+func TestUrgentTaskGetsTheProcessorsOfLowerPriority(t *testing.T) {
+	filler := fillerStep(16, 20*time.Second)
+	filler.BestEffort = false
+	sim, m := newCompetition(t, 2, 4, filler)
+	sim.submit("urgent", urgentStep(2, 100))
+	assert.Less(t, sim.took("urgent", 5*time.Second), 2600*time.Millisecond, "the objective")
+	assert.Equal(t, 2, preempted(m))
+}
+
+// Shows what preemption cannot do: best-effort tasks hold no processors that urgent ones reserve, and where services
+// reserve all of them, the end of every best-effort task leaves no room.
+func TestBestEffortTasksHoldNoProcessorsThatUrgentTasksLack(t *testing.T) {
+	busy := fillerStep(8, 20*time.Second)
+	busy.Size = resource.Vector{MilliCores: 4000, MemoryMB: 1000}
+	sim, m := newCompetition(t, 1, 4, busy)
+	sim.submit("urgent", urgentStep(16, 500))
+	sim.run(200 * time.Millisecond)
+	assert.Zero(t, len(slices.DeleteFunc(slices.Clone(sim.core.pending), func(t *task) bool { return t.job().terms.Priority > 0 })),
+		"all processors are requested by best-effort tasks, and every urgent task is placed at once")
+	assert.Zero(t, preempted(m))
+
+	sim, m = newCompetition(t, 1, 4)
+	sim.submit("service", workflow.Step{Count: 4, LongRunning: true, Size: resource.Vector{MilliCores: 3500, MemoryMB: 1000}})
+	sim.run(500 * time.Millisecond)
+	sim.submitLow("low", fillerStep(4, 20*time.Second))
+	sim.run(1500 * time.Millisecond)
+	sim.submit("urgent", urgentStep(1, 500))
+	sim.run(3 * time.Second)
+	assert.Equal(t, 1, len(sim.core.pending))
+	assert.Zero(t, preempted(m))
+	sim.cancel("low")
+	sim.run(2 * time.Second)
+	assert.Equal(t, 1, len(sim.core.pending), "without any best-effort task there is no room either")
+}
+
+// Shows when preemption is not needed, and guards against stops there: of hundreds of best-effort tasks of some seconds, some
+// end in each plan, and their memory goes to the urgent task first.
+func TestShortBestEffortTasksAreNotStopped(t *testing.T) {
+	const workers, submissions = 60, 12
+	for _, saves := range []bool{false, true} {
+		var filler []workflow.Step
+		for i := range 30 {
+			s := fillerStep(60, time.Duration(1200+i*7%20*100)*time.Millisecond)
+			s.Checkpoints = saves
+			filler = append(filler, s)
+		}
+		sim, m := newCompetition(t, 1, workers, filler...)
+		assert.Equal(t, 4*workers, sim.runningTasks())
+		sum, longest := time.Duration(0), time.Duration(0)
+		for i := range submissions {
+			id := workflow.JobID(fmt.Sprintf("urgent-%d", i))
+			sim.submit(id, urgentStep(10, 1500))
+			took := sim.took(id, 5*time.Second)
+			sum, longest = sum+took, max(longest, took)
+		}
+		t.Logf("saves progress: %v, mean %v, longest %v, %d preempted", saves, sum/submissions, longest, preempted(m))
+		assert.Less(t, longest, 1800*time.Millisecond, "the objective is 2.6 s")
+		assert.LessOrEqual(t, preempted(m), 4)
+	}
+}
+
+// Guards against a task that is stopped again and again.
+func TestTaskIsStoppedOnceForOthers(t *testing.T) {
+	sim, m := newCompetition(t, 4, 1, fillerStep(4, 60*time.Second))
+	for i := range 10 {
+		sim.submit(workflow.JobID(fmt.Sprintf("urgent-%d", i)), urgentStep(1, 1500))
+		sim.run(2 * time.Second)
+	}
+	assert.Equal(t, 4, preempted(m))
+}
+
+// Guards against a flood of stops, and against stops that get lost with calls or with the owner.
+func TestPreemptionIsBounded(t *testing.T) {
+	const seconds = 12
+	sim, m := newCompetition(t, 3, 4, fillerStep(16, 20*time.Second))
+	sim.callLossShare = 0.1
+	for i := range seconds {
+		sim.submit(workflow.JobID(fmt.Sprintf("urgent-%d", i)), urgentStep(8, 1500))
+		sim.run(time.Second)
+		if i == seconds/2 {
+			sim.loseOwner()
+			sim.core.metrics = m
+		}
+	}
+	t.Logf("%d preempted in %d s", preempted(m), seconds)
+	assert.Greater(t, preempted(m), 2)
+	assert.LessOrEqual(t, preempted(m), seconds+4)
+	sim.callLossShare = 0.1
+	for i := range seconds {
+		sim.submit(workflow.JobID(fmt.Sprintf("urgent-%d", i)), urgentStep(8, 1500))
+		sim.run(time.Second)
+		if i == seconds/2 {
+			sim.loseOwner()
+			sim.core.metrics = m
+		}
+	}
+	t.Logf("%d preempted in %d s", preempted(m), seconds)
+	assert.Greater(t, preempted(m), 2)
+	assert.LessOrEqual(t, preempted(m), seconds+4)
+	for _, j := range sim.core.jobs {
+		for _, r := range j.rounds {
+			for _, s := range r.steps {
+				for _, other := range s.tasks {
+					assert.LessOrEqual(t, other.preemptions, maxPreemptions)
+				}
+			}
+		}
+	}
+	sim.callLossShare = 0
+	sim.run(50 * time.Second)
+	assert.Equal(t, workflow.Done, sim.state("low-0"))
+	for i := range seconds {
+		assert.Equal(t, workflow.Done, sim.state(workflow.JobID(fmt.Sprintf("urgent-%d", i))))
+	}
+}
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -111,6 +111,8 @@
 	moves  prometheus.Counter
 	// backlog holds the accepted work that is not placed, rates the rate at which it is done, by pool.
 	backlog, rates *prometheus.GaugeVec
+	// preemptions counts the tasks that were stopped for those of higher priorities.
+	preemptions *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of an owner.
@@ -137,8 +139,10 @@
 			[]string{"queue", "pool"}),
 		rates: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_backlog_rate_cores",
 			Help: "Rate at which a pool with a backlog does its work: the best of late, and that of the last seconds."},
-			[]string{"pool", "rate"})}
-	r.MustRegister(m.backlog, m.rates, m.waiting, m.cores, m.calls, m.answers, m.lost, m.closed, m.moves)
+			[]string{"pool", "rate"}),
+		preemptions: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_preemptions_total",
+			Help: "Tasks that were stopped to make room for one of a higher priority."}, []string{"pool"})}
+	r.MustRegister(m.preemptions, m.backlog, m.rates, m.waiting, m.cores, m.calls, m.answers, m.lost, m.closed, m.moves)
 	return m
 }
 
@@ -202,6 +206,12 @@
 	}
 }
 
+func (m *Metrics) preempted(pool string) {
+	if m != nil {
+		m.preemptions.WithLabelValues(pool).Inc()
+	}
+}
+
 // reset sets the metrics of an instance that is no longer the owner.
 func (m *Metrics) reset() {
 	m.set(&summary{})
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -88,6 +89,8 @@
 	closures *fakeClosures
 	// staleEntries holds, by id, the newest entries in the log of workers that have not written one since their restart.
 	staleEntries map[string]Member
+	// checkpointInterval is the interval at which tasks that save their progress do so; 0 for never.
+	checkpointInterval time.Duration
 }
 
 type event struct {
@@ -300,6 +303,11 @@
 	}
 	for a, r := range f.running {
 		alone := false
+		if s := sim.steps[a.Task.Job][a.Task.Step]; s.Checkpoints && sim.checkpointInterval > 0 {
+			// The name of a checkpoint is the work that it saves, in milliseconds.
+			done := (r.workTime - (r.endsAt - sim.now)).Truncate(sim.checkpointInterval)
+			r.checkpoint = strconv.FormatInt(done.Milliseconds(), 10)
+		}
 		if f.stalled {
 			r.endsAt += tick
 		}
