--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -12,10 +12,12 @@
 	"sort"
 	"time"
 
+	"clementinewalk.example/clementinewalk/internal/backlog"
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/durations"
 	"clementinewalk.example/clementinewalk/internal/evacuation"
 	"clementinewalk.example/clementinewalk/internal/interference"
+	"clementinewalk.example/clementinewalk/internal/preemption"
 	"clementinewalk.example/clementinewalk/internal/queue"
 	"clementinewalk.example/clementinewalk/internal/speculation"
 	"clementinewalk.example/clementinewalk/internal/workflow"
@@ -143,6 +145,14 @@
 	copyDecider      speculation.Decider
 	copyStats        copyStats
 	nextCopies       time.Duration
+	// meters measure, for each pool, the rate at which short tasks are done.
+	meters map[string]*backlog.Meter
+	// lastPlaced is when a short task of each class was last placed.
+	lastPlaced map[classKey]time.Duration
+	// preemptions bound, for each pool, the tasks that are stopped for those of higher priorities.
+	preemptions map[string]*preemption.Limiter
+	// nextPreemptionCheck is the earliest time of the next decisions about such stops.
+	nextPreemptionCheck time.Duration
 }
 
 // Stored is what a new owner knows from the log.
@@ -176,7 +186,9 @@
 		model: interference.Restore(now, stored.Interference), objectives: map[string]time.Duration{},
 		lastInTimeWait: map[string]time.Duration{}, closed: stored.Closed, moving: map[*task]struct{}{},
 		movesHeld: map[string]evacuation.Held{}, demand: map[string]*evacuation.Demand{}, largestShort: map[string]int64{},
-		durations: durations.New(), copyable: map[*task]struct{}{}, copies: map[*task]struct{}{}}
+		durations: durations.New(), copyable: map[*task]struct{}{}, copies: map[*task]struct{}{},
+		meters: map[string]*backlog.Meter{}, lastPlaced: map[classKey]time.Duration{},
+		preemptions: map[string]*preemption.Limiter{}}
 	for _, i := range stored.Unfenced {
 		c.unfenced[i] = struct{}{}
 	}
@@ -280,7 +292,8 @@
 	t.adopted, t.acceptedBy = false, 0
 	t.stopWanted, t.stopInFlight, t.hadUnansweredStart, t.reported, t.startCalls, t.retryAt = false, false, false,
 		false, 0, 0
-	t.percent, t.load, t.cpuLimit, t.cpuLimitInFlight, t.startedAt, t.timed = 0, 0, noLimitPercent, false, 0, false
+	t.percent, t.load, t.cpuLimit, t.cpuLimitInFlight, t.startedAt = 0, 0, noLimitPercent, false, 0
+	t.timed, t.checkpointAt = false, 0
 	t.targetCPULimit, t.slowedSince, t.objectiveViolation = noLimitPercent, 0, objectiveViolation{}
 	delete(c.needsOrder, t)
 	c.releaseCopy(t)
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -156,6 +156,7 @@
 		}
 		c.endTask(m, t)
 		s.open--
+		c.noteWorkDone(m)
 	}
 	r, j := s.round, s.round.job
 	c.markEnded(j)
@@ -340,8 +341,8 @@
 	if r.Percent != t.percent {
 		t.percent, t.percentAt = r.Percent, now
 	}
-	if r.Checkpoint != "" {
-		t.checkpoint = r.Checkpoint
+	if r.Checkpoint != "" && r.Checkpoint != t.checkpoint {
+		t.checkpoint, t.checkpointAt = r.Checkpoint, now
 	}
 	t.load = r.Load
 }
--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -129,6 +130,9 @@
 	}
 	f.running[c.Attempt] = &fakeRun{started: sim.now, endsAt: sim.now + work, workTime: work,
 		longRunning: step.LongRunning}
+	if saved, err := strconv.ParseInt(c.Checkpoint, 10, 64); err == nil && sim.checkpointInterval > 0 {
+		f.running[c.Attempt].endsAt -= time.Duration(saved) * time.Millisecond
+	}
 	if step.LongRunning {
 		f.running[c.Attempt].endsAt = sim.now + time.Hour
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -49,6 +49,7 @@
 		}
 		t.queued = false
 	}
+	p.preempt(rest)
 	rest = p.giveTurns(rest)
 	clear(c.pending[len(rest):])
 	c.pending = rest
@@ -266,6 +267,7 @@
 	}
 	c.uncommitted = append(c.uncommitted, t)
 	c.noteShort(t)
+	c.notePlaced(p.now, t)
 	c.markDirty(j)
 	p.placed++
 	c.logger.Info("task placed", "task", t.id, "run", run, "worker", w.ID, "born", w.StartedAt,
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"clementinewalk.example/clementinewalk/internal/backlog"
 	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/speculation"
 )
@@ -117,6 +118,10 @@
 	// copies counts the second attempts of tasks, copyCores is what they reserve and may reserve.
 	copies    *prometheus.CounterVec
 	copyCores *prometheus.GaugeVec
+	// backlog holds the accepted work that is not placed, rates the rate at which it is done, by pool.
+	backlog, rates *prometheus.GaugeVec
+	// preemptions counts the tasks that were stopped for those of higher priorities.
+	preemptions *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of an owner.
@@ -146,8 +151,17 @@
 		copies: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_copies_total",
 			Help: "Second attempts of slow tasks, by why they were made and by what became of them."}, []string{"cause", "outcome"}),
 		copyCores: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_copy_cores",
-			Help: "Cores that copies of tasks reserve, and may reserve in all pools together."}, []string{"what"})}
-	r.MustRegister(m.waiting, m.cores, m.calls, m.answers, m.lost, m.closed, m.moves, m.durations, m.samples, m.copies, m.copyCores)
+			Help: "Cores that copies of tasks reserve, and may reserve in all pools together."}, []string{"what"}),
+		backlog: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_backlog_core_seconds",
+			Help: "Estimated work that is accepted, not placed and still of value, by queue, while its pool has a backlog."},
+			[]string{"queue", "pool"}),
+		rates: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_backlog_rate_cores",
+			Help: "Rate at which a pool with a backlog does its work: the best of late, and that of the last seconds."},
+			[]string{"pool", "rate"}),
+		preemptions: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_preemptions_total",
+			Help: "Tasks that were stopped to make room for one of a higher priority."}, []string{"pool"})}
+	r.MustRegister(m.waiting, m.cores, m.calls, m.answers, m.lost, m.closed, m.moves, m.durations, m.samples, m.copies,
+		m.copyCores, m.backlog, m.rates, m.preemptions)
 	return m
 }
 
@@ -182,6 +196,23 @@
 	m.answers.WithLabelValues("unanswered").Add(float64(l.unanswered))
 }
 
+// setBacklog sets the metrics of a summary of the backlog.
+func (m *Metrics) setBacklog(s *backlog.Summary) {
+	if m == nil {
+		return
+	}
+	m.backlog.Reset()
+	m.rates.Reset()
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		m.backlog.WithLabelValues(c.Queue, c.Pool).Add(float64(c.Waiting) / millisPerCore)
+	}
+	for _, p := range s.Pools {
+		m.rates.WithLabelValues(p.Name, "best").Set(float64(p.Best) / millisPerCore)
+		m.rates.WithLabelValues(p.Name, "recent").Set(float64(p.Recent) / millisPerCore)
+	}
+}
+
 func (m *Metrics) attemptLost(reason lossReason) {
 	if m != nil {
 		m.lost.WithLabelValues(string(reason)).Inc()
@@ -218,10 +249,17 @@
 	}
 }
 
+func (m *Metrics) preempted(pool string) {
+	if m != nil {
+		m.preemptions.WithLabelValues(pool).Inc()
+	}
+}
+
 // reset sets the metrics of an instance that is no longer the owner.
 func (m *Metrics) reset() {
 	m.set(&summary{})
 	m.setCalls(&callLoad{})
 	m.setDurations(0, &durationStats{})
 	m.setCopyCores(0, 0)
+	m.setBacklog(&backlog.Summary{})
 }
