Remember the best node of a ranking

A task that waits although there is room searches all workers each time that it is asked, mostly before any of them has changed.

--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -134,6 +134,10 @@
 	admits func(*Node) bool
 	nodes  []*Node
 	scores []float64
+	// best is what Best returns without a worker to avoid and without a filter, if bestKnown is set. Tasks that wait although
+	// there is room ask again before any node has changed.
+	best      *Node
+	bestKnown bool
 }
 
 // NewRanking returns the ranking of nodes, in the order of Index, for tasks like t, which avoids no worker. admits reports whether a node may
@@ -158,6 +162,7 @@
 
 // Update scores a node again that has taken a task.
 func (r *Ranking) Update(n *Node) {
+	r.bestKnown = false
 	i, ok := slices.BinarySearchFunc(r.nodes, n.Index, func(o *Node, index int) int { return o.Index - index })
 	if !ok {
 		return
@@ -176,6 +181,16 @@
 // Best returns the node that Choose would return for a task that avoids a worker, among the admitted nodes that accept
 // allows, or nil. An empty avoidWorker and a nil accept stand for none.
 func (r *Ranking) Best(avoidWorker string, accept func(*Node) bool) *Node {
+	if avoidWorker != "" || accept != nil {
+		return r.search(avoidWorker, accept)
+	}
+	if !r.bestKnown {
+		r.best, r.bestKnown = r.search("", nil), true
+	}
+	return r.best
+}
+
+func (r *Ranking) search(avoidWorker string, accept func(*Node) bool) *Node {
 	var best *Node
 	bestScore := 0.0
 	for i, s := range r.scores {
--- a/internal/assign/ranking_test.go
+++ b/internal/assign/ranking_test.go
@@ -42,6 +42,14 @@
 			want.Reserved = want.Reserved.Add(task.Reserved())
 			want.Services["a"]++
 			ranking.Update(want)
+			var admitted []*Node
+			for _, n := range nodes {
+				if admits(n) {
+					admitted = append(admitted, n)
+				}
+			}
+			assert.Same(t, Choose(admitted, task), ranking.Best("", nil))
+			assert.Same(t, ranking.Best("", nil), ranking.Best("", nil), "asked again")
 		}
 		for ranking.Best("", nil) != nil {
 			n := ranking.Best("", nil)
