Let tasks and gangs wait for a better rack

The rack of the data was a preference of the score only. The owner now asks package locality, with the room that its tasks have freed in each rack. A task that waits by choice holds nothing, is no shortage that holds services up, and gets no turn.

--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -133,7 +133,8 @@
 		WorkersTopic: platform.TopicWorkers, SubmissionsTopic: t.Submissions,
 		Retention: s.StatusRetention + retentionMargin,
 		Params: dispatch.Params{Lease: min(leaseDuration, s.MaxLease), MaxLease: s.MaxLease,
-			Isolation: isolationLimit, EvacuationLimit: s.EvacuationLimit, ObjectiveTolerance: s.InterferenceTolerance}}
+			Isolation: isolationLimit, EvacuationLimit: s.EvacuationLimit, ObjectiveTolerance: s.InterferenceTolerance,
+			RemoteSlowdown: s.RemoteSlowdown}}
 	owner := dispatch.NewOwner(settings, log, w, a, platform.DecodeMember, q, c,
 		dispatch.Views{Submissions: v.Submissions, Progress: v.Progress}, v.RoleChanged, process.WithPrefix(l, "owner"))
 	owner.UseMetrics(dispatch.NewMetrics(r))
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -18,7 +18,8 @@
 	if _, ok := p.noRoom[key]; ok {
 		return nil
 	}
-	failedIn := &t.step.noCandidate[candidateSearch{waitExpired: waitExpired, caution: avoids}.index()]
+	search := candidateSearch{waitExpired: waitExpired, caution: avoids}
+	failedIn := &t.step.noCandidate[search.index()]
 	if *failedIn == p.number {
 		return nil
 	}
@@ -27,20 +28,35 @@
 		*failedIn = p.number
 		return nil
 	}
-	r := p.ranking(t, nodes, waitExpired, bounded)
-	if bounded && r.Empty() {
-		p.bound.noteFull(t)
-	}
 	var accept func(*assign.Node) bool
 	if t.restricted() || filter != nil {
 		accept = func(n *assign.Node) bool { return p.allows(n, t, filter) }
 	}
+	var rack *rackView
+	prefersRack := p.core.prefersRack(t)
+	if prefersRack {
+		rack = p.racks(t.job().terms.Pool).racks[def.DataRack]
+		if p.awaits(t, rack) {
+			n := p.nearNode(t, rack, bounded, search, accept)
+			p.awaitsRack = n == nil
+			return n
+		}
+	}
+	r := p.ranking(t, nodes, waitExpired, bounded)
+	if bounded && r.Empty() {
+		p.bound.noteFull(t)
+	}
 	n := r.Best(t.avoidWorker, accept)
 	if n == nil {
 		*failedIn = p.number
 		if accept == nil && !def.BestEffort {
 			p.noRoom[key] = struct{}{}
 		}
+		return nil
+	}
+	if prefersRack && n.Rack != def.DataRack && p.nearNode(t, rack, bounded, search, accept) == nil && p.asksToWait(t, rack) {
+		p.awaitsRack = true
+		return nil
 	}
 	return n
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -15,6 +15,7 @@
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/evacuation"
 	"clementinewalk.example/clementinewalk/internal/interference"
+	"clementinewalk.example/clementinewalk/internal/locality"
 	"clementinewalk.example/clementinewalk/internal/queue"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
@@ -30,6 +31,9 @@
 	EvacuationLimit time.Duration
 	// ObjectiveTolerance is how long the best-effort tasks beside a service may keep it over its latency objective.
 	ObjectiveTolerance time.Duration
+	// RemoteSlowdown is the factor by which a task away from the rack of its data, or a gang on more than one rack, takes
+	// longer. No task waits for a better place if it is 1 or less.
+	RemoteSlowdown float64
 }
 
 // driftFactor converts a duration on a worker's clock, which may run 2% slow, to the local time in which it has
@@ -132,6 +136,7 @@
 	// pool.
 	demand       map[string]*evacuation.Demand
 	largestShort map[string]int64
+	rackWaits    rackWaits
 }
 
 // Stored is what a new owner knows from the log.
@@ -164,7 +169,8 @@
 		suspects: map[*task]struct{}{}, storedCrashes: stored.Suspects,
 		model: interference.Restore(now, stored.Interference), objectives: map[string]time.Duration{},
 		lastInTimeWait: map[string]time.Duration{}, closed: stored.Closed, moving: map[*task]struct{}{},
-		movesHeld: map[string]evacuation.Held{}, demand: map[string]*evacuation.Demand{}, largestShort: map[string]int64{}}
+		movesHeld: map[string]evacuation.Held{}, demand: map[string]*evacuation.Demand{}, largestShort: map[string]int64{},
+		rackWaits: rackWaits{decide: locality.Decide, outcomes: map[rackKey]*rackOutcomes{}}}
 	for _, i := range stored.Unfenced {
 		c.unfenced[i] = struct{}{}
 	}
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -150,6 +150,7 @@
 			continue
 		}
 		if m.phase == workflow.Placed {
+			c.noteFreed(now, m)
 			c.release(m)
 		}
 		m.phase = workflow.Ended
--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -19,6 +19,8 @@
 	highestEpoch int64
 	pool         string
 	dataCentre   string
+	rack         string
+	coldFor      time.Duration
 	labels       []string
 	// leaseUntil is the reading of the worker's clock at which its lease ends.
 	leaseUntil time.Duration
@@ -119,8 +121,11 @@
 	}
 	sim.checkStart(f, c, &step)
 	f.highestRun[c.Task] = c.Run
-	f.running[c.Attempt] = &fakeRun{started: sim.now, endsAt: sim.now + step.Estimate, workTime: step.Estimate,
-		longRunning: step.LongRunning}
+	work := step.Estimate
+	if sim.runTime != nil {
+		work = sim.runTime(&step)
+	}
+	f.running[c.Attempt] = &fakeRun{started: sim.now, endsAt: sim.now + work, workTime: work, longRunning: step.LongRunning}
 	if step.LongRunning {
 		f.running[c.Attempt].endsAt = sim.now + time.Hour
 	}
@@ -134,6 +139,19 @@
 	return CallAnswer{Clock: sim.clock(f), StartedAt: f.startedAt}, nil
 }
 
+// lostToRacks returns the part of a tick in which an attempt makes no progress because of its rack or those of its gang.
+func (sim *simulation) lostToRacks(f *fakeWorker, a Attempt) time.Duration {
+	s := &sim.steps[a.Task.Job][a.Task.Step]
+	far := s.DataRack != "" && s.DataRack != f.rack
+	if s.Gang && s.SameRack {
+		sim.forEachMember(a, func(o *fakeWorker, _ Attempt) { far = far || o.rack != f.rack })
+	}
+	if !far || sim.remoteSlowdown <= 1 {
+		return 0
+	}
+	return time.Duration(float64(tick) * (1 - 1/sim.remoteSlowdown))
+}
+
 // extendLease extends a lease to a reading of the worker's clock, at most by the longest lease.
 func (sim *simulation) extendLease(f *fakeWorker, until time.Duration) {
 	f.leaseUntil = max(f.leaseUntil, min(until, sim.clock(f)+sim.params.MaxLease))
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -8,6 +8,7 @@
 
 	"clementinewalk.example/clementinewalk/internal/assign"
 	"clementinewalk.example/clementinewalk/internal/headroom"
+	"clementinewalk.example/clementinewalk/internal/locality"
 	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
@@ -86,6 +87,9 @@
 	fullUntil time.Duration
 	// worstTailRatio is the highest ratio of tail latency to objective among the services on the worker.
 	worstTailRatio float64
+	// freed tracks the room that tasks have freed by their end, near what tasks with their data in the rack have used, in
+	// thousandths of a core times seconds.
+	freed, near locality.Meter
 	// nextTurn is the time from which the worker may take a turn of another submission.
 	nextTurn time.Duration
 }
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -13,6 +13,10 @@
 	if s.restarting {
 		return false
 	}
+	if w := &s.tasks[0].rackWait; w.active && p.now < w.retryAt {
+		p.awaitsRack = true
+		return false
+	}
 	run := 0
 	for _, t := range s.tasks {
 		if t.phase != workflow.Pending {
@@ -21,10 +25,14 @@
 		run = max(run, t.run)
 	}
 	chosen := p.fitGang(s)
+	if chosen == nil && p.awaitsRack {
+		return false
+	}
 	if chosen == nil {
 		p.requestAdvice(s.tasks[0])
 		return false
 	}
+	p.core.endRackWait(p.now, s.tasks[0], inOneRack(chosen))
 	for i, t := range s.tasks {
 		t.checkpoint = s.tasks[0].checkpoint
 		p.assignTask(t, chosen[i], run+1)
@@ -53,15 +61,31 @@
 			names = append(names, r)
 		}
 		sort.Strings(names)
+		if home := s.def.DataRack; p.core.prefersRack(s.tasks[0]) && racks[home] != nil {
+			names = slices.Insert(names, 0, home)
+		}
 		for _, r := range names {
 			if s.hasSlots(racks[r]) {
 				return p.chooseGangNodes(s, racks[r])
 			}
 		}
+		if p.gangWaits(s) {
+			p.awaitsRack = true
+			return nil
+		}
 	}
 	return p.chooseGangNodes(s, nodes)
 }
 
+func inOneRack(nodes []*assign.Node) bool {
+	for _, n := range nodes {
+		if n.Rack != nodes[0].Rack {
+			return false
+		}
+	}
+	return true
+}
+
 // gangNodes returns the nodes that can take at least one task of a gang. The tasks of a gang need room at the same time,
 // for which they could wait forever under the bound on best-effort work.
 func (p *plan) gangNodes(s *step) []*assign.Node {
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -36,6 +36,7 @@
 	// The rankings contain the held worker.
 	clear(p.rankings)
 	p.bound.forgetRoom(pool)
+	p.forgetRack(pool, best)
 }
 
 // maxHeld returns how many workers may be held when a task that needs a label, which may be empty, wants one more. Workers
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -67,6 +67,13 @@
 	rankedAt time.Duration
 	// noCandidate holds, for each kind of search for a worker, the number of the newest plan in which it found none.
 	noCandidate [candidateSearches]int64
+	// noNear is the same for the rack of the data only. rackCanHold reports whether that rack could hold a task, as of the plan
+	// rackCheckedIn.
+	noNear        [candidateSearches]int64
+	rackCanHold   bool
+	rackCheckedIn int64
+	// waitLoggedAt is when a wait for a rack was last logged.
+	waitLoggedAt time.Duration
 	// restarting is set while the remaining tasks of a gang are stopped, because one of them ended without success or
 	// could not be started.
 	restarting bool
@@ -165,6 +172,8 @@
 	queued bool
 	// unplaced is why the last plan left the task pending.
 	unplaced unplaced
+	// rackWait is the wait for a better place.
+	rackWait rackWait
 	// rank is the task's place in the order of placement, as of the last plan.
 	rank rank
 }
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -78,7 +78,7 @@
 // noteShortage notes that a task was not placed, if it is neither long-running nor best effort and should run now.
 func (c *Core) noteShortage(now time.Duration, t *task) {
 	d := t.step.def
-	if d.LongRunning || d.BestEffort || t.notBefore > now || t.tier(now) != tierOnTime {
+	if d.LongRunning || d.BestEffort || t.unplaced == unplacedAwaitsRack || t.notBefore > now || t.tier(now) != tierOnTime {
 		return
 	}
 	if !c.scarce(now) {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -43,6 +43,7 @@
 		if t.unplaced = p.tryPlace(t); t.unplaced != unplacedNone {
 			c.noteShortage(now, t)
 			c.noteInTimeWait(now, t)
+			p.noteAhead(t)
 			rest = append(rest, t)
 			continue
 		}
@@ -74,10 +75,12 @@
 		return unplacedBackoff
 	case p.core.mustWait(p.now, t):
 		return unplacedYields
-	case !p.place(t):
-		return unplacedNoWorker
+	case p.place(t):
+		return unplacedNone
+	case p.awaitsRack:
+		return unplacedAwaitsRack
 	}
-	return unplacedNone
+	return unplacedNoWorker
 }
 
 func (c *Core) activateDueRounds(now time.Duration) {
@@ -126,6 +129,12 @@
 	noHold map[holdKey]struct{}
 	// warm leaves out the cold workers.
 	warm bool
+	// rackViews holds the racks of each pool, once a task asks for one.
+	rackViews map[string]*poolView
+	// awaitsRack is set if the task that was tried last waits for a better place by choice. gangRack is the place of the last
+	// gang that was asked.
+	awaitsRack bool
+	gangRack   string
 }
 
 // rankingKey holds what the scores of the workers depend on.
@@ -133,6 +142,8 @@
 	pool, image, dataRack                             string
 	size                                              resource.Vector
 	bestEffort, latencyCritical, waitExpired, bounded bool
+	// near is set for the workers in the rack of the data only.
+	near bool
 }
 
 // planRanking is a ranking and the number of changed nodes that it contains.
@@ -199,10 +210,14 @@
 
 // place places a task, or all tasks of its gang, and reports whether it did.
 func (p *plan) place(t *task) bool {
+	p.awaitsRack = false
 	if t.step.def.Gang {
 		return p.placeGang(t.step)
 	}
 	node := p.chooseNode(t)
+	if node == nil && p.awaitsRack {
+		return false
+	}
 	if node == nil {
 		p.requestAdvice(t)
 		p.hold(t)
@@ -214,9 +229,7 @@
 
 // ranking returns the ranking of the nodes for a task.
 func (p *plan) ranking(t *task, nodes []*assign.Node, waitExpired, bounded bool) *assign.Ranking {
-	def := t.step.def
-	key := rankingKey{pool: t.job().terms.Pool, image: def.Image, dataRack: def.DataRack, size: def.Size,
-		bestEffort: def.BestEffort, latencyCritical: latencyCritical(def), waitExpired: waitExpired, bounded: bounded}
+	key := p.rankingKey(t, waitExpired, bounded)
 	r := p.rankings[key]
 	if r == nil {
 		var admits func(*assign.Node) bool
@@ -233,11 +246,22 @@
 		r = &planRanking{Ranking: assign.NewRanking(nodes, p.core.placement(p.now, t, ""), admits), seen: len(p.changed)}
 		p.rankings[key] = r
 	}
+	p.update(r)
+	return r.Ranking
+}
+
+func (p *plan) rankingKey(t *task, waitExpired, bounded bool) rankingKey {
+	def := t.step.def
+	return rankingKey{pool: t.job().terms.Pool, image: def.Image, dataRack: def.DataRack, size: def.Size,
+		bestEffort: def.BestEffort, latencyCritical: latencyCritical(def), waitExpired: waitExpired, bounded: bounded}
+}
+
+// update scores the nodes again that have taken a task since the last use of a ranking.
+func (p *plan) update(r *planRanking) {
 	for _, n := range p.changed[r.seen:] {
 		r.Update(n)
 	}
 	r.seen = len(p.changed)
-	return r.Ranking
 }
 
 // placement returns the description of a task for the choice of its worker.
@@ -255,6 +279,7 @@
 	t.run, t.workerStartedAt, t.startState, t.commitBatch, t.startCalls = run, w.StartedAt, startUncommitted, 0, 0
 	t.startCutShort = false
 	t.placedAt = p.now
+	c.endTaskRackWait(p.now, t, n)
 	c.timing.observe(phaseWait, p.now-t.queuedAt)
 	w.addTask(t)
 	j := t.job()
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"clementinewalk.example/clementinewalk/internal/locality"
 	"clementinewalk.example/clementinewalk/internal/resource"
 )
 
@@ -83,6 +84,7 @@
 	c.logger.Info("start summary", c.timing.take()...)
 	c.logWaitingServices(now)
 	c.logClosed(&s.closed)
+	c.summarizeRackWaits(now)
 	c.logger.Info("placement summary", "epoch", c.epoch, "workers", s.workers, "usable", s.usable, "silent", s.silent,
 		"placed", s.placed, "waiting", s.waiting, "image_mixtures", s.mixtures,
 		"waiting_services", s.waitingServices, "idle_submissions", s.idleSubmissions,
@@ -108,6 +110,10 @@
 	// closed counts tasks that closed data centres concern, moves the tasks that were moved out of them.
 	closed *prometheus.GaugeVec
 	moves  prometheus.Counter
+	// rackWaiting is the number of tasks that wait for a rack by choice, rackWaits counts the waits that ended, rackTime their
+	// time, and rackDecisions the decisions.
+	rackWaiting                        prometheus.Gauge
+	rackWaits, rackTime, rackDecisions *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of an owner.
@@ -128,8 +134,18 @@
 			Help: "Tasks that wait while a closed data centre has room for them, long-running tasks left in closed data centres, and tasks that are being moved out."},
 			[]string{"what"}),
 		moves: prometheus.NewCounter(prometheus.CounterOpts{Name: "clementine_owner_moves_total",
-			Help: "Long-running tasks that were stopped in a closed data centre to start elsewhere."})}
-	r.MustRegister(m.waiting, m.cores, m.calls, m.answers, m.lost, m.closed, m.moves)
+			Help: "Long-running tasks that were stopped in a closed data centre to start elsewhere."}),
+		rackWaiting: prometheus.NewGauge(prometheus.GaugeOpts{Name: "clementine_owner_rack_waiting_tasks",
+			Help: "Tasks and gangs that wait for a better rack although there is room elsewhere."}),
+		rackWaits: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_rack_waits_total",
+			Help: "Waits for a better rack that ended with a placement, by whether it was there."}, []string{"outcome"}),
+		rackTime: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_rack_wait_seconds_total",
+			Help: "Time that tasks have waited for a better rack, and what they gained (as expected) or lost by it."},
+			[]string{"what"}),
+		rackDecisions: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_rack_decisions_total",
+			Help: "Decisions whether to wait for a better rack, by their reason."}, []string{"reason"})}
+	r.MustRegister(m.waiting, m.cores, m.calls, m.answers, m.lost, m.closed, m.moves, m.rackWaiting, m.rackWaits, m.rackTime,
+		m.rackDecisions)
 	return m
 }
 
@@ -176,8 +192,24 @@
 	}
 }
 
+func (m *Metrics) setRackWaits(waiting int, r *rackWaits) {
+	if m == nil {
+		return
+	}
+	m.rackWaiting.Set(float64(waiting))
+	m.rackWaits.WithLabelValues("paid").Add(float64(r.counts.paid))
+	m.rackWaits.WithLabelValues("vain").Add(float64(r.counts.vain))
+	m.rackTime.WithLabelValues("waited").Add(r.counts.waited.Seconds())
+	m.rackTime.WithLabelValues("gained").Add(max(0, r.counts.gained.Seconds()))
+	m.rackTime.WithLabelValues("lost").Add(r.counts.lost.Seconds())
+	for reason, n := range r.reasons {
+		m.rackDecisions.WithLabelValues(locality.Reason(reason).String()).Add(float64(n))
+	}
+}
+
 // reset sets the metrics of an instance that is no longer the owner.
 func (m *Metrics) reset() {
 	m.set(&summary{})
 	m.setCalls(&callLoad{})
+	m.setRackWaits(0, &rackWaits{})
 }
--- a/internal/dispatch/turns.go
+++ b/internal/dispatch/turns.go
@@ -65,7 +65,7 @@
 // delay those that can be in time.
 func (p *plan) mayTakeTurn(t *task) bool {
 	def, j := t.step.def, t.job()
-	return def.BestEffort && !def.Gang && j.placed == 0 && t.notBefore <= p.now &&
+	return def.BestEffort && !def.Gang && j.placed == 0 && t.notBefore <= p.now && t.unplaced != unplacedAwaitsRack &&
 		t.idleTime(p.now) >= maxIdleWait && (t.rank.tier == tierOnTime || !p.core.inTimeWaits(p.now, j.terms.Pool))
 }
 
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -19,10 +19,12 @@
 	unplacedYields
 	// unplacedNoWorker: no candidate had room and met what the step asks for.
 	unplacedNoWorker
+	// unplacedAwaitsRack: there is room, but a better place is expected to become free in time, see package locality.
+	unplacedAwaitsRack
 )
 
 var unplacedNames = [...]string{unplacedNone: "not-tried", unplacedPlanFull: "plan-full", unplacedBackoff: "backoff",
-	unplacedYields: "yields", unplacedNoWorker: "no-worker"}
+	unplacedYields: "yields", unplacedNoWorker: "no-worker", unplacedAwaitsRack: "awaits-rack"}
 
 // exclusion is why a worker gets no new task.
 type exclusion uint8
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -84,6 +84,10 @@
 	pinnedStarts bool
 	// heldStarts is how long starts wait between their decision and their transmission.
 	heldStarts time.Duration
+	// remoteSlowdown is the factor by which tasks away from the rack of their data, and gangs on several racks, take longer; 0 for
+	// none. runTime returns how long a task runs in the better place; nil for its estimate.
+	remoteSlowdown float64
+	runTime        func(*workflow.Step) time.Duration
 	// closures is what the log holds about closed data centres; nil if the owner does not read it.
 	closures *fakeClosures
 	// staleEntries holds, by id, the newest entries in the log of workers that have not written one since their restart.
@@ -130,7 +134,7 @@
 
 func (sim *simulation) member(f *fakeWorker) Member {
 	return Member{Incarnation: Incarnation{ID: f.id, StartedAt: f.startedAt}, Pool: f.pool, Addr: f.addr,
-		DataCentre: f.dataCentre, Capacity: f.capacity, Labels: f.labels}
+		DataCentre: f.dataCentre, Capacity: f.capacity, Labels: f.labels, Rack: f.rack, ColdFor: f.coldFor}
 }
 
 // takeOver replaces the owner by one that knows only what is stored. Calls of the previous owner that are in flight
@@ -296,6 +300,7 @@
 	}
 	for a, r := range f.running {
 		alone := false
+		r.endsAt += sim.lostToRacks(f, a)
 		if f.stalled {
 			r.endsAt += tick
 		}
