Play random faults with racks, and count waiting tasks and gangs apart

Waits were tested under one fault at a time only. The random faults now also run with racks and the slowdown, under seeds of their own.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -283,13 +283,14 @@
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			randomFaults(t, seed)
+			randomFaults(t, seed, 0)
 		})
 	}
 }
 
-func randomFaults(t *testing.T, seed uint64) {
+func randomFaults(t *testing.T, seed uint64, remoteSlowdown float64) {
 	sim := newSimulation(t, seed, 5)
+	sim.useRacks(remoteSlowdown)
 	sim.callLossShare, sim.listedEnds = 0.08, fewListedEnds
 	sim.useClosures(time.Duration(sim.rng.IntN(1300)) * time.Millisecond)
 	sim.submit("service", budgetedServices(3, 2))
@@ -301,7 +302,10 @@
 			batchStep(1+sim.rng.IntN(3), 300*time.Millisecond, 0)}
 		if sim.rng.IntN(6) == 0 {
 			steps = steps[:1]
-			steps[0].Gang = true
+			steps[0].Gang, steps[0].SameRack = true, remoteSlowdown > 0
+		}
+		if remoteSlowdown > 0 && !steps[0].Gang {
+			steps[0].DataRack = rackName(sim.rng.IntN(3))
 		}
 		sim.submit(id, steps...)
 		jobs = append(jobs, id)
--- a/internal/dispatch/locality.go
+++ b/internal/dispatch/locality.go
@@ -415,16 +415,26 @@
 	return slots
 }
 
-// rackWaiting returns how many tasks wait by choice, and the longest of their waits.
-func (c *Core) rackWaiting(now time.Duration) (int, time.Duration) {
-	n, longest := 0, time.Duration(0)
+// rackWaiting counts the tasks and gangs that wait by choice.
+type rackWaiting struct {
+	tasks, gangs int
+	longest      time.Duration
+}
+
+func (c *Core) newRackWaiting(now time.Duration) rackWaiting {
+	var w rackWaiting
 	for _, t := range c.pending {
-		if t.unplaced == unplacedAwaitsRack && t.phase == workflow.Pending {
-			n++
-			longest = max(longest, now-t.rackWait.since)
+		switch {
+		case t.unplaced != unplacedAwaitsRack || t.phase != workflow.Pending:
+			continue
+		case t.step.def.Gang:
+			w.gangs++
+		default:
+			w.tasks++
 		}
+		w.longest = max(w.longest, now-t.rackWait.since)
 	}
-	return n, longest
+	return w
 }
 
 // summarizeRackWaits logs and counts the waits since the last summary.
@@ -433,7 +443,7 @@
 		return
 	}
 	r := &c.rackWaits
-	waiting, longest := c.rackWaiting(now)
+	waiting := c.newRackWaiting(now)
 	c.metrics.setRackWaits(waiting, r)
 	asked := make([]any, 0, len(r.reasons))
 	for reason, n := range r.reasons {
@@ -441,8 +451,9 @@
 			asked = append(asked, slog.Int(locality.Reason(reason).String(), n))
 		}
 	}
-	if n := r.counts; len(asked) > 0 || waiting > 0 || n != (rackCounts{}) {
-		c.logger.Info("waits for racks", "waiting", waiting, "longest_ms", longest.Milliseconds(), "paid", n.paid,
+	if n := r.counts; len(asked) > 0 || waiting != (rackWaiting{}) || n != (rackCounts{}) {
+		c.logger.Info("waits for racks", "tasks", waiting.tasks, "gangs", waiting.gangs,
+			"longest_ms", waiting.longest.Milliseconds(), "paid", n.paid,
 			"vain", n.vain, "waited_ms", n.waited.Milliseconds(), "gained_ms", n.gained.Milliseconds(),
 			"lost_ms", n.lost.Milliseconds(), slog.Group("decisions", asked...))
 	}
--- a/internal/dispatch/locality_test.go
+++ b/internal/dispatch/locality_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -32,6 +34,28 @@
 	return sim
 }
 
+// useRacks puts the workers into two racks and makes tasks away from the rack of their data slow, unless the factor is 0.
+func (sim *simulation) useRacks(slowdown float64) {
+	if slowdown == 0 {
+		return
+	}
+	sim.remoteSlowdown, sim.params.RemoteSlowdown = slowdown, slowdown
+	for id, f := range sim.workers {
+		f.rack = rackName(int(id[0]-'a') % 2)
+	}
+	sim.takeOver()
+}
+
+// Guards against waits that break the guarantees on starts and ends, or never end, when workers, owners and the log fail.
+func TestRandomFaultsWithRacks(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			randomFaults(t, 100+seed, testSlowdown)
+		})
+	}
+}
+
 func rackName(i int) string { return fmt.Sprintf("rack-%d", i) }
 
 func nearStep(count int, d time.Duration, rack int) workflow.Step {
@@ -175,6 +199,12 @@
 
 func TestTaskWaitsForItsRack(t *testing.T) {
 	sim, task := newWait(t)
+	sim.core.metrics = NewMetrics(prometheus.NewRegistry())
+	m := sim.core.metrics
+	assert.Equal(t, 1, sim.core.newRackWaiting(sim.now).tasks)
+	sim.core.summarizeRackWaits(sim.now)
+	assert.InDelta(t, 1, testutil.ToFloat64(m.rackWaiting.WithLabelValues("task")), 0)
+	assert.Positive(t, testutil.ToFloat64(m.rackDecisions.WithLabelValues(locality.Waits.String())))
 	sim.run(700 * time.Millisecond)
 	require.NotNil(t, task.worker)
 	assert.Equal(t, rackName(0), task.worker.Rack)
@@ -248,7 +278,7 @@
 		sim.submit(workflow.JobID(fmt.Sprintf("successor%02d", i)), nearStep(5, 2*time.Second, 0))
 	}
 	sim.run(time.Second)
-	assert.Zero(t, reasons[locality.Waits])
+	assert.Len(t, reasons, 1)
 	assert.Positive(t, reasons[locality.RateUnknown])
 	for i := range 8 {
 		assert.Positive(t, sim.countRuns(workflow.JobID(fmt.Sprintf("successor%02d", i)), false), "submission %d runs", i)
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -110,9 +110,9 @@
 	// closed counts tasks that closed data centres concern, moves the tasks that were moved out of them.
 	closed *prometheus.GaugeVec
 	moves  prometheus.Counter
-	// rackWaiting is the number of tasks that wait for a rack by choice, rackWaits counts the waits that ended, rackTime their
+	// rackWaiting is the number of tasks and gangs that wait for a rack by choice, rackWaits counts the waits that ended, rackTime their
 	// time, and rackDecisions the decisions.
-	rackWaiting                        prometheus.Gauge
+	rackWaiting                        *prometheus.GaugeVec
 	rackWaits, rackTime, rackDecisions *prometheus.CounterVec
 }
 
@@ -135,8 +135,8 @@
 			[]string{"what"}),
 		moves: prometheus.NewCounter(prometheus.CounterOpts{Name: "clementine_owner_moves_total",
 			Help: "Long-running tasks that were stopped in a closed data centre to start elsewhere."}),
-		rackWaiting: prometheus.NewGauge(prometheus.GaugeOpts{Name: "clementine_owner_rack_waiting_tasks",
-			Help: "Tasks and gangs that wait for a better rack although there is room elsewhere."}),
+		rackWaiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_rack_waiting",
+			Help: "Tasks and gangs that wait for a better rack although there is room elsewhere."}, []string{"kind"}),
 		rackWaits: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_rack_waits_total",
 			Help: "Waits for a better rack that ended with a placement, by whether it was there."}, []string{"outcome"}),
 		rackTime: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_rack_wait_seconds_total",
@@ -192,11 +192,12 @@
 	}
 }
 
-func (m *Metrics) setRackWaits(waiting int, r *rackWaits) {
+func (m *Metrics) setRackWaits(waiting rackWaiting, r *rackWaits) {
 	if m == nil {
 		return
 	}
-	m.rackWaiting.Set(float64(waiting))
+	m.rackWaiting.WithLabelValues("task").Set(float64(waiting.tasks))
+	m.rackWaiting.WithLabelValues("gang").Set(float64(waiting.gangs))
 	m.rackWaits.WithLabelValues("paid").Add(float64(r.counts.paid))
 	m.rackWaits.WithLabelValues("vain").Add(float64(r.counts.vain))
 	m.rackTime.WithLabelValues("waited").Add(r.counts.waited.Seconds())
@@ -211,5 +212,5 @@
 func (m *Metrics) reset() {
 	m.set(&summary{})
 	m.setCalls(&callLoad{})
-	m.setRackWaits(0, &rackWaits{})
+	m.setRackWaits(rackWaiting{}, &rackWaits{})
 }
