--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -17,6 +17,7 @@
 	"clementinewalk.example/clementinewalk/internal/durations"
 	"clementinewalk.example/clementinewalk/internal/evacuation"
 	"clementinewalk.example/clementinewalk/internal/interference"
+	"clementinewalk.example/clementinewalk/internal/locality"
 	"clementinewalk.example/clementinewalk/internal/preemption"
 	"clementinewalk.example/clementinewalk/internal/queue"
 	"clementinewalk.example/clementinewalk/internal/speculation"
@@ -34,6 +35,9 @@
 	EvacuationLimit time.Duration
 	// ObjectiveTolerance is how long the best-effort tasks beside a service may keep it over its latency objective.
 	ObjectiveTolerance time.Duration
+	// RemoteSlowdown is the factor by which a task away from the rack of its data, or a gang on more than one rack, takes
+	// longer. No task waits for a better place if it is 1 or less.
+	RemoteSlowdown float64
 }
 
 // driftFactor converts a duration on a worker's clock, which may run 2% slow, to the local time in which it has
@@ -153,6 +157,7 @@
 	preemptions map[string]*preemption.Limiter
 	// nextPreemptionCheck is the earliest time of the next decisions about such stops.
 	nextPreemptionCheck time.Duration
+	rackWaits           rackWaits
 }
 
 // Stored is what a new owner knows from the log.
@@ -188,7 +193,8 @@
 		movesHeld: map[string]evacuation.Held{}, demand: map[string]*evacuation.Demand{}, largestShort: map[string]int64{},
 		durations: durations.New(), copyable: map[*task]struct{}{}, copies: map[*task]struct{}{},
 		meters: map[string]*backlog.Meter{}, lastPlaced: map[classKey]time.Duration{},
-		preemptions: map[string]*preemption.Limiter{}}
+		preemptions: map[string]*preemption.Limiter{},
+		rackWaits:   rackWaits{decide: locality.Decide, outcomes: map[rackKey]*rackOutcomes{}}}
 	for _, i := range stored.Unfenced {
 		c.unfenced[i] = struct{}{}
 	}
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -154,6 +154,14 @@
 		if m.done() {
 			continue
 		}
+		freed := m
+		if !s.def.Gang {
+			// The attempt that has ended may be a copy.
+			freed = t
+		}
+		if freed.phase == workflow.Placed {
+			c.noteFreed(now, freed)
+		}
 		c.endTask(m, t)
 		s.open--
 		c.noteWorkDone(m)
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"clementinewalk.example/clementinewalk/internal/backlog"
+	"clementinewalk.example/clementinewalk/internal/locality"
 	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/speculation"
 )
@@ -87,6 +88,7 @@
 	c.logClosed(&s.closed)
 	c.summarizeDurations()
 	c.summarizeCopies()
+	c.summarizeRackWaits(now)
 	c.logger.Info("placement summary", "epoch", c.epoch, "workers", s.workers, "usable", s.usable, "silent", s.silent,
 		"placed", s.placed, "waiting", s.waiting, "image_mixtures", s.mixtures,
 		"waiting_services", s.waitingServices, "idle_submissions", s.idleSubmissions,
@@ -122,6 +124,10 @@
 	backlog, rates *prometheus.GaugeVec
 	// preemptions counts the tasks that were stopped for those of higher priorities.
 	preemptions *prometheus.CounterVec
+	// rackWaiting is the number of tasks and gangs that wait for a rack by choice, rackWaits counts the waits that ended, rackTime their
+	// time, and rackDecisions the decisions.
+	rackWaiting                        *prometheus.GaugeVec
+	rackWaits, rackTime, rackDecisions *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of an owner.
@@ -159,9 +165,18 @@
 			Help: "Rate at which a pool with a backlog does its work: the best of late, and that of the last seconds."},
 			[]string{"pool", "rate"}),
 		preemptions: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_preemptions_total",
-			Help: "Tasks that were stopped to make room for one of a higher priority."}, []string{"pool"})}
+			Help: "Tasks that were stopped to make room for one of a higher priority."}, []string{"pool"}),
+		rackWaiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_rack_waiting",
+			Help: "Tasks and gangs that wait for a better rack although there is room elsewhere."}, []string{"kind"}),
+		rackWaits: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_rack_waits_total",
+			Help: "Waits for a better rack that ended with a placement, by whether it was there."}, []string{"outcome"}),
+		rackTime: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_rack_wait_seconds_total",
+			Help: "Time that tasks have waited for a better rack, and what they gained (as expected) or lost by it."},
+			[]string{"what"}),
+		rackDecisions: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_rack_decisions_total",
+			Help: "Decisions whether to wait for a better rack, by their reason."}, []string{"reason"})}
 	r.MustRegister(m.waiting, m.cores, m.calls, m.answers, m.lost, m.closed, m.moves, m.durations, m.samples, m.copies,
-		m.copyCores, m.backlog, m.rates, m.preemptions)
+		m.copyCores, m.backlog, m.rates, m.preemptions, m.rackWaiting, m.rackWaits, m.rackTime, m.rackDecisions)
 	return m
 }
 
@@ -255,6 +270,22 @@
 	}
 }
 
+func (m *Metrics) setRackWaits(waiting rackWaiting, r *rackWaits) {
+	if m == nil {
+		return
+	}
+	m.rackWaiting.WithLabelValues("task").Set(float64(waiting.tasks))
+	m.rackWaiting.WithLabelValues("gang").Set(float64(waiting.gangs))
+	m.rackWaits.WithLabelValues("paid").Add(float64(r.counts.paid))
+	m.rackWaits.WithLabelValues("vain").Add(float64(r.counts.vain))
+	m.rackTime.WithLabelValues("waited").Add(r.counts.waited.Seconds())
+	m.rackTime.WithLabelValues("gained").Add(max(0, r.counts.gained.Seconds()))
+	m.rackTime.WithLabelValues("lost").Add(r.counts.lost.Seconds())
+	for reason, n := range r.reasons {
+		m.rackDecisions.WithLabelValues(locality.Reason(reason).String()).Add(float64(n))
+	}
+}
+
 // reset sets the metrics of an instance that is no longer the owner.
 func (m *Metrics) reset() {
 	m.set(&summary{})
@@ -262,4 +293,5 @@
 	m.setDurations(0, &durationStats{})
 	m.setCopyCores(0, 0)
 	m.setBacklog(&backlog.Summary{})
+	m.setRackWaits(rackWaiting{}, &rackWaits{})
 }
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -93,6 +93,9 @@
 	pinnedStarts bool
 	// heldStarts is how long starts wait between their decision and their transmission.
 	heldStarts time.Duration
+	// remoteSlowdown is the factor by which tasks away from the rack of their data, and gangs on several racks, take longer; 0 for
+	// none.
+	remoteSlowdown float64
 	// closures is what the log holds about closed data centres; nil if the owner does not read it.
 	closures *fakeClosures
 	// staleEntries holds, by id, the newest entries in the log of workers that have not written one since their restart.
@@ -142,7 +145,7 @@
 
 func (sim *simulation) member(f *fakeWorker) Member {
 	return Member{Incarnation: Incarnation{ID: f.id, StartedAt: f.startedAt}, Pool: f.pool, Addr: f.addr,
-		DataCentre: f.dataCentre, Capacity: f.capacity, Labels: f.labels, Rack: f.rack}
+		DataCentre: f.dataCentre, Capacity: f.capacity, Labels: f.labels, Rack: f.rack, ColdFor: f.coldFor}
 }
 
 // takeOver replaces the owner by one that knows only what is stored. Calls of the previous owner that are in flight
@@ -317,6 +320,7 @@
 			done := (r.workTime - (r.endsAt - sim.now)).Truncate(sim.checkpointInterval)
 			r.checkpoint = strconv.FormatInt(done.Milliseconds(), 10)
 		}
+		r.endsAt += sim.lostToRacks(f, a)
 		if f.stalled {
 			r.endsAt += tick
 		}
