Keep the unknown outcome of a peer when the own log refuses

Cause: RelayedAppender recognised a refusal by the own log with errors.As, which also finds it inside the UnknownError of an entry that a peer may have stored. The entry then went to a collector, and a refusal there was reported as a refusal of the entry (503), although the peer may have stored it. The counter of entries had the same mistake with UnsentError.

Change: an unknown outcome is final, and is not counted as refused.

Result: TestEntryThatAPeerMayHaveStoredIsNotRefused, which failed before.

--- a/internal/intake/collectors.go
+++ b/internal/intake/collectors.go
@@ -88,7 +88,8 @@
 // count counts an entry that took a path, or was refused before it was sent.
 func (c *Collectors) count(path string, err error) {
 	var unsent *eventlog.UnsentError
-	if errors.As(err, &unsent) {
+	var unknown *eventlog.UnknownError
+	if errors.As(err, &unsent) && !errors.As(err, &unknown) {
 		path = "refused"
 	}
 	c.entries.WithLabelValues(path).Inc()
--- /dev/null
+++ b/internal/intake/collectors_test.go
@@ -0,0 +1,60 @@
+package intake
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/assert"
+
+	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/eventlog"
+	"clementinewalk.example/clementinewalk/internal/relay"
+)
+
+// fakeCollectors answers each call with the same result.
+type fakeCollectors struct {
+	append time.Duration
+	err    error
+	calls  int
+}
+
+func (c *fakeCollectors) Collect(context.Context, catalog.Endpoint, eventlog.Entry) (time.Duration, error) {
+	c.calls++
+	return c.append, c.err
+}
+
+func (c *fakeCollectors) Report(context.Context, catalog.Endpoint, string, time.Duration) error { return nil }
+
+func (c *fakeCollectors) Hint(context.Context, catalog.Endpoint, time.Duration) error { return nil }
+
+// newCollectors returns the collectors of "self" while the log is slow.
+func newCollectors(client CollectorClient, p *Peers) *Collectors {
+	l, r := slog.New(slog.DiscardHandler), prometheus.NewRegistry()
+	log := eventlog.NewMonitor(nil, "submissions", l, r)
+	log.Hint(264 * time.Millisecond)
+	return NewCollectors("self", client, p.catalog, log, l, r)
+}
+
+// Guards against a refusal of an entry that a peer may have stored, because the own log has refused it and so does the
+// collector, and against counting an entry as refused that may have been stored.
+func TestEntryThatAPeerMayHaveStoredIsNotRefused(t *testing.T) {
+	for name, local := range map[string]error{"refused by the log": &eventlog.RefusedError{Op: "append", Status: 503},
+		"not sent": &eventlog.UnsentError{}} {
+		t.Run(name, func(t *testing.T) {
+			noAnswer := &relay.NoAnswerError{Peer: "owner", Err: io.EOF}
+			peers := newPeers(t, &fakePeers{errs: map[string]error{"owner": noAnswer, "other": noAnswer}}, 3*time.Second)
+			client := &fakeCollectors{err: &relay.RefusedError{Peer: "other", NoTime: true}}
+			c := newCollectors(client, peers)
+			a := &RelayedAppender{Local: &fakeAppender{err: local}, Peers: peers, Collectors: c}
+			var unknown *eventlog.UnknownError
+			assert.ErrorAs(t, a.Append(context.Background(), eventlog.Entry{Key: "x"}), &unknown)
+			assert.Zero(t, client.calls)
+			assert.Zero(t, testutil.ToFloat64(c.entries.WithLabelValues("refused")))
+		})
+	}
+}
--- a/internal/intake/relayed.go
+++ b/internal/intake/relayed.go
@@ -105,7 +105,9 @@
 	}
 	err := a.appendOrRelay(ctx, e)
 	var refused *eventlog.RefusedError
-	if errors.As(err, &refused) && a.Collectors.active() {
+	var unknown *eventlog.UnknownError
+	// The cause of an unknown outcome may be a refusal by the own log, after a peer that gave no answer.
+	if errors.As(err, &refused) && !errors.As(err, &unknown) && a.Collectors.active() {
 		// The queue of the log is full, which the collector waits for.
 		return a.Collectors.append(ctx, e, a.Local)
 	}
