Do not refuse an entry that the view shows as stored

Cause: intake looked for the entry in its view every 50 ms, but not when the append ended. A repeated submission that is refused here for lack of time got a 503 although an earlier request, at another instance, had stored it and the view already showed it.

Change: the view is asked before an outcome other than success is returned.

Result: TestRepeatedSubmissionThatIsStoredMeanwhileIsNotRefused, which failed before.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -157,6 +157,10 @@
 		select {
 		case err := <-done:
 			var unknown *eventlog.UnknownError
+			if err != nil && stored() {
+				// Read back since the last tick, or stored by an earlier request of the caller at another instance.
+				return nil
+			}
 			if !errors.As(err, &unknown) || ctx.Err() != nil {
 				// A definite answer, or no time is left to read the entry back.
 				return err
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -72,6 +72,23 @@
 	require.ErrorAs(t, newAPI(false).Submit(ctx, newSubmission()), &uncertain)
 }
 
+// overtakenLog refuses entries that an earlier request has stored meanwhile.
+type overtakenLog struct{ catalog *catalog.Catalog }
+
+func (l *overtakenLog) Append(_ context.Context, e eventlog.Entry) error {
+	e.Offset = 1
+	l.catalog.ApplySubmissions(eventlog.Batch{Entries: []eventlog.Entry{e}})
+	return &eventlog.UnsentError{}
+}
+
+// Guards against refusing a repeated submission although the view shows that an earlier request has stored it.
+func TestRepeatedSubmissionThatIsStoredMeanwhileIsNotRefused(t *testing.T) {
+	api := newAPI(false)
+	api.log = &overtakenLog{catalog: api.catalog}
+	require.NoError(t, api.Submit(context.Background(), newSubmission()))
+	require.NoError(t, api.Cancel(context.Background(), "q", newSubmission().Job))
+}
+
 func TestInvalidSubmissionIsNotStored(t *testing.T) {
 	var invalid *workflow.InvalidError
 	api := newAPI(true)
