Tell a stopping collector from a slow log

Cause: a batcher that has ended refuses entries with the state of the log, which is usable. The relay took that for a refusal for lack of time, which is final: an instance that passed an entry to a stopping collector refused it although the next collector could have stored it.

Change: UnsentError says that the batcher has ended, and the relay does not report that as lack of time.

Result: TestStoppedBatcherRefuses and the case "stopping" of TestCollect, which failed before.

--- a/internal/eventlog/batcher.go
+++ b/internal/eventlog/batcher.go
@@ -77,13 +77,19 @@
 // Error implements error.
 func (e *QueueFullError) Error() string { return "too many entries wait for the log" }
 
-// UnsentError reports an entry that was not sent, and never will be, because the log would not have stored it in time.
+// UnsentError reports an entry that was not sent, and never will be, because the log would not have stored it in time or
+// the batcher has ended.
 type UnsentError struct {
 	Health storehealth.Assessment
+	// Stopped reports that the batcher has ended, which says nothing about the log.
+	Stopped bool
 }
 
 // Error implements error.
 func (e *UnsentError) Error() string {
+	if e.Stopped {
+		return "the instance stops and sends nothing more to the log"
+	}
 	return "the log cannot store the entry in time: it is " + e.Health.State.String() + ", an append takes " +
 		e.Health.Append.String()
 }
@@ -125,7 +131,9 @@
 	defer b.mu.Unlock()
 	h := b.log.Health()
 	switch {
-	case ctx.Err() != nil || b.closed || h.Unreachable() || w.timeLeft() < b.expectedTime(h):
+	case b.closed:
+		return &UnsentError{Health: h, Stopped: true}
+	case ctx.Err() != nil || h.Unreachable() || w.timeLeft() < b.expectedTime(h):
 		return &UnsentError{Health: h}
 	case len(b.queue) >= maxQueuedEntries:
 		return &QueueFullError{Limit: maxQueuedEntries}
@@ -179,14 +187,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.closed = true
-	b.refuse(b.queue, b.log.Health())
-	b.queue = nil
-}
-
-func (b *Batcher) refuse(waiters []*waiter, h storehealth.Assessment) {
-	for _, w := range waiters {
-		w.done <- &UnsentError{Health: h}
+	h := b.log.Health()
+	for _, w := range b.queue {
+		w.done <- &UnsentError{Health: h, Stopped: true}
 	}
+	b.queue = nil
 }
 
 // dispatch sends what may be sent now. It returns whether entries remain queued.
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -277,6 +277,28 @@
 	}
 }
 
+// Guards against entries that wait for a batcher that has ended, and against a stop that looks like a slow log.
+func TestStoppedBatcherRefuses(t *testing.T) {
+	l := &blockedLog{Log: memlog.New(), release: make(chan struct{})}
+	defer close(l.release)
+	b := newBatcher(l)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); b.Run(ctx) }()
+	results := make(chan error, 3)
+	for range cap(results) {
+		go func() { results <- b.Append(context.Background(), eventlog.Entry{Key: "k", Value: []byte("v")}) }()
+		time.Sleep(20 * time.Millisecond)
+	}
+	cancel()
+	<-ended
+	var unsent *eventlog.UnsentError
+	require.ErrorAs(t, <-results, &unsent, "two are in flight, the third is queued")
+	assert.True(t, unsent.Stopped)
+	require.ErrorAs(t, b.Append(context.Background(), eventlog.Entry{Key: "late", Value: []byte("v")}), &unsent)
+	assert.True(t, unsent.Stopped)
+}
+
 // Guards against appends that are sent although the reads of the instance show that the log answers nothing.
 func TestFailedReadsStopAppends(t *testing.T) {
 	l := memlog.New()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -39,6 +39,8 @@
 	case "late":
 		<-ctx.Done()
 		return &eventlog.UnsentError{}
+	case "stopping":
+		return &eventlog.UnsentError{Stopped: true}
 	case "slow":
 		<-ctx.Done()
 		return ctx.Err()
@@ -164,9 +166,11 @@
 	_, err = c.Collect(callContext(t, 300*time.Millisecond), to, eventlog.Entry{Key: "late"})
 	require.ErrorAs(t, err, &refused, "the collector answers before the caller has given up")
 	assert.True(t, refused.NoTime)
-	_, err = c.Collect(callContext(t, 300*time.Millisecond), to, eventlog.Entry{Key: "refused"})
-	require.ErrorAs(t, err, &refused)
-	assert.False(t, refused.NoTime)
+	for _, key := range []string{"refused", "stopping"} {
+		_, err = c.Collect(callContext(t, 300*time.Millisecond), to, eventlog.Entry{Key: key})
+		require.ErrorAs(t, err, &refused)
+		assert.False(t, refused.NoTime, "another collector may store it")
+	}
 	require.NoError(t, c.Report(callContext(t, time.Second), to, "a", 80*time.Millisecond))
 	require.NoError(t, c.Hint(callContext(t, time.Second), to, 90*time.Millisecond))
 	assert.Equal(t, []eventlog.Entry{{Key: "k"}, {Key: "report of a", Offset: int64(80 * time.Millisecond)},
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -285,7 +285,7 @@
 			answer.Outcome = outcomeUnknown
 		default:
 			answer.Outcome = outcomeRefused
-			answer.NoTime = errors.As(err, &unsent) && !unsent.Health.Unreachable()
+			answer.NoTime = errors.As(err, &unsent) && !unsent.Health.Unreachable() && !unsent.Stopped
 		}
 		answer.Reason = err.Error()
 		return answer
