Take no short time of an append from a collector that stored nothing

Cause: a collector tells the time of an append with each answer, also with a refusal. When it was just cut off from the log, that is a time from before. A short one ended the expectation of a slow append at the instance that asked, which then appended by itself and lengthened the queue of the log.

Change: a time below the threshold counts only if the entry was stored.

Result: TestTimeOfARefusingCollectorEndsNoExpectation, which failed before.

--- a/internal/intake/collectors.go
+++ b/internal/intake/collectors.go
@@ -149,7 +149,9 @@
 			return c.outcome("collector", unknown, &eventlog.UnsentError{Health: h})
 		}
 		d, err := c.collect(ctx, to, e)
-		if d > 0 {
+		// The time of a collector that has not stored the entry may be from before it was cut off from the log, so it ends no
+		// expectation of a slow append.
+		if d >= storehealth.SlowAfter || d > 0 && err == nil {
 			c.log.Hint(d)
 		}
 		var refused *relay.RefusedError
--- a/internal/intake/collectors_test.go
+++ b/internal/intake/collectors_test.go
@@ -14,6 +14,7 @@
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 	"clementinewalk.example/clementinewalk/internal/relay"
+	"clementinewalk.example/clementinewalk/internal/storehealth"
 )
 
 // fakeCollectors answers each call with the same result.
@@ -28,7 +29,9 @@
 	return c.append, c.err
 }
 
-func (c *fakeCollectors) Report(context.Context, catalog.Endpoint, string, time.Duration) error { return nil }
+func (c *fakeCollectors) Report(context.Context, catalog.Endpoint, string, time.Duration) error {
+	return nil
+}
 
 func (c *fakeCollectors) Hint(context.Context, catalog.Endpoint, time.Duration) error { return nil }
 
@@ -58,3 +61,17 @@
 		})
 	}
 }
+
+// Guards against an instance that appends by itself while the log is slow, because a collector that cannot reach the log
+// has told the time of an append from before.
+func TestTimeOfARefusingCollectorEndsNoExpectation(t *testing.T) {
+	peers := newPeers(t, &fakePeers{}, 0)
+	client := &fakeCollectors{append: 12 * time.Millisecond, err: &relay.RefusedError{Peer: "other"}}
+	c := newCollectors(client, peers)
+	ctx := context.Background()
+	assert.NoError(t, c.append(ctx, eventlog.Entry{Key: "x"}, &fakeAppender{}), "this instance is the second collector")
+	assert.Equal(t, storehealth.Slow, c.log.Health().State)
+	client.err = nil
+	assert.NoError(t, c.append(ctx, eventlog.Entry{Key: "x"}, &fakeAppender{}))
+	assert.Equal(t, storehealth.Usable, c.log.Health().State, "the append was fast")
+}
