Bound the reports that a collector keeps and ignore short hints

Cause: callers of the relay need no certificate, and the name in a report was kept as sent: each report could add a name of half a megabyte, and without a further report none was dropped. A hint of 0 ms made an instance forget that appends are slow.

Change: at most 128 names of at most 255 bytes are kept; a hint counts from the threshold of slow appends on, as collectors send them.

--- a/internal/intake/collectors.go
+++ b/internal/intake/collectors.go
@@ -39,6 +39,10 @@
 	// been short of processor time.
 	reportsNeeded = 2
 	reportsKept   = 500 * time.Millisecond
+	// maxReports limits the instances whose reports are kept, maxNameBytes their names: callers of the relay need no
+	// certificate. A fleet has at most 97 instances, and a name is part of a key of the log, which has at most 255 bytes.
+	maxReports   = 128
+	maxNameBytes = 255
 	// maxHintCalls limits the concurrent calls of one round of hints.
 	maxHintCalls = 12
 )
@@ -307,7 +311,7 @@
 
 // report notes that an append of a peer is slow, and tells all instances once enough have reported it.
 func (c *Collectors) report(peer string, d time.Duration) {
-	if d < storehealth.SlowAfter {
+	if d < storehealth.SlowAfter || len(peer) > maxNameBytes {
 		return
 	}
 	own := c.log.Health().Append >= storehealth.SlowAfter
@@ -318,7 +322,9 @@
 			delete(c.reports, name)
 		}
 	}
-	c.reports[peer] = now
+	if _, known := c.reports[peer]; known || len(c.reports) < maxReports {
+		c.reports[peer] = now
+	}
 	enough := own || len(c.reports) >= reportsNeeded
 	c.mu.Unlock()
 	if enough {
--- a/internal/intake/collectors_test.go
+++ b/internal/intake/collectors_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,3 +77,22 @@
 	assert.NoError(t, c.append(ctx, eventlog.Entry{Key: "x"}, &fakeAppender{}))
 	assert.Equal(t, storehealth.Usable, c.log.Health().State, "the append was fast")
 }
+
+// Guards against reports that fill the memory, and against hints that end the expectation of a slow append: both may come
+// from any client.
+func TestForgedReportsAndHints(t *testing.T) {
+	c := newCollectors(&fakeCollectors{}, newPeers(t, &fakePeers{}, 0))
+	h := NewPeerHandler(&fakeAppender{}, newAPI(false), c)
+	for i := range 1000 {
+		h.Report(fmt.Sprint(i), time.Second)
+	}
+	h.Report(strings.Repeat("x", 100<<10), time.Second)
+	c.mu.Lock()
+	assert.LessOrEqual(t, len(c.reports), maxReports)
+	for name := range c.reports {
+		assert.LessOrEqual(t, len(name), maxNameBytes)
+	}
+	c.mu.Unlock()
+	h.Hint(0)
+	assert.Equal(t, storehealth.Slow, c.log.Health().State)
+}
--- a/internal/intake/relayed.go
+++ b/internal/intake/relayed.go
@@ -11,6 +11,7 @@
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 	"clementinewalk.example/clementinewalk/internal/relay"
+	"clementinewalk.example/clementinewalk/internal/storehealth"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -194,9 +195,10 @@
 	}
 }
 
-// Hint implements relay.Handler.
+// Hint implements relay.Handler. Collectors tell times of slow appends only; a short one would make the instance forget what
+// it knows.
 func (h *PeerHandler) Hint(d time.Duration) {
-	if h.collectors != nil {
+	if h.collectors != nil && d >= storehealth.SlowAfter {
 		h.collectors.log.Hint(d)
 	}
 }
