Keep streams free for the question whether a peer is alive

Cause: a peer takes 16 concurrent calls. With as many entries under way, the question whether the collector is alive got no stream within 250 ms. The collector then counted as dead, and the entries that it held ended as unknown. The time left was also taken before the wait for a connection and a stream, so that a collector worked on entries whose callers had already given up.

Change: at most 14 calls to one peer pass entries. The time left is taken when the call is sent; without any, it is not sent and counts as refused.

Result: TestBusyPeerAnswersReports, which failed before (report without an answer, entries unknown), and TestCollectWithoutTime.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -22,10 +22,18 @@
 	mu sync.Mutex
 	// conns holds the open connections by fingerprint, so that a restarted peer gets a new one.
 	conns map[string]*quic.Conn
+	// entries holds, by fingerprint, a place for each call in progress that passes an entry.
+	entries map[string]chan struct{}
 }
 
+// maxEntryCalls limits the concurrent calls to one peer that pass an entry. They may take a second; the other streams are
+// for short calls, which tell whether the peer is alive.
+const maxEntryCalls = maxStreams - 2
+
 // NewClient returns a client without connections.
-func NewClient() *Client { return &Client{conns: map[string]*quic.Conn{}} }
+func NewClient() *Client {
+	return &Client{conns: map[string]*quic.Conn{}, entries: map[string]chan struct{}{}}
+}
 
 // Append stores an entry through a peer. It returns *RefusedError or *UnreachableError if the peer has not stored it and
 // will not, and *NoAnswerError if it may have.
@@ -40,11 +48,7 @@
 // Collect stores an entry through a peer, which is told how long ctx still lasts and refuses what it cannot store in that
 // time. It returns the expected time of an append at the peer, 0 if that is not known. Its errors are those of Append.
 func (c *Client) Collect(ctx context.Context, to catalog.Endpoint, e eventlog.Entry) (time.Duration, error) {
-	q := request{Op: opAppend, Key: e.Key, Value: e.Value}
-	if deadline, ok := ctx.Deadline(); ok {
-		q.LeftMS = max(1, (time.Until(deadline) - linkMargin).Milliseconds())
-	}
-	r, err := c.call(ctx, to, q)
+	r, err := c.call(ctx, to, request{Op: opAppend, Key: e.Key, Value: e.Value, limited: true})
 	return time.Duration(r.AppendMS) * time.Millisecond, err
 }
 
@@ -67,9 +71,12 @@
 }
 
 func (c *Client) call(ctx context.Context, to catalog.Endpoint, q request) (response, error) {
-	b, err := cbor.Marshal(q)
-	if err != nil || len(b) > maxMessageBytes {
-		return response{}, &RefusedError{Peer: to.Instance, Reason: "the call is too long or cannot be encoded"}
+	if q.Op == opAppend {
+		release, err := c.awaitEntryCall(ctx, to)
+		if err != nil {
+			return response{}, &UnreachableError{Peer: to.Instance, Err: err}
+		}
+		defer release()
 	}
 	conn, err := c.conn(ctx, to)
 	if err != nil {
@@ -83,10 +90,20 @@
 		}
 		return response{}, &UnreachableError{Peer: to.Instance, Err: err}
 	}
-	defer context.AfterFunc(ctx, func() {
-		stream.CancelRead(0)
-		stream.CancelWrite(0)
-	})()
+	defer context.AfterFunc(ctx, func() { abandon(stream) })()
+	if deadline, ok := ctx.Deadline(); ok && q.limited {
+		// The connection and the stream may have taken most of the time.
+		q.LeftMS = (time.Until(deadline) - linkMargin).Milliseconds()
+		if q.LeftMS <= 0 {
+			abandon(stream)
+			return response{}, &RefusedError{Peer: to.Instance, Reason: "no time is left", NoTime: true}
+		}
+	}
+	b, err := cbor.Marshal(q)
+	if err != nil || len(b) > maxMessageBytes {
+		abandon(stream)
+		return response{}, &RefusedError{Peer: to.Instance, Reason: "the call is too long or cannot be encoded"}
+	}
 	answer, err := exchange(stream, b)
 	if err != nil {
 		// A call that was given up early says nothing about the connection.
@@ -104,6 +121,30 @@
 	return answer, &NoAnswerError{Peer: to.Instance, Err: &MessageError{Problem: answer.Reason}}
 }
 
+// abandon gives up a stream.
+func abandon(stream *quic.Stream) {
+	stream.CancelRead(0)
+	stream.CancelWrite(0)
+}
+
+// awaitEntryCall waits until another entry may be passed to a peer, and returns the function to call afterwards.
+func (c *Client) awaitEntryCall(ctx context.Context, to catalog.Endpoint) (release func(), err error) {
+	key := string(to.Fingerprint)
+	c.mu.Lock()
+	places := c.entries[key]
+	if places == nil {
+		places = make(chan struct{}, maxEntryCalls)
+		c.entries[key] = places
+	}
+	c.mu.Unlock()
+	select {
+	case places <- struct{}{}:
+		return func() { <-places }, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 func exchange(stream *quic.Stream, b []byte) (response, error) {
 	_, sendErr := stream.Write(b)
 	if sendErr == nil {
@@ -150,6 +191,11 @@
 		}
 	}
 	c.conns[key] = conn
+	for k, places := range c.entries {
+		if c.conns[k] == nil && len(places) == 0 {
+			delete(c.entries, k)
+		}
+	}
 	return conn, nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -104,6 +104,8 @@
 	Value    []byte    `cbor:"3,keyasint,omitempty"`
 	LeftMS   int64     `cbor:"4,keyasint,omitempty"`
 	AppendMS int64     `cbor:"5,keyasint,omitempty"`
+	// limited makes the client set LeftMS when it sends the call.
+	limited bool
 }
 
 type outcome uint8
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -267,3 +267,37 @@
 	require.NoError(t, err)
 	assert.Same(t, before, after, "a connection with calls goes last")
 }
+
+// Guards against a collector that counts as dead because it holds as many entries of an instance as it takes calls: the
+// entries would be given up, with an unknown outcome.
+func TestBusyPeerAnswersReports(t *testing.T) {
+	to, c := startServer(t, &fakeHandler{}).Endpoint(), NewClient()
+	require.NoError(t, c.Append(callContext(t, 5*time.Second), to, eventlog.Entry{Key: "first"}), "connects")
+	ctx := callContext(t, time.Second)
+	results := make(chan error, 3*maxStreams)
+	for range cap(results) {
+		go func() {
+			_, err := c.Collect(ctx, to, eventlog.Entry{Key: "late"})
+			results <- err
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	assert.NoError(t, c.Report(callContext(t, 250*time.Millisecond), to, "self", 0))
+	// An entry that has waited for its turn is not sent with more time than is left.
+	var noAnswer *NoAnswerError
+	for range cap(results) {
+		require.NotErrorAs(t, <-results, &noAnswer)
+	}
+}
+
+// Guards against an entry that is sent although no time is left for the answer.
+func TestCollectWithoutTime(t *testing.T) {
+	h := &fakeHandler{}
+	to, c := startServer(t, h).Endpoint(), NewClient()
+	require.NoError(t, c.Append(callContext(t, 5*time.Second), to, eventlog.Entry{Key: "first"}), "connects")
+	_, err := c.Collect(callContext(t, linkMargin/2), to, eventlog.Entry{Key: "x"})
+	var refused *RefusedError
+	require.ErrorAs(t, err, &refused)
+	assert.True(t, refused.NoTime)
+	assert.Len(t, h.stored(), 1)
+}
