Do not pass all entries to a collector that alone is slow

Cause: a collector whose own appends were slow told all instances that appends are slow. All passed their entries to it, and each answer renewed the expectation of a slow append.

Change: a collector sends hints for its own appends only within 2 s of a report or hint of another instance, and slow times in answers count only within 2 s of one.

Result: TestOnlyTheCollectorIsSlow, which failed before on 35 of 36 instances.

--- a/internal/intake/collectors.go
+++ b/internal/intake/collectors.go
@@ -43,6 +43,9 @@
 	// certificate. A fleet has at most 97 instances, and a name is part of a key of the log, which has at most 255 bytes.
 	maxReports   = 128
 	maxNameBytes = 255
+	// confirmedFor is how long the word of another instance that appends are slow confirms that they are not slow for this
+	// instance alone. It is as long as a hint counts.
+	confirmedFor = 2 * time.Second
 	// maxHintCalls limits the concurrent calls of one round of hints.
 	maxHintCalls = 12
 )
@@ -71,8 +74,10 @@
 	// answered holds when each collector has last answered.
 	answered map[string]time.Time
 	// reports holds when each instance has last reported slow appends.
-	reports              map[string]time.Time
-	reported, hinted     time.Time
+	reports          map[string]time.Time
+	reported, hinted time.Time
+	// confirmed is when another instance has last told that appends are slow.
+	confirmed            time.Time
 	reporting, isHinting bool
 }
 
@@ -155,7 +160,7 @@
 		d, err := c.collect(ctx, to, e)
 		// The time of a collector that has not stored the entry may be from before it was cut off from the log, so it ends no
 		// expectation of a slow append.
-		if d >= storehealth.SlowAfter || d > 0 && err == nil {
+		if d >= storehealth.SlowAfter && c.isConfirmed() || 0 < d && d < storehealth.SlowAfter && err == nil {
 			c.log.Hint(d)
 		}
 		var refused *relay.RefusedError
@@ -276,7 +281,7 @@
 		return
 	}
 	if to[0].Instance == c.instance {
-		c.hint(d)
+		c.ownAppendIsSlow(d)
 		return
 	}
 	c.mu.Lock()
@@ -295,7 +300,7 @@
 	}()
 	for _, p := range to {
 		if p.Instance == c.instance {
-			c.hint(d)
+			c.ownAppendIsSlow(d)
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
@@ -309,6 +314,28 @@
 	}
 }
 
+// ownAppendIsSlow tells all instances that appends are slow if another instance has said so of late. Otherwise only the way
+// of this instance to the log may be slow, and all entries would take that way.
+func (c *Collectors) ownAppendIsSlow(d time.Duration) {
+	if c.isConfirmed() {
+		c.hint(d)
+	}
+}
+
+func (c *Collectors) isConfirmed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.confirmed.IsZero() && time.Since(c.confirmed) < confirmedFor
+}
+
+// noteHint notes that a collector tells that appends are slow.
+func (c *Collectors) noteHint(d time.Duration) {
+	c.log.Hint(d)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.confirmed = time.Now()
+}
+
 // report notes that an append of a peer is slow, and tells all instances once enough have reported it.
 func (c *Collectors) report(peer string, d time.Duration) {
 	if d < storehealth.SlowAfter || len(peer) > maxNameBytes {
@@ -325,6 +352,7 @@
 	if _, known := c.reports[peer]; known || len(c.reports) < maxReports {
 		c.reports[peer] = now
 	}
+	c.confirmed = now
 	enough := own || len(c.reports) >= reportsNeeded
 	c.mu.Unlock()
 	if enough {
--- a/internal/intake/relayed.go
+++ b/internal/intake/relayed.go
@@ -199,7 +199,7 @@
 // it knows.
 func (h *PeerHandler) Hint(d time.Duration) {
 	if h.collectors != nil && d >= storehealth.SlowAfter {
-		h.collectors.log.Hint(d)
+		h.collectors.noteHint(d)
 	}
 }
 
--- a/internal/intake/slowlog_test.go
+++ b/internal/intake/slowlog_test.go
@@ -156,10 +156,23 @@
 	follower *eventlog.Follower
 	// dead instances answer no calls.
 	dead atomic.Bool
+	// delay is how much longer the appends of this instance take than those of others, in nanoseconds.
+	delay atomic.Int64
 	// lastRead is when the view was last complete, on the clock of the test.
 	lastRead atomic.Pointer[time.Time]
 }
 
+// ownWay is the way of one instance to the log.
+type ownWay struct {
+	*partition
+	instance *testInstance
+}
+
+func (w *ownWay) Append(ctx context.Context, topic string, p *eventlog.Producer, entries []eventlog.Entry) (int64, error) {
+	time.Sleep(time.Duration(w.instance.delay.Load()))
+	return w.partition.Append(ctx, topic, p, entries)
+}
+
 // RefreshSubmissions implements View.
 func (i *testInstance) RefreshSubmissions(ctx context.Context) { i.follower.Refresh(ctx) }
 
@@ -195,7 +208,7 @@
 	cat := catalog.New(l)
 	config := &queue.Current{}
 	config.Advance(queue.New(1, nil, nil, queue.Limits{}))
-	log := eventlog.NewMonitor(f.log, "submissions", l, r)
+	log := eventlog.NewMonitor(&ownWay{partition: f.log, instance: i}, "submissions", l, r)
 	follower := eventlog.NewFollower(log, "submissions",
 		eventlog.PollIntervals{Wait: 600 * time.Millisecond, Pause: 600 * time.Millisecond, IdlePause: 10 * time.Millisecond}, l,
 		func(b eventlog.Batch) {
@@ -434,6 +447,33 @@
 	assert.LessOrEqual(t, r.unknown, 16, "the entries that the collector held")
 }
 
+// Guards against a collector whose own way to the log is slow, and to which all instances pass their entries for as long as
+// it is, although their own appends are fast: from the start, or after the log was slow for all.
+func TestOnlyTheCollectorIsSlow(t *testing.T) {
+	for _, wasSlow := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			f := newFleet(t, ctx, 36)
+			time.Sleep(time.Second)
+			f.instances["i02"].delay.Store(int64(150 * time.Millisecond))
+			if wasSlow {
+				f.log.set(func() { slow(f) })
+				f.load(3600*time.Millisecond, &results{})
+				f.log.set(func() { repair(f) })
+			}
+			// Hints of a collector end 2 s after the last report of another instance, and count for 2 s.
+			f.load(5*time.Second, &results{})
+			for name, i := range f.instances {
+				if name != "i02" {
+					assert.Equal(t, storehealth.Usable, i.handler.collectors.log.Health().State, "%s, slow before: %t", name, wasSlow)
+				}
+			}
+			cancel()
+			time.Sleep(5 * time.Second)
+		})
+	}
+}
+
 // Guards against a submission that is stored as two because its caller comes back at another instance, and against a
 // cancellation that is refused while the log is slow.
 func TestRepeatAndCancellationWhileSlow(t *testing.T) {
