Test intake under faults that change several times a second

No test combined lost responses, refusals, resets, a silent and a slow log, and collectors that die or have a slow way to the log.

--- a/internal/intake/slowlog_test.go
+++ b/internal/intake/slowlog_test.go
@@ -474,6 +474,58 @@
 	}
 }
 
+// Guards against a refused submission that is stored, an accepted one that is not, and an instance that does not return to
+// usual operation, while all faults change several times a second.
+func TestMixedFaults(t *testing.T) {
+	for seed := range uint64(6) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			f, r := newFleet(t, ctx, 12), &results{}
+			random := rand.New(rand.NewPCG(seed, 7))
+			go func() {
+				for range 60 {
+					time.Sleep(time.Duration(20+random.IntN(250)) * time.Millisecond)
+					f.log.set(func() {
+						repair(f)
+						switch random.IntN(8) {
+						case 0:
+							slow(f)
+						case 1:
+							f.log.refuses = true
+						case 2:
+							f.log.resets = true
+						case 3:
+							f.log.silent = true
+						case 4:
+							f.log.loseEach = 2
+						case 5:
+							f.log.service, f.log.loseEach = slowAppend, 2
+						case 6:
+							f.log.service = storehealth.SlowAfter
+						}
+					})
+					i := f.instances[f.names[random.IntN(len(f.names))]]
+					i.dead.Store(random.IntN(4) == 0)
+					i.delay.Store(int64(random.IntN(3)) * int64(100*time.Millisecond))
+				}
+				f.log.set(func() { repair(f) })
+				for _, i := range f.instances {
+					i.dead.Store(false)
+					i.delay.Store(0)
+				}
+			}()
+			f.load(9*time.Second, r)
+			time.Sleep(10 * time.Second)
+			for name, i := range f.instances {
+				assert.Equal(t, storehealth.Usable, i.handler.collectors.log.Health().State, "seed %d: %s still sees a fault", seed, name)
+			}
+			f.check(t, r)
+			cancel()
+			time.Sleep(5 * time.Second)
+		})
+	}
+}
+
 // Guards against a submission that is stored as two because its caller comes back at another instance, and against a
 // cancellation that is refused while the log is slow.
 func TestRepeatAndCancellationWhileSlow(t *testing.T) {
