Report an append as refused only for errors that mean it

Cause: the relay took every error of an append but UnknownError for a refusal, such as the end of its time limit. No handler returns one today; a new one would turn a stored entry into a refused one.

Change: refusals are listed, other errors are unknown outcomes.

Result: TestOnlyKnownRefusalsAreReported, which failed before for the end of a time limit.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -154,6 +154,29 @@
 	assert.NoError(t, c.Append(ctx, to, eventlog.Entry{Key: "next"}))
 }
 
+// Guards against an error that says nothing about the entry and is reported as a refusal.
+func TestOnlyKnownRefusalsAreReported(t *testing.T) {
+	for err, want := range map[error]outcome{
+		context.DeadlineExceeded: outcomeUnknown,
+		&eventlog.UnknownError{Op: "append", Err: &eventlog.RefusedError{Op: "append"}}: outcomeUnknown,
+		&eventlog.RefusedError{Op: "append", Err: context.DeadlineExceeded}:             outcomeRefused,
+		&eventlog.QueueFullError{}: outcomeRefused,
+		&eventlog.UnsentError{}:    outcomeRefused,
+		&InvalidError{}:            outcomeRefused,
+	} {
+		got := handle(context.Background(), request{Op: opAppend}, &failingHandler{err: err})
+		assert.Equal(t, want, got.Outcome, "%T %v", err, err)
+	}
+}
+
+// failingHandler stores nothing.
+type failingHandler struct {
+	fakeHandler
+	err error
+}
+
+func (h *failingHandler) Append(context.Context, eventlog.Entry) error { return h.err }
+
 // Guards against a collector that works on an entry longer than its caller waits, and against a refusal for lack of time
 // that is taken for another one.
 func TestCollect(t *testing.T) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -266,6 +266,20 @@
 	return b, nil
 }
 
+// isRefusal reports whether the error of an append says that the entry is not stored and never will be. The outcome of any
+// other error is unknown.
+func isRefusal(err error) bool {
+	var unknown *eventlog.UnknownError
+	if errors.As(err, &unknown) {
+		return false
+	}
+	var refused *eventlog.RefusedError
+	var unsent *eventlog.UnsentError
+	var full *eventlog.QueueFullError
+	var invalid *InvalidError
+	return errors.As(err, &refused) || errors.As(err, &unsent) || errors.As(err, &full) || errors.As(err, &invalid)
+}
+
 func handle(ctx context.Context, r request, h Handler) response {
 	switch r.Op {
 	case opAppend:
@@ -276,14 +290,12 @@
 		}
 		err := h.Append(ctx, eventlog.Entry{Key: r.Key, Value: r.Value})
 		answer := response{Outcome: outcomeDone, AppendMS: h.AppendTime().Milliseconds()}
-		var unknown *eventlog.UnknownError
 		var unsent *eventlog.UnsentError
-		switch {
-		case err == nil:
+		if err == nil {
 			return answer
-		case errors.As(err, &unknown):
-			answer.Outcome = outcomeUnknown
-		default:
+		}
+		answer.Outcome = outcomeUnknown
+		if isRefusal(err) {
 			answer.Outcome = outcomeRefused
 			answer.NoTime = errors.As(err, &unsent) && !unsent.Health.Unreachable() && !unsent.Stopped
 		}
