Tell a peer how long the caller of a passed entry waits

Cause: an instance without access to the log gave its peer no time limit. The peer kept the entry queued for up to 2 s while the caller of the relay gave up after 0.5 s, so the outcome was unknown although nothing had been sent.

Change: Append tells the time that is left, as Collect does; the peer refuses in time what it has not sent.

Result: the new case of TestCollect, which failed before.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -36,17 +36,17 @@
 }
 
 // Append stores an entry through a peer. It returns *RefusedError or *UnreachableError if the peer has not stored it and
-// will not, and *NoAnswerError if it may have.
+// will not, and *NoAnswerError if it may have. The peer is told how long ctx still lasts, and refuses what it cannot store in
+// that time.
 func (c *Client) Append(ctx context.Context, to catalog.Endpoint, e eventlog.Entry) error {
-	_, err := c.call(ctx, to, request{Op: opAppend, Key: e.Key, Value: e.Value})
+	_, err := c.Collect(ctx, to, e)
 	return err
 }
 
 // linkMargin is subtracted from the time that a peer may use, so that its answer arrives in time.
 const linkMargin = 20 * time.Millisecond
 
-// Collect stores an entry through a peer, which is told how long ctx still lasts and refuses what it cannot store in that
-// time. It returns the expected time of an append at the peer, 0 if that is not known. Its errors are those of Append.
+// Collect does the same as Append, and returns the expected time of an append at the peer, 0 if that is not known.
 func (c *Client) Collect(ctx context.Context, to catalog.Endpoint, e eventlog.Entry) (time.Duration, error) {
 	r, err := c.call(ctx, to, request{Op: opAppend, Key: e.Key, Value: e.Value, limited: true})
 	return time.Duration(r.AppendMS) * time.Millisecond, err
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -189,6 +189,7 @@
 	_, err = c.Collect(callContext(t, 300*time.Millisecond), to, eventlog.Entry{Key: "late"})
 	require.ErrorAs(t, err, &refused, "the collector answers before the caller has given up")
 	assert.True(t, refused.NoTime)
+	require.ErrorAs(t, c.Append(callContext(t, 300*time.Millisecond), to, eventlog.Entry{Key: "late"}), &refused)
 	for _, key := range []string{"refused", "stopping"} {
 		_, err = c.Collect(callContext(t, 300*time.Millisecond), to, eventlog.Entry{Key: key})
 		require.ErrorAs(t, err, &refused)
