--- a/internal/intake/collectors.go
+++ b/internal/intake/collectors.go
@@ -42,6 +42,13 @@
 	// been short of processor time.
 	reportsNeeded = 2
 	reportsKept   = 500 * time.Millisecond
+	// maxReports limits the instances whose reports are kept, maxNameBytes their names: callers of the relay need no
+	// certificate. A fleet has at most 97 instances, and a name is part of a key of the log, which has at most 255 bytes.
+	maxReports   = 128
+	maxNameBytes = 255
+	// confirmedFor is how long the word of another instance that appends are slow confirms that they are not slow for this
+	// instance alone. It is as long as a hint counts.
+	confirmedFor = 2 * time.Second
 	// maxHintCalls limits the concurrent calls of one round of hints.
 	maxHintCalls = 12
 )
@@ -70,8 +77,10 @@
 	// answered holds when each collector has last answered.
 	answered map[string]time.Time
 	// reports holds when each instance has last reported slow appends.
-	reports              map[string]time.Time
-	reported, hinted     time.Time
+	reports          map[string]time.Time
+	reported, hinted time.Time
+	// confirmed is when another instance has last told that appends are slow.
+	confirmed            time.Time
 	reporting, isHinting bool
 }
 
@@ -91,7 +100,8 @@
 // count counts an entry that took a path, or was refused before it was sent.
 func (c *Collectors) count(path string, err error) {
 	var unsent *eventlog.UnsentError
-	if errors.As(err, &unsent) {
+	var unknown *eventlog.UnknownError
+	if errors.As(err, &unsent) && !errors.As(err, &unknown) {
 		path = "refused"
 	}
 	c.entries.WithLabelValues(path).Inc()
@@ -151,7 +161,9 @@
 			return c.outcome("collector", unknown, &eventlog.UnsentError{Health: h})
 		}
 		d, err := c.collect(ctx, to, e)
-		if d > 0 {
+		// The time of a collector that has not stored the entry may be from before it was cut off from the log, so it ends no
+		// expectation of a slow append.
+		if d >= storehealth.SlowAfter && c.isConfirmed() || 0 < d && d < storehealth.SlowAfter && err == nil {
 			c.log.Hint(d)
 		}
 		var refused *relay.RefusedError
@@ -272,7 +284,7 @@
 		return
 	}
 	if to[0].Instance == c.instance {
-		c.hint(d)
+		c.ownAppendIsSlow(d)
 		return
 	}
 	c.mu.Lock()
@@ -291,7 +303,7 @@
 	}()
 	for _, p := range to {
 		if p.Instance == c.instance {
-			c.hint(d)
+			c.ownAppendIsSlow(d)
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
@@ -305,9 +317,31 @@
 	}
 }
 
+// ownAppendIsSlow tells all instances that appends are slow if another instance has said so of late. Otherwise only the way
+// of this instance to the log may be slow, and all entries would take that way.
+func (c *Collectors) ownAppendIsSlow(d time.Duration) {
+	if c.isConfirmed() {
+		c.hint(d)
+	}
+}
+
+func (c *Collectors) isConfirmed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.confirmed.IsZero() && time.Since(c.confirmed) < confirmedFor
+}
+
+// noteHint notes that a collector tells that appends are slow.
+func (c *Collectors) noteHint(d time.Duration) {
+	c.log.Hint(d)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.confirmed = time.Now()
+}
+
 // report notes that an append of a peer is slow, and tells all instances once enough have reported it.
 func (c *Collectors) report(peer string, d time.Duration) {
-	if d < storehealth.SlowAfter {
+	if d < storehealth.SlowAfter || len(peer) > maxNameBytes {
 		return
 	}
 	own := c.log.Health().Append >= storehealth.SlowAfter
@@ -318,7 +352,10 @@
 			delete(c.reports, name)
 		}
 	}
-	c.reports[peer] = now
+	if _, known := c.reports[peer]; known || len(c.reports) < maxReports {
+		c.reports[peer] = now
+	}
+	c.confirmed = now
 	enough := own || len(c.reports) >= reportsNeeded
 	c.mu.Unlock()
 	if enough {
--- a/internal/intake/relayed.go
+++ b/internal/intake/relayed.go
@@ -11,6 +11,7 @@
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 	"clementinewalk.example/clementinewalk/internal/relay"
+	"clementinewalk.example/clementinewalk/internal/storehealth"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -105,7 +106,9 @@
 	}
 	err := a.appendOrRelay(ctx, e)
 	var refused *eventlog.RefusedError
-	if errors.As(err, &refused) && a.Collectors.active() {
+	var unknown *eventlog.UnknownError
+	// The cause of an unknown outcome may be a refusal by the own log, after a peer that gave no answer.
+	if errors.As(err, &refused) && !errors.As(err, &unknown) && a.Collectors.active() {
 		// The queue of the log is full, which the collector waits for.
 		return a.Collectors.append(ctx, e, a.Local)
 	}
@@ -192,10 +195,11 @@
 	}
 }
 
-// Hint implements relay.Handler.
+// Hint implements relay.Handler. Collectors tell times of slow appends only; a short one would make the instance forget what
+// it knows.
 func (h *PeerHandler) Hint(d time.Duration) {
-	if h.collectors != nil {
-		h.collectors.log.Hint(d)
+	if h.collectors != nil && d >= storehealth.SlowAfter {
+		h.collectors.noteHint(d)
 	}
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -39,6 +39,8 @@
 	case "late":
 		<-ctx.Done()
 		return &eventlog.UnsentError{}
+	case "stopping":
+		return &eventlog.UnsentError{Stopped: true}
 	case "slow":
 		<-ctx.Done()
 		return ctx.Err()
@@ -152,6 +154,29 @@
 	assert.NoError(t, c.Append(ctx, to, eventlog.Entry{Key: "next"}))
 }
 
+// Guards against an error that says nothing about the entry and is reported as a refusal.
+func TestOnlyKnownRefusalsAreReported(t *testing.T) {
+	for err, want := range map[error]outcome{
+		context.DeadlineExceeded: outcomeUnknown,
+		&eventlog.UnknownError{Op: "append", Err: &eventlog.RefusedError{Op: "append"}}: outcomeUnknown,
+		&eventlog.RefusedError{Op: "append", Err: context.DeadlineExceeded}:             outcomeRefused,
+		&eventlog.QueueFullError{}: outcomeRefused,
+		&eventlog.UnsentError{}:    outcomeRefused,
+		&InvalidError{}:            outcomeRefused,
+	} {
+		got := handle(context.Background(), request{Op: opAppend}, &failingHandler{err: err})
+		assert.Equal(t, want, got.Outcome, "%T %v", err, err)
+	}
+}
+
+// failingHandler stores nothing.
+type failingHandler struct {
+	fakeHandler
+	err error
+}
+
+func (h *failingHandler) Append(context.Context, eventlog.Entry) error { return h.err }
+
 // Guards against a collector that works on an entry longer than its caller waits, and against a refusal for lack of time
 // that is taken for another one.
 func TestCollect(t *testing.T) {
@@ -164,9 +189,12 @@
 	_, err = c.Collect(callContext(t, 300*time.Millisecond), to, eventlog.Entry{Key: "late"})
 	require.ErrorAs(t, err, &refused, "the collector answers before the caller has given up")
 	assert.True(t, refused.NoTime)
-	_, err = c.Collect(callContext(t, 300*time.Millisecond), to, eventlog.Entry{Key: "refused"})
-	require.ErrorAs(t, err, &refused)
-	assert.False(t, refused.NoTime)
+	require.ErrorAs(t, c.Append(callContext(t, 300*time.Millisecond), to, eventlog.Entry{Key: "late"}), &refused)
+	for _, key := range []string{"refused", "stopping"} {
+		_, err = c.Collect(callContext(t, 300*time.Millisecond), to, eventlog.Entry{Key: key})
+		require.ErrorAs(t, err, &refused)
+		assert.False(t, refused.NoTime, "another collector may store it")
+	}
 	require.NoError(t, c.Report(callContext(t, time.Second), to, "a", 80*time.Millisecond))
 	require.NoError(t, c.Hint(callContext(t, time.Second), to, 90*time.Millisecond))
 	assert.Equal(t, []eventlog.Entry{{Key: "k"}, {Key: "report of a", Offset: int64(80 * time.Millisecond)},
@@ -263,3 +291,37 @@
 	require.NoError(t, err)
 	assert.Same(t, before, after, "a connection with calls goes last")
 }
+
+// Guards against a collector that counts as dead because it holds as many entries of an instance as it takes calls: the
+// entries would be given up, with an unknown outcome.
+func TestBusyPeerAnswersReports(t *testing.T) {
+	to, c := startServer(t, &fakeHandler{}).Endpoint(), NewClient()
+	require.NoError(t, c.Append(callContext(t, 5*time.Second), to, eventlog.Entry{Key: "first"}), "connects")
+	ctx := callContext(t, time.Second)
+	results := make(chan error, 3*maxStreams)
+	for range cap(results) {
+		go func() {
+			_, err := c.Collect(ctx, to, eventlog.Entry{Key: "late"})
+			results <- err
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	assert.NoError(t, c.Report(callContext(t, 250*time.Millisecond), to, "self", 0))
+	// An entry that has waited for its turn is not sent with more time than is left.
+	var noAnswer *NoAnswerError
+	for range cap(results) {
+		require.NotErrorAs(t, <-results, &noAnswer)
+	}
+}
+
+// Guards against an entry that is sent although no time is left for the answer.
+func TestCollectWithoutTime(t *testing.T) {
+	h := &fakeHandler{}
+	to, c := startServer(t, h).Endpoint(), NewClient()
+	require.NoError(t, c.Append(callContext(t, 5*time.Second), to, eventlog.Entry{Key: "first"}), "connects")
+	_, err := c.Collect(callContext(t, linkMargin/2), to, eventlog.Entry{Key: "x"})
+	var refused *RefusedError
+	require.ErrorAs(t, err, &refused)
+	assert.True(t, refused.NoTime)
+	assert.Len(t, h.stored(), 1)
+}
