Keep copies and their originals from being preempted

Cause: preemptableFor looked at the step and at the attempt only. A task of a lower priority that reserves its room, saves progress and allows copies could lose its copy or the original, and as each attempt counts its own stops, both, although a task may be stopped once. Change: neither is a victim.

--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -101,11 +101,12 @@
 	}
 }
 
-// preemptableFor reports whether a placed task may be stopped for another one.
+// preemptableFor reports whether a placed task may be stopped for another one. Neither a copy nor its original may: each attempt
+// counts its own stops, and a task has a copy because it is late already.
 func (t *task) preemptableFor(other *task) bool {
 	def := t.step.def
 	return t.job().terms.Priority > other.job().terms.Priority && def.Checkpoints && !def.LongRunning && !def.Gang &&
-		t.startState == startSettled && t.reported && !t.stopWanted && t.preemptions < maxPreemptions &&
+		t.original == nil && t.copy == nil && t.startState == startSettled && t.reported && !t.stopWanted && t.preemptions < maxPreemptions &&
 		t.percent < keepProgressPercent
 }
 
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -194,3 +194,24 @@
 		assert.Equal(t, workflow.Done, sim.state(workflow.JobID(fmt.Sprintf("urgent-%d", i))))
 	}
 }
+
+// Guards against stops of a copy or of its original. A copy counts its own stops, so a task could be stopped beyond the bound.
+func TestCopiesAreNotPreempted(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	m := NewMetrics(prometheus.NewRegistry())
+	sim.core.metrics = m
+	step := speculativeStep(1)
+	step.Checkpoints, step.Size.MemoryMB = true, 10_000
+	original, k := sim.runUntilCopied(step)
+	original.job().terms.Priority = 2
+	filler := batchStep(6, 20*time.Second)
+	filler.Size.MemoryMB, filler.MaxPerWorker = 89_000, 1
+	sim.submitLow("filler", filler)
+	sim.run(200 * time.Millisecond)
+	sim.submit("urgent", urgentStep(6, 11_000))
+	sim.run(600 * time.Millisecond)
+	assert.Equal(t, workflow.Placed, original.phase)
+	assert.Equal(t, workflow.Placed, k.phase)
+	assert.True(t, slices.ContainsFunc(sim.core.pending, func(t *task) bool { return t.job().terms.Priority == 0 }), "an urgent task lacks room")
+	assert.Zero(t, preempted(m))
+}
