Bound preemption by the short tasks of a pool only

Cause: the rate of stops is one in a hundred short tasks a second, but all tasks of the workers were counted. With hundreds of services in a pool, short tasks were stopped several times as often as the bound says. Change: only tasks that are not long-running count.

--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -68,7 +68,7 @@
 	inProgress := 0
 	for _, n := range p.candidates(pool) {
 		w := c.workersByID[n.Index]
-		inProgress += len(w.tasks)
+		inProgress += w.shortTasks()
 		if p.now < w.nextPreemption || !t.reserved().Fits(w.Capacity.Sub(w.longRunning)) {
 			continue
 		}
@@ -101,6 +101,17 @@
 	}
 }
 
+// shortTasks returns the number of tasks on the worker that are not long-running.
+func (w *worker) shortTasks() int {
+	n := 0
+	for t := range w.tasks {
+		if !t.step.def.LongRunning {
+			n++
+		}
+	}
+	return n
+}
+
 // preemptableFor reports whether a placed task may be stopped for another one. Neither a copy nor its original may: each attempt
 // counts its own stops, and a task has a copy because it is late already.
 func (t *task) preemptableFor(other *task) bool {
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -215,3 +215,23 @@
 	assert.True(t, slices.ContainsFunc(sim.core.pending, func(t *task) bool { return t.job().terms.Priority == 0 }), "an urgent task lacks room")
 	assert.Zero(t, preempted(m))
 }
+
+// Guards against a bound on stops that grows with the services of a pool, which are never stopped.
+func TestServicesDoNotRaiseTheBoundOnStops(t *testing.T) {
+	const workers = 12
+	service := workflow.Step{Count: 50 * workers, LongRunning: true, Size: resource.Vector{MilliCores: 10, MemoryMB: 1}}
+	sim, m := newCompetition(t, 1, workers)
+	sim.submit("service", service)
+	sim.run(2 * time.Second)
+	assert.Equal(t, service.Count, sim.countRuns("service", false))
+	filler := fillerStep(4*workers, 20*time.Second)
+	filler.Size = resource.Vector{MilliCores: 500, MemoryMB: 1900}
+	sim.submitLow("low", filler)
+	sim.run(1200 * time.Millisecond)
+	assert.Equal(t, service.Count+filler.Count, sim.runningTasks())
+	sim.submit("urgent", urgentStep(workers, 1500))
+	sim.run(900 * time.Millisecond)
+	t.Logf("%d preempted", preempted(m))
+	assert.Positive(t, preempted(m))
+	assert.LessOrEqual(t, preempted(m), 3, "two at once and one a second")
+}
