Predict ends for preemption from learned durations and new progress

Cause: progress that an attempt had before its first report, because it resumed or a predecessor had placed it, counted as made since its start. Until the next percent it seemed to end at once, and nothing was stopped for urgent tasks. Costs and ends used the estimate: without one, an urgent task was worth no stop, and a task of a low priority seemed to end at once. Change: remaining uses the progress since the first report, and the expected duration of the step before there is any; costs use that duration too.

--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -341,7 +341,7 @@
 		t.startState, t.settledAt = startSettled, now
 	}
 	if !t.reported {
-		t.reported, t.percentAt = true, now
+		t.reported, t.percentAt, t.reportedAt, t.firstPercent = true, now, now, r.Percent
 		if t.startedAt == 0 {
 			t.startedAt = now
 		}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -160,6 +160,9 @@
 	listedIn int64
 	// reported is set once the worker has listed the attempt as running.
 	reported bool
+	// reportedAt is when that was, firstPercent the progress then.
+	reportedAt   time.Duration
+	firstPercent int
 	// notBefore is the earliest time at which the task is placed again after a failure.
 	notBefore time.Duration
 	// targetCPULimit is the CPU limit that the services beside the task allow, in percent; slowedSince is when it fell
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -84,7 +84,7 @@
 		}
 		workers, names = append(workers, out), append(names, w)
 	}
-	choice, ok := preemption.Choose(t.reserved(), waiting, t.step.work(), workers)
+	choice, ok := preemption.Choose(t.reserved(), waiting, preemption.Cost(requestedMilliCores(t.step.def), t.step.duration, 0), workers)
 	if !ok || !c.preemptionLimiter(pool).Allows(p.now, len(choice.Victims), inProgress) {
 		return
 	}
@@ -121,18 +121,23 @@
 		t.percent < keepProgressPercent
 }
 
-// remaining returns how much longer a placed task is expected to run, by its progress, or by its estimate before it has any.
+// remaining returns how much longer a placed task is expected to run, by its progress since it was first listed, or by the expected
+// duration before it has made any. An attempt that resumes, or that a predecessor has placed, had progress before that.
 func (t *task) remaining(now time.Duration) time.Duration {
 	switch {
 	case t.step.def.LongRunning || t.startedAt == 0:
 		return maxRemaining
 	case t.stopWanted:
 		return 0
-	case t.percent > 0:
-		perPercent := (t.percentAt - t.startedAt) / time.Duration(t.percent)
+	case t.reported && t.percent > t.firstPercent:
+		perPercent := (t.percentAt - t.reportedAt) / time.Duration(t.percent-t.firstPercent)
 		return perPercent*time.Duration(completePercent-t.percent) - (now - t.percentAt)
+	case t.step.duration <= 0:
+		return maxRemaining
+	case t.reported:
+		return t.step.duration/completePercent*time.Duration(completePercent-t.percent) - (now - t.reportedAt)
 	}
-	return t.step.def.Estimate - (now - t.startedAt)
+	return t.step.duration - (now - t.startedAt)
 }
 
 // unsaved returns how long a task has run without a checkpoint that this owner has seen. A successor does not know when the
@@ -141,7 +146,7 @@
 	if t.checkpointAt > 0 {
 		return now - t.checkpointAt
 	}
-	return max(now-t.startedAt, time.Duration(t.percent)*t.step.def.Estimate/completePercent)
+	return max(now-t.startedAt, time.Duration(t.percent)*(t.step.duration/completePercent))
 }
 
 func (c *Core) preemptionLimiter(pool string) *preemption.Limiter {
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -235,3 +235,43 @@
 	assert.Positive(t, preempted(m))
 	assert.LessOrEqual(t, preempted(m), 3, "two at once and one a second")
 }
+
+// Guards against progress from before a takeover or a checkpoint that counts as made since: until the next percent, a task with two
+// minutes left then seems to end at once, so nothing is stopped for the urgent one.
+func TestResumedTasksDoNotSeemToEndSoon(t *testing.T) {
+	// A percent takes 2 s.
+	for offset := time.Duration(0); offset < 2*time.Second; offset += 500 * time.Millisecond {
+		sim, _ := newCompetition(t, 1, 4, fillerStep(16, 200*time.Second))
+		sim.run(60*time.Second + offset)
+		sim.loseOwner()
+		m := NewMetrics(prometheus.NewRegistry())
+		sim.core.metrics = m
+		sim.run(300 * time.Millisecond)
+		sim.submit("urgent", urgentStep(2, 1500))
+		took := sim.took("urgent", 5*time.Second)
+		t.Logf("offset %v: took %v, %d preempted", offset, took, preempted(m))
+		assert.Less(t, took, 2600*time.Millisecond, "the objective")
+		assert.Equal(t, 2, preempted(m))
+	}
+}
+
+// Guards against decisions by estimates where the durations are learned: without an estimate, an urgent task is worth no stop.
+func TestPreemptionUsesLearnedDurations(t *testing.T) {
+	sim, m := newCompetition(t, 1, 4)
+	urgent := urgentStep(2, 1500)
+	urgent.Image, urgent.Estimate = "urgent", 0
+	sim.workTime = func(_ *fakeWorker, _ Attempt, s *workflow.Step) time.Duration {
+		return max(s.Estimate, 800*time.Millisecond)
+	}
+	for i := range 10 {
+		sim.submit(workflow.JobID(fmt.Sprintf("earlier-%d", i)), urgent)
+	}
+	sim.run(4 * time.Second)
+	sim.submitLow("low", fillerStep(16, 20*time.Second))
+	sim.run(1200 * time.Millisecond)
+	sim.submit("urgent", urgent)
+	took := sim.took("urgent", 5*time.Second)
+	t.Logf("took %v, %d preempted", took, preempted(m))
+	assert.Less(t, took, 2600*time.Millisecond, "the objective")
+	assert.Equal(t, 2, preempted(m))
+}
