Preempt away from the data only where the task can be in time

Cause: the check of the time left counted the work as near its data. Tasks were stopped on a worker in another rack, the urgent task took remote_factor times as long there, and was late all the same. Change: locality.Loss tells how much longer the work takes elsewhere, and a worker away from the data is left out if the task would be late there. Tasks with data in different racks are decided on apart.

--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"clementinewalk.example/clementinewalk/internal/locality"
 	"clementinewalk.example/clementinewalk/internal/preemption"
 )
 
@@ -34,8 +35,8 @@
 	if len(pending) == 0 || p.now < p.core.nextPreemptionCheck {
 		return
 	}
-	first, waiting := map[noRoomKey]*task{}, map[noRoomKey]int{}
-	var order []noRoomKey
+	first, waiting := map[preemptionKey]*task{}, map[preemptionKey]int{}
+	var order []preemptionKey
 	for _, t := range pending {
 		def := t.step.def
 		if def.BestEffort || def.LongRunning || def.Gang || t.restricted() || t.unplaced != unplacedNoWorker ||
@@ -44,7 +45,10 @@
 			continue
 		}
 		// Equal tasks have equal candidates, so one of them is decided on in a plan.
-		key := p.noRoomKey(t, false)
+		key := preemptionKey{noRoomKey: p.noRoomKey(t, false)}
+		if p.core.prefersRack(t) {
+			key.dataRack = def.DataRack
+		}
 		if waiting[key]++; waiting[key] == 1 {
 			first[key] = t
 			order = append(order, key)
@@ -59,6 +63,21 @@
 	}
 }
 
+// preemptionKey identifies the tasks for which room on the same workers is of use.
+type preemptionKey struct {
+	noRoomKey
+	dataRack string
+}
+
+// inTimeOn reports whether a task that starts on the worker once others were stopped there can be in time.
+func (t *task) inTimeOn(now time.Duration, w *worker, c *Core) bool {
+	end := now + preemptTime + t.step.path
+	if c.prefersRack(t) && w.Rack != t.step.def.DataRack {
+		end += locality.Loss(t.step.duration, c.params.RemoteSlowdown)
+	}
+	return end <= t.job().objectiveAt
+}
+
 // preemptFor stops tasks for one of a number of equal waiting tasks if that is worth its cost.
 func (p *plan) preemptFor(t *task, waiting int) {
 	c, pool := p.core, t.job().terms.Pool
@@ -69,7 +88,7 @@
 	for _, n := range p.candidates(pool) {
 		w := c.workersByID[n.Index]
 		inProgress += w.shortTasks()
-		if p.now < w.nextPreemption || !t.reserved().Fits(w.Capacity.Sub(w.longRunning)) {
+		if p.now < w.nextPreemption || !t.inTimeOn(p.now, w, c) || !t.reserved().Fits(w.Capacity.Sub(w.longRunning)) {
 			continue
 		}
 		out := preemption.Worker{Free: n.Free()}
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -275,3 +275,27 @@
 	assert.Less(t, took, 2600*time.Millisecond, "the objective")
 	assert.Equal(t, 2, preempted(m))
 }
+
+// Guards against stops on workers where the urgent task does not take the room, because it would be late away from its data.
+func TestPreemptionMakesRoomNearTheData(t *testing.T) {
+	sim, m := newCompetition(t, 1, 4)
+	sim.remoteSlowdown, sim.params.RemoteSlowdown, sim.core.params.RemoteSlowdown = 3, 3, 3
+	for id, f := range sim.workers {
+		f.rack = rackName(int(id[3] - '0'))
+	}
+	sim.listWorkers()
+	near := fillerStep(4, 20*time.Second)
+	near.DataRack = rackName(3)
+	sim.submitLow("near", near)
+	sim.run(time.Second)
+	sim.submitLow("low", fillerStep(12, 20*time.Second))
+	sim.run(1200 * time.Millisecond)
+	assert.Equal(t, 16, sim.runningTasks())
+	urgent := urgentStep(1, 1500)
+	urgent.DataRack = rackName(3)
+	sim.submit("urgent", urgent)
+	took := sim.took("urgent", 8*time.Second)
+	t.Logf("took %v, %d preempted", took, preempted(m))
+	assert.Less(t, took, 2600*time.Millisecond, "the objective")
+	assert.Equal(t, 1, preempted(m))
+}
--- a/internal/locality/locality.go
+++ b/internal/locality/locality.go
@@ -32,6 +32,8 @@
 	maxAskInterval = 300 * time.Millisecond
 	// maxSlowdown keeps sums of absurd settings from overflowing.
 	maxSlowdown = 1000
+	// Longer work counts as maxWork, also against overflows; no wait is nearly as long.
+	maxWork = time.Hour
 )
 
 // Request describes a task, or a gang, for which there is room in a worse place only.
@@ -108,14 +110,12 @@
 
 // Decide returns whether a task waits for the better place.
 func Decide(r *Request) Decision {
-	slowdown := min(r.Slowdown, maxSlowdown)
-	if r.Work <= 0 || !(slowdown > 1) {
+	if r.Work <= 0 || !(r.Slowdown > 1) {
 		return Decision{Reason: NoSlowdown}
 	}
-	// Longer work counts as an hour, so that sums do not overflow; no wait is nearly as long.
-	work := min(r.Work, time.Hour)
-	far := time.Duration(slowdown * float64(work))
-	d := Decision{Gain: far - work}
+	work := min(r.Work, maxWork)
+	d := Decision{Gain: Loss(work, r.Slowdown)}
+	far := work + d.Gain
 	if !r.Place.Possible {
 		d.Reason = Impossible
 		return d
@@ -149,6 +149,14 @@
 	return d
 }
 
+// Loss returns how much longer work takes in a worse place.
+func Loss(work time.Duration, slowdown float64) time.Duration {
+	if !(slowdown > 1) {
+		return 0
+	}
+	return time.Duration((min(slowdown, maxSlowdown) - 1) * float64(max(0, min(work, maxWork))))
+}
+
 // valueLimit returns how long a wait may last without a loss of value if the task is then placed in the worse place after
 // all. If only the better place can still reach a bound of the value, the wait may last as long as it can. A result that
 // has no value in either place has none to lose, but its room may have.
