Preempt nothing while placements are not stored

Cause: plans go on for some time while the log is away, and tasks were stopped once a second for urgent ones whose placements were not stored. Neither could start until the log was back.

--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"clementinewalk.example/clementinewalk/internal/locality"
@@ -32,7 +33,7 @@
 // preempt stops tasks of lower priorities for those of the pending tasks that have found no room and can still be in time.
 // Best-effort tasks need no reserved room, so nothing is stopped for them.
 func (p *plan) preempt(pending []*task) {
-	if len(pending) == 0 || p.now < p.core.nextPreemptionCheck {
+	if len(pending) == 0 || p.now < p.core.nextPreemptionCheck || p.core.storingSlowly(p.now) {
 		return
 	}
 	first, waiting := map[preemptionKey]*task{}, map[preemptionKey]int{}
@@ -63,6 +64,14 @@
 	}
 }
 
+// storingSlowly reports whether a placement has waited to be stored for as long as a stop takes. Tasks that are placed now would
+// not start soon, and those that were stopped for them would not start again.
+func (c *Core) storingSlowly(now time.Duration) bool {
+	return slices.ContainsFunc(c.uncommitted, func(t *task) bool {
+		return t.startState == startUncommitted && now-t.placedAt > preemptTime
+	})
+}
+
 // preemptionKey identifies the tasks for which room on the same workers is of use.
 type preemptionKey struct {
 	noRoomKey
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -299,3 +299,26 @@
 	assert.Less(t, took, 2600*time.Millisecond, "the objective")
 	assert.Equal(t, 1, preempted(m))
 }
+
+// Guards against stops while the log is away: neither the urgent tasks nor those that were stopped for them could start.
+func TestNothingIsPreemptedWhileTheLogIsAway(t *testing.T) {
+	sim, m := newCompetition(t, 1, 8, fillerStep(32, 20*time.Second))
+	sim.logDown = true
+	sim.submit("first", urgentStep(2, 1500))
+	sim.run(time.Second)
+	stops := preempted(m)
+	assert.Positive(t, stops, "not known yet")
+	sim.run(500 * time.Millisecond)
+	stops = preempted(m)
+	for i := range 3 {
+		sim.submit(workflow.JobID(fmt.Sprintf("urgent-%d", i)), urgentStep(2, 1500))
+		sim.run(time.Second)
+	}
+	assert.Equal(t, stops, preempted(m))
+	sim.logDown = false
+	sim.run(300 * time.Millisecond)
+	sim.submit("last", urgentStep(2, 1500))
+	sim.run(time.Second)
+	t.Logf("%d preempted, then %d", stops, preempted(m))
+	assert.Greater(t, preempted(m), stops, "the log is back")
+}
