Preempt on no worker that the urgent task avoids

Cause: the last attempt of a task avoids workers with recent failures for a while, and a suspected task workers with recent starts. Tasks were stopped there all the same, and the room was not taken. Change: such workers are left out, and tasks that avoid different ones are decided on apart.

--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		// Equal tasks have equal candidates, so one of them is decided on in a plan.
-		key := preemptionKey{noRoomKey: p.noRoomKey(t, false)}
+		key := preemptionKey{noRoomKey: p.noRoomKey(t, false), caution: p.caution(t)}
 		if p.core.prefersRack(t) {
 			key.dataRack = def.DataRack
 		}
@@ -75,6 +75,7 @@
 // preemptionKey identifies the tasks for which room on the same workers is of use.
 type preemptionKey struct {
 	noRoomKey
+	caution  caution
 	dataRack string
 }
 
@@ -93,11 +94,11 @@
 	var workers []preemption.Worker
 	var names []*worker
 	var victims []*task
-	inProgress := 0
+	inProgress, avoids := 0, p.caution(t).filter(t.job())
 	for _, n := range p.candidates(pool) {
 		w := c.workersByID[n.Index]
 		inProgress += w.shortTasks()
-		if p.now < w.nextPreemption || !t.inTimeOn(p.now, w, c) || !t.reserved().Fits(w.Capacity.Sub(w.longRunning)) {
+		if p.now < w.nextPreemption || avoids != nil && !avoids(w) || !t.inTimeOn(p.now, w, c) || !t.reserved().Fits(w.Capacity.Sub(w.longRunning)) {
 			continue
 		}
 		out := preemption.Worker{Free: n.Free()}
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -322,3 +322,16 @@
 	t.Logf("%d preempted, then %d", stops, preempted(m))
 	assert.Greater(t, preempted(m), stops, "the log is back")
 }
+
+// Guards against stops on workers that the urgent task avoids for a while, where it does not take the room.
+func TestPreemptionSparesAvoidedWorkers(t *testing.T) {
+	sim, m := newCompetition(t, 1, 2, fillerStep(8, 20*time.Second))
+	sim.core.workers["w000"].consecutiveFailures = 1
+	sim.submit("urgent", urgentStep(1, 1500))
+	urgent := sim.core.jobs["urgent"].rounds[0].steps[0].tasks[0]
+	urgent.failures = urgent.job().terms.MaxAttempts - 1
+	took := sim.took("urgent", 5*time.Second)
+	t.Logf("took %v, %d preempted", took, preempted(m))
+	assert.Less(t, took, 2600*time.Millisecond, "the objective")
+	assert.Equal(t, 1, preempted(m))
+}
