End waits for racks that the limit on one worker closes

Cause: whether a rack could take a task was decided without the tasks of its step there. With a limit for each worker, tasks waited 1.5 s for workers that could take none until those tasks had ended, seconds later. Change: a task of the step that is expected to run for longer than any wait counts against the limit. Result: TestWaitCountsTasksOfItsStep: of 6 tasks of 5 s for 3 workers, one each, none waits, 3 before; with tasks of 0.4 s, 3 wait as before.

--- a/internal/dispatch/locality.go
+++ b/internal/dispatch/locality.go
@@ -212,7 +212,30 @@
 	return s.rackCanHold
 }
 
-// slots returns how many tasks of a step the rack could take if only its long-running tasks were there, up to a limit.
+// lastingTasks returns the number of tasks of a step on the worker that are expected to run for longer than any wait, if the step
+// limits the tasks on one worker.
+func (w *worker) lastingTasks(s *step, now time.Duration) int {
+	n := 0
+	if s.def.MaxPerWorker <= 0 {
+		return n
+	}
+	for t := range w.tasks {
+		if t.step != s {
+			continue
+		}
+		left := s.duration
+		if t.startedAt > 0 {
+			left = t.remaining(now)
+		}
+		if left > locality.MaxWait {
+			n++
+		}
+	}
+	return n
+}
+
+// slots returns how many tasks of a step the rack could take if only its long-running tasks and those that keep others of the step
+// away were there, up to a limit.
 func (p *plan) slots(s *step, v *rackView, limit int) int {
 	need, t, slots := s.def.Size, s.tasks[0], 0
 	filter := p.requireApproval(t, nil)
@@ -222,7 +245,7 @@
 		if !need.Fits(free) || !w.suits(t) || filter != nil && !filter(w) {
 			continue
 		}
-		for taken := 0; need.Fits(free) && (s.def.MaxPerWorker <= 0 || taken < s.def.MaxPerWorker); taken++ {
+		for taken := w.lastingTasks(s, p.now); need.Fits(free) && (s.def.MaxPerWorker <= 0 || taken < s.def.MaxPerWorker); taken++ {
 			if slots++; slots >= limit {
 				return slots
 			}
--- a/internal/dispatch/locality_test.go
+++ b/internal/dispatch/locality_test.go
@@ -398,3 +398,31 @@
 		})
 	}
 }
+
+// Guards against waits for a rack whose workers may take no more tasks of the step until those there have ended, and against none where
+// they end soon.
+func TestWaitCountsTasksOfItsStep(t *testing.T) {
+	for _, work := range []time.Duration{400 * time.Millisecond, 5 * time.Second} {
+		sim := newRackSimulation(t, 1)
+		for i := range 6 {
+			sim.submit(workflow.JobID(fmt.Sprintf("%016d", i)), nearStep(4, 300*time.Millisecond, 0))
+			sim.run(500 * time.Millisecond)
+		}
+		s := nearStep(2*testRackWorkers, work, 0)
+		s.MaxPerWorker = 1
+		sim.submit("limited", s)
+		sim.run(100 * time.Millisecond)
+		waiting := 0
+		for _, task := range sim.core.jobs["limited"].rounds[0].steps[0].tasks {
+			if task.phase == workflow.Pending {
+				assert.Equal(t, unplacedAwaitsRack, task.unplaced)
+				waiting++
+			}
+		}
+		if work > locality.MaxWait {
+			assert.Zero(t, waiting, "work %v", work)
+		} else {
+			assert.Equal(t, testRackWorkers, waiting, "work %v", work)
+		}
+	}
+}
