Let an urgent task take the room that was made for it in any rack

Cause: a task for which others were stopped away from its data could wait for its rack when their room was free. Those that were stopped took it back, and more were stopped. Change: such a task does not wait for its rack.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -33,7 +33,7 @@
 		accept = func(n *assign.Node) bool { return p.allows(n, t, filter) }
 	}
 	var rack *rackView
-	prefersRack := p.core.prefersRack(t)
+	prefersRack := p.core.prefersRack(t) && !t.takesAnyRack
 	if prefersRack {
 		rack = p.racks(t.job().terms.Pool).racks[def.DataRack]
 		if p.awaits(t, rack) {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -176,6 +176,9 @@
 	// for it again.
 	preemptions    int
 	nextPreemption time.Duration
+	// takesAnyRack is set from when others are stopped for the task until it is placed. If it waited for its rack, those that were
+	// stopped would take the room back.
+	takesAnyRack bool
 	// checkpointAt is when the checkpoint last changed; 0 if it has not in this attempt.
 	checkpointAt time.Duration
 	// crashes counts the workers that crashed under the task; crashedRun is the newest run that was counted.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -280,7 +280,7 @@
 	c.nextExpiry = min(c.nextExpiry, w.leaseEnd)
 	t.run, t.workerStartedAt, t.startState, t.commitBatch, t.startCalls = run, w.StartedAt, startUncommitted, 0, 0
 	t.startCutShort = false
-	t.placedAt = p.now
+	t.placedAt, t.takesAnyRack = p.now, false
 	c.endTaskRackWait(p.now, t, n)
 	c.timing.observe(phaseWait, p.now-t.queuedAt)
 	w.addTask(t)
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -119,6 +119,7 @@
 	}
 	w := names[choice.Worker]
 	t.nextPreemption, w.nextPreemption = p.now+preemptInterval, p.now+preemptInterval
+	t.takesAnyRack = true
 	for _, i := range choice.Victims {
 		o := victims[i]
 		o.preemptions++
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -276,28 +276,59 @@
 	assert.Equal(t, 2, preempted(m))
 }
 
-// Guards against stops on workers where the urgent task does not take the room, because it would be late away from its data.
-func TestPreemptionMakesRoomNearTheData(t *testing.T) {
-	sim, m := newCompetition(t, 1, 4)
-	sim.remoteSlowdown, sim.params.RemoteSlowdown, sim.core.params.RemoteSlowdown = 3, 3, 3
-	for id, f := range sim.workers {
-		f.rack = rackName(int(id[3] - '0'))
+// newRackCompetition returns a simulation with long tasks of a lower priority on four workers in four racks, near their data.
+func newRackCompetition(t *testing.T) (*simulation, *Metrics) {
+	const workers = 4
+	sim, m := newCompetition(t, 1, workers)
+	sim.remoteSlowdown, sim.params.RemoteSlowdown, sim.core.params.RemoteSlowdown = testSlowdown, testSlowdown, testSlowdown
+	for i := range workers {
+		sim.workers[fmt.Sprintf("w%03d", i)].rack = rackName(i)
 	}
 	sim.listWorkers()
-	near := fillerStep(4, 20*time.Second)
-	near.DataRack = rackName(3)
-	sim.submitLow("near", near)
+	for i := range workers {
+		s := fillerStep(4, 20*time.Second)
+		s.DataRack = rackName(i)
+		sim.submitLow(workflow.JobID(fmt.Sprintf("low-%d", i)), s)
+		sim.run(500 * time.Millisecond)
+	}
 	sim.run(time.Second)
-	sim.submitLow("low", fillerStep(12, 20*time.Second))
-	sim.run(1200 * time.Millisecond)
-	assert.Equal(t, 16, sim.runningTasks())
-	urgent := urgentStep(1, 1500)
-	urgent.DataRack = rackName(3)
-	sim.submit("urgent", urgent)
-	took := sim.took("urgent", 8*time.Second)
-	t.Logf("took %v, %d preempted", took, preempted(m))
-	assert.Less(t, took, 2600*time.Millisecond, "the objective")
-	assert.Equal(t, 1, preempted(m))
+	assert.Equal(t, 4*workers, sim.runningTasks())
+	return sim, m
+}
+
+// Guards against stops on workers away from the data of the urgent task, where it would be late.
+func TestPreemptionMakesRoomNearTheData(t *testing.T) {
+	for rack := range 4 {
+		sim, m := newRackCompetition(t)
+		urgent := urgentStep(1, 1500)
+		urgent.DataRack = rackName(rack)
+		sim.submit("urgent", urgent)
+		took := sim.took("urgent", 8*time.Second)
+		t.Logf("rack %d: took %v, %d preempted", rack, took, preempted(m))
+		assert.Less(t, took, 2600*time.Millisecond, "the objective")
+		assert.Equal(t, 1, preempted(m))
+	}
+}
+
+// Guards against an urgent task that waits for its rack when others were stopped for it elsewhere: they took the room back, and more
+// were stopped.
+func TestUrgentTaskTakesTheRoomThatWasMade(t *testing.T) {
+	for rack := range 4 {
+		sim, m := newRackCompetition(t)
+		for _, w := range sim.core.workers {
+			for range 30 {
+				w.freed.Observe(sim.now, 1000)
+			}
+		}
+		terms := testConfig().Queues[0].Terms
+		terms.Queue, terms.Allowance = "in-time-in-any-rack", 5*time.Second
+		urgent := urgentStep(1, 1500)
+		urgent.DataRack = rackName(rack)
+		sim.submitOn(terms, "urgent", urgent)
+		sim.run(time.Second)
+		assert.Equal(t, 1, sim.countRuns("urgent", false), "rack %d", rack)
+		assert.Equal(t, 1, preempted(m), "rack %d", rack)
+	}
 }
 
 // Guards against stops while the log is away: neither the urgent tasks nor those that were stopped for them could start.
