--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -160,6 +160,9 @@
 	listedIn int64
 	// reported is set once the worker has listed the attempt as running.
 	reported bool
+	// reportedAt is when that was, firstPercent the progress then.
+	reportedAt   time.Duration
+	firstPercent int
 	// notBefore is the earliest time at which the task is placed again after a failure.
 	notBefore time.Duration
 	// targetCPULimit is the CPU limit that the services beside the task allow, in percent; slowedSince is when it fell
@@ -173,6 +176,9 @@
 	// for it again.
 	preemptions    int
 	nextPreemption time.Duration
+	// takesAnyRack is set from when others are stopped for the task until it is placed. If it waited for its rack, those that were
+	// stopped would take the room back.
+	takesAnyRack bool
 	// checkpointAt is when the checkpoint last changed; 0 if it has not in this attempt.
 	checkpointAt time.Duration
 	// crashes counts the workers that crashed under the task; crashedRun is the newest run that was counted.
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
+	"clementinewalk.example/clementinewalk/internal/locality"
 	"clementinewalk.example/clementinewalk/internal/preemption"
 )
 
@@ -31,11 +33,11 @@
 // preempt stops tasks of lower priorities for those of the pending tasks that have found no room and can still be in time.
 // Best-effort tasks need no reserved room, so nothing is stopped for them.
 func (p *plan) preempt(pending []*task) {
-	if len(pending) == 0 || p.now < p.core.nextPreemptionCheck {
+	if len(pending) == 0 || p.now < p.core.nextPreemptionCheck || p.core.storingSlowly(p.now) {
 		return
 	}
-	first, waiting := map[noRoomKey]*task{}, map[noRoomKey]int{}
-	var order []noRoomKey
+	first, waiting := map[preemptionKey]*task{}, map[preemptionKey]int{}
+	var order []preemptionKey
 	for _, t := range pending {
 		def := t.step.def
 		if def.BestEffort || def.LongRunning || def.Gang || t.restricted() || t.unplaced != unplacedNoWorker ||
@@ -44,7 +46,10 @@
 			continue
 		}
 		// Equal tasks have equal candidates, so one of them is decided on in a plan.
-		key := p.noRoomKey(t, false)
+		key := preemptionKey{noRoomKey: p.noRoomKey(t, false), caution: p.caution(t)}
+		if p.core.prefersRack(t) {
+			key.dataRack = def.DataRack
+		}
 		if waiting[key]++; waiting[key] == 1 {
 			first[key] = t
 			order = append(order, key)
@@ -59,17 +64,41 @@
 	}
 }
 
+// storingSlowly reports whether a placement has waited to be stored for as long as a stop takes. Tasks that are placed now would
+// not start soon, and those that were stopped for them would not start again.
+func (c *Core) storingSlowly(now time.Duration) bool {
+	return slices.ContainsFunc(c.uncommitted, func(t *task) bool {
+		return t.startState == startUncommitted && now-t.placedAt > preemptTime
+	})
+}
+
+// preemptionKey identifies the tasks for which room on the same workers is of use.
+type preemptionKey struct {
+	noRoomKey
+	caution  caution
+	dataRack string
+}
+
+// inTimeOn reports whether a task that starts on the worker once others were stopped there can be in time.
+func (t *task) inTimeOn(now time.Duration, w *worker, c *Core) bool {
+	end := now + preemptTime + t.step.path
+	if c.prefersRack(t) && w.Rack != t.step.def.DataRack {
+		end += locality.Loss(t.step.duration, c.params.RemoteSlowdown)
+	}
+	return end <= t.job().objectiveAt
+}
+
 // preemptFor stops tasks for one of a number of equal waiting tasks if that is worth its cost.
 func (p *plan) preemptFor(t *task, waiting int) {
 	c, pool := p.core, t.job().terms.Pool
 	var workers []preemption.Worker
 	var names []*worker
 	var victims []*task
-	inProgress := 0
+	inProgress, avoids := 0, p.caution(t).filter(t.job())
 	for _, n := range p.candidates(pool) {
 		w := c.workersByID[n.Index]
-		inProgress += len(w.tasks)
-		if p.now < w.nextPreemption || !t.reserved().Fits(w.Capacity.Sub(w.longRunning)) {
+		inProgress += w.shortTasks()
+		if p.now < w.nextPreemption || avoids != nil && !avoids(w) || !t.inTimeOn(p.now, w, c) || !t.reserved().Fits(w.Capacity.Sub(w.longRunning)) {
 			continue
 		}
 		out := preemption.Worker{Free: n.Free()}
@@ -84,12 +113,13 @@
 		}
 		workers, names = append(workers, out), append(names, w)
 	}
-	choice, ok := preemption.Choose(t.reserved(), waiting, t.step.work(), workers)
+	choice, ok := preemption.Choose(t.reserved(), waiting, preemption.Cost(requestedMilliCores(t.step.def), t.step.duration, 0), workers)
 	if !ok || !c.preemptionLimiter(pool).Allows(p.now, len(choice.Victims), inProgress) {
 		return
 	}
 	w := names[choice.Worker]
 	t.nextPreemption, w.nextPreemption = p.now+preemptInterval, p.now+preemptInterval
+	t.takesAnyRack = true
 	for _, i := range choice.Victims {
 		o := victims[i]
 		o.preemptions++
@@ -101,26 +131,43 @@
 	}
 }
 
-// preemptableFor reports whether a placed task may be stopped for another one.
+// shortTasks returns the number of tasks on the worker that are not long-running.
+func (w *worker) shortTasks() int {
+	n := 0
+	for t := range w.tasks {
+		if !t.step.def.LongRunning {
+			n++
+		}
+	}
+	return n
+}
+
+// preemptableFor reports whether a placed task may be stopped for another one. Neither a copy nor its original may: each attempt
+// counts its own stops, and a task has a copy because it is late already.
 func (t *task) preemptableFor(other *task) bool {
 	def := t.step.def
 	return t.job().terms.Priority > other.job().terms.Priority && def.Checkpoints && !def.LongRunning && !def.Gang &&
-		t.startState == startSettled && t.reported && !t.stopWanted && t.preemptions < maxPreemptions &&
+		t.original == nil && t.copy == nil && t.startState == startSettled && t.reported && !t.stopWanted && t.preemptions < maxPreemptions &&
 		t.percent < keepProgressPercent
 }
 
-// remaining returns how much longer a placed task is expected to run, by its progress, or by its estimate before it has any.
+// remaining returns how much longer a placed task is expected to run, by its progress since it was first listed, or by the expected
+// duration before it has made any. An attempt that resumes, or that a predecessor has placed, had progress before that.
 func (t *task) remaining(now time.Duration) time.Duration {
 	switch {
 	case t.step.def.LongRunning || t.startedAt == 0:
 		return maxRemaining
 	case t.stopWanted:
 		return 0
-	case t.percent > 0:
-		perPercent := (t.percentAt - t.startedAt) / time.Duration(t.percent)
+	case t.reported && t.percent > t.firstPercent:
+		perPercent := (t.percentAt - t.reportedAt) / time.Duration(t.percent-t.firstPercent)
 		return perPercent*time.Duration(completePercent-t.percent) - (now - t.percentAt)
+	case t.step.duration <= 0:
+		return maxRemaining
+	case t.reported:
+		return t.step.duration/completePercent*time.Duration(completePercent-t.percent) - (now - t.reportedAt)
 	}
-	return t.step.def.Estimate - (now - t.startedAt)
+	return t.step.duration - (now - t.startedAt)
 }
 
 // unsaved returns how long a task has run without a checkpoint that this owner has seen. A successor does not know when the
@@ -129,7 +176,7 @@
 	if t.checkpointAt > 0 {
 		return now - t.checkpointAt
 	}
-	return max(now-t.startedAt, time.Duration(t.percent)*t.step.def.Estimate/completePercent)
+	return max(now-t.startedAt, time.Duration(t.percent)*(t.step.duration/completePercent))
 }
 
 func (c *Core) preemptionLimiter(pool string) *preemption.Limiter {
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -194,3 +194,175 @@
 		assert.Equal(t, workflow.Done, sim.state(workflow.JobID(fmt.Sprintf("urgent-%d", i))))
 	}
 }
+
+// Guards against stops of a copy or of its original. A copy counts its own stops, so a task could be stopped beyond the bound.
+func TestCopiesAreNotPreempted(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	m := NewMetrics(prometheus.NewRegistry())
+	sim.core.metrics = m
+	step := speculativeStep(1)
+	step.Checkpoints, step.Size.MemoryMB = true, 10_000
+	original, k := sim.runUntilCopied(step)
+	original.job().terms.Priority = 2
+	filler := batchStep(6, 20*time.Second)
+	filler.Size.MemoryMB, filler.MaxPerWorker = 89_000, 1
+	sim.submitLow("filler", filler)
+	sim.run(200 * time.Millisecond)
+	sim.submit("urgent", urgentStep(6, 11_000))
+	sim.run(600 * time.Millisecond)
+	assert.Equal(t, workflow.Placed, original.phase)
+	assert.Equal(t, workflow.Placed, k.phase)
+	assert.True(t, slices.ContainsFunc(sim.core.pending, func(t *task) bool { return t.job().terms.Priority == 0 }), "an urgent task lacks room")
+	assert.Zero(t, preempted(m))
+}
+
+// Guards against a bound on stops that grows with the services of a pool, which are never stopped.
+func TestServicesDoNotRaiseTheBoundOnStops(t *testing.T) {
+	const workers = 12
+	service := workflow.Step{Count: 50 * workers, LongRunning: true, Size: resource.Vector{MilliCores: 10, MemoryMB: 1}}
+	sim, m := newCompetition(t, 1, workers)
+	sim.submit("service", service)
+	sim.run(2 * time.Second)
+	assert.Equal(t, service.Count, sim.countRuns("service", false))
+	filler := fillerStep(4*workers, 20*time.Second)
+	filler.Size = resource.Vector{MilliCores: 500, MemoryMB: 1900}
+	sim.submitLow("low", filler)
+	sim.run(1200 * time.Millisecond)
+	assert.Equal(t, service.Count+filler.Count, sim.runningTasks())
+	sim.submit("urgent", urgentStep(workers, 1500))
+	sim.run(900 * time.Millisecond)
+	t.Logf("%d preempted", preempted(m))
+	assert.Positive(t, preempted(m))
+	assert.LessOrEqual(t, preempted(m), 3, "two at once and one a second")
+}
+
+// Guards against progress from before a takeover or a checkpoint that counts as made since: until the next percent, a task with two
+// minutes left then seems to end at once, so nothing is stopped for the urgent one.
+func TestResumedTasksDoNotSeemToEndSoon(t *testing.T) {
+	// A percent takes 2 s.
+	for offset := time.Duration(0); offset < 2*time.Second; offset += 500 * time.Millisecond {
+		sim, _ := newCompetition(t, 1, 4, fillerStep(16, 200*time.Second))
+		sim.run(60*time.Second + offset)
+		sim.loseOwner()
+		m := NewMetrics(prometheus.NewRegistry())
+		sim.core.metrics = m
+		sim.run(300 * time.Millisecond)
+		sim.submit("urgent", urgentStep(2, 1500))
+		took := sim.took("urgent", 5*time.Second)
+		t.Logf("offset %v: took %v, %d preempted", offset, took, preempted(m))
+		assert.Less(t, took, 2600*time.Millisecond, "the objective")
+		assert.Equal(t, 2, preempted(m))
+	}
+}
+
+// Guards against decisions by estimates where the durations are learned: without an estimate, an urgent task is worth no stop.
+func TestPreemptionUsesLearnedDurations(t *testing.T) {
+	sim, m := newCompetition(t, 1, 4)
+	urgent := urgentStep(2, 1500)
+	urgent.Image, urgent.Estimate = "urgent", 0
+	sim.workTime = func(_ *fakeWorker, _ Attempt, s *workflow.Step) time.Duration {
+		return max(s.Estimate, 800*time.Millisecond)
+	}
+	for i := range 10 {
+		sim.submit(workflow.JobID(fmt.Sprintf("earlier-%d", i)), urgent)
+	}
+	sim.run(4 * time.Second)
+	sim.submitLow("low", fillerStep(16, 20*time.Second))
+	sim.run(1200 * time.Millisecond)
+	sim.submit("urgent", urgent)
+	took := sim.took("urgent", 5*time.Second)
+	t.Logf("took %v, %d preempted", took, preempted(m))
+	assert.Less(t, took, 2600*time.Millisecond, "the objective")
+	assert.Equal(t, 2, preempted(m))
+}
+
+// newRackCompetition returns a simulation with long tasks of a lower priority on four workers in four racks, near their data.
+func newRackCompetition(t *testing.T) (*simulation, *Metrics) {
+	const workers = 4
+	sim, m := newCompetition(t, 1, workers)
+	sim.remoteSlowdown, sim.params.RemoteSlowdown, sim.core.params.RemoteSlowdown = testSlowdown, testSlowdown, testSlowdown
+	for i := range workers {
+		sim.workers[fmt.Sprintf("w%03d", i)].rack = rackName(i)
+	}
+	sim.listWorkers()
+	for i := range workers {
+		s := fillerStep(4, 20*time.Second)
+		s.DataRack = rackName(i)
+		sim.submitLow(workflow.JobID(fmt.Sprintf("low-%d", i)), s)
+		sim.run(500 * time.Millisecond)
+	}
+	sim.run(time.Second)
+	assert.Equal(t, 4*workers, sim.runningTasks())
+	return sim, m
+}
+
+// Guards against stops on workers away from the data of the urgent task, where it would be late.
+func TestPreemptionMakesRoomNearTheData(t *testing.T) {
+	for rack := range 4 {
+		sim, m := newRackCompetition(t)
+		urgent := urgentStep(1, 1500)
+		urgent.DataRack = rackName(rack)
+		sim.submit("urgent", urgent)
+		took := sim.took("urgent", 8*time.Second)
+		t.Logf("rack %d: took %v, %d preempted", rack, took, preempted(m))
+		assert.Less(t, took, 2600*time.Millisecond, "the objective")
+		assert.Equal(t, 1, preempted(m))
+	}
+}
+
+// Guards against an urgent task that waits for its rack when others were stopped for it elsewhere: they took the room back, and more
+// were stopped.
+func TestUrgentTaskTakesTheRoomThatWasMade(t *testing.T) {
+	for rack := range 4 {
+		sim, m := newRackCompetition(t)
+		for _, w := range sim.core.workers {
+			for range 30 {
+				w.freed.Observe(sim.now, 1000)
+			}
+		}
+		terms := testConfig().Queues[0].Terms
+		terms.Queue, terms.Allowance = "in-time-in-any-rack", 5*time.Second
+		urgent := urgentStep(1, 1500)
+		urgent.DataRack = rackName(rack)
+		sim.submitOn(terms, "urgent", urgent)
+		sim.run(time.Second)
+		assert.Equal(t, 1, sim.countRuns("urgent", false), "rack %d", rack)
+		assert.Equal(t, 1, preempted(m), "rack %d", rack)
+	}
+}
+
+// Guards against stops while the log is away: neither the urgent tasks nor those that were stopped for them could start.
+func TestNothingIsPreemptedWhileTheLogIsAway(t *testing.T) {
+	sim, m := newCompetition(t, 1, 8, fillerStep(32, 20*time.Second))
+	sim.logDown = true
+	sim.submit("first", urgentStep(2, 1500))
+	sim.run(time.Second)
+	stops := preempted(m)
+	assert.Positive(t, stops, "not known yet")
+	sim.run(500 * time.Millisecond)
+	stops = preempted(m)
+	for i := range 3 {
+		sim.submit(workflow.JobID(fmt.Sprintf("urgent-%d", i)), urgentStep(2, 1500))
+		sim.run(time.Second)
+	}
+	assert.Equal(t, stops, preempted(m))
+	sim.logDown = false
+	sim.run(300 * time.Millisecond)
+	sim.submit("last", urgentStep(2, 1500))
+	sim.run(time.Second)
+	t.Logf("%d preempted, then %d", stops, preempted(m))
+	assert.Greater(t, preempted(m), stops, "the log is back")
+}
+
+// Guards against stops on workers that the urgent task avoids for a while, where it does not take the room.
+func TestPreemptionSparesAvoidedWorkers(t *testing.T) {
+	sim, m := newCompetition(t, 1, 2, fillerStep(8, 20*time.Second))
+	sim.core.workers["w000"].consecutiveFailures = 1
+	sim.submit("urgent", urgentStep(1, 1500))
+	urgent := sim.core.jobs["urgent"].rounds[0].steps[0].tasks[0]
+	urgent.failures = urgent.job().terms.MaxAttempts - 1
+	took := sim.took("urgent", 5*time.Second)
+	t.Logf("took %v, %d preempted", took, preempted(m))
+	assert.Less(t, took, 2600*time.Millisecond, "the objective")
+	assert.Equal(t, 1, preempted(m))
+}
