Let a late success of a lost attempt end a task with copies

Cause: a success that a worker reported after its attempt had counted as lost was ignored if another attempt of the task was running, and then confirmed. With copies, the original may run for many seconds beside a lost copy. If it failed or was lost after that, the task was started again, later than 1 s after its end was confirmed. Also, if the number of that attempt was the one of a copy that was not started yet (an owner of an earlier version may give it away again), the running original was released as if it had ended: its worker counted as free.

Change: such a success ends a task whose step allows copies. What still runs of it is overtaken: stopped, and counted until it is known to have ended. If two other attempts run, one of them decides as before.

--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -172,8 +172,8 @@
 	c.metrics.copied(k.copyCause, o)
 }
 
-// endTask marks a task as ended by the success of an attempt, which is the task itself or its copy, and stops the other one. The
-// worker of that one is asked until it is known to have ended; until then it counts against its capacity.
+// endTask marks a task as ended by the success of an attempt, which is the task itself, its copy or one that had counted as lost,
+// and stops the others. Their workers are asked until they are known to have ended; until then they count against their capacity.
 func (c *Core) endTask(m, winner *task) {
 	k := m.copy
 	if k != nil {
@@ -184,8 +184,9 @@
 		}
 		c.markDirty(m.job())
 	}
-	if m.phase == workflow.Placed && winner == k && k != nil {
+	if m.phase == workflow.Placed && winner.original == m {
 		m.overtaken = true
+		c.markDirty(m.job())
 		c.stopAttempt(m)
 		return
 	}
--- a/internal/dispatch/copies_test.go
+++ b/internal/dispatch/copies_test.go
@@ -291,6 +291,62 @@
 	assert.Zero(t, w.node.Reserved.MilliCores)
 }
 
+// Guards against a start long after a success: the worker of a copy reports its success after the copy counted as lost, and the
+// original, which still runs, fails later.
+func TestLateSuccessOfALostCopyEndsItsTask(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	usual := sim.workTime
+	sim.workTime = func(f *fakeWorker, a Attempt, s *workflow.Step) time.Duration {
+		if usual(f, a, s) == slowWork {
+			return time.Minute
+		}
+		return s.Estimate
+	}
+	original, k := sim.runUntilCopied(speculativeStep(1), speculativeStep(1, 0))
+	original.copies = maxCopies
+	first, second := sim.workers[original.worker.ID], sim.workers[k.worker.ID]
+	second.disconnected = true
+	for end := sim.now + 20*time.Second; original.copy != nil; {
+		require.Less(t, sim.now, end, "the copy is never given up")
+		sim.run(tick)
+	}
+	require.True(t, sim.doneReported[original.id])
+	second.disconnected = false
+	sim.run(time.Second)
+	assert.Empty(t, first.running[Attempt{Task: original.id, Run: 1}], "the original is stopped")
+	if _, runs := sim.slowRuns()[1]; runs {
+		sim.endSlow(1, EndFailed, time.Second)
+	}
+	sim.run(2 * time.Second)
+	assert.Equal(t, 2, sim.startedRun[original.id], "no start follows the success")
+	sim.requireSettled()
+}
+
+// Guards against a running original that is forgotten: a success of an earlier attempt with the run number of a copy, which a
+// successor of an earlier version may have given away again, is read before the copy is started.
+func TestSuccessWithTheNumberOfAnUnstartedCopy(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	sim.submit(slowJob, speculativeStep(1))
+	original := sim.firstTask()
+	for original.copy == nil {
+		sim.run(tick)
+	}
+	k := original.copy
+	require.True(t, k.neverSent())
+	for _, f := range sim.workers {
+		if w := sim.core.workers[f.id]; w != k.worker && w != original.worker {
+			sim.core.applyEnd(sim.now, w, &End{Number: w.appliedEnd + 1, Attempt: k.attempt(), Outcome: EndDone})
+			break
+		}
+	}
+	require.True(t, original.done())
+	require.Equal(t, workflow.Placed, original.phase, "it counts until it has been stopped")
+	sim.run(2 * time.Second)
+	assert.Zero(t, sim.runningTasks())
+	assert.Empty(t, sim.core.copies)
+	assert.Equal(t, 1, sim.startedRun[original.id])
+}
+
 // Guards against failures of copies that do not count, and against a failure that counts after the task has ended.
 func TestFailuresOfBothAttemptsCount(t *testing.T) {
 	const soon = 50 * time.Millisecond
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -62,8 +62,13 @@
 	t := c.findAttempt(e.Attempt)
 	if t != nil && c.doneBefore(t, w, e) {
 		c.logger.Info("earlier attempt had ended as done", "task", t.id, "run", e.Run, "worker", w.ID)
-		c.stopAttempt(t)
-		c.taskDone(now, t)
+		main := t.main()
+		if main.copy != nil {
+			c.stopAttempt(main.copy)
+		}
+		c.stopAttempt(main)
+		// What still runs of the task is overtaken by the attempt that has ended.
+		c.taskDone(now, main.newCopy(now))
 		return
 	}
 	if t == nil || t.phase != workflow.Placed || t.worker != w || t.run != e.Run {
@@ -95,7 +100,9 @@
 
 // doneBefore reports whether a success of an earlier attempt completes a task. The worker had not answered until its
 // lease expired, so the attempt counted as lost, but it had ended before that. If the next attempt was already ordered,
-// that one decides.
+// that one decides, unless the step allows copies: another attempt may run for long beside a lost one, and nothing may be started
+// after the success was confirmed. While two other attempts run, one of them decides, because the record of a task that has ended
+// names one attempt only.
 func (c *Core) doneBefore(t *task, w *worker, e *End) bool {
 	d := t.step.def
 	if e.Outcome != EndDone || d.LongRunning || d.Gang || e.Run > t.lastRun() || t.job().state.Over() {
@@ -105,7 +112,8 @@
 	case workflow.Pending:
 		return t.step.ready
 	case workflow.Placed:
-		return t.neverSent() && (t.worker != w || t.run != e.Run)
+		return (t.worker != w || t.run != e.Run) && (t.neverSent() ||
+			t.original == nil && !t.overtaken && mayHaveCopies(d) && (t.copy == nil || t.copy.neverSent()))
 	}
 	return false
 }
