--- a/internal/dispatch/copies_test.go
+++ b/internal/dispatch/copies_test.go
@@ -140,6 +140,11 @@
 		"gang":                func(_ *simulation, s *workflow.Step) { s.Gang = true },
 		"long-running":        func(_ *simulation, s *workflow.Step) { s.LongRunning = true },
 		"best effort":         func(_ *simulation, s *workflow.Step) { s.BestEffort = true },
+		"single attempt": func(sim *simulation, _ *workflow.Step) {
+			for i := range sim.core.config.Queues {
+				sim.core.config.Queues[i].Terms.MaxAttempts = 1
+			}
+		},
 		"unknown kind":        func(_ *simulation, s *workflow.Step) { s.Image = "new" },
 		"larger than allowed": func(_ *simulation, s *workflow.Step) { s.Size.MilliCores = 13_000 },
 		"no worker with label": func(sim *simulation, s *workflow.Step) {
