Keep copies out of the summary of the backlog

Cause: the placement of a copy counted as one of its class, so the time for which a class has found no room began anew with each copy, and a task whose original was lost counted as waiting work while its copy ran. Copies also counted as tasks that were placed without a wait.

Change: neither the placement nor the wait of a copy is noted, and a task whose copy is placed does not wait.

Result: TestCopiesAreNoBacklog failed before and passes.

--- a/internal/dispatch/backlog.go
+++ b/internal/dispatch/backlog.go
@@ -92,7 +92,7 @@
 				continue
 			}
 			for _, t := range s.tasks {
-				if t.phase == workflow.Pending {
+				if t.phase == workflow.Pending && t.copy == nil {
 					work[s.def.BestEffort] += s.work()
 					ready[s.def.BestEffort] = ready[s.def.BestEffort] || s.ready
 				}
--- a/internal/dispatch/copies_test.go
+++ b/internal/dispatch/copies_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"clementinewalk.example/clementinewalk/internal/backlog"
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 	"clementinewalk.example/clementinewalk/internal/resource"
@@ -211,6 +212,30 @@
 	})
 }
 
+// Guards against a summary of the backlog in which copies hide that their class gets no room, and in which a task waits whose copy
+// runs.
+func TestCopiesAreNoBacklog(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	sim.submit(slowJob, speculativeStep(1))
+	first := sim.firstTask()
+	for end := sim.now + 4*time.Second; first.copy == nil || first.copy.startedAt == 0; {
+		require.Less(t, sim.now, end, "no copy was started")
+		sim.run(tick)
+	}
+	for _, placed := range sim.core.lastPlaced {
+		assert.Equal(t, first.placedAt, placed)
+	}
+	sim.endSlow(1, EndLapsed, 100*time.Millisecond)
+	require.Equal(t, workflow.Pending, first.phase)
+	classes := map[classKey]*backlog.Class{}
+	sim.core.addWaiting(sim.now, classes, first.job())
+	assert.Empty(t, classes)
+	sim.endSlow(2, EndFailed, 50*time.Millisecond)
+	require.Equal(t, workflow.Pending, first.phase)
+	sim.core.addWaiting(sim.now, classes, first.job())
+	assert.Len(t, classes, 1)
+}
+
 // Guards against a third run beside a copy whose original was lost.
 func TestLostOriginalWaitsForItsCopy(t *testing.T) {
 	sim := newCopySimulation(t, 1)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -282,7 +282,6 @@
 	t.startCutShort = false
 	t.placedAt = p.now
 	c.endTaskRackWait(p.now, t, n)
-	c.timing.observe(phaseWait, p.now-t.queuedAt)
 	w.addTask(t)
 	c.trackCopyable(t)
 	j := t.job()
@@ -292,7 +291,11 @@
 	}
 	c.uncommitted = append(c.uncommitted, t)
 	c.noteShort(t)
-	c.notePlaced(p.now, t)
+	if t.original == nil {
+		// A copy has not waited, and does not show that its class finds room.
+		c.timing.observe(phaseWait, p.now-t.queuedAt)
+		c.notePlaced(p.now, t)
+	}
 	c.markDirty(j)
 	p.placed++
 	c.logger.Info("task placed", "task", t.id, "run", run, "worker", w.ID, "born", w.StartedAt,
