Expire later starts of tasks that allow copies as early as those of copies

Cause: the start of a task that is placed again after an attempt counted as lost could be carried out up to 3.4 s after its decision. If the worker of the lost attempt then reported its success, the start could follow the confirmation of that end by more than 1 s.

Change: starts with a run number above 1 of steps that allow copies expire 0.9 s after their decision. One that arrives later is refused and decided anew.

Result: TestStartAfterALostAttemptExpires failed before and passes.

--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -66,9 +66,10 @@
 	return max(m.run, m.copyRun)
 }
 
-// startLimit returns how long after its decision the start of the attempt may still be carried out.
+// startLimit returns how long after its decision the start of the attempt may still be carried out. Another attempt may end as done
+// meanwhile: the original of a copy, or an earlier attempt that counts as lost.
 func (t *task) startLimit(p *Params) time.Duration {
-	if t.original != nil {
+	if t.original != nil || t.run > 1 && mayHaveCopies(t.step.def) {
 		return min(copyStartLimit, p.startLimit())
 	}
 	return p.startLimit()
--- a/internal/dispatch/copies_test.go
+++ b/internal/dispatch/copies_test.go
@@ -499,6 +499,33 @@
 	assert.Equal(t, 1, sim.startedRun[workflow.TaskID{Job: slowJob}])
 }
 
+// Guards against a start that reaches its worker long after the success of an attempt that had counted as lost was confirmed.
+func TestStartAfterALostAttemptExpires(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	sim.submit(slowJob, speculativeStep(1))
+	first := sim.firstTask()
+	// Without copies, the task is placed again as soon as its worker is lost.
+	first.copies = maxCopies
+	sim.workTime = nil
+	for first.startedAt == 0 {
+		sim.run(tick)
+	}
+	w := first.worker
+	sim.workers[w.ID].disconnected = true
+	sim.heldStarts = 1300 * time.Millisecond
+	for end := sim.now + 20*time.Second; first.run != 2 || first.startState != startInFlight; {
+		require.Less(t, sim.now, end, "the task is not placed again")
+		sim.run(tick)
+	}
+	sim.workers[w.ID].disconnected = false
+	w.retryInterval = 0
+	sim.run(100 * time.Millisecond)
+	require.True(t, first.done())
+	sim.run(3 * time.Second)
+	assert.Equal(t, 1, sim.startedRun[first.id])
+	sim.requireSettled()
+}
+
 // Guards against a slow task in a hundred that makes a quarter of the submissions late: 3 of 100 attempts take 7 times as long, and
 // the objective is 1.5 times the work and 0.25 s.
 func TestCopiesBringSubmissionsInTime(t *testing.T) {
