--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -66,9 +66,10 @@
 	return max(m.run, m.copyRun)
 }
 
-// startLimit returns how long after its decision the start of the attempt may still be carried out.
+// startLimit returns how long after its decision the start of the attempt may still be carried out. Another attempt may end as done
+// meanwhile: the original of a copy, or an earlier attempt that counts as lost.
 func (t *task) startLimit(p *Params) time.Duration {
-	if t.original != nil {
+	if t.original != nil || t.run > 1 && mayHaveCopies(t.step.def) {
 		return min(copyStartLimit, p.startLimit())
 	}
 	return p.startLimit()
@@ -172,8 +173,8 @@
 	c.metrics.copied(k.copyCause, o)
 }
 
-// endTask marks a task as ended by the success of an attempt, which is the task itself or its copy, and stops the other one. The
-// worker of that one is asked until it is known to have ended; until then it counts against its capacity.
+// endTask marks a task as ended by the success of an attempt, which is the task itself, its copy or one that had counted as lost,
+// and stops the others. Their workers are asked until they are known to have ended; until then they count against their capacity.
 func (c *Core) endTask(m, winner *task) {
 	k := m.copy
 	if k != nil {
@@ -184,8 +185,9 @@
 		}
 		c.markDirty(m.job())
 	}
-	if m.phase == workflow.Placed && winner == k && k != nil {
+	if m.phase == workflow.Placed && winner.original == m {
 		m.overtaken = true
+		c.markDirty(m.job())
 		c.stopAttempt(m)
 		return
 	}
@@ -260,10 +262,13 @@
 func (t *task) copyDue(now time.Duration) bool {
 	j := t.job()
 	return t.copy == nil && t.copies < maxCopies && t.phase == workflow.Placed && t.startState == startSettled && t.startedAt > 0 &&
-		!t.stopWanted && !t.adopted && !t.hadUnansweredStart && !t.suspected() && !t.lastAttempt() && !j.cancelled &&
+		!t.stopWanted && !t.adopted && !t.hadUnansweredStart && !t.suspected() && !t.nextFailureIsLast() && !j.cancelled &&
 		!j.state.Over() && j.terms.Pool == t.worker.Pool && t.tier(now) != tierTooLate && t.overHalf(now)
 }
 
+// nextFailureIsLast reports whether the submission fails with the next failure of an attempt. A copy would be one more that may fail.
+func (t *task) nextFailureIsLast() bool { return t.failures+1 >= max(1, t.job().terms.MaxAttempts) }
+
 // overHalf reports whether the task has run for a part of its expected duration after which its progress may say something.
 func (t *task) overHalf(now time.Duration) bool {
 	const part = 4
--- a/internal/dispatch/copies_test.go
+++ b/internal/dispatch/copies_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"clementinewalk.example/clementinewalk/internal/backlog"
 	"clementinewalk.example/clementinewalk/internal/catalog"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 	"clementinewalk.example/clementinewalk/internal/resource"
@@ -140,6 +141,11 @@
 		"gang":                func(_ *simulation, s *workflow.Step) { s.Gang = true },
 		"long-running":        func(_ *simulation, s *workflow.Step) { s.LongRunning = true },
 		"best effort":         func(_ *simulation, s *workflow.Step) { s.BestEffort = true },
+		"single attempt": func(sim *simulation, _ *workflow.Step) {
+			for i := range sim.core.config.Queues {
+				sim.core.config.Queues[i].Terms.MaxAttempts = 1
+			}
+		},
 		"unknown kind":        func(_ *simulation, s *workflow.Step) { s.Image = "new" },
 		"larger than allowed": func(_ *simulation, s *workflow.Step) { s.Size.MilliCores = 13_000 },
 		"no worker with label": func(sim *simulation, s *workflow.Step) {
@@ -206,6 +212,30 @@
 	})
 }
 
+// Guards against a summary of the backlog in which copies hide that their class gets no room, and in which a task waits whose copy
+// runs.
+func TestCopiesAreNoBacklog(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	sim.submit(slowJob, speculativeStep(1))
+	first := sim.firstTask()
+	for end := sim.now + 4*time.Second; first.copy == nil || first.copy.startedAt == 0; {
+		require.Less(t, sim.now, end, "no copy was started")
+		sim.run(tick)
+	}
+	for _, placed := range sim.core.lastPlaced {
+		assert.Equal(t, first.placedAt, placed)
+	}
+	sim.endSlow(1, EndLapsed, 100*time.Millisecond)
+	require.Equal(t, workflow.Pending, first.phase)
+	classes := map[classKey]*backlog.Class{}
+	sim.core.addWaiting(sim.now, classes, first.job())
+	assert.Empty(t, classes)
+	sim.endSlow(2, EndFailed, 50*time.Millisecond)
+	require.Equal(t, workflow.Pending, first.phase)
+	sim.core.addWaiting(sim.now, classes, first.job())
+	assert.Len(t, classes, 1)
+}
+
 // Guards against a third run beside a copy whose original was lost.
 func TestLostOriginalWaitsForItsCopy(t *testing.T) {
 	sim := newCopySimulation(t, 1)
@@ -291,6 +321,62 @@
 	assert.Zero(t, w.node.Reserved.MilliCores)
 }
 
+// Guards against a start long after a success: the worker of a copy reports its success after the copy counted as lost, and the
+// original, which still runs, fails later.
+func TestLateSuccessOfALostCopyEndsItsTask(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	usual := sim.workTime
+	sim.workTime = func(f *fakeWorker, a Attempt, s *workflow.Step) time.Duration {
+		if usual(f, a, s) == slowWork {
+			return time.Minute
+		}
+		return s.Estimate
+	}
+	original, k := sim.runUntilCopied(speculativeStep(1), speculativeStep(1, 0))
+	original.copies = maxCopies
+	first, second := sim.workers[original.worker.ID], sim.workers[k.worker.ID]
+	second.disconnected = true
+	for end := sim.now + 20*time.Second; original.copy != nil; {
+		require.Less(t, sim.now, end, "the copy is never given up")
+		sim.run(tick)
+	}
+	require.True(t, sim.doneReported[original.id])
+	second.disconnected = false
+	sim.run(time.Second)
+	assert.Empty(t, first.running[Attempt{Task: original.id, Run: 1}], "the original is stopped")
+	if _, runs := sim.slowRuns()[1]; runs {
+		sim.endSlow(1, EndFailed, time.Second)
+	}
+	sim.run(2 * time.Second)
+	assert.Equal(t, 2, sim.startedRun[original.id], "no start follows the success")
+	sim.requireSettled()
+}
+
+// Guards against a running original that is forgotten: a success of an earlier attempt with the run number of a copy, which a
+// successor of an earlier version may have given away again, is read before the copy is started.
+func TestSuccessWithTheNumberOfAnUnstartedCopy(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	sim.submit(slowJob, speculativeStep(1))
+	original := sim.firstTask()
+	for original.copy == nil {
+		sim.run(tick)
+	}
+	k := original.copy
+	require.True(t, k.neverSent())
+	for _, f := range sim.workers {
+		if w := sim.core.workers[f.id]; w != k.worker && w != original.worker {
+			sim.core.applyEnd(sim.now, w, &End{Number: w.appliedEnd + 1, Attempt: k.attempt(), Outcome: EndDone})
+			break
+		}
+	}
+	require.True(t, original.done())
+	require.Equal(t, workflow.Placed, original.phase, "it counts until it has been stopped")
+	sim.run(2 * time.Second)
+	assert.Zero(t, sim.runningTasks())
+	assert.Empty(t, sim.core.copies)
+	assert.Equal(t, 1, sim.startedRun[original.id])
+}
+
 // Guards against failures of copies that do not count, and against a failure that counts after the task has ended.
 func TestFailuresOfBothAttemptsCount(t *testing.T) {
 	const soon = 50 * time.Millisecond
@@ -413,6 +499,33 @@
 	assert.Equal(t, 1, sim.startedRun[workflow.TaskID{Job: slowJob}])
 }
 
+// Guards against a start that reaches its worker long after the success of an attempt that had counted as lost was confirmed.
+func TestStartAfterALostAttemptExpires(t *testing.T) {
+	sim := newCopySimulation(t, 1)
+	sim.submit(slowJob, speculativeStep(1))
+	first := sim.firstTask()
+	// Without copies, the task is placed again as soon as its worker is lost.
+	first.copies = maxCopies
+	sim.workTime = nil
+	for first.startedAt == 0 {
+		sim.run(tick)
+	}
+	w := first.worker
+	sim.workers[w.ID].disconnected = true
+	sim.heldStarts = 1300 * time.Millisecond
+	for end := sim.now + 20*time.Second; first.run != 2 || first.startState != startInFlight; {
+		require.Less(t, sim.now, end, "the task is not placed again")
+		sim.run(tick)
+	}
+	sim.workers[w.ID].disconnected = false
+	w.retryInterval = 0
+	sim.run(100 * time.Millisecond)
+	require.True(t, first.done())
+	sim.run(3 * time.Second)
+	assert.Equal(t, 1, sim.startedRun[first.id])
+	sim.requireSettled()
+}
+
 // Guards against a slow task in a hundred that makes a quarter of the submissions late: 3 of 100 attempts take 7 times as long, and
 // the objective is 1.5 times the work and 0.25 s.
 func TestCopiesBringSubmissionsInTime(t *testing.T) {
