Clarify comments on the estimate of the log and its batches

"Time" stood for durations and for points in time, silentAfter read as an unfinished sentence, and the two factors of a lost answer were explained together without a subject.

--- a/internal/eventlog/batcher.go
+++ b/internal/eventlog/batcher.go
@@ -24,7 +24,7 @@
 	mu     sync.Mutex
 	queue  []*waiter
 	closed bool
-	// inFlight holds the begin of each batch that is being stored.
+	// inFlight holds the start time of each batch that is being stored.
 	inFlight map[*batch]time.Time
 }
 
@@ -60,12 +60,12 @@
 	maxAppendAttempts = 3
 	// appendRetryDelay is the time between two attempts.
 	appendRetryDelay = 60 * time.Millisecond
-	// lostAnswerFactor is after how many times the expected time an answer counts as lost, so that a second append is
-	// sent also while the log is slow. minLostAnswerAge is the least such time.
+	// An answer counts as lost after lostAnswerFactor times the expected duration of an append, but not before
+	// minLostAnswerAge. A second append is then sent although the log is slow.
 	lostAnswerFactor = 3
 	minLostAnswerAge = 300 * time.Millisecond
-	// maxNextAppend limits the expected time of an append behind one of this instance that is in flight: what it waited
-	// for is stored by then.
+	// maxNextAppend limits the expected duration of an append that is sent after one of this instance: the appends of
+	// others that the earlier one waited for are stored by then.
 	maxNextAppend = 400 * time.Millisecond
 	// recheckInterval is how often the queue is looked at while appends are in flight.
 	recheckInterval = 50 * time.Millisecond
--- a/internal/eventlog/monitor.go
+++ b/internal/eventlog/monitor.go
@@ -13,8 +13,8 @@
 	"clementinewalk.example/clementinewalk/internal/storehealth"
 )
 
-// Monitor is a log whose calls tell how well the appends to one topic work now. Its methods may be called from any
-// goroutine.
+// Monitor wraps a log and estimates from its calls how long an append to one topic takes, and whether it succeeds. Its
+// methods may be called from any goroutine.
 type Monitor struct {
 	log    Log
 	topic  string
@@ -70,7 +70,7 @@
 	return m.fastAt.After(t)
 }
 
-// Hint notes the time of an append that another instance has told.
+// Hint notes the duration of an append that another instance has reported.
 func (m *Monitor) Hint(d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -147,7 +147,7 @@
 }
 
 const (
-	// appendTimeout limits an append. Its response may be lost, and usual ones take 20 ms.
+	// appendTimeout limits an append, whose response may be lost. Usual appends take up to 20 ms.
 	appendTimeout = time.Second
 	// slowAppendTimeout applies while the log is slow. The log queues 2 s of appends, and at 66 times the usual times an
 	// append takes 0.3 s and its response as long. One that is given up earlier is stored all the same, and the next one
--- a/internal/storehealth/storehealth.go
+++ b/internal/storehealth/storehealth.go
@@ -66,15 +66,15 @@
 const (
 	// SlowAfter is the time of an append from which the log counts as slow. Usual appends take 10 to 20 ms.
 	SlowAfter = 60 * time.Millisecond
-	// silentAfter is how long no call has been answered, and one is overdue, in a silent log. At 66 times the usual times,
-	// a read is answered 0.3 s after its wait.
+	// silentAfter is the time without any answer, and with an overdue call, from which the log counts as silent. A log that
+	// is 66 times slower than usual still answers a read 0.3 s after its wait.
 	silentAfter = 700 * time.Millisecond
 	// probeAfter is how long a failure counts as evidence if no read is in progress. The reads of followers are at most 0.4 s
 	// apart; without them, single appends find the return of the log.
 	probeAfter = 500 * time.Millisecond
-	// timesKept is how long the time of an append is expected for the next one.
+	// timesKept is how long the duration of an append is used as the expectation for the next one.
 	timesKept = 2 * time.Second
-	// hintKept is how long a time that another instance has told is expected.
+	// hintKept is how long the duration in a hint of another instance is used.
 	hintKept = 2 * time.Second
 	// maxPendingTime limits what an append without an answer adds to the expected time: its answer may be lost.
 	maxPendingTime = 400 * time.Millisecond
@@ -85,7 +85,7 @@
 	evidentFailures = 2
 )
 
-// Assessment is the result of an Estimator. Append is the expected time of an append.
+// Assessment is the result of an Estimator. Append is the expected duration of an append.
 type Assessment struct {
 	State  State
 	Append time.Duration
@@ -128,8 +128,8 @@
 type Estimator struct {
 	answered     sample
 	append, hint sample
-	// last is the time of the newest append. The expected time is the shorter of the last two: one may have waited behind
-	// the appends of instances that have not known yet that the log is slow.
+	// last is the duration of the newest append. The shorter of the last two is expected: one may have waited behind the
+	// appends of instances that did not know yet that the log is slow.
 	last     time.Duration
 	failures [2]failure
 }
@@ -171,13 +171,13 @@
 	}
 	e.append = sample{at: now, value: min(d, max(previous, SlowAfter)), known: true}
 	e.last = d
-	// A fast append shows that no other is queued, whatever others have told before.
+	// A fast append shows that no other is queued, so earlier hints no longer apply.
 	if d < SlowAfter {
 		e.hint = sample{}
 	}
 }
 
-// Hint notes the time of an append that another instance has told. It may have waited behind others.
+// Hint notes the duration of an append that another instance has reported. The append may have waited behind others.
 func (e *Estimator) Hint(now, d time.Duration) {
 	d = min(d, maxSingleTime)
 	e.hint = sample{at: now, value: d, known: true}
