Correct how long a hint counts in the comments of collectors

The comment on hintInterval said that a hint counts for a second; it is 2 s. The exception of reportInterval after a fast append was missing, and some comments spoke of what instances "tell" or "forget".

--- a/internal/intake/collectors.go
+++ b/internal/intake/collectors.go
@@ -32,7 +32,8 @@
 	suspension = 2 * time.Second
 	// reportTimeout limits a report or hint; a new connection takes two network trips.
 	reportTimeout = 400 * time.Millisecond
-	// reportInterval limits the reports of one instance, hintInterval the hints of a collector. A hint counts for a second.
+	// reportInterval is the least time between two reports of one instance, unless an append was fast in between.
+	// hintInterval is that between two rounds of hints of a collector. A hint counts for 2 s (confirmedFor).
 	reportInterval = 300 * time.Millisecond
 	hintInterval   = 600 * time.Millisecond
 	// minHintInterval applies instead when an append was fast since the last hint: the instances have forgotten the hint by
@@ -46,8 +47,8 @@
 	// certificate. A fleet has at most 97 instances, and a name is part of a key of the log, which has at most 255 bytes.
 	maxReports   = 128
 	maxNameBytes = 255
-	// confirmedFor is how long the word of another instance that appends are slow confirms that they are not slow for this
-	// instance alone. It is as long as a hint counts.
+	// confirmedFor is how long a report or hint of another instance confirms that appends are not slow for this instance
+	// alone. It is as long as the estimate of the log uses a hint.
 	confirmedFor = 2 * time.Second
 	// maxHintCalls limits the concurrent calls of one round of hints.
 	maxHintCalls = 12
@@ -79,12 +80,12 @@
 	// reports holds when each instance has last reported slow appends.
 	reports          map[string]time.Time
 	reported, hinted time.Time
-	// confirmed is when another instance has last told that appends are slow.
+	// confirmed is when another instance last sent a report or hint that appends are slow.
 	confirmed            time.Time
 	reporting, isHinting bool
 }
 
-// NewCollectors returns the collectors that an instance uses. It is told by log when an append is slow.
+// NewCollectors returns the collectors that an instance uses. It sets the function that log calls when an append is slow.
 func NewCollectors(instance string, client CollectorClient, c *catalog.Catalog, log *eventlog.Monitor, l *slog.Logger,
 	r prometheus.Registerer) *Collectors {
 	entries := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_intake_entries_total",
@@ -161,8 +162,8 @@
 			return c.outcome("collector", unknown, &eventlog.UnsentError{Health: h})
 		}
 		d, err := c.collect(ctx, to, e)
-		// The time of a collector that has not stored the entry may be from before it was cut off from the log, so it ends no
-		// expectation of a slow append.
+		// A collector that has not stored the entry may state a duration from before it was cut off from the log. Such a
+		// short duration does not end the expectation of slow appends.
 		if d >= storehealth.SlowAfter && c.isConfirmed() || 0 < d && d < storehealth.SlowAfter && err == nil {
 			c.log.Hint(d)
 		}
@@ -239,7 +240,8 @@
 	c.answered[instance] = time.Now()
 }
 
-// alive reports whether a collector has answered of late, or answers now: to a report of no time, which has no effect.
+// alive reports whether a collector has answered within aliveFor, or answers now to a report with the duration 0, which
+// has no other effect.
 func (c *Collectors) alive(ctx context.Context, to catalog.Endpoint) bool {
 	c.mu.Lock()
 	recent := time.Since(c.answered[to.Instance]) < aliveFor
@@ -317,8 +319,8 @@
 	}
 }
 
-// ownAppendIsSlow tells all instances that appends are slow if another instance has said so of late. Otherwise only the way
-// of this instance to the log may be slow, and all entries would take that way.
+// ownAppendIsSlow tells all instances that appends are slow if another instance has confirmed it. Otherwise perhaps only
+// the connection of this instance to the log is slow, and a hint would send all entries over it.
 func (c *Collectors) ownAppendIsSlow(d time.Duration) {
 	if c.isConfirmed() {
 		c.hint(d)
--- a/internal/intake/relayed.go
+++ b/internal/intake/relayed.go
@@ -195,8 +195,8 @@
 	}
 }
 
-// Hint implements relay.Handler. Collectors tell times of slow appends only; a short one would make the instance forget what
-// it knows.
+// Hint implements relay.Handler. Collectors send the durations of slow appends only. A short one is ignored, because it would
+// replace what the instance has learned from its own appends.
 func (h *PeerHandler) Hint(d time.Duration) {
 	if h.collectors != nil && d >= storehealth.SlowAfter {
 		h.collectors.noteHint(d)
