State units and bounds in comments on preemption

The unit of Cost and the limit on accumulated stops were missing: in a small pool, two seconds of unused stops accumulate. Choose did not say which room keeps it from stopping tasks.

--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -15,18 +15,20 @@
 	// preemptTime is the time from the decision to stop a task until its room is free: the calls, the time that
 	// a worker takes to stop a task, and the list that reports the end.
 	preemptTime = 500 * time.Millisecond
-	// preemptInterval is the time between two decisions for one task or one worker. The room that the first one makes is free by then.
+	// preemptInterval is the least time between two decisions to stop tasks for one task or on one worker. The room that the first one makes is
+	// free by then.
 	preemptInterval = 2 * preemptTime
-	// restoreTime is the time that a task takes to resume from a checkpoint. The settings do not tell it.
+	// restoreTime is the assumed time that a task takes to resume from a checkpoint. The settings do not contain it.
 	restoreTime = 300 * time.Millisecond
-	// Decisions go through the tasks of all workers, for about 2 ms with 490 workers of 8 tasks, so at most maxPreemptionChecks are made each preemptionCheckInterval. A
-	// task for which nothing could be stopped makes way for others until preemptionRetry has passed.
+	// A decision goes through the tasks of all workers, which takes about 2 ms with 490 workers of 8 tasks, so at most
+	// maxPreemptionChecks are made in each preemptionCheckInterval. A task for which nothing could be stopped is considered
+	// again after preemptionRetry, so that others get their turn.
 	preemptionCheckInterval = 100 * time.Millisecond
 	maxPreemptionChecks     = 2
 	preemptionRetry         = 300 * time.Millisecond
-	// maxRemaining stands for a task of which it is unknown when it ends.
+	// maxRemaining is the remaining time of a task whose end is unknown.
 	maxRemaining = 24 * time.Hour
-	// maxPreemptions is how often one task is stopped for others.
+	// maxPreemptions limits how often one task is stopped for others.
 	maxPreemptions = 1
 )
 
@@ -64,8 +66,8 @@
 	}
 }
 
-// storingSlowly reports whether a placement has waited to be stored for as long as a stop takes. Tasks that are placed now would
-// not start soon, and those that were stopped for them would not start again.
+// storingSlowly reports whether a placement has waited to be stored for longer than a stop takes. Neither a task that is placed
+// now nor one that is stopped for it would then start again soon.
 func (c *Core) storingSlowly(now time.Duration) bool {
 	return slices.ContainsFunc(c.uncommitted, func(t *task) bool {
 		return t.startState == startUncommitted && now-t.placedAt > preemptTime
--- a/internal/preemption/preemption.go
+++ b/internal/preemption/preemption.go
@@ -40,8 +40,9 @@
 	Cost    int64
 }
 
-// Choose returns the cheapest way to make room for one of a number of equal waiting tasks. It returns false if none costs at
-// most maxCost, or there is room for all of them or will be without a stop.
+// Choose returns the cheapest way to make room for one of a number of equal waiting tasks. It returns false if no way costs
+// at most maxCost, if a worker has room for one of them now, or if as many as wait will get room from tasks that end by
+// themselves.
 func Choose(need resource.Vector, waiting int, maxCost int64, workers []Worker) (Choice, bool) {
 	best, found, soon := Choice{}, false, 0
 	for i := range workers {
@@ -87,7 +88,8 @@
 	return out, least
 }
 
-// Cost returns the work that is lost if a task is stopped which has saved its progress since ago, and which then restores it.
+// Cost returns the work, in core-milliseconds, that is lost if a task is stopped that last saved its progress at the given
+// time ago and takes the time restore to resume.
 func Cost(milliCores int64, since, restore time.Duration) int64 {
 	const millisPerCore = 1000
 	return milliCores * (max(0, since) + restore).Milliseconds() / millisPerCore
@@ -103,7 +105,7 @@
 const rateShare = 0.01
 
 // Allows reports whether n tasks may be stopped now in a pool with the given number of short tasks in progress, and counts
-// them if so. What was not used adds up for a second.
+// them if so. Unused stops accumulate for a second, or up to maxVictims if that is more.
 func (l *Limiter) Allows(now time.Duration, n, inProgress int) bool {
 	rate := max(1, rateShare*float64(inProgress))
 	if l.updatedAt == 0 {
