Clarify comments on waits for racks

valueLimit spoke of a result that "has none to lose"; Flow, rateMemory and Outcomes did not say what is counted; the units of the two meters of a worker were given as one.

--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -87,8 +87,8 @@
 	fullUntil time.Duration
 	// worstTailRatio is the highest ratio of tail latency to objective among the services on the worker.
 	worstTailRatio float64
-	// freed tracks the room that tasks have freed by their end, near what tasks with their data in the rack have used, in
-	// thousandths of a core times seconds.
+	// freed tracks the processors that tasks have freed by their end, in thousandths of a core. near tracks what tasks with
+	// their data in the rack have used, in thousandths of a core times seconds.
 	freed, near locality.Meter
 	// nextTurn is the time from which the worker may take a turn of another submission.
 	nextTurn time.Duration
--- a/internal/dispatch/locality.go
+++ b/internal/dispatch/locality.go
@@ -46,7 +46,7 @@
 	// active is set from the first decision to wait until the task is placed. since is when it was made.
 	active bool
 	since  time.Duration
-	// until is when the task is asked again. retryAt is when a gang is tried again.
+	// until is when the wait is decided anew. retryAt is when a gang is tried again.
 	until, retryAt time.Duration
 	// spent is the sum of the earlier waits.
 	spent time.Duration
@@ -93,7 +93,8 @@
 	nodes []*assign.Node
 	// freed is the room that has become free on them, valid if measured is set.
 	freed locality.Flow
-	// load is the share of the processors for short tasks that tasks with their data in the rack have used.
+	// load is the share of the rack's processors for short tasks that tasks with their data in the rack have used; valid if
+	// measured is set.
 	load     float64
 	measured bool
 	// ahead is what the tasks request that come first in the plan and wait for room in the rack.
@@ -139,7 +140,7 @@
 	return view
 }
 
-// window returns the time over which the flows of workers were observed.
+// window returns the effective time over which the flows of workers were observed, see locality.Window.
 func (p *plan) window() time.Duration { return locality.Window(p.now - p.core.ownerSince) }
 
 func (p *plan) measure(v *rackView) {
@@ -157,7 +158,7 @@
 	v.load = near.PerSecond(p.window()) / float64(max(1, room))
 }
 
-// forgetRack drops what depends on the candidates of a pool, because one of them is held. What waits stays counted.
+// forgetRack drops what depends on the candidates of a pool, because one of them is held. The count of tasks that come first is kept.
 func (p *plan) forgetRack(pool string, held *assign.Node) {
 	if view := p.rackViews[pool]; view != nil && view.racks[held.Rack] != nil {
 		v := view.racks[held.Rack]
--- a/internal/locality/locality.go
+++ b/internal/locality/locality.go
@@ -82,7 +82,7 @@
 	Impossible
 	// RateUnknown: too few tasks have ended there.
 	RateUnknown
-	// TooLong: the wait is expected to take longer than the better place saves.
+	// TooLong: the wait is expected to take longer than the better place saves at the prices of both places.
 	TooLong
 	// BoundReached: the task has waited as long as it may.
 	BoundReached
@@ -159,7 +159,7 @@
 
 // valueLimit returns how long a wait may last without a loss of value if the task is then placed in the worse place after
 // all. If only the better place can still reach a bound of the value, the wait may last as long as it can. A result that
-// has no value in either place has none to lose, but its room may have.
+// has no value in either place has none to lose; its wait is limited by MaxWait, because it delays others.
 func (r *Request) valueLimit(near, far time.Duration) time.Duration {
 	switch {
 	case far <= r.ToObjective:
--- a/internal/locality/rate.go
+++ b/internal/locality/rate.go
@@ -6,14 +6,15 @@
 )
 
 const (
-	// rateMemory is the time constant of rates: several runs of a short task, and little against the changes of demand.
+	// rateMemory is the time constant of rates. It covers several runs of a short task, and is short compared with the time
+	// in which demand changes.
 	rateMemory = 4 * time.Second
 	// outcomeMemory is the time constant of outcomes, which are fewer than ends.
 	outcomeMemory = 10 * time.Second
 )
 
-// Flow is an amount of room that has become free, and the number of ends that freed it, both with the weight of recent
-// ends.
+// Flow is an amount of room that has become free, and the number of ended tasks that freed it. Both decay with
+// rateMemory.
 type Flow struct{ Amount, Count float64 }
 
 // Add returns the sum of two flows.
@@ -53,7 +54,7 @@
 	return time.Duration(float64(rateMemory) * (1 - decay(observed, rateMemory)))
 }
 
-// Outcomes tracks how often waits for a place ended there. The zero value has seen none.
+// Outcomes tracks how often tasks that waited for a place were placed there. The zero value has seen none.
 type Outcomes struct {
 	paid, vain float64
 	at         time.Duration
