State windows and units in comments on the backlog

"Of late" and "the last seconds" stood for 20 s and 4 s, the unit of waiting work was missing, and minRateShare did not say that it bounds the published rate.

--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -1,6 +1,6 @@
 // Package backlog decides on arrival whether a submission can still end while its result has value. It answers load in
 // which more best-effort or urgent work arrives than a pool can run beside its services: work of a lower priority then
-// waits behind all work of a higher one, is stored and stored again, and ends when its result has no value any more. The
+// waits behind all work of a higher one and ends when its result has no value any more. The
 // package uses no clock, network or goroutine.
 //
 // A submission is refused only behind work of a higher priority. Work of its own priority is no reason: the owner places
@@ -29,7 +29,7 @@
 	Interval = time.Second
 	// MaxBytes limits an encoded summary. Every instance reads each of them.
 	MaxBytes = 2 << 10
-	// margin is how far the earliest end must be beyond the end of the value. Rates of the last seconds vary by a tenth, and the
+	// margin is the multiple of the time in which the result has value that the earliest end must exceed. Rates of the last seconds vary by a tenth, and the
 	// work ahead by what is cancelled or fails.
 	margin = 1.25
 	// minStarved is how long no task of a class must have been placed while some waited. Lower priorities also run beside a
@@ -54,10 +54,10 @@
 	// BestEffort is set for work without reserved processors. It does not keep reserving work from being placed, nor the
 	// other way round.
 	BestEffort bool `cbor:"4,keyasint,omitempty"`
-	// Submissions and ObjectiveMS are the number of its submissions and the mean of their objectives.
+	// Submissions and ObjectiveMS are the number of its submissions and the mean of their latency objectives.
 	Submissions int64 `cbor:"5,keyasint,omitempty"`
 	ObjectiveMS int64 `cbor:"6,keyasint,omitempty"`
-	// Waiting is the work.
+	// Waiting is the work in core-milliseconds.
 	Waiting int64 `cbor:"7,keyasint,omitempty"`
 	// StarvedMS is for how long no task of the class was placed although some could run.
 	StarvedMS int64 `cbor:"8,keyasint,omitempty"`
@@ -66,7 +66,7 @@
 // Pool is the rate at which the work of a pool is done.
 type Pool struct {
 	Name string `cbor:"1,keyasint"`
-	// Best is the highest rate of late, Recent that of the last seconds. A pool without a backlog has no entry: its rate
+	// Best is the highest rate of the last 20 s, Recent that of the last 4 s, both in thousandths of a core. A pool without a backlog has no entry: its rate
 	// does not tell what it can do.
 	Best   int64 `cbor:"2,keyasint,omitempty"`
 	Recent int64 `cbor:"3,keyasint,omitempty"`
--- a/internal/backlog/meter.go
+++ b/internal/backlog/meter.go
@@ -3,11 +3,11 @@
 import "time"
 
 const (
-	// rateWindow is the number of intervals between samples over which a rate is measured. Tasks take a second or two, so a shorter
-	// one measures in what second they end.
+	// rateWindow is the number of intervals between samples over which a rate is measured. Tasks take a second or two, so the
+	// rate over a shorter window depends on the second in which they happen to end.
 	rateWindow = 4
-	// rateMemory is the number of samples of which the best rate counts: a pool that is disturbed for some seconds does its usual
-	// rate afterwards.
+	// rateMemory is the number of samples over which the best rate is taken. It spans disturbances of some seconds, after
+	// which a pool returns to its usual rate.
 	rateMemory = 20
 	// maxSampleGap is the time between two samples after which the meter starts anew.
 	maxSampleGap = 3 * Interval
--- a/internal/dispatch/backlog.go
+++ b/internal/dispatch/backlog.go
@@ -120,8 +120,9 @@
 const (
 	// minWaitingShare is the least work that waits in a pool with a backlog, as a share of what runs.
 	minWaitingShare = 0.1
-	// minRateShare is the least rate of a pool with a backlog, as a share of the processors that it has for short tasks. Less
-	// than that shows that the tasks that wait are special ones and not that the pool can do no more.
+	// minRateShare is the least best rate that is published for a pool with a backlog, as a share of the processors that it has
+	// for short tasks. A lower measured rate means that tasks wait for other reasons, for example a label, and not that the
+	// pool can do no more.
 	minRateShare = 0.5
 )
 
@@ -132,7 +133,7 @@
 	largest resource.Vector
 }
 
-// minRate returns the rate that a pool with a backlog does at least.
+// minRate returns the least best rate of a pool with a backlog, in thousandths of a core.
 func (l *poolLoad) minRate() int64 {
 	return int64(minRateShare * (float64(l.capacity) - headroom.ServiceUse*float64(l.longRunning)))
 }
