Clarify comments on durations, copies and service load

pathMargin was defined by itself, overHalf is a quarter of the expected duration, and the fields of a task referred to each other by "the same" and "that".

--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -11,7 +11,7 @@
 
 // A task whose step allows it may have a second attempt, a copy, beside the first one. The copy is a task of its own with the
 // same id and step, which refers to the original; so it is stored, started, counted and stopped like any other. It is never
-// pending: if it ends without success, it is forgotten. The original is not placed again while its copy is.
+// pending: if it ends without success, it is forgotten. The original is not placed again while its copy is placed.
 
 const (
 	// copyInterval is the time between two decisions about copies.
@@ -269,7 +269,7 @@
 // nextFailureIsLast reports whether the submission fails with the next failure of an attempt. A copy would be one more that may fail.
 func (t *task) nextFailureIsLast() bool { return t.failures+1 >= max(1, t.job().terms.MaxAttempts) }
 
-// overHalf reports whether the task has run for a part of its expected duration after which its progress may say something.
+// overHalf reports whether the task has run for a quarter of its expected duration, before which its progress says nothing.
 func (t *task) overHalf(now time.Duration) bool {
 	const part = 4
 	return t.step.known && now-t.startedAt >= t.step.duration/part
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -67,7 +67,7 @@
 			c.stopAttempt(main.copy)
 		}
 		c.stopAttempt(main)
-		// What still runs of the task is overtaken by the attempt that has ended.
+		// The attempts that still run are overtaken by the one that has ended.
 		c.taskDone(now, main.newCopy(now))
 		return
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -66,7 +66,7 @@
 	duration, path time.Duration
 	// known is set once the duration is learned rather than estimated.
 	known bool
-	// shortestPath is a duration that the path hardly falls below, as far as the durations of its steps are known.
+	// shortestPath is a duration that the path rarely falls below: the sum of durations.Prediction.AtLeast on it.
 	shortestPath time.Duration
 	// ready is set when all steps that this one depends on have ended.
 	ready bool
@@ -79,7 +79,7 @@
 	rankedAt time.Duration
 	// noCandidate holds, for each kind of search for a worker, the number of the newest plan in which it found none.
 	noCandidate [candidateSearches]int64
-	// noNear is the same for the rack of the data only. rackCanHold reports whether that rack could hold a task, as of the plan
+	// noNear is the same for searches in the rack of the data only. rackCanHold reports whether that rack could hold a task, as of the plan
 	// rackCheckedIn.
 	noNear        [candidateSearches]int64
 	rackCanHold   bool
@@ -147,7 +147,7 @@
 	percentAt time.Duration
 	// startedAt is when the worker confirmed the start, or first listed the attempt.
 	startedAt time.Duration
-	// timed is set while the attempt tells how long a task of its kind takes.
+	// timed is set if the duration of the attempt will be used to learn that of its kind, see isTimed.
 	timed bool
 	// load is Running.Load: the tail latency in milliseconds of a service task, and the thousandths of a core in use of
 	// any other.
@@ -160,7 +160,7 @@
 	listedIn int64
 	// reported is set once the worker has listed the attempt as running.
 	reported bool
-	// reportedAt is when that was, firstPercent the progress then.
+	// reportedAt is when reported was set, firstPercent the progress then.
 	reportedAt   time.Duration
 	firstPercent int
 	// notBefore is the earliest time at which the task is placed again after a failure.
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -26,7 +26,7 @@
 	tierTooLate
 )
 
-// pathMargin is the factor by which a best-effort task is expected to take longer than expected.
+// pathMargin is the factor by which a best-effort task takes longer than its expected duration.
 const pathMargin = 1.2
 
 // tier returns the tier of a task within its priority. A best-effort task waits while more such work than the workers
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -148,8 +148,8 @@
 }
 
 const (
-	// reportNoise is the deviation of the logarithm of a reported tail latency that says nothing: 98 of 100 reports are nearer to
-	// what the load of their service and the tasks beside them explain.
+	// reportNoise is the usual noise of the logarithm of a reported tail latency: 98 of 100 reports deviate by less from what
+	// the load of their service and the tasks beside them explain.
 	reportNoise = 0.2
 	// minLoadReports is the number of recent reports of a service from which its load is known.
 	minLoadReports = 4
@@ -168,8 +168,8 @@
 }
 
 // logTail returns the logarithm of the tail latency in milliseconds that a service task is expected to have when a CPU limit that
-// is ordered now has an effect. What the load of the service and the tasks beside it explain outweighs the task's own report, unless that
-// is far higher: then something unknown disturbs it.
+// is ordered now has an effect. It follows from the load of the service and the tasks beside it. A report of the task that is higher
+// by more than reportNoise shows an unknown disturbance, and counts less reportNoise.
 func (c *Core) logTail(now time.Duration, w *worker, s *task, bestEffort []*task) float64 {
 	own := interference.LogTail(s.load)
 	base, known := c.model.Base(now, s.step.def.Image)
--- a/internal/durations/durations.go
+++ b/internal/durations/durations.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// maxKinds limits the kinds that are kept. A kind has some 200 bytes.
+// maxKinds limits the kinds that are kept. A kind takes about 200 bytes.
 const maxKinds = 512
 
 const (
@@ -31,7 +31,7 @@
 	minVariance = 0.0025
 	// minKnown is the weight of the samples from which the variances are known.
 	minKnown = 8.0
-	// minDuration is the shortest duration that is told from 0.
+	// minDuration is the shortest duration; shorter ones count as this long, so that their logarithm is finite.
 	minDuration = time.Millisecond
 )
 
