Clarify comments on limits for clients and on moves

The shares of Settings are divisors, which the comment did not say. The help text of the metric of evictions said "by kind"; its label holds the resource.

--- a/internal/evacuation/moves.go
+++ b/internal/evacuation/moves.go
@@ -96,7 +96,7 @@
 // move returns how many tasks of a step are to be moved, and why it is not more.
 func (m *mover) move(s *Step) (int, Held) {
 	n, worker := 0, 0
-	// A task takes every piece that it touches.
+	// A piece of which a task takes a part is lost to shorter tasks as a whole.
 	cost := (s.Size.MilliCores + m.pool.Unit - 1) / m.pool.Unit * m.pool.Unit
 	for ; n < s.Movable; n++ {
 		switch {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -40,7 +40,8 @@
 	// minBodyBytes fits the work on one body of 256 KB within the share of large bodies.
 	minBodyBytes = 2 << 20
 	// connectionBytes is the memory of a connection with the largest header (16 KB, two buffers of 4 KB and a stack).
-	// connectionShare and descriptorShare are the parts of the memory and of the descriptors for connections of callers.
+	// connectionShare and descriptorShare are divisors: the parts of the memory and of the descriptors for connections of
+	// callers.
 	// The rest of the descriptors is for the calls to workers and to the log.
 	connectionBytes = 32 << 10
 	connectionShare = 8
@@ -64,9 +65,10 @@
 	// of that of a caller that sends the longest body within its 3 s. rateGrace lets slow starts pass.
 	minBodyRate = 16 << 10
 	rateGrace   = time.Second
-	// sessionStall is well above the time between two lease calls of an owner.
+	// sessionStall is the time without a message after which a session may be closed for another. It is well above the time
+	// between two lease calls of an owner.
 	sessionStall = 3 * time.Second
-	// maxDecoding limits the large bodies that are decoded at the same time.
+	// maxDecoding limits the bodies of more than firstBytes that are decoded at the same time.
 	maxDecoding = 2
 	// reportInterval limits the log lines about clients.
 	reportInterval = time.Second
@@ -134,7 +136,7 @@
 	}
 	g := &Gate{limits: limitsOf(s), factor: max(1, s.WorkFactor), decoding: make(chan struct{}, maxDecoding), logger: l, registry: r,
 		refused: counter("clementine_ingress_refused_total", "Requests and connections of clients that were refused, by cause."),
-		evicted: counter("clementine_ingress_evicted_total", "Bodies and connections that were given up for others, by kind."),
+		evicted: counter("clementine_ingress_evicted_total", "Bodies, connections and sessions that were given up for others, by resource."),
 		reports: rate.NewLimiter(rate.Every(reportInterval), 1)}
 	p := policy(g.limits.bodyBytes, smallBodyBytes)
 	p.Stall, p.MinRate, p.Grace = stallTime, minBodyRate, rateGrace
--- a/internal/ingress/ledger/ledger.go
+++ b/internal/ingress/ledger/ledger.go
@@ -26,9 +26,9 @@
 	Grace   time.Duration
 }
 
-// Holder is a user of the resource. Its fields are those of the ledger.
+// Holder is a user of the resource. Its unexported fields are changed by the ledger only.
 type Holder[T any] struct {
-	// Value is the caller's.
+	// Value identifies the holder for the caller.
 	Value         T
 	client        netip.Addr
 	began, latest time.Duration
