Pass collectors that cannot reach the log

Appends of cut instances without an answer counted as slow, the fleet was told so, and every instance refused what both collectors refused, also those that reach the log.

Change: a collector that refuses an entry for another reason than time is left out for 2 s, and without one the entry goes directly; a collector that cannot reach the log tells nobody that it is slow. An append of a log that is slow and refuses as well may take 2.8 s, too.

--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -263,14 +263,14 @@
 	j := t.job()
 	return t.copy == nil && t.copies < maxCopies && t.phase == workflow.Placed && t.startState == startSettled && t.startedAt > 0 &&
 		!t.stopWanted && !t.adopted && !t.hadUnansweredStart && !t.suspected() && !t.nextFailureIsLast() && !j.cancelled &&
-		!j.state.Over() && j.terms.Pool == t.worker.Pool && t.tier(now) != tierTooLate && t.overHalf(now)
+		!j.state.Over() && j.terms.Pool == t.worker.Pool && t.tier(now) != tierTooLate && t.pastFirstQuarter(now)
 }
 
 // nextFailureIsLast reports whether the submission fails with the next failure of an attempt. A copy would be one more that may fail.
 func (t *task) nextFailureIsLast() bool { return t.failures+1 >= max(1, t.job().terms.MaxAttempts) }
 
-// overHalf reports whether the task has run for a quarter of its expected duration, before which its progress says nothing.
-func (t *task) overHalf(now time.Duration) bool {
+// pastFirstQuarter reports whether the task has run for a quarter of its expected duration, before which its progress says nothing.
+func (t *task) pastFirstQuarter(now time.Duration) bool {
 	const part = 4
 	return t.step.known && now-t.startedAt >= t.step.duration/part
 }
--- a/internal/eventlog/batcher.go
+++ b/internal/eventlog/batcher.go
@@ -145,7 +145,7 @@
 
 // expectedTime returns how long an entry that arrives now takes. It requires b.mu.
 func (b *Batcher) expectedTime(h storehealth.Assessment) time.Duration {
-	if h.Append < storehealth.SlowAfter || len(b.inFlight) == 0 {
+	if !h.Slowed() || len(b.inFlight) == 0 {
 		return h.Append
 	}
 	var rest time.Duration
@@ -294,7 +294,7 @@
 func (b *Batcher) queueFull(err error, d time.Duration) bool {
 	var refused *RefusedError
 	return errors.As(err, &refused) && refused.Err == nil &&
-		(d >= storehealth.SlowAfter || b.log.Health().Append >= storehealth.SlowAfter)
+		(d >= storehealth.SlowAfter || b.log.Health().Slowed())
 }
 
 // prepare returns the entries for the next attempt and notes that they are sent. It returns none if the attempt is not
@@ -303,7 +303,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.log.Health()
-	if unknown && (h.Unreachable() || h.State == storehealth.Slow) {
+	if unknown && (h.Unreachable() || h.Slowed()) {
 		// The entries are read back if they were stored. Another append would only lengthen the log's queue.
 		return nil
 	}
--- a/internal/eventlog/monitor.go
+++ b/internal/eventlog/monitor.go
@@ -163,7 +163,7 @@
 	slow := time.AfterFunc(storehealth.SlowAfter, m.onSlow)
 	defer slow.Stop()
 	timeout := appendTimeout
-	if m.Health().State == storehealth.Slow {
+	if m.Health().Slowed() {
 		timeout = slowAppendTimeout
 	}
 	end := m.begin(ctx, storehealth.Append, 0)
--- a/internal/intake/collectors.go
+++ b/internal/intake/collectors.go
@@ -151,7 +151,7 @@
 
 // append stores an entry through a collector, or directly if none can be reached or this instance is the collector.
 func (c *Collectors) append(ctx context.Context, e eventlog.Entry, direct Appender) error {
-	unknown, refusals := error(nil), 0
+	var unknown error
 	for _, to := range c.choose() {
 		if to.Instance == c.instance {
 			break
@@ -176,7 +176,6 @@
 			return nil
 		case errors.As(err, &refused) && refused.NoTime:
 			return c.outcome("collector", unknown, &eventlog.UnsentError{Health: c.log.Health()})
-		case errors.As(err, &refused):
 		case errors.As(err, &noAnswer) && errors.As(err, &answered):
 			// The collector does not know the outcome; the entry is read back if it was stored.
 			return c.outcome("collector", &eventlog.UnknownError{Op: "append", Err: err}, nil)
@@ -186,17 +185,10 @@
 		if ctx.Err() != nil {
 			return c.outcome("collector", unknown, &eventlog.UnsentError{Health: h})
 		}
-		if refused != nil {
-			refusals++
-		} else {
-			c.suspend(to.Instance, err)
-		}
+		// A collector that refuses for another reason than time cannot reach the log itself, or is busy or stopping.
+		c.suspend(to.Instance, err)
 		c.logger.Info("collector did not store an entry", "key", e.Key, "collector", to.Instance, "error", err)
 	}
-	if refusals == maxCollectors {
-		// The log is slow for this instance and stores nothing for others.
-		return c.outcome("collector", unknown, &eventlog.UnsentError{Health: c.log.Health()})
-	}
 	return c.outcome("direct", unknown, direct.Append(ctx, e))
 }
 
@@ -322,7 +314,7 @@
 // ownAppendIsSlow tells all instances that appends are slow if another instance has confirmed it. Otherwise perhaps only
 // the connection of this instance to the log is slow, and a hint would send all entries over it.
 func (c *Collectors) ownAppendIsSlow(d time.Duration) {
-	if c.isConfirmed() {
+	if c.isConfirmed() && !c.log.Health().Unreachable() {
 		c.hint(d)
 	}
 }
--- a/internal/intake/slowlog_test.go
+++ b/internal/intake/slowlog_test.go
@@ -160,8 +160,8 @@
 	handler *PeerHandler
 	// The view is that of a standby instance.
 	follower *eventlog.Follower
-	// dead instances answer no calls.
-	dead atomic.Bool
+	// dead instances answer no calls; cut ones have no way to the log.
+	dead, cut atomic.Bool
 	// delay is how much longer the appends of this instance take than those of others, in nanoseconds.
 	delay atomic.Int64
 	// lastRead is when the view was last complete, on the clock of the test.
@@ -176,9 +176,23 @@
 
 func (w *ownWay) Append(ctx context.Context, topic string, p *eventlog.Producer, entries []eventlog.Entry) (int64, error) {
 	time.Sleep(time.Duration(w.instance.delay.Load()))
+	if w.instance.cut.Load() {
+		<-ctx.Done()
+		return 0, &eventlog.UnknownError{Op: "append", Err: ctx.Err()}
+	}
 	return w.partition.Append(ctx, topic, p, entries)
 }
 
+func (w *ownWay) Read(ctx context.Context, topic string, from int64, wait time.Duration) (eventlog.Page, error) {
+	if w.instance.cut.Load() {
+		ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
+		defer cancel()
+		<-ctx.Done()
+		return eventlog.Page{}, &eventlog.UnknownError{Op: "read", Err: ctx.Err()}
+	}
+	return w.partition.Read(ctx, topic, from, wait)
+}
+
 // RefreshSubmissions implements View.
 func (i *testInstance) RefreshSubmissions(ctx context.Context) { i.follower.Refresh(ctx) }
 
@@ -544,6 +558,23 @@
 	}
 }
 
+// Guards against a fleet whose instances refuse everything because the first collectors have no way to the log, and say that it
+// is slow.
+func TestCollectorsWithoutLog(t *testing.T) {
+	cut := func(f *fleet, cut bool) {
+		for n, name := range f.names {
+			// The first two collectors, i02 and i05, are among them.
+			if n%3 == 2 {
+				f.instances[name].cut.Store(cut)
+			}
+		}
+	}
+	r := runFleet(t, 36, func(f *fleet) { cut(f, true) }, 6*time.Second, func(f *fleet) { cut(f, false) })
+	assert.GreaterOrEqual(t, r.accepted, 372, "93 of 100 submissions")
+	// A third of the instances is cut off and gets 13 submissions a second until it asks others, after 1.5 s.
+	assert.LessOrEqual(t, r.answers503, 40)
+}
+
 // Guards against a submission that is stored as two because its caller comes back at another instance, and against a
 // cancellation that is refused while the log is slow.
 func TestRepeatAndCancellationWhileSlow(t *testing.T) {
--- a/internal/storehealth/storehealth.go
+++ b/internal/storehealth/storehealth.go
@@ -100,6 +100,9 @@
 	return a.State == Silent || a.State == Resetting || a.ReadsRefused
 }
 
+// Slowed reports whether appends are slow. The log may be refusing at the same time, because its queue is full.
+func (a Assessment) Slowed() bool { return a.Append >= SlowAfter }
+
 // Pending describes the calls that have no answer yet.
 type Pending struct {
 	// Append is the age of the oldest append, Overdue the longest time by which an append or a read is over its wait. They
@@ -198,7 +201,7 @@
 	a.Append = max(a.Append, min(p.Append, maxPendingTime))
 	appends, reads := e.failures[Append], e.failures[Read]
 	a.State = Usable
-	if a.Append >= SlowAfter {
+	if a.Slowed() {
 		a.State = Slow
 	}
 	a.OneAtATime = a.State == Slow || appends.recent(now, 1)
