--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -43,8 +43,9 @@
 	return err
 }
 
-// linkMargin is subtracted from the time that a peer may use, so that its answer arrives in time.
-const linkMargin = 20 * time.Millisecond
+// linkMargin is subtracted from the time that a peer may use, so that its answer arrives in time also where both instances
+// are short of processor time: an answer that is late leaves the outcome unknown.
+const linkMargin = 50 * time.Millisecond
 
 // Collect does the same as Append, and returns the expected time of an append at the peer, 0 if that is not known.
 func (c *Client) Collect(ctx context.Context, to catalog.Endpoint, e eventlog.Entry) (time.Duration, error) {
