Check that a refusing collector is left out before it is used again

TestTimeOfARefusingCollectorEndsNoExpectation expected the second entry to go to the collector that had just refused one. Since it is left out for 2 s, so the test now checks that, and ends the time.

--- a/internal/intake/collectors_test.go
+++ b/internal/intake/collectors_test.go
@@ -74,6 +74,8 @@
 	assert.NoError(t, c.append(ctx, eventlog.Entry{Key: "x"}, &fakeAppender{}), "this instance is the second collector")
 	assert.Equal(t, storehealth.Slow, c.log.Health().State)
 	client.err = nil
+	assert.Contains(t, c.suspended, "other", "it is left out after the refusal")
+	clear(c.suspended)
 	assert.NoError(t, c.append(ctx, eventlog.Entry{Key: "x"}, &fakeAppender{}))
 	assert.Equal(t, storehealth.Usable, c.log.Health().State, "the append was fast")
 }
