--- a/internal/dispatch/locality_test.go
+++ b/internal/dispatch/locality_test.go
@@ -154,6 +154,7 @@
 		{"gangs beside tasks", rackLoad{rate: 8, stated: 1, gangs: 0.4}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			const seeds = 2
 			var present, never, always, rule time.Duration
 			for seed := firstSeed; seed < firstSeed+seeds; seed++ {
