--- a/internal/dispatch/heavy_test.go
+++ b/internal/dispatch/heavy_test.go
@@ -239,6 +239,7 @@
 // A burst of best-effort submissions beyond what the processors can run must not make all of them late: those that
 // can be in time are, the others wait, and the services beside them keep their objectives.
 func TestBurstOfBestEffortWork(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2} {
 		layouts, c := playHeavyDay(t, seed, 2.3, 2.6)
 		inTime, served := shares(layouts)
@@ -255,6 +256,7 @@
 // Guards against best-effort tasks beside a service whose load rises: a bound that knows only the mean load admits them, and CPU
 // limits follow the latency of each task by itself, when it is over the objective already.
 func TestServicesWithSwingingLoadKeepTheirObjectives(t *testing.T) {
+	t.Parallel()
 	// At the peak, the tail latency is at two thirds of the objective without best-effort tasks.
 	swinging := contention{baseTail: 63, swing: 0.45, noise: 0.1}
 	var all []*layout
@@ -286,6 +288,7 @@
 // In a peak that lasts, the largest tenth of the submissions must be served at least half as often as all of them. The largest tenth
 // of one day is nine submissions, too few for a share, so four days count together.
 func TestLargeSubmissionsAreServedInABurst(t *testing.T) {
+	t.Parallel()
 	var all, largest, belowThem []*layout
 	for _, seed := range []uint64{5, 6, 7, 8} {
 		layouts, _ := playHeavyDay(t, seed, 2.3, 4)
--- a/internal/dispatch/refusal_test.go
+++ b/internal/dispatch/refusal_test.go
@@ -56,6 +56,7 @@
 // Guards against the refusal of submissions that would have been served, against refusals that serve those of a higher
 // priority worse, and against refusals that hit large submissions more than others.
 func TestSubmissionsBehindAHigherPriorityAreRefused(t *testing.T) {
+	t.Parallel()
 	const perSecond, lowShare = 16, 0.3
 	admitted := playPriorities(t, 5, perSecond, lowShare, false)
 	doomed := selectLayouts(admitted, isDoomed)
