--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -117,6 +117,7 @@
 // Shows when preemption is not needed, and guards against stops there: of hundreds of best-effort tasks of some seconds, some
 // end in each plan, and their memory goes to the urgent task first.
 func TestShortBestEffortTasksAreNotStopped(t *testing.T) {
+	t.Parallel()
 	const workers, submissions = 60, 12
 	for _, saves := range []bool{false, true} {
 		var filler []workflow.Step
--- a/internal/dispatch/refusal_test.go
+++ b/internal/dispatch/refusal_test.go
@@ -79,6 +79,7 @@
 // Guards against refusals for which the load is no reason: a burst from which a pool recovers, and more work of one priority
 // than it can run, where new submissions overtake old ones.
 func TestOverloadOfOnePriorityIsNotRefused(t *testing.T) {
+	t.Parallel()
 	for _, load := range []struct{ perSecond, lowShare float64 }{{2.3, 0.3}, {8, 0}} {
 		layouts := playPriorities(t, 6, load.perSecond, load.lowShare, true)
 		assert.Empty(t, selectLayouts(layouts, isDoomed), "%+v", load)
--- a/internal/dispatch/turns_test.go
+++ b/internal/dispatch/turns_test.go
@@ -101,6 +101,7 @@
 
 // Guards against accepted submissions that wait without end for a first task while services leave most of the pool.
 func TestLateSubmissionsStarveAfterBursts(t *testing.T) {
+	t.Parallel()
 	const maxIdle = 3 * time.Second
 	for _, seed := range []uint64{1, 2} {
 		p := newBurstyPool(t, seed)
@@ -125,6 +126,7 @@
 
 // Guards against turns of submissions that are too late which take the room of those that can be in time.
 func TestLateSubmissionsDelayThoseInTime(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2} {
 		p := newBurstyPool(t, seed)
 		p.submitFor(20*time.Second, 6)
