Give a refused repetition the outcome of the first request

Cause: the response 503 promises that a submission never runs. A submission that was repeated while its first append was in progress, or after that had ended without an answer, could be refused for lack of time, because the log was away or its queue full, because of the backlog, memory, a late body or an old configuration, and was stored later by the first append. So could a repetition that a collector refused while the first entry waited there.

A refused repetition awaits the first append and gets its outcome: stored (200), unknown (504), or refused if all were refused. Refusals before a submission is processed ask for it too (API.Known).

--- a/cmd/clementine-node/providers.go
+++ b/cmd/clementine-node/providers.go
@@ -126,6 +126,7 @@
 	log := &intake.RelayedAppender{Local: b, Peers: peers, Collectors: collectors}
 	api := intake.New(log, c, q, v, v.Submissions, v.Config, ages, l, r)
 	api.UsePeers(peers)
+	api.UseCollectors(collectors)
 	return api
 }
 
--- a/internal/catalog/endpoint.go
+++ b/internal/catalog/endpoint.go
@@ -98,12 +98,22 @@
 
 var jobKey = regexp.MustCompile(`^[0-9a-f]{16}$`)
 
+// IsEntryKey reports whether a key is that of a submission or a cancellation.
+func IsEntryKey(key string) bool { return jobKey.MatchString(strings.TrimPrefix(key, cancelPrefix)) }
+
 // EntryError reports an entry that is neither a submission nor a cancellation.
 type EntryError struct{ Key, Problem string }
 
 // Error implements error.
 func (e *EntryError) Error() string { return "entry " + e.Key + " " + e.Problem }
 
+// Holds reports whether the submission or cancellation with the key of an entry has been read from the log.
+func (c *Catalog) Holds(key string) bool {
+	id, isCancellation := strings.CutPrefix(key, cancelPrefix)
+	j := c.Find(workflow.JobID(id))
+	return j != nil && (!isCancellation || j.Cancelled)
+}
+
 // CheckEntry returns an error unless the entry is a valid submission or a cancellation: an *EntryError, a
 // *workflow.DecodeError or a *workflow.InvalidError.
 func CheckEntry(e eventlog.Entry) error {
--- a/internal/intake/collectors.go
+++ b/internal/intake/collectors.go
@@ -59,6 +59,7 @@
 	Collect(ctx context.Context, to catalog.Endpoint, e eventlog.Entry) (time.Duration, error)
 	Report(ctx context.Context, to catalog.Endpoint, self string, d time.Duration) error
 	Hint(ctx context.Context, to catalog.Endpoint, d time.Duration) error
+	Unknown(ctx context.Context, to catalog.Endpoint, keys []string, forward bool) error
 }
 
 // Collectors passes the entries of an instance to a collector while appends are slow. The collector is the same on every
@@ -72,6 +73,9 @@
 	entries  *prometheus.CounterVec
 	// asking makes entries share the call that finds out whether a collector is alive.
 	asking singleflight.Group
+	// unknown holds the keys of entries of this instance whose outcome is unknown, for the collector. forwarded holds those
+	// of other instances, for all.
+	unknown, forwarded noticeQueue
 
 	mu        sync.Mutex
 	suspended map[string]time.Time
@@ -94,6 +98,7 @@
 	r.MustRegister(entries)
 	s := &Collectors{instance: instance, client: client, catalog: c, log: log, logger: l, entries: entries,
 		suspended: map[string]time.Time{}, answered: map[string]time.Time{}, reports: map[string]time.Time{}}
+	s.unknown.send, s.forwarded.send = s.tellCollector, s.tellAll
 	log.OnSlow(s.appendIsSlow)
 	return s
 }
@@ -373,24 +378,31 @@
 	if !due {
 		return
 	}
+	// An instance that cannot be told finds out by its own appends.
+	n := c.callAll(func(ctx context.Context, to catalog.Endpoint) error { return c.client.Hint(ctx, to, d) })
+	c.mu.Lock()
+	c.isHinting = false
+	c.mu.Unlock()
+	c.logger.Info("told all instances that appends are slow", "append_ms", d.Milliseconds(), "instances", n)
+}
+
+// callAll calls all other instances and returns their number.
+func (c *Collectors) callAll(do func(context.Context, catalog.Endpoint) error) int {
 	var g errgroup.Group
 	g.SetLimit(maxHintCalls)
-	endpoints := c.catalog.Endpoints()
-	for _, to := range endpoints {
+	n := 0
+	for _, to := range c.catalog.Endpoints() {
 		if to.Instance == c.instance {
 			continue
 		}
+		n++
 		g.Go(func() error {
 			ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 			defer cancel()
-			// An instance that cannot be told finds out by its own appends.
-			_ = c.client.Hint(ctx, to, d)
+			_ = do(ctx, to)
 			return nil
 		})
 	}
 	_ = g.Wait()
-	c.mu.Lock()
-	c.isHinting = false
-	c.mu.Unlock()
-	c.logger.Info("told all instances that appends are slow", "append_ms", d.Milliseconds(), "instances", len(endpoints))
+	return n
 }
--- a/internal/intake/collectors_test.go
+++ b/internal/intake/collectors_test.go
@@ -37,6 +37,8 @@
 
 func (c *fakeCollectors) Hint(context.Context, catalog.Endpoint, time.Duration) error { return nil }
 
+func (c *fakeCollectors) Unknown(context.Context, catalog.Endpoint, []string, bool) error { return nil }
+
 // newCollectors returns the collectors of "self" while the log is slow.
 func newCollectors(client CollectorClient, p *Peers) *Collectors {
 	l, r := slog.New(slog.DiscardHandler), prometheus.NewRegistry()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -68,10 +68,12 @@
 	// submissionsFreshness and configFreshness give the age of the views.
 	submissionsFreshness, configFreshness catalog.Freshness
 	maxAges                               MaxAges
-	// peers may be nil.
-	peers   *Peers
-	logger  *slog.Logger
-	latency *prometheus.HistogramVec
+	// peers and collectors may be nil.
+	peers      *Peers
+	collectors *Collectors
+	unsettled  *unsettled
+	logger     *slog.Logger
+	latency    *prometheus.HistogramVec
 	// verdicts counts the decisions of checkBacklog.
 	verdicts *prometheus.CounterVec
 }
@@ -87,7 +89,7 @@
 	r.MustRegister(h)
 	return &API{log: log, catalog: cat, config: config, view: v,
 		submissionsFreshness: submissionsFreshness, configFreshness: configFreshness,
-		maxAges: maxAges, logger: l, latency: h, verdicts: newVerdicts(r)}
+		maxAges: maxAges, unsettled: newUnsettled(), logger: l, latency: h, verdicts: newVerdicts(r)}
 }
 
 // Config returns the configuration in force, or nil before the first.
@@ -111,18 +113,29 @@
 		a.logger.Info("submission refused as invalid", "job", s.Job, "queue", s.Terms.Queue, "error", err)
 		return err
 	}
-	if a.catalog.Find(s.Job) != nil {
+	stored, unknown := a.Known(s.Job)
+	if stored {
 		a.logger.Info("submission already stored", "job", s.Job, "queue", s.Terms.Queue)
 		return nil
 	}
-	if err := a.checkBacklog(ctx, s); err != nil {
-		return err
+	// A repetition is not refused because of the backlog: the first request may be stored already.
+	if !unknown {
+		if err := a.checkBacklog(ctx, s); err != nil {
+			return err
+		}
 	}
 	e, err := catalog.SubmissionEntry(s)
 	if err != nil {
 		return &RefusedError{Reason: "not encodable", Err: err}
 	}
-	return a.store(ctx, "submission", s.Terms.Queue, s.Job, e, func() bool { return a.catalog.Find(s.Job) != nil })
+	return a.store(ctx, "submission", s.Terms.Queue, s.Job, e)
+}
+
+// Known reports whether a submission is stored as far as this instance knows, and whether an earlier request for it may be
+// stored. A request that is refused before Submit must not contradict it.
+func (a *API) Known(id workflow.JobID) (stored, unknown bool) {
+	stored, unknown = a.unsettled.lookUp(string(id))
+	return stored || a.catalog.Find(id) != nil, unknown
 }
 
 // Cancel returns once the cancellation is stored. It returns a *RefusedError or *UncertainError. A submission
@@ -131,10 +144,7 @@
 	if j := a.catalog.Find(id); j != nil && (j.Cancelled || j.State().Over()) {
 		return nil
 	}
-	return a.store(ctx, "cancellation", queueName, id, catalog.CancelEntry(id), func() bool {
-		j := a.catalog.Find(id)
-		return j != nil && j.Cancelled
-	})
+	return a.store(ctx, "cancellation", queueName, id, catalog.CancelEntry(id))
 }
 
 // readBackInterval is how often the view is searched for an entry whose append is not answered yet.
@@ -144,12 +154,25 @@
 // sent is withdrawn and refused then.
 const answerGrace = 25 * time.Millisecond
 
+// appendOnce stores an entry with log unless the view holds it, and returns a refusal only if no other request for it may be
+// stored as far as this instance knows.
+func (a *API) appendOnce(ctx context.Context, log Appender, e eventlog.Entry) error {
+	if a.catalog.Holds(e.Key) {
+		return nil
+	}
+	err := a.unsettled.append(ctx, log, e)
+	if a.catalog.Holds(e.Key) {
+		return nil
+	}
+	return err
+}
+
 // append stores an entry. If the answer of the log is lost, reading the entry back confirms it as well.
-func (a *API) append(ctx context.Context, e eventlog.Entry, stored func() bool) error {
+func (a *API) append(ctx context.Context, e eventlog.Entry) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan error, 1)
-	go func() { done <- a.log.Append(ctx, e) }()
+	go func() { done <- a.appendOnce(ctx, a.log, e) }()
 	t := time.NewTicker(readBackInterval)
 	defer t.Stop()
 	result, answered := error(nil), false
@@ -157,10 +180,6 @@
 		select {
 		case err := <-done:
 			var unknown *eventlog.UnknownError
-			if err != nil && stored() {
-				// Read back since the last tick, or stored by an earlier request of the caller at another instance.
-				return nil
-			}
 			if !errors.As(err, &unknown) || ctx.Err() != nil {
 				// A definite answer, or no time is left to read the entry back.
 				return err
@@ -168,7 +187,7 @@
 			result, answered, done = err, true, nil
 			go a.readBack(ctx)
 		case <-t.C:
-			if stored() {
+			if a.catalog.Holds(e.Key) {
 				return nil
 			}
 		case <-ctx.Done():
@@ -198,16 +217,18 @@
 	}
 }
 
-func (a *API) store(ctx context.Context, operation, queueName string, id workflow.JobID, e eventlog.Entry,
-	stored func() bool) error {
+func (a *API) store(ctx context.Context, operation, queueName string, id workflow.JobID, e eventlog.Entry) error {
 	start := time.Now()
-	err := a.append(ctx, e, stored)
+	err := a.append(ctx, e)
 	outcome := "accepted"
 	var unknown *eventlog.UnknownError
 	switch {
 	case err == nil:
 	case errors.As(err, &unknown):
 		outcome, err = "uncertain", &UncertainError{Err: err}
+		if a.collectors != nil {
+			a.collectors.unknown.add(e.Key)
+		}
 	default:
 		outcome, err = "refused",
 			&RefusedError{Reason: "the log is not available", RetryAfter: retryAfter, Err: err}
@@ -281,5 +302,9 @@
 // UsePeers makes the API ask peers for states while the log cannot be reached.
 func (a *API) UsePeers(p *Peers) { a.peers = p }
 
+// UseCollectors makes the API tell other instances of the submissions whose outcome is unknown, so that they do not refuse
+// a repetition.
+func (a *API) UseCollectors(c *Collectors) { a.collectors = c }
+
 // CountWaiting returns the number of submissions of a queue of which no task has started.
 func (a *API) CountWaiting(queueName string) int { return a.catalog.CountWaiting(queueName) }
--- a/internal/intake/relayed.go
+++ b/internal/intake/relayed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -203,12 +204,21 @@
 	}
 }
 
+// Unknown implements relay.Handler.
+func (h *PeerHandler) Unknown(keys []string, forward bool) {
+	keys = slices.DeleteFunc(keys[:min(len(keys), maxNoticeKeys)], func(k string) bool { return !catalog.IsEntryKey(k) })
+	h.api.unsettled.note(keys)
+	if forward && h.collectors != nil {
+		h.collectors.forwarded.add(keys...)
+	}
+}
+
 // Append implements relay.Handler.
 func (h *PeerHandler) Append(ctx context.Context, e eventlog.Entry) error {
 	if err := catalog.CheckEntry(e); err != nil {
 		return &relay.InvalidError{Reason: err.Error()}
 	}
-	return h.log.Append(ctx, e)
+	return h.api.appendOnce(ctx, h.log, e)
 }
 
 // State implements relay.Handler.
--- a/internal/intake/slowlog_test.go
+++ b/internal/intake/slowlog_test.go
@@ -35,12 +35,14 @@
 
 // partition is a log whose appends are made one at a time. It refuses an append when more than 2 s are queued.
 type partition struct {
-	mu       sync.Mutex
-	service  time.Duration
-	resets   bool
-	silent   bool
-	refuses  bool
-	loseEach int
+	mu      sync.Mutex
+	service time.Duration
+	resets  bool
+	silent  bool
+	refuses bool
+	// refusesReads makes the log refuse reads only.
+	refusesReads bool
+	loseEach     int
 	// answerDelay is how long answers take in addition.
 	answerDelay time.Duration
 	appends     int
@@ -112,7 +114,7 @@
 	for {
 		p.mu.Lock()
 		page := eventlog.Page{Entries: p.entries[from:], End: int64(len(p.entries))}
-		resets, silent, refuses, appended := p.resets, p.silent, p.refuses, p.appended
+		resets, silent, refuses, appended := p.resets, p.silent, p.refuses || p.refusesReads, p.appended
 		p.mu.Unlock()
 		switch {
 		case resets:
@@ -245,6 +247,7 @@
 	i.follower = follower
 	i.api = New(&RelayedAppender{Local: batcher, Peers: peers, Collectors: collectors}, cat, config, i, i, i,
 		MaxAges{Submissions: time.Second, Config: time.Second}, l, r)
+	i.api.UseCollectors(collectors)
 	i.handler = NewPeerHandler(batcher, i.api, collectors)
 	return i
 }
@@ -309,6 +312,10 @@
 	return c.call(ctx, to, func(_ context.Context, h *PeerHandler) error { h.Hint(d); return nil })
 }
 
+func (c *memoryClient) Unknown(ctx context.Context, to catalog.Endpoint, keys []string, forward bool) error {
+	return c.call(ctx, to, func(_ context.Context, h *PeerHandler) error { h.Unknown(keys, forward); return nil })
+}
+
 func (c *memoryClient) State(context.Context, catalog.Endpoint, workflow.JobID) (relay.State, error) {
 	return relay.State{}, &relay.UnreachableError{}
 }
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -65,6 +65,12 @@
 	return err
 }
 
+// Unknown tells a peer that the outcome of the entries with these keys is unknown, and with forward to tell all others.
+func (c *Client) Unknown(ctx context.Context, to catalog.Endpoint, keys []string, forward bool) error {
+	_, err := c.call(ctx, to, request{Op: opUnknown, Keys: keys, Forward: forward})
+	return err
+}
+
 // State asks a peer for the state of a submission. Its errors are those of Append.
 func (c *Client) State(ctx context.Context, to catalog.Endpoint, id workflow.JobID) (State, error) {
 	r, err := c.call(ctx, to, request{Op: opState, Key: string(id)})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,6 +33,9 @@
 	// Report notes that an append of a peer takes at least d. Hint notes that appends take d on the whole fleet.
 	Report(peer string, d time.Duration)
 	Hint(d time.Duration)
+	// Unknown notes that an instance does not know whether the entries with these keys are stored. With forward, all other
+	// instances are told.
+	Unknown(keys []string, forward bool)
 	// State returns the state of a submission; false if the view of this instance is too old.
 	State(ctx context.Context, id workflow.JobID) (State, bool)
 }
@@ -94,6 +97,8 @@
 	// opReport and opHint carry the time of an append. A peer that does not know them refuses them, which has no effect.
 	opReport
 	opHint
+	// opUnknown carries keys of entries. A peer that does not know it refuses it as well.
+	opUnknown
 )
 
 // request is a call. Key and Value are those of the entry of an append; Key is the submission of a question, or the
@@ -104,6 +109,8 @@
 	Value    []byte    `cbor:"3,keyasint,omitempty"`
 	LeftMS   int64     `cbor:"4,keyasint,omitempty"`
 	AppendMS int64     `cbor:"5,keyasint,omitempty"`
+	Keys     []string  `cbor:"6,keyasint,omitempty"`
+	Forward  bool      `cbor:"7,keyasint,omitempty"`
 	// limited makes the client set LeftMS when it sends the call.
 	limited bool
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/netip"
@@ -63,6 +64,10 @@
 
 func (h *fakeHandler) Hint(d time.Duration) { h.note("hint", d) }
 
+func (h *fakeHandler) Unknown(keys []string, forward bool) {
+	h.note(fmt.Sprintf("unknown %v, forward %t", keys, forward), 0)
+}
+
 func (h *fakeHandler) note(key string, d time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -197,8 +202,9 @@
 	}
 	require.NoError(t, c.Report(callContext(t, time.Second), to, "a", 80*time.Millisecond))
 	require.NoError(t, c.Hint(callContext(t, time.Second), to, 90*time.Millisecond))
+	require.NoError(t, c.Unknown(callContext(t, time.Second), to, []string{"a", "b"}, true))
 	assert.Equal(t, []eventlog.Entry{{Key: "k"}, {Key: "report of a", Offset: int64(80 * time.Millisecond)},
-		{Key: "hint", Offset: int64(90 * time.Millisecond)}}, h.stored())
+		{Key: "hint", Offset: int64(90 * time.Millisecond)}, {Key: "unknown [a b], forward true"}}, h.stored())
 }
 
 // Guards against an instance of the version before that cannot read a call or an answer with the new fields.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -309,6 +309,9 @@
 			h.Report(r.Key, d)
 		}
 		return response{Outcome: outcomeDone}
+	case opUnknown:
+		h.Unknown(r.Keys, r.Forward)
+		return response{Outcome: outcomeDone}
 	case opState:
 		s, ok := h.State(ctx, workflow.JobID(r.Key))
 		if !ok {
