Do not take a slow log with late answers for a silent one

Cause: on the way to the owner, submissions lost the most time because instances took the slow log for silent: after two of their appends were given up after 1 s in its queue, or because an append waited there for 0.7 s while a read of 0.6 s was answered 0.33 s late. Such an instance refused everything or passed entries to others, each of which appended alone and lengthened the queue, and a collector that did so was left out for 2 s.

Change: an append that was given up counts as evidence of silence only if the log has answered no other call meanwhile, and an append without an answer only if a read in progress is 0.4 s over its wait.

--- a/internal/eventlog/monitor.go
+++ b/internal/eventlog/monitor.go
@@ -87,10 +87,10 @@
 	for _, due := range m.appends {
 		p.Append = max(p.Append, now-due)
 	}
-	p.Overdue = p.Append
 	for _, due := range m.reads {
-		p.Overdue = max(p.Overdue, now-due)
+		p.ReadOverdue = max(p.ReadOverdue, now-due)
 	}
+	p.Overdue = max(p.Append, p.ReadOverdue)
 	a := m.estimator.Assess(now, p)
 	m.expected.Set(a.Append.Seconds())
 	if a.State != m.state {
--- a/internal/intake/slowlog_test.go
+++ b/internal/intake/slowlog_test.go
@@ -45,10 +45,14 @@
 	loseEach     int
 	// answerDelay is how long answers take in addition.
 	answerDelay time.Duration
-	appends     int
-	busyTo      time.Time
-	entries     []eventlog.Entry
-	appended    chan struct{}
+	// readDelay is how long answers to reads take in addition.
+	readDelay time.Duration
+	appends   int
+	busyTo    time.Time
+	entries   []eventlog.Entry
+	// times holds, by key, when an entry first arrived and when it was stored.
+	times    map[string][2]time.Time
+	appended chan struct{}
 }
 
 func (p *partition) Append(ctx context.Context, _ string, _ *eventlog.Producer, entries []eventlog.Entry) (int64, error) {
@@ -79,6 +83,11 @@
 		p.busyTo = now
 	}
 	p.busyTo = p.busyTo.Add(p.service)
+	for _, e := range entries {
+		if p.times[e.Key][0].IsZero() {
+			p.times[e.Key] = [2]time.Time{now, p.busyTo}
+		}
+	}
 	p.appends++
 	lost, delay := p.loseEach > 0 && p.appends%p.loseEach == 0, p.answerDelay
 	stored := make(chan struct{})
@@ -114,7 +123,7 @@
 	for {
 		p.mu.Lock()
 		page := eventlog.Page{Entries: p.entries[from:], End: int64(len(p.entries))}
-		resets, silent, refuses, appended := p.resets, p.silent, p.refuses || p.refusesReads, p.appended
+		resets, silent, refuses, appended, delay := p.resets, p.silent, p.refuses || p.refusesReads, p.appended, p.readDelay
 		p.mu.Unlock()
 		switch {
 		case resets:
@@ -125,11 +134,13 @@
 			<-ctx.Done()
 			return eventlog.Page{}, &eventlog.UnknownError{Op: "read", Err: ctx.Err()}
 		case len(page.Entries) > 0:
+			time.Sleep(delay)
 			return page, nil
 		}
 		select {
 		case <-appended:
 		case <-deadline:
+			time.Sleep(delay)
 			return page, nil
 		case <-ctx.Done():
 			return eventlog.Page{}, &eventlog.UnknownError{Op: "read", Err: ctx.Err()}
@@ -168,6 +179,8 @@
 	delay atomic.Int64
 	// lastRead is when the view was last complete, on the clock of the test.
 	lastRead atomic.Pointer[time.Time]
+	// seen is called with what the follower reads; it may be nil.
+	seen func(eventlog.Batch)
 }
 
 // ownWay is the way of one instance to the log.
@@ -207,7 +220,7 @@
 }
 
 func newFleet(t *testing.T, ctx context.Context, n int) *fleet {
-	f := &fleet{log: &partition{service: fastAppend, appended: make(chan struct{})}, instances: map[string]*testInstance{}, ctx: ctx}
+	f := &fleet{log: &partition{service: fastAppend, times: map[string][2]time.Time{}, appended: make(chan struct{})}, instances: map[string]*testInstance{}, ctx: ctx}
 	for i := range n {
 		name := fmt.Sprintf("i%02d", i)
 		e, err := catalog.EndpointEntry(&catalog.Endpoint{Instance: name, Addr: "127.0.0.1:1", LinkBytesPerSecond: float64(i % 3)})
@@ -237,6 +250,9 @@
 			now := time.Now()
 			i.lastRead.Store(&now)
 			cat.ApplySubmissions(b)
+			if i.seen != nil {
+				i.seen(b)
+			}
 		})
 	batcher := eventlog.NewBatcher(log, "submissions", l)
 	go follower.Run(f.ctx)
@@ -425,7 +441,7 @@
 func slow(f *fleet) { f.log.service = slowAppend }
 func repair(f *fleet) {
 	f.log.service, f.log.resets, f.log.silent, f.log.refuses, f.log.loseEach = fastAppend, false, false, false, 0
-	f.log.answerDelay = 0
+	f.log.answerDelay, f.log.readDelay = 0, 0
 }
 
 // Guards against a fleet whose instances queue their appends one behind the other while the log is slow: nothing is
--- a/internal/storehealth/storehealth.go
+++ b/internal/storehealth/storehealth.go
@@ -69,6 +69,9 @@
 	// silentAfter is the time without any answer, and with an overdue call, from which the log counts as silent. A log that
 	// is 66 times slower than usual still answers a read 0.3 s after its wait.
 	silentAfter = 700 * time.Millisecond
+	// readLate is how long a read must be over its wait for the log to count as silent, if a read is in progress: an append
+	// without an answer may be in the log's queue, and the answer to the read may not be due yet.
+	readLate = 400 * time.Millisecond
 	// probeAfter is how long a failure counts as evidence if no read is in progress. The reads of followers are at most 0.4 s
 	// apart; without them, single appends find the return of the log.
 	probeAfter = 500 * time.Millisecond
@@ -108,6 +111,8 @@
 	// Append is the age of the oldest append, Overdue the longest time by which an append or a read is over its wait. They
 	// are 0 if there is none.
 	Append, Overdue time.Duration
+	// ReadOverdue is the part of Overdue that is due to reads. Reads do not queue behind appends.
+	ReadOverdue time.Duration
 	// Reading reports that a read has no answer yet. After a failed read, its answer is awaited.
 	Reading bool
 }
@@ -141,7 +146,11 @@
 func (e *Estimator) Observe(c Call) {
 	if c.Outcome != Done {
 		f := &e.failures[c.Operation]
-		f.at, f.outcome, f.count = c.Ended, c.Outcome, f.count+1
+		// An append that was given up while the log answered other calls waits in its queue, or its answer is lost.
+		waits := c.Operation == Append && c.Outcome == NoAnswer && e.answered.known && e.answered.at > c.Began
+		if !waits {
+			f.at, f.outcome, f.count = c.Ended, c.Outcome, f.count+1
+		}
 		if c.Operation == Append && c.Outcome == NoAnswer {
 			// Either the answer is lost or the append is still queued, and the next one takes as long.
 			e.last = c.Ended - c.Began
@@ -211,7 +220,8 @@
 		a.ReadsRefused = a.State == Refusing
 	case appends.recent(now, evidentFailures) || appends.outcome == Refused && appends.recent(now, 1):
 		a.State = appends.state()
-	case p.Overdue >= silentAfter && (!e.answered.known || now-e.answered.at >= silentAfter):
+	case p.Overdue >= silentAfter && (!e.answered.known || now-e.answered.at >= silentAfter) &&
+		(!p.Reading || p.ReadOverdue >= readLate):
 		a.State = Silent
 	}
 	a.OneAtATime = a.OneAtATime || a.State != Usable
