Do not refuse submissions because of one failed read

Cause: one failed read of a follower made its instance refuse all submissions until the next read, for some 65 ms, also if appends work. A read refused with 429 counted in the same way, although appends have a rate limit of their own.

Change: the log counts as away only after two successive failed reads; those that fail at the same time count as one, because they may share a connection. After the first, the follower reads again at once, and entries wait for that read instead of being sent or refused, 60 ms at most (Assessment.Doubtful). A read without an answer still counts alone if nothing was answered for 0.7 s. A read refused with 429 counts as an answer of the log (RefusedError.RateLimited).

--- a/internal/eventlog/batcher.go
+++ b/internal/eventlog/batcher.go
@@ -69,6 +69,8 @@
 	maxNextAppend = 400 * time.Millisecond
 	// recheckInterval is how often the queue is looked at while appends are in flight.
 	recheckInterval = 50 * time.Millisecond
+	// doubtInterval applies while a read has failed and the next one is awaited, which takes 10 to 20 ms.
+	doubtInterval = 10 * time.Millisecond
 )
 
 // QueueFullError reports that Limit entries already wait for an append. The entry was not stored.
@@ -174,8 +176,8 @@
 		case <-b.wake:
 		case <-t.C:
 		}
-		if b.dispatch(ctx) {
-			t.Reset(recheckInterval)
+		if d := b.dispatch(ctx); d > 0 {
+			t.Reset(d)
 		} else {
 			t.Stop()
 		}
@@ -194,15 +196,20 @@
 	b.queue = nil
 }
 
-// dispatch sends what may be sent now. It returns whether entries remain queued.
-func (b *Batcher) dispatch(ctx context.Context) bool {
+// dispatch sends what may be sent now. It returns after which time it is called again, 0 if no entry is queued.
+func (b *Batcher) dispatch(ctx context.Context) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for {
 		h := b.log.Health()
 		b.dropLate(h)
-		if len(b.queue) == 0 || !b.maySend(h) {
-			return len(b.queue) > 0
+		switch {
+		case len(b.queue) == 0:
+			return 0
+		case h.Doubtful:
+			return doubtInterval
+		case !b.maySend(h):
+			return recheckInterval
 		}
 		n := min(len(b.queue), maxBatchEntries)
 		next := &batch{waiters: append([]*waiter(nil), b.queue[:n]...)}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -51,7 +51,9 @@
 type RefusedError struct {
 	Op     string
 	Status int
-	Err    error
+	// RateLimited reports that the operation has reached its rate limit, which says nothing about other operations.
+	RateLimited bool
+	Err         error
 }
 
 // Unwrap returns the cause.
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -308,13 +309,49 @@
 	defer cancel()
 	go b.Run(ctx)
 	l.SetFaults(memlog.Faults{Down: true})
-	_, err := m.Read(ctx, "other", 0, 0)
-	require.Error(t, err)
+	for range 2 {
+		_, err := m.Read(ctx, "other", 0, 0)
+		require.Error(t, err)
+	}
 	l.SetFaults(memlog.Faults{})
 	var unsent *eventlog.UnsentError
 	require.ErrorAs(t, b.Append(ctx, eventlog.Entry{Key: "k", Value: []byte("v")}), &unsent)
 	assert.Zero(t, l.Appends())
-	_, err = m.Read(ctx, "other", 0, 0)
+	_, err := m.Read(ctx, "other", 0, 0)
 	require.NoError(t, err)
 	assert.NoError(t, b.Append(ctx, eventlog.Entry{Key: "k", Value: []byte("v")}), "at once after a read was answered")
 }
+
+// Guards against an entry that is refused because of a single failed read, or sent before the next read shows that the log is
+// away.
+func TestOneFailedReadHoldsAppends(t *testing.T) {
+	for _, away := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			l := memlog.New()
+			m := eventlog.NewMonitor(l, "topic", discardLogger, prometheus.NewRegistry())
+			b := eventlog.NewBatcher(m, "topic", discardLogger)
+			ctx, cancel := context.WithCancel(context.Background())
+			go b.Run(ctx)
+			l.SetFaults(memlog.Faults{Down: true})
+			_, err := m.Read(ctx, "other", 0, 0)
+			require.Error(t, err)
+			result := make(chan error, 1)
+			go func() { result <- b.Append(ctx, eventlog.Entry{Key: "k", Value: []byte("v")}) }()
+			time.Sleep(15 * time.Millisecond)
+			l.SetFaults(memlog.Faults{Down: away})
+			assert.Zero(t, l.Appends())
+			_, err = m.Read(ctx, "other", 0, 0)
+			if away {
+				var unsent *eventlog.UnsentError
+				require.Error(t, err)
+				assert.ErrorAs(t, <-result, &unsent)
+				assert.Zero(t, l.Appends())
+			} else {
+				require.NoError(t, err)
+				assert.NoError(t, <-result)
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
--- a/internal/eventlog/follower.go
+++ b/internal/eventlog/follower.go
@@ -144,7 +144,7 @@
 // Run reads the topic and delivers its records until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	next, loaded := int64(0), false
-	backoff := minReadBackoff
+	backoff := time.Duration(0)
 	requested := false
 	probes := roundTripProbes
 	for ctx.Err() == nil {
@@ -167,12 +167,13 @@
 			loaded = err == nil
 		}
 		var trimmed *TrimmedError
+		var refused *RefusedError
 		f.setFailing(err)
 		f.notifyReadDone()
 		requested = false
 		switch {
 		case err == nil:
-			backoff = minReadBackoff
+			backoff = 0
 			switch {
 			case behind:
 			case next == from:
@@ -184,9 +185,13 @@
 			f.logger.Info("the log has trimmed the next records, loading the newest record of each key",
 				"topic", f.topic, "from", trimmed.From)
 			loaded = false
+		case errors.As(err, &refused) && refused.RateLimited:
+			backoff = min(max(2*backoff, minReadBackoff), maxReadBackoff)
+			sleep(ctx, backoff)
 		default:
+			// The first read after a failed one follows at once, because appends wait for it.
 			sleep(ctx, backoff)
-			backoff = min(2*backoff, maxReadBackoff)
+			backoff = min(max(2*backoff, minReadBackoff), maxReadBackoff)
 		}
 	}
 }
--- a/internal/eventlog/monitor.go
+++ b/internal/eventlog/monitor.go
@@ -123,18 +123,20 @@
 		}
 		// A call that the instance has given up says nothing about the log.
 		if err == nil || ctx.Err() == nil {
-			m.estimator.Observe(storehealth.Call{Operation: o, Outcome: outcomeOf(err), Began: began, Ended: m.now()})
+			m.estimator.Observe(storehealth.Call{Operation: o, Outcome: outcomeOf(o, err), Began: began, Ended: m.now()})
 		}
 		m.assess()
 	}
 }
 
-// outcomeOf classifies the error of a call.
-func outcomeOf(err error) storehealth.Outcome {
+// outcomeOf classifies the error of an operation.
+func outcomeOf(o storehealth.Operation, err error) storehealth.Outcome {
 	var refused *RefusedError
 	var unknown *UnknownError
 	var timeout net.Error
 	switch {
+	case errors.As(err, &refused) && refused.RateLimited && o == storehealth.Read:
+		return storehealth.Limited
 	case errors.As(err, &refused) && refused.Err == nil:
 		return storehealth.Refused
 	case errors.Is(err, context.DeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
--- a/internal/storehealth/storehealth.go
+++ b/internal/storehealth/storehealth.go
@@ -24,12 +24,14 @@
 // Outcome is how a call ended.
 type Outcome uint8
 
-// The outcomes. NoAnswer is a call whose time limit passed, Reset one whose connection failed.
+// The outcomes. NoAnswer is a call whose time limit passed, Reset one whose connection failed. Limited is a read that the log
+// has refused because of the rate of reads, which says nothing about appends.
 const (
 	Done Outcome = iota
 	NoAnswer
 	Refused
 	Reset
+	Limited
 )
 
 // Call is a call that has ended. Times count from any origin; Wait is how long a read may wait for a record.
@@ -83,6 +85,11 @@
 	maxPendingTime = 400 * time.Millisecond
 	// maxSingleTime limits what one append adds to the expected time.
 	maxSingleTime = 500 * time.Millisecond
+	// doubtKept is how long a single failed read holds appends back: the next read, which follows at once, shows within a round
+	// trip of 10 to 20 ms whether the log is away.
+	doubtKept = 60 * time.Millisecond
+	// evidentReads is the number of successive reads that must fail for the same reason.
+	evidentReads = 2
 	// evidentFailures is the number of successive appends without an answer after which further ones are refused. A first
 	// one may be a lost answer.
 	evidentFailures = 2
@@ -94,6 +101,8 @@
 	Append time.Duration
 	// OneAtATime reports that a second append must not be sent while one is in flight.
 	OneAtATime bool
+	// Doubtful reports that a read has failed and the next one will tell whether the log is away. Appends wait for it.
+	Doubtful bool
 	// ReadsRefused reports that the log refuses all calls, not only appends because their queue is full.
 	ReadsRefused bool
 }
@@ -144,11 +153,18 @@
 
 // Observe notes the end of a call.
 func (e *Estimator) Observe(c Call) {
+	if c.Outcome == Limited {
+		e.answered = sample{at: c.Ended, known: true}
+		e.clear(Read, c)
+		return
+	}
 	if c.Outcome != Done {
 		f := &e.failures[c.Operation]
 		// An append that was given up while the log answered other calls waits in its queue, or its answer is lost.
 		waits := c.Operation == Append && c.Outcome == NoAnswer && e.answered.known && e.answered.at > c.Began
-		if !waits {
+		// Reads that fail at the same time have one cause, for example a connection that they share.
+		same := c.Operation == Read && f.count > 0 && c.Began < f.at
+		if !waits && !same {
 			f.at, f.outcome, f.count = c.Ended, c.Outcome, f.count+1
 		}
 		if c.Operation == Append && c.Outcome == NoAnswer {
@@ -214,13 +230,19 @@
 		a.State = Slow
 	}
 	a.OneAtATime = a.State == Slow || appends.recent(now, 1)
+	unanswered := !e.answered.known || now-e.answered.at >= silentAfter
+	needed := evidentReads
+	if reads.outcome == NoAnswer && unanswered {
+		needed = 1
+	}
+	a.Doubtful = reads.count > 0 && reads.count < needed && now-reads.at < doubtKept
 	switch {
-	case reads.recent(now, 1) || reads.count > 0 && p.Reading:
+	case reads.recent(now, needed) || reads.count >= needed && p.Reading:
 		a.State = reads.state()
 		a.ReadsRefused = a.State == Refusing
 	case appends.recent(now, evidentFailures) || appends.outcome == Refused && appends.recent(now, 1):
 		a.State = appends.state()
-	case p.Overdue >= silentAfter && (!e.answered.known || now-e.answered.at >= silentAfter) &&
+	case p.Overdue >= silentAfter && unanswered &&
 		(!p.Reading || p.ReadOverdue >= readLate):
 		a.State = Silent
 	}
