Use a collector again as soon as it answers

Cause: a collector that did not answer for 0.25 s, because it was short of processor time, was left out for 2 s. The instances that had noticed passed their entries to another one meanwhile, and two collectors share the log.

Change: an instance asks a collector that did not answer every 0.1 s and uses it again when it answers, after 2 s at the latest. One that has refused an entry answers, but cannot reach the log; it is left out for 2 s as before.

--- a/internal/intake/collectors.go
+++ b/internal/intake/collectors.go
@@ -28,8 +28,10 @@
 	// holds 0.5 s of the 1.35 s that a request is held, and later ones 0.25 s once.
 	aliveFor     = 250 * time.Millisecond
 	aliveTimeout = 250 * time.Millisecond
-	// suspension is how long a collector that did not answer is left out.
-	suspension = 2 * time.Second
+	// suspension is how long a collector that did not answer or cannot reach the log is left out at most. One that did not
+	// answer is asked again every probeInterval meanwhile: it may only have been short of processor time.
+	suspension    = 2 * time.Second
+	probeInterval = 100 * time.Millisecond
 	// reportTimeout limits a report or hint; a new connection takes two network trips.
 	reportTimeout = 400 * time.Millisecond
 	// reportInterval is the least time between two reports of one instance, unless an append was fast in between.
@@ -78,7 +80,7 @@
 	unknown, forwarded noticeQueue
 
 	mu        sync.Mutex
-	suspended map[string]time.Time
+	suspended map[string]leftOut
 	// answered holds when each collector has last answered.
 	answered map[string]time.Time
 	// reports holds when each instance has last reported slow appends.
@@ -97,7 +99,7 @@
 		[]string{"path"})
 	r.MustRegister(entries)
 	s := &Collectors{instance: instance, client: client, catalog: c, log: log, logger: l, entries: entries,
-		suspended: map[string]time.Time{}, answered: map[string]time.Time{}, reports: map[string]time.Time{}}
+		suspended: map[string]leftOut{}, answered: map[string]time.Time{}, reports: map[string]time.Time{}}
 	s.unknown.send, s.forwarded.send = s.tellCollector, s.tellAll
 	log.OnSlow(s.appendIsSlow)
 	return s
@@ -137,21 +139,56 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	all = slices.DeleteFunc(all, func(p catalog.Endpoint) bool { return now.Before(c.suspended[p.Instance]) })
+	all = slices.DeleteFunc(all, func(p catalog.Endpoint) bool { return now.Before(c.suspended[p.Instance].until) })
 	return all[:min(len(all), maxCollectors)]
 }
 
-func (c *Collectors) suspend(instance string, err error) {
+// leftOut is a collector that is not used until a time. One that has refused an entry answers, so only the time ends it.
+type leftOut struct {
+	until   time.Time
+	refused bool
+}
+
+// suspend leaves a collector out: until it answers if it did not answer, and for the whole suspension if it has refused an
+// entry.
+func (c *Collectors) suspend(to catalog.Endpoint, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	for name, until := range c.suspended {
-		if now.After(until) {
+	for name, s := range c.suspended {
+		if now.After(s.until) {
 			delete(c.suspended, name)
 		}
 	}
-	c.suspended[instance] = now.Add(suspension)
-	c.logger.Warn("collector left out", "collector", instance, "for_ms", suspension.Milliseconds(), "error", err)
+	var refused *relay.RefusedError
+	s := leftOut{until: now.Add(suspension), refused: errors.As(err, &refused)}
+	if _, already := c.suspended[to.Instance]; already && !s.refused {
+		return
+	}
+	c.suspended[to.Instance] = s
+	c.logger.Warn("collector left out", "collector", to.Instance, "for_ms", suspension.Milliseconds(), "error", err)
+	if !s.refused {
+		delete(c.answered, to.Instance)
+		go c.readmit(to, now, s)
+	}
+}
+
+// readmit asks a collector that was left out at began, and uses it again when it answers.
+func (c *Collectors) readmit(to catalog.Endpoint, began time.Time, s leftOut) {
+	for time.Now().Before(s.until) {
+		time.Sleep(probeInterval)
+		if !c.alive(context.Background(), to) {
+			continue
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		// It may have refused an entry meanwhile.
+		if c.suspended[to.Instance] == s {
+			delete(c.suspended, to.Instance)
+			c.logger.Info("collector answers and is used again", "collector", to.Instance, "after_ms", time.Since(began).Milliseconds())
+		}
+		return
+	}
 }
 
 // append stores an entry through a collector, or directly if none can be reached or this instance is the collector.
@@ -191,7 +228,7 @@
 			return c.outcome("collector", unknown, &eventlog.UnsentError{Health: h})
 		}
 		// A collector that refuses for another reason than time cannot reach the log itself, or is busy or stopping.
-		c.suspend(to.Instance, err)
+		c.suspend(to, err)
 		c.logger.Info("collector did not store an entry", "key", e.Key, "collector", to.Instance, "error", err)
 	}
 	return c.outcome("direct", unknown, direct.Append(ctx, e))
@@ -312,7 +349,7 @@
 		if err == nil || errors.As(err, &refused) {
 			return
 		}
-		c.suspend(p.Instance, err)
+		c.suspend(p, err)
 	}
 }
 
--- a/internal/intake/slowlog_test.go
+++ b/internal/intake/slowlog_test.go
@@ -180,6 +180,8 @@
 	follower *eventlog.Follower
 	// dead instances answer no calls; cut ones have no way to the log.
 	dead, cut atomic.Bool
+	// stalledTo is until when the instance carries out no calls of others, on the clock of the test in nanoseconds.
+	stalledTo atomic.Int64
 	// resetsRead makes the next read fail.
 	resetsRead atomic.Bool
 	// delay is how much longer the appends of this instance take than those of others, in nanoseconds.
@@ -287,6 +289,7 @@
 	done := make(chan error, 1)
 	if !i.dead.Load() {
 		go func() {
+			time.Sleep(time.Until(time.Unix(0, i.stalledTo.Load())))
 			if err := do(ctx, i.handler); !i.dead.Load() {
 				done <- err
 			}
@@ -528,6 +531,28 @@
 	assert.LessOrEqual(t, r.unknown, 16, "the entries that the collector held")
 }
 
+// Guards against a collector that is left out for 2 s because it was short of processor time for 0.4 s, while entries go to
+// another one and the two share the log.
+func TestStalledCollectorIsUsedAgain(t *testing.T) {
+	leftOutAfter := 0
+	r := runFleet(t, 36, func(f *fleet) {
+		slow(f)
+		time.AfterFunc(1500*time.Millisecond, func() {
+			f.instances["i02"].stalledTo.Store(time.Now().Add(400 * time.Millisecond).UnixNano())
+		})
+		time.AfterFunc(2400*time.Millisecond, func() {
+			for _, i := range f.instances {
+				if i.handler.collectors.choose()[0].Instance != "i02" {
+					leftOutAfter++
+				}
+			}
+		})
+	}, 3600*time.Millisecond, repair)
+	assert.Zero(t, leftOutAfter, "instances that leave the collector out 0.5 s after it answers again")
+	assert.GreaterOrEqual(t, r.accepted, 392, "98 of 100 submissions")
+	assert.LessOrEqual(t, r.unknown, 8, "2 of 100 without an outcome")
+}
+
 // Guards against a collector whose own way to the log is slow, and to which all instances pass their entries for as long as
 // it is, although their own appends are fast: from the start, or after the log was slow for all.
 func TestOnlyTheCollectorIsSlow(t *testing.T) {
