Label evictions with the resource that was given up

Cause: clementine_ingress_evicted_total had the label cause, but its values are the resources of clementine_ingress_held{resource}, and its help text says so.

Change: its label is resource. clementine_ingress_refused_total keeps cause. Dashboards that select by cause must be adapted.

Test: TestLabelsOfCounters; before the change, evictions had no label resource ("Should NOT be empty, but was []").

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -129,14 +129,14 @@
 
 // New returns a gate with the budgets that follow from the settings. Its metrics are registered with r.
 func New(s Settings, l *slog.Logger, r prometheus.Registerer) *Gate {
-	counter := func(name, help string) *prometheus.CounterVec {
-		c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{"cause"})
+	counter := func(name, label, help string) *prometheus.CounterVec {
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
 		r.MustRegister(c)
 		return c
 	}
 	g := &Gate{limits: limitsOf(s), factor: max(1, s.WorkFactor), decoding: make(chan struct{}, maxDecoding), logger: l, registry: r,
-		refused: counter("clementine_ingress_refused_total", "Requests and connections of clients that were refused, by cause."),
-		evicted: counter("clementine_ingress_evicted_total", "Bodies, connections and sessions that were given up for others, by resource."),
+		refused: counter("clementine_ingress_refused_total", "cause", "Requests and connections of clients that were refused, by cause."),
+		evicted: counter("clementine_ingress_evicted_total", "resource", "Bodies, connections and sessions that were given up for others, by resource."),
 		reports: rate.NewLimiter(rate.Every(reportInterval), 1)}
 	p := policy(g.limits.bodyBytes, smallBodyBytes)
 	p.Stall, p.MinRate, p.Grace = stallTime, minBodyRate, rateGrace
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -309,3 +309,24 @@
 	_, err = g.AwaitTurn(ctx, bodyLimit)
 	require.ErrorAs(t, err, &refused)
 }
+
+// Guards against counters whose labels do not say what their values are: refusals have a cause, evictions the resource that
+// was given up, with the names of the held amounts.
+func TestLabelsOfCounters(t *testing.T) {
+	r := prometheus.NewRegistry()
+	g := New(Settings{}, slog.New(slog.DiscardHandler), r)
+	_ = g.refuse(causeBudget)
+	families, err := r.Gather()
+	require.NoError(t, err)
+	values := map[string][]string{}
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			for _, l := range m.GetLabel() {
+				values[f.GetName()+" "+l.GetName()] = append(values[f.GetName()+" "+l.GetName()], l.GetValue())
+			}
+		}
+	}
+	assert.Equal(t, []string{causeBudget}, values["clementine_ingress_refused_total cause"])
+	assert.NotEmpty(t, values["clementine_ingress_evicted_total resource"])
+	assert.Equal(t, values["clementine_ingress_held resource"], values["clementine_ingress_evicted_total resource"])
+}
