Log the lost work of each preempted task

Cause: if two tasks are stopped for one, the line "task preempted" of both had the work that both lose together as lost_core_ms, so sums over lines counted it twice.

Change: each line has the work of its own task.

Test: TestLostWorkIsLoggedByTask.

--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -122,12 +122,16 @@
 	w := names[choice.Worker]
 	t.nextPreemption, w.nextPreemption = p.now+preemptInterval, p.now+preemptInterval
 	t.takesAnyRack = true
+	costs := map[int]int64{}
+	for _, v := range workers[choice.Worker].Victims {
+		costs[v.Index] = v.Cost
+	}
 	for _, i := range choice.Victims {
 		o := victims[i]
 		o.preemptions++
 		o.avoidWorker = w.ID
 		c.logger.Info("task preempted", "task", o.id, "run", o.run, "worker", w.ID, "queue", o.job().terms.Queue, "for", t.id,
-			"for_queue", t.job().terms.Queue, "waited_ms", (p.now - t.queuedAt).Milliseconds(), "lost_core_ms", choice.Cost)
+			"for_queue", t.job().terms.Queue, "waited_ms", (p.now - t.queuedAt).Milliseconds(), "lost_core_ms", costs[i])
 		c.metrics.preempted(pool)
 		c.stopAttempt(o)
 	}
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"fmt"
+	"log/slog"
+	"regexp"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/workflow"
@@ -367,3 +372,27 @@
 	assert.Less(t, took, 2600*time.Millisecond, "the objective")
 	assert.Equal(t, 1, preempted(m))
 }
+
+// Guards against a log line of each of two preempted tasks with the work that both lose together.
+func TestLostWorkIsLoggedByTask(t *testing.T) {
+	small, large := fillerStep(1, 20*time.Second), fillerStep(3, 20*time.Second)
+	small.Size.MilliCores = 400
+	sim, m := newCompetition(t, 1, 1, small, large)
+	var out strings.Builder
+	sim.core.logger = slog.New(slog.NewTextHandler(&out, nil))
+	sim.submit("urgent", urgentStep(1, 3500))
+	sim.took("urgent", 5*time.Second)
+	assert.Equal(t, 2, preempted(m))
+	lost := map[string]float64{}
+	for _, match := range regexp.MustCompile(`msg="task preempted" task=(\S+) .*lost_core_ms=(\d+)`).FindAllStringSubmatch(out.String(), -1) {
+		lost[match[1]], _ = strconv.ParseFloat(match[2], 64)
+	}
+	t.Log(lost)
+	var values []float64
+	for _, v := range lost {
+		values = append(values, v)
+	}
+	slices.Sort(values)
+	require.Len(t, values, 2)
+	assert.InDelta(t, 400.0/1000, values[0]/values[1], 0.2, "both ran for the same time, on 400 and 1000 thousandths of a core")
+}
