Count the tasks that each reason keeps in a closed data centre

Cause: moves_held of "data centres closed" showed for each pool only the last reason that was met, so one step without room hid the budgets of all others.

Change: Pool.Moves counts the tasks that stay by reason, also after the limit on concurrent moves is reached. The line has all of them ("disruption budget: 3, no room elsewhere: 2"). A pool in which nothing is held up is left out; it had the reason "not" before.

Test: TestEachReasonIsCounted. For its pool, the earlier code returned "moves in progress" alone; now three reasons with 3, 5 and 2 tasks. The other tests of moves now check the counts as well.

--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -202,7 +202,9 @@
 		e.Steps = append(e.Steps, p.stepToMove(s, len(movable[s]), nodes))
 	}
 	moves, held := e.Moves()
-	c.movesHeld[pool] = held
+	if len(held) > 0 {
+		c.movesHeld[pool] = held
+	}
 	for i, n := range moves {
 		tasks := movable[steps[i]]
 		slices.SortFunc(tasks, func(a, b *task) int { return cmp.Compare(a.id.Index, b.id.Index) })
--- a/internal/dispatch/evacuate_test.go
+++ b/internal/dispatch/evacuate_test.go
@@ -402,7 +402,7 @@
 	sim.close("odd")
 	flood(6 * time.Second)
 	assert.Equal(t, before, sim.running("service", "odd"))
-	assert.Equal(t, map[string]evacuation.Held{testPool: evacuation.HeldCallers}, sim.core.movesHeld)
+	assert.Equal(t, map[string]evacuation.Held{testPool: {evacuation.HeldCallers: before}}, sim.core.movesHeld)
 	// The backlog lasts for about 20 s, and its demand is remembered for up to 40 s.
 	sim.run(80 * time.Second)
 	assert.Zero(t, sim.running("service", "odd"), "nobody waits any more")
@@ -567,7 +567,7 @@
 	sim.close("odd")
 	assert.Equal(t, 2, sim.runWatching(90*time.Second, "service"), "one task moves at a time")
 	assert.Equal(t, 1, sim.running("service", "odd"))
-	assert.Equal(t, map[string]evacuation.Held{testPool: evacuation.HeldNoRoom}, sim.core.movesHeld)
+	assert.Equal(t, map[string]evacuation.Held{testPool: {evacuation.HeldNoRoom: 1}}, sim.core.movesHeld)
 	sim.checkMoved("service", "odd")
 	sim.cancel("fill")
 	sim.run(10 * time.Second)
--- a/internal/evacuation/moves.go
+++ b/internal/evacuation/moves.go
@@ -1,7 +1,11 @@
 package evacuation
 
 import (
+	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
+	"strings"
 
 	"clementinewalk.example/clementinewalk/internal/resource"
 )
@@ -38,24 +42,34 @@
 	Admits func(worker int) bool
 }
 
-// Held is why no further task is moved now.
-type Held string
+// Reason is why a task is not moved now.
+type Reason string
+
+// Held counts, by reason, the tasks that are to be moved and are not moved now.
+type Held map[Reason]int
+
+// String returns the reasons with their counts.
+func (h Held) String() string {
+	var out []string
+	for _, r := range slices.Sorted(maps.Keys(h)) {
+		out = append(out, fmt.Sprintf("%s: %d", r, h[r]))
+	}
+	return strings.Join(out, ", ")
+}
 
 // LogValue implements slog.LogValuer.
-func (h Held) LogValue() slog.Value { return slog.StringValue(string(h)) }
+func (h Held) LogValue() slog.Value { return slog.StringValue(h.String()) }
 
-// Values of Held.
+// The reasons.
 const (
-	// HeldNot: every task is being moved.
-	HeldNot Held = "not"
 	// HeldMoving: as many tasks as allowed are being moved.
-	HeldMoving Held = "moves in progress"
+	HeldMoving Reason = "moves in progress"
 	// HeldBudget: the disruption budgets of the steps do not allow more.
-	HeldBudget Held = "disruption budget"
+	HeldBudget Reason = "disruption budget"
 	// HeldNoRoom: there is no room elsewhere.
-	HeldNoRoom Held = "no room elsewhere"
+	HeldNoRoom Reason = "no room elsewhere"
 	// HeldCallers: a task that callers wait for lacks room.
-	HeldCallers Held = "callers wait for room"
+	HeldCallers Reason = "callers wait for room"
 )
 
 // Moves returns how many tasks of each step are to be stopped now, so that they start elsewhere, and why it is not more.
@@ -67,15 +81,12 @@
 	for _, free := range p.Free {
 		m.spare += max(0, free.MilliCores) / p.Unit * p.Unit
 	}
-	held := HeldNot
+	held := Held{}
 	for i := range p.Steps {
 		n, why := m.move(&p.Steps[i])
 		moves[i] = n
-		if why != HeldNot {
-			held = why
-		}
-		if why == HeldMoving {
-			break
+		if left := p.Steps[i].Movable - n; left > 0 {
+			held[why] += left
 		}
 	}
 	return moves, held
@@ -93,8 +104,8 @@
 	noRoom []resource.Vector
 }
 
-// move returns how many tasks of a step are to be moved, and why it is not more.
-func (m *mover) move(s *Step) (int, Held) {
+// move returns how many tasks of a step are to be moved, and why it is not more; no reason if it is all.
+func (m *mover) move(s *Step) (int, Reason) {
 	n, worker := 0, 0
 	// A piece of which a task takes a part is lost to shorter tasks as a whole.
 	cost := (s.Size.MilliCores + m.pool.Unit - 1) / m.pool.Unit * m.pool.Unit
@@ -113,7 +124,7 @@
 		m.spare -= cost
 		m.left--
 	}
-	return n, HeldNot
+	return n, ""
 }
 
 // findRoom advances worker to the next one with room for a task of the step.
--- a/internal/evacuation/moves_test.go
+++ b/internal/evacuation/moves_test.go
@@ -29,10 +29,10 @@
 	for name, test := range map[string]struct {
 		pool Pool
 		want []int
-		held Held
+		held Reason
 	}{
-		"nothing to move":            {pool: Pool{Free: workers(40, cores(8))}, want: []int{}, held: HeldNot},
-		"all within the budget":      {pool: Pool{Free: workers(100, cores(8)), Steps: []Step{step(4, 5, 0, 3)}}, want: []int{3}, held: HeldNot},
+		"nothing to move":            {pool: Pool{Free: workers(40, cores(8))}, want: []int{}},
+		"all within the budget":      {pool: Pool{Free: workers(100, cores(8)), Steps: []Step{step(4, 5, 0, 3)}}, want: []int{3}},
 		"no budget":                  {pool: Pool{Free: workers(100, cores(8)), Steps: []Step{step(4, 0, 0, 3)}}, want: []int{0}, held: HeldBudget},
 		"budget counts what is down": {pool: Pool{Free: workers(100, cores(8)), Steps: []Step{step(4, 3, 2, 3)}}, want: []int{1}, held: HeldBudget},
 		"more down than the budget":  {pool: Pool{Free: workers(100, cores(8)), Steps: []Step{step(4, 1, 2, 3)}}, want: []int{0}, held: HeldBudget},
@@ -72,7 +72,15 @@
 			test.pool.Unit = max(1, test.pool.Unit)
 			got, held := test.pool.Moves()
 			assert.Equal(t, test.want, got)
-			assert.Equal(t, test.held, held)
+			left := 0
+			for i, n := range got {
+				left += test.pool.Steps[i].Movable - n
+			}
+			want := Held{}
+			if left > 0 {
+				want[test.held] = left
+			}
+			assert.Equal(t, want, held)
 		})
 	}
 }
@@ -94,7 +102,7 @@
 			p.Steps = append(p.Steps, s)
 		}
 		moves, held := p.Moves()
-		total, taken, left := 0, int64(0), false
+		total, taken, left := 0, int64(0), 0
 		var sizes []resource.Vector
 		for i, n := range moves {
 			s := &p.Steps[i]
@@ -102,12 +110,16 @@
 			assert.LessOrEqual(t, n, s.Movable, "seed %d", seed)
 			total += n
 			taken += int64(n) * s.Size.MilliCores
-			left = left || n < s.Movable
+			left += s.Movable - n
 			for range n {
 				sizes = append(sizes, s.Size)
 			}
 		}
-		assert.Equal(t, left, held != HeldNot, "seed %d: %s", seed, held)
+		for why, n := range held {
+			assert.Positive(t, n, "seed %d: %s", seed, why)
+			left -= n
+		}
+		assert.Zero(t, left, "seed %d: %s", seed, held)
 		if total == 0 {
 			continue
 		}
@@ -153,3 +165,16 @@
 	d.Observe(9*peakWindow, 10, 20)
 	assert.EqualValues(t, 20, d.Needed(0), "nothing was observed for long")
 }
+
+// Guards against an operator who sees only the last of several reasons why tasks stay in a closed data centre.
+func TestEachReasonIsCounted(t *testing.T) {
+	step := func(size int64, budget, movable int) Step {
+		return Step{Size: cores(size), Budget: budget, Movable: movable}
+	}
+	p := Pool{Unit: 1, Free: []resource.Vector{cores(4), cores(4), cores(4)},
+		Steps: []Step{step(2, 0, 3), step(8, 9, 2), step(2, 9, 5), step(8, 9, 1), step(2, 1, 0)}}
+	moves, held := p.Moves()
+	assert.Equal(t, []int{0, 0, 1, 0, 0}, moves)
+	assert.Equal(t, Held{HeldBudget: 3, HeldNoRoom: 2, HeldMoving: 5}, held)
+	assert.Equal(t, "disruption budget: 3, moves in progress: 5, no room elsewhere: 2", held.LogValue().String())
+}
