Move the stand-in of the platform's store into platform/storetest

Cause: test/clients/node_test.go named paths of the platform's wire ("/api/log-append"), which belong into the folder platform/ only, and platform/process_test.go had a second stand-in of the same store.

Change: both use platform/storetest, which has the stricter checks of the second (malformed records, fenced epochs, sequence numbers) and the independent encoding of the first.

Test: TestClientAndStore plays the client of the store against it; it covers no fault of the product and so did not fail before.

--- a/test/clients/node_test.go
+++ b/test/clients/node_test.go
@@ -1,11 +1,7 @@
 package clients
 
 import (
-	"encoding/base64"
-	"encoding/binary"
 	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -21,74 +17,16 @@
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 	"clementinewalk.example/clementinewalk/internal/standin/memlog"
 	"clementinewalk.example/clementinewalk/platform"
+	"clementinewalk.example/clementinewalk/platform/storetest"
 )
 
 // serveStore serves a log in the format of the platform's store.
 func serveStore(t *testing.T, log *memlog.Log) string {
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		q := r.URL.Query()
-		number := func(name string) int64 { n, _ := strconv.ParseInt(q.Get(name), 10, 64); return n }
-		switch r.URL.Path {
-		case "/api/log-append":
-			b, _ := io.ReadAll(r.Body)
-			var p *eventlog.Producer
-			if q.Has("producer") {
-				p = &eventlog.Producer{Name: q.Get("producer"), Epoch: number("epoch"), Sequence: number("seq")}
-			}
-			offset, err := log.Append(r.Context(), q.Get("topic"), p, decodeRecords(b))
-			if err != nil {
-				w.WriteHeader(http.StatusConflict)
-				return
-			}
-			_, _ = fmt.Fprintf(w, `{"offset":%d}`, offset)
-		case "/api/log-read":
-			p, err := log.Read(r.Context(), q.Get("topic"), number("from"),
-				time.Duration(number("wait_ms"))*time.Millisecond)
-			if err != nil {
-				w.WriteHeader(http.StatusServiceUnavailable)
-				return
-			}
-			_, _ = w.Write(encodePage(p))
-		case "/api/log-newest":
-			p, _ := log.Newest(r.Context(), q.Get("topic"))
-			items := []map[string]any{}
-			for _, e := range p.Entries {
-				items = append(items, map[string]any{"key": e.Key, "offset": e.Offset,
-					"value": base64.StdEncoding.EncodeToString(e.Value)})
-			}
-			_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "end": p.End})
-		}
-	}))
+	s := httptest.NewServer(storetest.NewHandler(log, 0))
 	t.Cleanup(s.Close)
 	return s.Listener.Addr().String()
 }
 
-// encodePage returns the end of the log, a number that is not used, and each record with its length.
-func encodePage(p eventlog.Page) []byte {
-	b := binary.BigEndian.AppendUint64(nil, uint64(p.End))
-	b = binary.BigEndian.AppendUint64(b, 0)
-	for _, e := range p.Entries {
-		b = binary.BigEndian.AppendUint32(b, uint32(1+len(e.Key)+len(e.Value)))
-		b = append(append(append(b, byte(len(e.Key))), e.Key...), e.Value...)
-	}
-	return b
-}
-
-func decodeRecords(b []byte) []eventlog.Entry {
-	var out []eventlog.Entry
-	for len(b) > 4 {
-		n := binary.BigEndian.Uint32(b)
-		record := b[4 : 4+n]
-		key := 1 + int(record[0])
-		e := eventlog.Entry{Key: string(record[1:key])}
-		if key < len(record) {
-			e.Value = append([]byte(nil), record[key:]...)
-		}
-		out, b = append(out, e), b[4+n:]
-	}
-	return out
-}
-
 // node is a process of clementine-node with the addresses of its ports.
 type node struct {
 	*server
