Give the error about trailing text of a configuration a type

It was the only error made from a bare string in the non-test code of internal/ and platform/ (errors.New, Errorf, Wrap and WithMessage were searched for). The error next to it, nestingError, already had a type. The text is unchanged; the case "two values" of platform/configcheck_test.go checks it.

--- a/internal/configcheck/document.go
+++ b/internal/configcheck/document.go
@@ -41,6 +41,12 @@
 // Error implements error.
 func (nestingError) Error() string { return fmt.Sprintf("has more than %d levels", maxNesting) }
 
+// trailingTextError reports a text that goes on after its first value.
+type trailingTextError struct{}
+
+// Error implements error.
+func (trailingTextError) Error() string { return "has text after the first value" }
+
 // ParseDocument reads a JSON text, and reports syntax errors and fields that are given twice. ok is false if the text cannot
 // be read to its end.
 func ParseDocument(text []byte) (d *Document, ok bool) {
@@ -54,7 +60,7 @@
 	err := d.value(dec, "", 0)
 	if err == nil {
 		if _, next := dec.Token(); next == nil {
-			err = errors.New("has text after the first value")
+			err = trailingTextError{}
 		}
 	}
 	if err == nil {
