--- a/internal/intake/slowlog_test.go
+++ b/internal/intake/slowlog_test.go
@@ -42,7 +42,9 @@
 	refuses bool
 	// refusesReads makes the log refuse reads only.
 	refusesReads bool
-	loseEach     int
+	// limitsReads makes the log refuse reads because of their rate.
+	limitsReads bool
+	loseEach    int
 	// answerDelay is how long answers take in addition.
 	answerDelay time.Duration
 	// readDelay is how long answers to reads take in addition.
@@ -124,8 +126,11 @@
 		p.mu.Lock()
 		page := eventlog.Page{Entries: p.entries[from:], End: int64(len(p.entries))}
 		resets, silent, refuses, appended, delay := p.resets, p.silent, p.refuses || p.refusesReads, p.appended, p.readDelay
+		limits := p.limitsReads
 		p.mu.Unlock()
 		switch {
+		case limits:
+			return eventlog.Page{}, &eventlog.RefusedError{Op: "read", Status: 429, RateLimited: true}
 		case resets:
 			return eventlog.Page{}, &eventlog.UnknownError{Op: "read", Err: syscall.ECONNRESET}
 		case refuses:
@@ -175,6 +180,10 @@
 	follower *eventlog.Follower
 	// dead instances answer no calls; cut ones have no way to the log.
 	dead, cut atomic.Bool
+	// stalledTo is until when the instance carries out no calls of others, on the clock of the test in nanoseconds.
+	stalledTo atomic.Int64
+	// resetsRead makes the next read fail.
+	resetsRead atomic.Bool
 	// delay is how much longer the appends of this instance take than those of others, in nanoseconds.
 	delay atomic.Int64
 	// lastRead is when the view was last complete, on the clock of the test.
@@ -205,6 +214,9 @@
 		<-ctx.Done()
 		return eventlog.Page{}, &eventlog.UnknownError{Op: "read", Err: ctx.Err()}
 	}
+	if w.instance.resetsRead.CompareAndSwap(true, false) {
+		return eventlog.Page{}, &eventlog.UnknownError{Op: "read", Err: syscall.ECONNRESET}
+	}
 	return w.partition.Read(ctx, topic, from, wait)
 }
 
@@ -277,6 +289,7 @@
 	done := make(chan error, 1)
 	if !i.dead.Load() {
 		go func() {
+			time.Sleep(time.Until(time.Unix(0, i.stalledTo.Load())))
 			if err := do(ctx, i.handler); !i.dead.Load() {
 				done <- err
 			}
@@ -441,7 +454,7 @@
 func slow(f *fleet) { f.log.service = slowAppend }
 func repair(f *fleet) {
 	f.log.service, f.log.resets, f.log.silent, f.log.refuses, f.log.loseEach = fastAppend, false, false, false, 0
-	f.log.answerDelay, f.log.readDelay = 0, 0
+	f.log.answerDelay, f.log.readDelay, f.log.limitsReads = 0, 0, false
 }
 
 // Guards against a fleet whose instances queue their appends one behind the other while the log is slow: nothing is
@@ -491,6 +504,23 @@
 	assert.Equal(t, 400, r.accepted)
 }
 
+// Guards against refusals because one read of each instance fails, or because reads are refused for their rate, while appends
+// work.
+func TestFailedReadsWhileAppendsWork(t *testing.T) {
+	for name, fault := range map[string]func(*fleet){"one read resets": func(f *fleet) {
+		for _, i := range f.instances {
+			i.resetsRead.Store(true)
+		}
+	},
+		"the rate of reads is limited": func(f *fleet) { f.log.limitsReads = true }} {
+		t.Run(name, func(t *testing.T) {
+			r := runFleet(t, 36, fault, 3600*time.Millisecond, repair)
+			assert.Zero(t, r.answers503)
+			assert.Equal(t, 400, r.accepted)
+		})
+	}
+}
+
 // Guards against submissions that depend on one collector.
 func TestDeadCollector(t *testing.T) {
 	r := runFleet(t, 36, func(f *fleet) {
@@ -501,6 +531,28 @@
 	assert.LessOrEqual(t, r.unknown, 16, "the entries that the collector held")
 }
 
+// Guards against a collector that is left out for 2 s because it was short of processor time for 0.4 s, while entries go to
+// another one and the two share the log.
+func TestStalledCollectorIsUsedAgain(t *testing.T) {
+	leftOutAfter := 0
+	r := runFleet(t, 36, func(f *fleet) {
+		slow(f)
+		time.AfterFunc(1500*time.Millisecond, func() {
+			f.instances["i02"].stalledTo.Store(time.Now().Add(400 * time.Millisecond).UnixNano())
+		})
+		time.AfterFunc(2400*time.Millisecond, func() {
+			for _, i := range f.instances {
+				if i.handler.collectors.choose()[0].Instance != "i02" {
+					leftOutAfter++
+				}
+			}
+		})
+	}, 3600*time.Millisecond, repair)
+	assert.Zero(t, leftOutAfter, "instances that leave the collector out 0.5 s after it answers again")
+	assert.GreaterOrEqual(t, r.accepted, 392, "98 of 100 submissions")
+	assert.LessOrEqual(t, r.unknown, 8, "2 of 100 without an outcome")
+}
+
 // Guards against a collector whose own way to the log is slow, and to which all instances pass their entries for as long as
 // it is, although their own appends are fast: from the start, or after the log was slow for all.
 func TestOnlyTheCollectorIsSlow(t *testing.T) {
