--- a/internal/dispatch/backlog_test.go
+++ b/internal/dispatch/backlog_test.go
@@ -12,6 +12,7 @@
 
 // Guards against an owner that places fewer tasks a second the more tasks wait.
 func TestLongBacklogIsPlacedWhileThereIsRoom(t *testing.T) {
+	t.Parallel()
 	const jobs, tasksPerJob, maxWait = 20, 1000, 3 * time.Second
 	f := newFleet(1, fleetLoad{workers: 500})
 	c := f.core
--- a/internal/dispatch/copies_test.go
+++ b/internal/dispatch/copies_test.go
@@ -136,6 +136,7 @@
 
 // Guards against copies where two runs of a task are not allowed or not useful.
 func TestOtherTasksGetNoCopy(t *testing.T) {
+	t.Parallel()
 	for name, change := range map[string]func(*simulation, *workflow.Step){
 		"step without copies": func(_ *simulation, s *workflow.Step) { s.Speculative = false },
 		"gang":                func(_ *simulation, s *workflow.Step) { s.Gang = true },
@@ -429,6 +430,7 @@
 // Guards against two runs of a task that must not have two, overcommitted workers, run numbers that are used twice, and late starts,
 // beside random faults while many tasks have copies.
 func TestRandomFaultsBesideCopies(t *testing.T) {
+	t.Parallel()
 	var pairs atomic.Int64
 	t.Run("seeds", func(t *testing.T) {
 		for seed := range uint64(20) {
@@ -529,6 +531,7 @@
 // Guards against a slow task in a hundred that makes a quarter of the submissions late: 3 of 100 attempts take 7 times as long, and
 // the objective is 1.5 times the work and 0.25 s.
 func TestCopiesBringSubmissionsInTime(t *testing.T) {
+	t.Parallel()
 	share := func(speculative bool) float64 {
 		sim := newCopySimulation(t, 1)
 		sim.holdsCalls = true
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -280,6 +280,7 @@
 // the log and cancellations. At each start the simulation checks that the task is not already running, that its end
 // was not confirmed before, that the steps it depends on are done, and that the worker is not overcommitted.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -35,6 +35,7 @@
 }
 
 func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	t.Parallel()
 	step := workflow.Step{Count: 2, Size: smallTask, Estimate: time.Second}
 	lasting, gang := step, step
 	lasting.LongRunning, gang.Gang = true, true
@@ -63,6 +64,7 @@
 			takeOvers: []time.Duration{100 * time.Millisecond, 9 * time.Second}},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			sim := newSimulation(t, 1, 8)
 			sim.keepsID, sim.silentCrashes, sim.unnamedAnswers = test.keepsID, test.silent, test.unnamed
 			if test.downtime > 0 {
@@ -89,6 +91,7 @@
 }
 
 func TestSoundTasksOnCrashingWorkersAreNotGivenUp(t *testing.T) {
+	t.Parallel()
 	sim := newSimulation(t, 2, 12)
 	sim.submit("service", workflow.Step{Count: 12, Size: smallTask, Estimate: time.Second, LongRunning: true})
 	sound := sim.sound(80)
--- a/internal/dispatch/evacuate_test.go
+++ b/internal/dispatch/evacuate_test.go
@@ -39,6 +39,7 @@
 // Guards against starts in a closed data centre by any path: each case has one failure beside the closure. The fake workers
 // check the bound at each start; latest is the stricter bound of a case.
 func TestNothingStartsInAClosedDataCentre(t *testing.T) {
+	t.Parallel()
 	const both = 2 * oneWayDelay
 	for name, test := range map[string]struct {
 		latest time.Duration
@@ -385,6 +386,7 @@
 
 // Guards against moves that take the room of tasks that callers wait for.
 func TestServicesStayWhileCallersWait(t *testing.T) {
+	t.Parallel()
 	sim := newSimulation(t, 1, 4)
 	sim.useClosures(readLag)
 	sim.run(200 * time.Millisecond)
@@ -451,6 +453,7 @@
 // faults have left no room elsewhere for a task, the task stays, or waits if it has lost its worker; with 9 cores, each worker
 // has room for all tasks.
 func TestServicesMoveBesideRandomFaults(t *testing.T) {
+	t.Parallel()
 	for cores, seeds := range map[int64]uint64{4: 20, 9: 10} {
 		for seed := range seeds {
 			t.Run(fmt.Sprintf("%d cores, seed %d", cores, seed), func(t *testing.T) {
@@ -546,6 +549,7 @@
 // third task, by its limit for each worker, is full of other services. In TestServicesMoveBesideRandomFaults, placements beside
 // the faults lead to this case.
 func TestServicesStayWhileTheOnlyWorkerForThemIsFull(t *testing.T) {
+	t.Parallel()
 	sim := newSimulation(t, 1, 6)
 	sim.workers["e"].labels = []string{"e"}
 	sim.listWorkers()
--- a/internal/dispatch/exhaustive_test.go
+++ b/internal/dispatch/exhaustive_test.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -253,43 +255,51 @@
 
 // Guards against a plan whose cached scores lead to other workers than a search through all of them for each task.
 func TestPlanChoosesLikeAnExhaustiveSearch(t *testing.T) {
+	t.Parallel()
 	crowded := fleetLoad{workers: 60, serviceJobs: 10, batchRate: 1.4, quickRate: 1, exclusiveRate: 20, failShare: 0.03,
 		warmUp: 2 * time.Second, steady: 3 * time.Second, burst: 3 * time.Second, end: time.Second}
 	// Few services and more best-effort work than the processors can run.
 	idle := fleetLoad{workers: 20, serviceJobs: 1, batchRate: 4, quickRate: 1, exclusiveRate: 2, failShare: 0.03,
 		warmUp: 2 * time.Second, steady: 3 * time.Second, burst: 3 * time.Second, end: 3 * time.Second}
-	placements, holds, avoided, turns := 0, 0, 0, 0
-	for seed := range uint64(4) {
-		load := crowded
-		if seed == 3 {
-			load = idle
-		}
-		f := newFleet(seed, load)
-		var x *exhaustivePlan
-		steps := 0
-		f.beforePlan = func() {
-			x = nil
-			// The search is slow, so not every plan is checked.
-			if steps++; steps%11 == 0 {
-				x = newExhaustivePlan(f.core, f.now)
-			}
-		}
-		f.afterPlan = func() {
-			if x == nil {
-				return
-			}
-			x.check(t)
-			placements, holds, turns = placements+x.placements, holds+x.holds, turns+x.turns
-			for _, p := range f.core.pending {
-				if p.avoidWorker != "" && p.phase == workflow.Pending {
-					avoided++
+	var placements, holds, avoided, turns atomic.Int64
+	t.Run("seeds", func(t *testing.T) {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				load := crowded
+				if seed == 3 {
+					load = idle
 				}
-			}
+				f := newFleet(seed, load)
+				var x *exhaustivePlan
+				steps := 0
+				f.beforePlan = func() {
+					x = nil
+					// The search is slow, so not every plan is checked.
+					if steps++; steps%11 == 0 {
+						x = newExhaustivePlan(f.core, f.now)
+					}
+				}
+				f.afterPlan = func() {
+					if x == nil {
+						return
+					}
+					x.check(t)
+					placements.Add(int64(x.placements))
+					holds.Add(int64(x.holds))
+					turns.Add(int64(x.turns))
+					for _, p := range f.core.pending {
+						if p.avoidWorker != "" && p.phase == workflow.Pending {
+							avoided.Add(1)
+						}
+					}
+				}
+				f.play(load)
+			})
 		}
-		f.play(load)
-	}
-	assert.Greater(t, placements, 500)
-	assert.Positive(t, holds, "no worker was held")
-	assert.Positive(t, avoided, "no task avoided a worker")
-	assert.Positive(t, turns, "no submission took a turn")
+	})
+	assert.Greater(t, placements.Load(), int64(500))
+	assert.Positive(t, holds.Load(), "no worker was held")
+	assert.Positive(t, avoided.Load(), "no task avoided a worker")
+	assert.Positive(t, turns.Load(), "no submission took a turn")
 }
--- a/internal/dispatch/fakeworker_test.go
+++ b/internal/dispatch/fakeworker_test.go
@@ -65,6 +65,7 @@
 const maxCopyDelay = time.Second
 
 type fakeRun struct {
+	step        *workflow.Step
 	stopping    bool
 	endsAt      time.Duration
 	started     time.Duration
@@ -118,18 +119,18 @@
 	}
 	f.highestEpoch = c.Epoch
 	sim.extendLease(f, c.Deadline)
-	step := sim.steps[c.Task.Job][c.Task.Step]
-	if f.enforcesCapacity && !sim.reservedWith(f, &step).Fits(f.capacity) {
+	step := &sim.steps[c.Task.Job][c.Task.Step]
+	if f.enforcesCapacity && !sim.reservedWith(f, step).Fits(f.capacity) {
 		f.noRoomRefusals++
 		return sim.refuse(f, ReasonNoRoom)
 	}
-	sim.checkStart(f, c, &step)
+	sim.checkStart(f, c, step)
 	f.highestRun[c.Task] = c.Run
 	work := step.Estimate
 	if sim.workTime != nil {
-		work = sim.workTime(f, c.Attempt, &step)
+		work = sim.workTime(f, c.Attempt, step)
 	}
-	f.running[c.Attempt] = &fakeRun{started: sim.now, endsAt: sim.now + work, workTime: work, longRunning: step.LongRunning}
+	f.running[c.Attempt] = &fakeRun{step: step, started: sim.now, endsAt: sim.now + work, workTime: work, longRunning: step.LongRunning}
 	if saved, err := strconv.ParseInt(c.Checkpoint, 10, 64); err == nil && sim.checkpointInterval > 0 {
 		f.running[c.Attempt].endsAt -= time.Duration(saved) * time.Millisecond
 	}
@@ -147,8 +148,7 @@
 }
 
 // lostToRacks returns the part of a tick in which an attempt makes no progress because of its rack or those of its gang.
-func (sim *simulation) lostToRacks(f *fakeWorker, a Attempt) time.Duration {
-	s := &sim.steps[a.Task.Job][a.Task.Step]
+func (sim *simulation) lostToRacks(f *fakeWorker, a Attempt, s *workflow.Step) time.Duration {
 	far := s.DataRack != "" && s.DataRack != f.rack
 	if s.Gang && s.SameRack {
 		sim.forEachMember(a, func(o *fakeWorker, _ Attempt) { far = far || o.rack != f.rack })
@@ -167,8 +167,8 @@
 // reservedWith returns what the tasks of a worker reserve together with another one.
 func (sim *simulation) reservedWith(f *fakeWorker, s *workflow.Step) resource.Vector {
 	used := s.Reserved()
-	for a := range f.running {
-		used = used.Add(sim.steps[a.Task.Job][a.Task.Step].Reserved())
+	for _, r := range f.running {
+		used = used.Add(r.step.Reserved())
 	}
 	return used
 }
@@ -195,20 +195,20 @@
 				}
 				continue
 			}
-			require.NotEqual(sim.t, a.Task, c.Task, "%s runs twice: run %d on %s and run %d on %s", c.Task, a.Run,
-				other.id, c.Run, f.id)
+			if a.Task == c.Task {
+				require.Fail(sim.t, "task runs twice", "%s: run %d on %s and run %d on %s", c.Task, a.Run, other.id, c.Run, f.id)
+			}
 		}
 	}
 	for _, after := range s.After {
-		for i := range sim.steps[c.Task.Job][after].Count {
-			required := workflow.TaskID{Job: c.Task.Job, Round: c.Task.Round, Step: after, Index: i}
-			for _, o := range sim.workers {
-				for a := range o.running {
-					if sim.steps[c.Task.Job][after].Speculative && sim.doneReported[required] {
-						continue
-					}
-					require.NotEqual(sim.t, a.Task, required, "%s starts while %s runs", c.Task, required)
+		required := &sim.steps[c.Task.Job][after]
+		for _, o := range sim.workers {
+			for a := range o.running {
+				if a.Task.Job != c.Task.Job || a.Task.Round != c.Task.Round || a.Task.Step != after ||
+					a.Task.Index >= required.Count || required.Speculative && sim.doneReported[a.Task] {
+					continue
 				}
+				require.Fail(sim.t, "task starts too early", "%s starts while %s runs", c.Task, a.Task)
 			}
 		}
 	}
@@ -253,13 +253,17 @@
 func (sim *simulation) list(f *fakeWorker) LeaseAnswer {
 	a := LeaseAnswer{StartedAt: f.startedAt, Clock: sim.clock(f),
 		Ends: append([]End(nil), f.ends[:min(len(f.ends), sim.listedEnds)]...), MoreEnds: len(f.ends) >= sim.listedEnds}
+	rate := 0.0
+	if sim.contention != nil {
+		rate = sim.contention.rate(f)
+	}
 	for attempt, r := range f.running {
 		running := Running{Attempt: attempt, Percent: r.percent(sim.now), Checkpoint: r.checkpoint}
 		if sim.reportedLoad != nil {
 			running.Load = sim.reportedLoad(attempt)
 		}
 		if sim.contention != nil {
-			running.Load = sim.contention.load(f, attempt)
+			running.Load = sim.contention.load(f, attempt, rate)
 		}
 		a.Running = append(a.Running, running)
 	}
--- a/internal/dispatch/heard_test.go
+++ b/internal/dispatch/heard_test.go
@@ -38,8 +38,10 @@
 // Guards against a task that runs twice: a later incarnation of an idle worker has begun it under the longest lease, and is
 // cut off before the owner has heard of it.
 func TestRestartedWorkerThatIsCutOffHoldsNoLongerLeaseThanExpected(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			sim := newSimulation(t, seed, 2)
 			sim.holdsCalls = true
 			sim.run(60*time.Second + time.Duration(seed)*200*time.Millisecond)
@@ -62,9 +64,11 @@
 
 // Guards against a task that runs twice: as above, and the worker restarted right after it had been heard.
 func TestStartThatNoIncarnationHasConfirmedMayHoldTheLongestLease(t *testing.T) {
+	t.Parallel()
 	for name, answered := range map[string]bool{"unanswered": false, "answer without incarnation": true} {
 		for seed := range uint64(20) {
 			t.Run(fmt.Sprint(name, seed), func(t *testing.T) {
+				t.Parallel()
 				sim, _, f := startAfterRestart(t, seed, answered)
 				if answered {
 					sim.run(tick)
--- a/internal/dispatch/heavy_test.go
+++ b/internal/dispatch/heavy_test.go
@@ -46,14 +46,12 @@
 	swingPeriod    = 14 * time.Second
 )
 
-func (c *contention) step(a Attempt) *workflow.Step { return &c.sim.steps[a.Task.Job][a.Task.Step] }
-
 // rate returns the speed of best-effort tasks without CPU limit on a worker.
 func (c *contention) rate(f *fakeWorker) float64 {
 	left := float64(c.sim.capacity.MilliCores)
 	requested := 0.0
-	for a, r := range f.running {
-		s := c.step(a)
+	for _, r := range f.running {
+		s := r.step
 		size := float64(s.Size.MilliCores)
 		switch {
 		case s.BestEffort:
@@ -72,7 +70,7 @@
 	rate := c.rate(f)
 	tails := map[workflow.JobID]float64{}
 	for a, r := range f.running {
-		s := c.step(a)
+		s := r.step
 		if s.BestEffort {
 			r.endsAt += time.Duration((1 - rate*r.cpuShare()) * float64(tick))
 		}
@@ -94,8 +92,8 @@
 	_, _ = h.Write([]byte(job))
 	phase := float64(h.Sum32()) / math.MaxUint32
 	rise := c.swing * math.Sin(2*math.Pi*(c.sim.now.Seconds()/swingPeriod.Seconds()+phase))
-	for a, r := range f.running {
-		if s := c.step(a); s.BestEffort {
+	for _, r := range f.running {
+		if s := r.step; s.BestEffort {
 			used := float64(s.Size.MilliCores) * rate * r.cpuShare() / float64(c.sim.capacity.MilliCores)
 			rise += c.coefficients[[2]string{service, s.Image}] * used
 		}
@@ -103,14 +101,14 @@
 	return c.baseTail * math.Exp(rise)
 }
 
-// load returns what a worker reports of an attempt.
-func (c *contention) load(f *fakeWorker, a Attempt) float64 {
-	s := c.step(a)
+// load returns what a worker reports of an attempt while its best-effort tasks run at a rate.
+func (c *contention) load(f *fakeWorker, a Attempt, rate float64) float64 {
+	s := f.running[a].step
 	if latencyCritical(s) {
-		return c.tail(f, a.Task.Job, s.Image, c.rate(f)) * math.Exp(c.noise*c.rng.NormFloat64())
+		return c.tail(f, a.Task.Job, s.Image, rate) * math.Exp(c.noise*c.rng.NormFloat64())
 	}
 	if s.BestEffort {
-		return float64(s.Size.MilliCores) * c.rate(f) * f.running[a].cpuShare()
+		return float64(s.Size.MilliCores) * rate * f.running[a].cpuShare()
 	}
 	return float64(s.Size.MilliCores)
 }
@@ -276,6 +274,7 @@
 
 // On a day without a burst the bound must cost nothing.
 func TestNoBurstOfBestEffortWork(t *testing.T) {
+	t.Parallel()
 	layouts, c := playHeavyDay(t, 4, 1.2, 1)
 	inTime, served := shares(layouts)
 	over := float64(c.overObjective) / float64(max(1, c.serviceTicks))
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -19,6 +19,7 @@
 // Guards against tasks that run twice: a worker that restarted under its id runs them, and the owner counts them as lost
 // with the earlier incarnation when it reads the new entry.
 func TestTasksStartedByARestartedWorkerRunOnce(t *testing.T) {
+	t.Parallel()
 	for name, test := range map[string]struct {
 		lossShare float64
 		takeOver  time.Duration
@@ -33,6 +34,7 @@
 	} {
 		for seed := range uint64(20) {
 			t.Run(fmt.Sprint(name, seed), func(t *testing.T) {
+				t.Parallel()
 				sim := newSimulation(t, seed, 3)
 				sim.unnamedAnswers = test.unnamed
 				sim.run(5 * time.Second)
@@ -176,6 +178,7 @@
 
 // Random faults with workers that restart under their ids, some of them as another kind, and whose entries are read later.
 func TestRandomRestarts(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/dispatch/locality_test.go
+++ b/internal/dispatch/locality_test.go
@@ -50,6 +50,7 @@
 
 // Guards against waits that break the guarantees on starts and ends, or never end, when workers, owners and the log fail.
 func TestRandomFaultsWithRacks(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
@@ -133,6 +134,7 @@
 // Guards against waits that make callers wait longer. The rule may be 10% worse than the best of the simple ones under each
 // load, and must be better than the present rule where only some racks are short at a time. RACK_SEED is the first of its two seeds.
 func TestWaitsForRacksPayForCallers(t *testing.T) {
+	t.Parallel()
 	firstSeed := uint64(1)
 	if s := os.Getenv("RACK_SEED"); s != "" {
 		var err error
--- a/internal/dispatch/moveroom_test.go
+++ b/internal/dispatch/moveroom_test.go
@@ -16,6 +16,7 @@
 // Guards against services that leave a closed data centre and take the room that short tasks need a moment later: a fleet
 // whose services reserve three fifths of its processors loses a quarter of its workers.
 func TestMovesLeaveRoomForShortTasks(t *testing.T) {
+	t.Parallel()
 	const (
 		workers, services  = 200, 54
 		rate               = 5.7
--- a/internal/dispatch/otherkind_test.go
+++ b/internal/dispatch/otherkind_test.go
@@ -52,10 +52,12 @@
 // Guards against a start that reaches a worker which has restarted under its id with other labels, in another pool or with
 // another capacity, whenever its new entry is written and read. The fake workers check each start.
 func TestNoStartReachesAWorkerThatReturnedAsAnotherKind(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(150) {
 		rng := rand.New(rand.NewPCG(seed, 3))
 		change := randomKindChange(rng)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			t.Logf("%+v", change)
 			playKindChange(t, seed, rng, change)
 		})
--- a/internal/dispatch/outage_test.go
+++ b/internal/dispatch/outage_test.go
@@ -169,6 +169,7 @@
 // Guards against a stored submission that ends the process of every owner. An earlier version has accepted it, or another
 // writer has left it.
 func TestStoredSubmissionThatCannotRunIsFailed(t *testing.T) {
+	t.Parallel()
 	figures := []int64{0, 1, -1, 7, math.MaxInt32, 1 << 40, 1 << 62, math.MaxInt64, math.MinInt64}
 	for seed := range uint64(300) {
 		rng := rand.New(rand.NewPCG(seed, 5))
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -64,6 +64,7 @@
 // Guards against an urgent task that waits for the memory of long best-effort tasks, or for the processors that tasks of a lower
 // priority reserve, and against stops that lose the work of tasks that save no progress.
 func TestUrgentTaskGetsRoomOfLongTasks(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct{ bestEffort, saves bool }{{true, true}, {false, true}, {true, false}} {
 		filler, urgent := fillerStep(16, 20*time.Second), urgentStep(2, 1500)
 		filler.BestEffort, filler.Checkpoints = test.bestEffort, test.saves
@@ -211,6 +212,7 @@
 
 // Guards against a bound on stops that grows with the services of a pool, which are never stopped.
 func TestServicesDoNotRaiseTheBoundOnStops(t *testing.T) {
+	t.Parallel()
 	const workers = 12
 	service := workflow.Step{Count: 50 * workers, LongRunning: true, Size: resource.Vector{MilliCores: 10, MemoryMB: 1}}
 	sim, m := newCompetition(t, 1, workers)
@@ -232,6 +234,7 @@
 // Guards against progress from before a takeover or a checkpoint that counts as made since: until the next percent, a task with two
 // minutes left then seems to end at once, so nothing is stopped for the urgent one.
 func TestResumedTasksDoNotSeemToEndSoon(t *testing.T) {
+	t.Parallel()
 	// A percent takes 2 s.
 	for offset := time.Duration(0); offset < 2*time.Second; offset += 500 * time.Millisecond {
 		sim, _ := newCompetition(t, 1, 4, fillerStep(16, 200*time.Second))
--- a/internal/dispatch/setback_test.go
+++ b/internal/dispatch/setback_test.go
@@ -14,6 +14,7 @@
 // Guards against tasks that run twice, and workers that get no more tasks: the clock of a worker was set back before it
 // restarted, so its start is earlier than that of the incarnation before.
 func TestRestartAfterTheClockWasSetBack(t *testing.T) {
+	t.Parallel()
 	for name, test := range map[string]struct {
 		unnamed, entryFirst, oldEntryAgain, takeOver bool
 	}{
--- a/internal/dispatch/sets_test.go
+++ b/internal/dispatch/sets_test.go
@@ -32,6 +32,7 @@
 
 // Guards against a worker whose lease, ends or silence are forgotten because it is missing in a set.
 func TestWorkersThatNeedAttentionAreKnown(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		sim := newSimulation(t, seed, 5)
 		sim.callLossShare = 0.1
--- a/internal/dispatch/unheard_test.go
+++ b/internal/dispatch/unheard_test.go
@@ -38,6 +38,7 @@
 
 // Guards against a task that runs twice: the call that the earlier incarnation held was closed, and the later one is then cut off.
 func TestConnectionThatClosedBeforeACutEndsNoLongestLease(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			sim, _, f := startAfterRestart(t, seed, false)
@@ -54,6 +55,7 @@
 
 // Guards against a task that runs twice: a start that waited for a turn or at an agent grants the longest lease later.
 func TestLongestLeaseCountsFromTheLatestArrivalOfAStart(t *testing.T) {
+	t.Parallel()
 	for _, late := range []time.Duration{10 * time.Millisecond, 200 * time.Millisecond, 700 * time.Millisecond} {
 		for seed := range uint64(10) {
 			t.Run(fmt.Sprint(late, seed), func(t *testing.T) {
@@ -188,6 +190,7 @@
 
 // Guards against a task that runs twice: the earlier incarnation answered before the start, and the answer was handled after it.
 func TestAnswerRequestedBeforeAStartDoesNotConfirmIt(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			sim := newSimulation(t, seed, 2)
@@ -215,6 +218,7 @@
 
 // Guards against a task that runs twice: the successor of an owner counts with the usual lease of a worker recorded as silent.
 func TestSuccessorWaitsForTheLongestLeaseOfASilentWorker(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			sim, before, f := startAfterRestart(t, seed, false)
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -125,7 +125,7 @@
 	return sim
 }
 
-func discardLogger() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+func discardLogger() *slog.Logger { return slog.New(slog.DiscardHandler) }
 
 // testPool is the pool of the test queue, and of workers unless a test says otherwise.
 const testPool = "pool"
@@ -211,8 +211,10 @@
 }
 
 func (sim *simulation) schedule(d time.Duration, do func()) {
-	sim.events = append(sim.events, event{at: sim.now + d, do: do})
-	sort.SliceStable(sim.events, func(i, k int) bool { return sim.events[i].at < sim.events[k].at })
+	e := event{at: sim.now + d, do: do}
+	// Events of the same time keep the order in which they were scheduled.
+	i := sort.Search(len(sim.events), func(i int) bool { return sim.events[i].at > e.at })
+	sim.events = slices.Insert(sim.events, i, e)
 }
 
 const tick = 5 * time.Millisecond
@@ -271,15 +273,20 @@
 // back.
 func (sim *simulation) storeStatus(b *Batch) {
 	before := map[workflow.JobID]workflow.State{}
-	stored := catalog.DecodeTasks(slices.Collect(maps.Values(sim.tasks)), discardLogger())
+	// The states are in the records alone, so only the records of the submissions in the batch are decoded.
+	var records []eventlog.Entry
 	for i := range b.Entries {
 		sim.offset++
 		b.Entries[i].Offset = sim.offset
+		if e, ok := sim.tasks[b.Entries[i].Key]; ok {
+			records = append(records, e)
+		}
 		id := workflow.JobID(b.Entries[i].Key)
 		if j := sim.catalog.Find(id); j != nil && j.Record != nil {
 			before[id] = j.Record.State
 		}
 	}
+	stored := catalog.DecodeTasks(records, discardLogger())
 	sim.catalog.ApplyProgress(b.Entries)
 	for _, e := range b.Entries {
 		id := workflow.JobID(e.Key)
@@ -307,7 +314,8 @@
 }
 
 func (sim *simulation) advanceWorker(f *fakeWorker) {
-	if sim.clock(f) >= f.leaseUntil {
+	lapsed := sim.clock(f) >= f.leaseUntil
+	if lapsed {
 		f.lapsedEnd = f.lastEnd
 	}
 	if sim.contention != nil {
@@ -315,16 +323,16 @@
 	}
 	for a, r := range f.running {
 		alone := false
-		if s := sim.steps[a.Task.Job][a.Task.Step]; s.Checkpoints && sim.checkpointInterval > 0 {
+		if r.step.Checkpoints && sim.checkpointInterval > 0 {
 			// The name of a checkpoint is the work that it saves, in milliseconds.
 			done := (r.workTime - (r.endsAt - sim.now)).Truncate(sim.checkpointInterval)
 			r.checkpoint = strconv.FormatInt(done.Milliseconds(), 10)
 		}
-		r.endsAt += sim.lostToRacks(f, a)
+		r.endsAt += sim.lostToRacks(f, a, r.step)
 		if f.stalled {
 			r.endsAt += tick
 		}
-		if s := &sim.steps[a.Task.Job][a.Task.Step]; s.Gang && sim.countMembers(a) < s.Count {
+		if r.step.Gang && sim.countMembers(a) < r.step.Count {
 			// A gang makes progress only while all its tasks are running.
 			r.endsAt += tick
 			r.waitedForGang += tick
@@ -333,7 +341,7 @@
 		switch {
 		case alone:
 			f.end(a, EndAlone)
-		case sim.clock(f) >= f.leaseUntil:
+		case lapsed:
 			f.end(a, EndLapsed)
 		case sim.now >= r.endsAt && f.failsAttempts:
 			f.end(a, EndFailed)
