Report a request that is pending after a short pause of a follower

A pause of at most 15 ms ended in a select between the request and a timer that was due at once, so it overlooked every other request; the next read then waited for new records first. It now looks for a request alone.

The timer is also what makes crashes of the race detector likely in the tests of intake. The register dump of one crash shows a stack of 0xffffffff frames in the context of the timers of a synctest bubble, so its stack pointer went below the start; another stops in runtime.(*timer).maybeRunChan, called by this select. It seems that a goroutine that waits for a timer which is due runs the timer itself, in a context that all goroutines of the bubble share, and 36 followers do so at the same virtual time.

--- a/internal/eventlog/follower.go
+++ b/internal/eventlog/follower.go
@@ -112,6 +112,15 @@
 func (f *Follower) pause(ctx context.Context, d time.Duration) (requested bool) {
 	first := min(d, minRefreshInterval)
 	sleep(ctx, first)
+	if d <= first {
+		// A timer that is due at once would be chosen as often as a request.
+		select {
+		case <-f.refresh:
+			return true
+		default:
+			return false
+		}
+	}
 	t := time.NewTimer(d - first)
 	defer t.Stop()
 	select {
