Mend a data race in the fake client of the tests of intake

The handler of a call goes on when its instance dies or the caller's time is over, and wrote the time of its append while the caller read it.

--- a/internal/intake/slowlog_test.go
+++ b/internal/intake/slowlog_test.go
@@ -287,18 +287,19 @@
 }
 
 func (c *memoryClient) Collect(ctx context.Context, to catalog.Endpoint, e eventlog.Entry) (time.Duration, error) {
-	var d time.Duration
+	// The handler goes on when its instance dies, while the caller reads the time.
+	var d atomic.Int64
 	err := c.call(ctx, to, func(ctx context.Context, h *PeerHandler) error {
 		deadline, _ := ctx.Deadline()
 		ctx, cancel := context.WithDeadline(ctx, deadline.Add(-2*2*oneWay))
 		defer cancel()
 		err := h.Append(ctx, e)
 		if ctx.Err() == nil {
-			d = h.AppendTime()
+			d.Store(int64(h.AppendTime()))
 		}
 		return err
 	})
-	return d, err
+	return time.Duration(d.Load()), err
 }
 
 func (c *memoryClient) Report(ctx context.Context, to catalog.Endpoint, self string, d time.Duration) error {
