Count a late success of a lost attempt beside a copy, with a model of copies

Trace: the first copy ends as done on a silent worker and is given up, the original and a second copy run, the end is read, ignored and confirmed, both fail, run 4 starts.

The end now ends the task. The record of a task that has ended may name both attempts that are to be stopped; a successor restores both.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -158,7 +158,7 @@
 				if t.phase == workflow.Ended {
 					rows[i].Checkpoint = ""
 				}
-				if c, ok := t.copyRecord(); ok {
+				for _, c := range t.copyRecords() {
 					c.Round, c.Step, c.Index = k, s, i
 					rec.Copies = append(rec.Copies, c)
 				}
--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -84,23 +84,34 @@
 	return t
 }
 
-// copyRecord returns what is stored of the second attempt of a task, and false if nothing must be.
-func (t *task) copyRecord() (workflow.CopyRecord, bool) {
+// copyRecords returns what is stored of the attempts of a task beside its row: of the first attempt if the task has ended without it,
+// and of the second one.
+func (t *task) copyRecords() []workflow.CopyRecord {
+	var out []workflow.CopyRecord
+	if t.overtaken {
+		out = append(out, workflow.CopyRecord{Run: t.run, Worker: t.worker.ID, WorkerStartedAt: t.workerStartedAt})
+	}
 	switch {
 	case t.copy != nil:
-		return workflow.CopyRecord{Run: t.copy.run, Worker: t.copy.worker.ID, WorkerStartedAt: t.copy.workerStartedAt}, true
-	case t.overtaken:
-		return workflow.CopyRecord{Run: t.run, Worker: t.worker.ID, WorkerStartedAt: t.workerStartedAt}, true
-	case t.copyRun > t.run && t.phase != workflow.Ended:
-		return workflow.CopyRecord{Run: t.copyRun}, true
+		out = append(out, workflow.CopyRecord{Run: t.copy.run, Worker: t.copy.worker.ID, WorkerStartedAt: t.copy.workerStartedAt})
+	case t.copyRun > t.run && t.phase != workflow.Ended && !t.overtaken:
+		out = append(out, workflow.CopyRecord{Run: t.copyRun})
 	}
-	return workflow.CopyRecord{}, false
+	return out
 }
 
-// restoreCopy applies the record that an earlier owner stored of a copy, which may be running.
+// restoreCopy applies the record that an earlier owner stored of an attempt beside the row of its task. It may be running.
 func (c *Core) restoreCopy(r *round, rec *workflow.CopyRecord) {
 	t := c.findTask(workflow.TaskID{Job: r.job.submission.Job, Round: rec.Round, Step: rec.Step, Index: rec.Index})
-	if t == nil || rec.Run <= 0 || t.copy != nil {
+	switch {
+	case t == nil || rec.Run <= 0:
+		return
+	case t.phase == workflow.Ended && rec.Run == t.run && rec.Worker != "":
+		t.overtaken, t.phase = true, workflow.Placed
+		c.restorePlaced(t, rec.Worker, rec.WorkerStartedAt)
+		c.stopAttempt(t)
+		return
+	case t.copy != nil:
 		return
 	}
 	t.copyRun = rec.Run
@@ -189,6 +200,9 @@
 		m.overtaken = true
 		c.markDirty(m.job())
 		c.stopAttempt(m)
+		if m.copy != nil {
+			c.stopAttempt(m.copy)
+		}
 		return
 	}
 	if m.phase == workflow.Placed {
--- a/internal/dispatch/copies_test.go
+++ b/internal/dispatch/copies_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -352,6 +354,62 @@
 	sim.requireSettled()
 }
 
+// Guards against a start long after a success: the worker of a copy reports its success after the copy counted as lost, and the
+// original and the next copy, which still run, fail later. Guards also against a successor that does not know both of them.
+func TestLateSuccessOfALostCopyEndsBothOtherAttempts(t *testing.T) {
+	for name, successor := range map[string]bool{"same owner": false, "successor": true} {
+		t.Run(name, func(t *testing.T) {
+			sim := newCopySimulation(t, 1)
+			usual := sim.workTime
+			sim.workTime = func(f *fakeWorker, a Attempt, s *workflow.Step) time.Duration {
+				if usual(f, a, s) == slowWork || a.Task.Job == slowJob && a.Task.Step == 0 && a.Run > 2 {
+					return time.Minute
+				}
+				return s.Estimate
+			}
+			original, first := sim.runUntilCopied(speculativeStep(1), speculativeStep(1, 0))
+			silent := sim.workers[first.worker.ID]
+			silent.disconnected = true
+			for end := sim.now + 20*time.Second; original.copy == nil || original.copy == first || original.copy.startedAt == 0; {
+				require.Less(t, sim.now, end, "no second copy is started")
+				sim.run(tick)
+			}
+			require.True(t, sim.doneReported[original.id])
+			require.Len(t, sim.slowRuns(), 2)
+			// Neither of the other workers can be reached, so both attempts run on after the end of their task.
+			cut := slices.Collect(maps.Values(sim.slowRuns()))
+			silent.disconnected = false
+			sim.core.workers[silent.id].retryInterval = 0
+			for _, f := range cut {
+				f.disconnected = true
+			}
+			sim.run(time.Second)
+			require.True(t, original.done())
+			require.Empty(t, silent.ends, "the success is confirmed")
+			require.Len(t, sim.slowRuns(), 2)
+			if successor {
+				sim.takeOver()
+			}
+			known := 0
+			for _, f := range cut {
+				for o := range sim.core.workers[f.id].tasks {
+					if o.id == original.id {
+						known++
+					}
+				}
+			}
+			assert.Equal(t, 2, known, "both attempts count on their workers")
+			for _, f := range cut {
+				f.disconnected = false
+			}
+			sim.run(4 * time.Second)
+			assert.Empty(t, sim.slowRuns(), "both attempts are stopped")
+			assert.Equal(t, 3, sim.startedRun[original.id], "no start follows the success")
+			sim.requireSettled()
+		})
+	}
+}
+
 // Guards against a running original that is forgotten: a success of an earlier attempt with the run number of a copy, which a
 // successor of an earlier version may have given away again, is read before the copy is started.
 func TestSuccessWithTheNumberOfAnUnstartedCopy(t *testing.T) {
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -101,8 +101,7 @@
 // doneBefore reports whether a success of an earlier attempt completes a task. The worker had not answered until its
 // lease expired, so the attempt counted as lost, but it had ended before that. If the next attempt was already ordered,
 // that one decides, unless the step allows copies: another attempt may run for long beside a lost one, and nothing may be started
-// after the success was confirmed. While two other attempts run, one of them decides, because the record of a task that has ended
-// names one attempt only.
+// after the success was confirmed.
 func (c *Core) doneBefore(t *task, w *worker, e *End) bool {
 	d := t.step.def
 	if e.Outcome != EndDone || d.LongRunning || d.Gang || e.Run > t.lastRun() || t.job().state.Over() {
@@ -113,7 +112,7 @@
 		return t.step.ready
 	case workflow.Placed:
 		return (t.worker != w || t.run != e.Run) && (t.neverSent() ||
-			t.original == nil && !t.overtaken && mayHaveCopies(d) && (t.copy == nil || t.copy.neverSent()))
+			t.original == nil && !t.overtaken && mayHaveCopies(d))
 	}
 	return false
 }
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -73,7 +73,8 @@
 	Copies []CopyRecord `cbor:"-"`
 }
 
-// CopyRecord is the stored state of the second attempt of a task, or of the first one if the second has ended as done.
+// CopyRecord is the stored state of the second attempt of a task, or of the first one if the task has ended without it. A task
+// that has ended by an earlier attempt may have both.
 type CopyRecord struct {
 	_                  struct{} `cbor:",toarray"`
 	Round, Step, Index int
