--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -36,10 +36,13 @@
 	predecessorUntil time.Duration
 	epoch            int64
 	catalog          *catalog.Catalog
-	// offset is the offset of the newest entry in the log. tasks holds the newest entries of the tasks topic by key.
-	offset int64
-	tasks  map[string]eventlog.Entry
-	steps  map[workflow.JobID][]workflow.Step
+	// offset is the offset of the newest entry in the log. tasks holds the newest entries of the tasks topic by key,
+	// submissions and progress those of the two other topics.
+	offset                       int64
+	tasks, submissions, progress map[string]eventlog.Entry
+	// taskBytes counts the bytes that were stored in the tasks topic, by key.
+	taskBytes map[string]int
+	steps     map[workflow.JobID][]workflow.Step
 	// tasksInFlight and statusInFlight are the batches in flight to the log, which stores them at tasksAt and statusAt.
 	tasksInFlight, statusInFlight *Batch
 	tasksAt, statusAt             time.Duration
@@ -111,7 +114,8 @@
 
 func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
 	sim := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Minute, workers: map[string]*fakeWorker{},
-		steps: map[workflow.JobID][]workflow.Step{}, tasks: map[string]eventlog.Entry{},
+		steps: map[workflow.JobID][]workflow.Step{}, tasks: map[string]eventlog.Entry{}, submissions: map[string]eventlog.Entry{},
+		progress: map[string]eventlog.Entry{}, taskBytes: map[string]int{},
 		params: Params{Lease: 6 * time.Second, MaxLease: 10 * time.Second, Isolation: 5 * time.Second, ObjectiveTolerance: 4 * time.Second,
 			EvacuationLimit: 5 * time.Second},
 		catalog: catalog.New(discardLogger()), doneConfirmed: map[workflow.TaskID]time.Duration{},
@@ -205,6 +209,7 @@
 func (sim *simulation) applyEntry(apply func(eventlog.Batch) []*catalog.Job, e eventlog.Entry) {
 	sim.offset++
 	e.Offset = sim.offset
+	sim.submissions[e.Key] = e
 	for _, j := range apply(eventlog.Batch{Entries: []eventlog.Entry{e}}) {
 		sim.core.Submit(sim.now, j)
 	}
@@ -264,6 +269,7 @@
 		sim.offset++
 		e.Offset = sim.offset
 		sim.tasks[e.Key] = e
+		sim.taskBytes[e.Key] += len(e.Key) + len(e.Value)
 	}
 }
 
@@ -275,6 +281,7 @@
 	for i := range b.Entries {
 		sim.offset++
 		b.Entries[i].Offset = sim.offset
+		sim.progress[b.Entries[i].Key] = b.Entries[i]
 		id := workflow.JobID(b.Entries[i].Key)
 		if j := sim.catalog.Find(id); j != nil && j.Record != nil {
 			before[id] = j.Record.State
