Count refusals that got the outcome of an earlier request

Operators could not see how often a repetition would have been refused although its first request was stored or had no outcome. The counter clementine_intake_replaced_refusals_total has both, also for refusals before a submission is processed. TestRepetitionOfAStoredSubmission checks it; it is new, so there was no count before.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -89,7 +89,7 @@
 	r.MustRegister(h)
 	return &API{log: log, catalog: cat, config: config, view: v,
 		submissionsFreshness: submissionsFreshness, configFreshness: configFreshness,
-		maxAges: maxAges, unsettled: newUnsettled(), logger: l, latency: h, verdicts: newVerdicts(r)}
+		maxAges: maxAges, unsettled: newUnsettled(r), logger: l, latency: h, verdicts: newVerdicts(r)}
 }
 
 // Config returns the configuration in force, or nil before the first.
@@ -113,7 +113,7 @@
 		a.logger.Info("submission refused as invalid", "job", s.Job, "queue", s.Terms.Queue, "error", err)
 		return err
 	}
-	stored, unknown := a.Known(s.Job)
+	stored, unknown := a.known(s.Job)
 	if stored {
 		a.logger.Info("submission already stored", "job", s.Job, "queue", s.Terms.Queue)
 		return nil
@@ -131,13 +131,25 @@
 	return a.store(ctx, "submission", s.Terms.Queue, s.Job, e)
 }
 
-// Known reports whether a submission is stored as far as this instance knows, and whether an earlier request for it may be
-// stored. A request that is refused before Submit must not contradict it.
-func (a *API) Known(id workflow.JobID) (stored, unknown bool) {
+// known reports whether a submission is stored as far as this instance knows, and whether an earlier request for it may be
+// stored.
+func (a *API) known(id workflow.JobID) (stored, unknown bool) {
 	stored, unknown = a.unsettled.lookUp(string(id))
 	return stored || a.catalog.Find(id) != nil, unknown
 }
 
+// KnownRefused is called for a submission that is refused before Submit. It reports whether the submission is stored as far
+// as this instance knows, and whether an earlier request for it may be stored; the answer must not contradict that.
+func (a *API) KnownRefused(id workflow.JobID) (stored, unknown bool) {
+	stored, unknown = a.known(id)
+	if stored {
+		a.unsettled.replaced.WithLabelValues(outcomeStored).Inc()
+	} else if unknown {
+		a.unsettled.replaced.WithLabelValues(outcomeUnknown).Inc()
+	}
+	return stored, unknown
+}
+
 // Cancel returns once the cancellation is stored. It returns a *RefusedError or *UncertainError. A submission
 // that has not been read yet is cancelled too.
 func (a *API) Cancel(ctx context.Context, queueName string, id workflow.JobID) error {
--- a/internal/intake/repeat_test.go
+++ b/internal/intake/repeat_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -100,12 +102,14 @@
 
 // Guards against a refusal of a repetition that the log has stored, before the view shows it.
 func TestRepetitionOfAStoredSubmission(t *testing.T) {
-	u, e := newUnsettled(), catalog.CancelEntry("0000000000000001")
+	u, e := newUnsettled(prometheus.NewRegistry()), catalog.CancelEntry("0000000000000001")
 	ctx := context.Background()
 	require.NoError(t, u.append(ctx, &fakeAppender{}, e))
 	refusing := &fakeAppender{err: &eventlog.QueueFullError{}}
 	assert.NoError(t, u.append(ctx, refusing, e))
 	assert.Error(t, u.append(ctx, refusing, catalog.CancelEntry("0000000000000002")))
+	assert.Equal(t, 1.0, testutil.ToFloat64(u.replaced.WithLabelValues(outcomeStored)))
+	assert.Zero(t, testutil.ToFloat64(u.replaced.WithLabelValues(outcomeUnknown)))
 }
 
 // Guards against notices that fill the memory: any client of the relay may send them.
--- a/internal/intake/unsettled.go
+++ b/internal/intake/unsettled.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 )
@@ -22,9 +23,11 @@
 // stored or unknown. A repetition that is refused itself gets their outcome: the refusal promises that the submission
 // never runs.
 type unsettled struct {
-	mu    sync.Mutex
-	keys  map[string]*keyState
-	swept time.Time
+	// replaced counts the refusals that got the outcome of an earlier request.
+	replaced *prometheus.CounterVec
+	mu       sync.Mutex
+	keys     map[string]*keyState
+	swept    time.Time
 }
 
 // keyState requires the mutex of unsettled.
@@ -39,7 +42,18 @@
 	ended chan struct{}
 }
 
-func newUnsettled() *unsettled { return &unsettled{keys: map[string]*keyState{}} }
+func newUnsettled(r prometheus.Registerer) *unsettled {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_intake_replaced_refusals_total",
+		Help: "Refused submissions and cancellations that got the outcome of an earlier request for them."}, []string{"outcome"})
+	r.MustRegister(c)
+	return &unsettled{replaced: c, keys: map[string]*keyState{}}
+}
+
+// Values of the label outcome.
+const (
+	outcomeStored  = "stored"
+	outcomeUnknown = "unknown"
+)
 
 // append stores an entry with log. It returns a refusal only if no other append of the key that this instance knows of
 // may be stored, and awaits the end of those in progress for that.
@@ -56,8 +70,10 @@
 		u.mu.Unlock()
 		switch {
 		case stored:
+			u.replaced.WithLabelValues(outcomeStored).Inc()
 			return nil
 		case unknown:
+			u.replaced.WithLabelValues(outcomeUnknown).Inc()
 			return &eventlog.UnknownError{Op: "append", Err: err}
 		case calls == 0:
 			return err
@@ -65,6 +81,7 @@
 		select {
 		case <-ended:
 		case <-ctx.Done():
+			u.replaced.WithLabelValues(outcomeUnknown).Inc()
 			return &eventlog.UnknownError{Op: "append", Err: err}
 		}
 	}
