--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -73,6 +73,8 @@
 	// started of each task of a speculative step.
 	doneReported map[workflow.TaskID]bool
 	startedRun   map[workflow.TaskID]int
+	// failedRuns counts the attempts of each task that have failed because of failsAttempts.
+	failedRuns map[workflow.TaskID]int
 	// pairs counts the starts beside another attempt of the task.
 	pairs int
 	// crashDelays holds the tasks that crash each worker, with the time from their start to the crash; crashes counts
@@ -120,7 +122,7 @@
 			EvacuationLimit: 5 * time.Second},
 		catalog: catalog.New(discardLogger()), doneConfirmed: map[workflow.TaskID]time.Duration{},
 		doneReported: map[workflow.TaskID]bool{}, startedRun: map[workflow.TaskID]int{},
-		crashes: map[workflow.TaskID]int{}, downtime: 3300 * time.Millisecond,
+		crashes: map[workflow.TaskID]int{}, failedRuns: map[workflow.TaskID]int{}, downtime: 3300 * time.Millisecond,
 		capacity: resource.Vector{MilliCores: 4000, MemoryMB: 8000}, listedEnds: listedEnds}
 	for i := range workers {
 		sim.addWorker(string(rune('a' + i)))
@@ -343,6 +345,7 @@
 		case sim.clock(f) >= f.leaseUntil:
 			f.end(a, EndLapsed)
 		case sim.now >= r.endsAt && f.failsAttempts:
+			sim.failedRuns[a.Task]++
 			f.end(a, EndFailed)
 		case sim.now >= r.endsAt && !r.longRunning:
 			sim.finishAttempt(f, a)
