Use one notion of a worker's health in the owner

Consecutive failures, quarantine, the time as full and the slow workers of copies were kept apart, with fixed times and no limit on what a worker got right after its return. They are replaced by workerhealth.Worker. Plans have four sets of candidates: usable workers, those on probation, excluded ones for tasks that have waited for 1 s, and held ones for services whose wait has expired. Without bad workers, the sets and the cached rankings are as before.

Evidence of slowness comes from attempts whose duration is learned only, and from best-effort ones only if they were never limited and had processors of their own; the age of an answer is taken off by the worker's clock.

Tests that set the replaced fields exclude workers by evidence. The one of waiting services expects them on the excluded worker after 1 s instead of 2 s, and not before; that of a hidden task has six full workers beside the two excluded ones, because at most a quarter of a pool is excluded.

--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -25,6 +25,8 @@
 	Slack float64
 	// RecentlyFailed reports whether the last attempts on the worker failed.
 	RecentlyFailed bool
+	// Bad reports whether the worker is excluded or on probation because of its health. It replaces RecentlyFailed.
+	Bad bool
 	// Cold reports whether the worker is slow for a while after its start.
 	Cold bool
 }
@@ -62,6 +64,7 @@
 // Weights of the score, as shares of a worker's processors: a penalty of 1 is the difference between an idle and a full
 // worker.
 const (
+	// recentFailurePenalty also applies to a bad worker, unless the task is best effort: work that callers wait for goes there last.
 	recentFailurePenalty = 4.0
 	avoidPenalty         = 8.0
 	// coldPenalty outweighs the sum of the others that apply to tasks without a tail rise, except avoidPenalty: a cold worker
@@ -102,7 +105,7 @@
 func score(n *Node, t *Task) float64 {
 	capacity := float64(max(1, n.Capacity.MilliCores))
 	result := float64(n.Capacity.MilliCores-n.Reserved.MilliCores-n.BestEffort-t.Size.MilliCores) / capacity
-	if n.RecentlyFailed {
+	if n.RecentlyFailed || n.Bad && !t.BestEffort {
 		result -= recentFailurePenalty
 	}
 	if n.Cold {
--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -20,14 +20,20 @@
 	pools    map[string]*poolBound
 }
 
+// roomKey identifies the candidates for tasks of a size.
+type roomKey struct {
+	reach reach
+	size  resource.Vector
+}
+
 // poolBound is the state of the bound for one pool of workers.
 type poolBound struct {
 	// shares holds the share of the services' margins that each image may use up.
 	shares map[string]float64
-	// noHeadroom holds, for each image, the smallest tasks that no worker could take.
-	noHeadroom map[string][]resource.Vector
+	// noHeadroom holds, for each image, the smallest tasks that no worker could take within each reach.
+	noHeadroom [reaches]map[string][]resource.Vector
 	// withRoom holds, for each size, the workers that had room for it when the first such task was considered.
-	withRoom map[resource.Vector][]*assign.Node
+	withRoom map[roomKey][]*assign.Node
 	// services holds the service images of each worker.
 	services []map[string]int
 }
@@ -38,9 +44,9 @@
 }
 
 // full reports whether no worker could take a task like t earlier in the plan.
-func (b *bestEffortBound) full(t *task) bool {
+func (b *bestEffortBound) full(t *task, reach reach) bool {
 	def := t.step.def
-	for _, size := range b.pool(t.job().terms.Pool).noHeadroom[def.Image] {
+	for _, size := range b.pool(t.job().terms.Pool).noHeadroom[reach][def.Image] {
 		if size.Fits(def.Size) {
 			return true
 		}
@@ -49,15 +55,19 @@
 }
 
 // noteFull notes that no worker can take a task like t.
-func (b *bestEffortBound) noteFull(t *task) {
+func (b *bestEffortBound) noteFull(t *task, reach reach) {
 	pool, def := b.pool(t.job().terms.Pool), t.step.def
-	pool.noHeadroom[def.Image] = append(pool.noHeadroom[def.Image], def.Size)
+	if pool.noHeadroom[reach] == nil {
+		pool.noHeadroom[reach] = map[string][]resource.Vector{}
+	}
+	pool.noHeadroom[reach][def.Image] = append(pool.noHeadroom[reach][def.Image], def.Size)
 }
 
 // withRoom returns the nodes that have the resources and processors for a task like t, whatever its image.
-func (b *bestEffortBound) withRoom(t *task, nodes []*assign.Node) []*assign.Node {
+func (b *bestEffortBound) withRoom(t *task, reach reach, nodes []*assign.Node) []*assign.Node {
 	pool, def := b.pool(t.job().terms.Pool), t.step.def
-	if out, ok := pool.withRoom[def.Size]; ok {
+	key := roomKey{reach, def.Size}
+	if out, ok := pool.withRoom[key]; ok {
 		return out
 	}
 	need, size := def.Reserved(), requestedMilliCores(def)
@@ -67,7 +77,7 @@
 			out = append(out, n)
 		}
 	}
-	pool.withRoom[def.Size] = out
+	pool.withRoom[key] = out
 	return out
 }
 
@@ -93,8 +103,7 @@
 	if p, ok := b.pools[name]; ok {
 		return p
 	}
-	p := &poolBound{shares: map[string]float64{}, noHeadroom: map[string][]resource.Vector{},
-		withRoom: map[resource.Vector][]*assign.Node{}}
+	p := &poolBound{shares: map[string]float64{}, withRoom: map[roomKey][]*assign.Node{}}
 	b.pools[name] = p
 	return p
 }
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"clementinewalk.example/clementinewalk/internal/invariant"
+	"clementinewalk.example/clementinewalk/internal/workerhealth"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -15,10 +16,6 @@
 	maxStartCalls = 4
 	// callRetryDelay is the pause before an unanswered order is sent again.
 	callRetryDelay = 30 * time.Millisecond
-	// noRoomPause and unhealthyPause are how long a worker gets no new tasks after it refused a start because it has no
-	// room or is unhealthy.
-	noRoomPause    = 400 * time.Millisecond
-	unhealthyPause = 1500 * time.Millisecond
 )
 
 // startIfHeard sends the start of an attempt whose placement is stored if its worker has been heard. Otherwise a lease call
@@ -70,6 +67,7 @@
 			return
 		}
 		c.accept(t, a.StartedAt)
+		t.worker.health.Accepted()
 		t.startState, t.settledAt, t.startedAt = startSettled, now, now
 		t.timed = t.isTimed(now, o.Call.Checkpoint)
 		c.timing.observe(phaseStart, now-t.storedAt)
@@ -81,6 +79,9 @@
 	default:
 		c.logger.Info("worker did not answer start", "task", t.id, "run", t.run, "worker", o.Member.ID,
 			"tries", t.startCalls, "error", err)
+		if t.worker.failingSince == 0 && t.worker.health.Unanswered(now) {
+			c.noteExcluded(now, t.worker, "task", t.id)
+		}
 		if t.startState == startInFlight {
 			t.startState = startUnanswered
 		}
@@ -115,17 +116,19 @@
 		t.startState, t.hadUnansweredStart = startUnanswered, true
 		t.retryAt = now
 		c.needsOrder[t] = struct{}{}
+		if newest {
+			c.noteRefusal(now, w, workerhealth.Mute)
+		}
 		return
 	case ReasonRestarted:
 		w.fenced, w.retryInterval = false, 0
 	case ReasonNoRoom:
 		if newest {
-			w.fullUntil = now + noRoomPause
+			c.noteRefusal(now, w, workerhealth.Full)
 		}
 	case ReasonUnhealthy:
-		// Services that have waited ignore the quarantine, but must not be sent to an unhealthy worker again and again.
 		if newest {
-			w.quarantinedUntil, w.fullUntil = now+unhealthyPause, now+unhealthyPause
+			c.noteRefusal(now, w, workerhealth.Refusing)
 		}
 	case ReasonStaleAttempt:
 		if !newest {
@@ -261,6 +264,7 @@
 	delete(c.callable, w)
 	delete(c.unconfirmed, w)
 	delete(c.unresponsive, w)
+	delete(c.health.bad, w)
 	c.workersByID = nil
 }
 
@@ -443,6 +447,7 @@
 	}
 	if w.failingSince == 0 {
 		w.failingSince = now
+		w.health.Silent(now)
 		for t := range w.tasks {
 			// Its end may be read late.
 			t.timed = false
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -9,22 +9,31 @@
 
 // chooseNode returns the node for a task that does not belong to a gang, or nil.
 func (p *plan) chooseNode(t *task) *assign.Node {
-	def, avoids, waitExpired := t.step.def, p.caution(t), t.waitExpired(p.now)
+	n := p.chooseWithin(t, p.reach(t))
+	if n == nil && !p.awaitsRack && p.isLastResort(t) {
+		return p.chooseWithin(t, reachExcluded)
+	}
+	return n
+}
+
+// chooseWithin returns the node for a task among those within a reach, or nil.
+func (p *plan) chooseWithin(t *task, reach reach) *assign.Node {
+	def, avoids := t.step.def, p.caution(t)
 	filter := p.requireApproval(t, avoids.filter(t.job()))
 	if p.turns != nil {
-		return p.chooseTurn(t, filter)
+		return p.chooseTurn(t, reach, filter)
 	}
-	key := p.noRoomKey(t, waitExpired)
+	key := p.noRoomKey(t, reach)
 	if _, ok := p.noRoom[key]; ok {
 		return nil
 	}
-	search := candidateSearch{waitExpired: waitExpired, caution: avoids}
+	search := candidateSearch{reach: reach, caution: avoids}
 	failedIn := &t.step.noCandidate[search.index()]
 	if *failedIn == p.number {
 		return nil
 	}
-	nodes, bounded := p.nodes(t, waitExpired), def.BestEffort
-	if bounded && p.bound.full(t) {
+	bounded := def.BestEffort
+	if bounded && p.bound.full(t, reach) {
 		*failedIn = p.number
 		return nil
 	}
@@ -32,6 +41,10 @@
 	if t.restricted() || filter != nil {
 		accept = func(n *assign.Node) bool { return p.allows(n, t, filter) }
 	}
+	if reach == reachProbation {
+		allowed := accept
+		accept = func(n *assign.Node) bool { return p.mayTakeProbe(n) && (allowed == nil || allowed(n)) }
+	}
 	var rack *rackView
 	prefersRack := p.core.prefersRack(t) && !t.takesAnyRack
 	if prefersRack {
@@ -42,9 +55,9 @@
 			return n
 		}
 	}
-	r := p.ranking(t, nodes, waitExpired, bounded)
+	r := p.ranking(t, reach, bounded)
 	if bounded && r.Empty() {
-		p.bound.noteFull(t)
+		p.bound.noteFull(t, reach)
 	}
 	n := r.Best(t.avoidWorker, accept)
 	if n == nil {
@@ -61,38 +74,29 @@
 	return n
 }
 
-func (p *plan) noRoomKey(t *task, waitExpired bool) noRoomKey {
-	return noRoomKey{pool: t.job().terms.Pool, label: t.step.def.Label, size: t.step.def.Reserved(),
-		waitExpired: waitExpired}
-}
-
-// nodes returns the candidates for a task.
-func (p *plan) nodes(t *task, waitExpired bool) []*assign.Node {
-	if waitExpired {
-		return p.candidatesWithQuarantined(t.job().terms.Pool)
-	}
-	return p.candidates(t.job().terms.Pool)
+func (p *plan) noRoomKey(t *task, reach reach) noRoomKey {
+	return noRoomKey{pool: t.job().terms.Pool, label: t.step.def.Label, size: t.step.def.Reserved(), reach: reach}
 }
 
 // noRoomKey identifies the tasks that need the same room.
 type noRoomKey struct {
 	pool, label string
 	size        resource.Vector
-	waitExpired bool
+	reach       reach
 }
 
 // candidateSearch identifies the tasks of a step for which the same workers are candidates in a plan.
 type candidateSearch struct {
-	waitExpired bool
-	caution     caution
+	reach   reach
+	caution caution
 }
 
 // candidateSearches is the number of different searches.
-const candidateSearches = 8
+const candidateSearches = 4 * int(reaches)
 
 func (s candidateSearch) index() int {
-	i := 0
-	for _, set := range [...]bool{s.waitExpired, s.caution.spared, s.caution.isolated} {
+	i := int(s.reach)
+	for _, set := range [...]bool{s.caution.spared, s.caution.isolated} {
 		i *= 2
 		if set {
 			i++
@@ -103,7 +107,7 @@
 
 // caution holds what a task avoids for a while besides what its step asks for.
 type caution struct {
-	// spared keeps the last attempt of a task from workers with recent failures.
+	// spared keeps the last attempt of a task from bad workers and from those with recent failures.
 	spared bool
 	// isolated keeps a suspected task from workers with a recent start of another submission.
 	isolated bool
@@ -120,7 +124,7 @@
 		return nil
 	}
 	return func(w *worker) bool {
-		return !(c.spared && w.consecutiveFailures > 0) && !(c.isolated && w.hasUnprovenStart(j))
+		return !(c.spared && w.health.Suspect()) && !(c.isolated && w.hasUnprovenStart(j))
 	}
 }
 
--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -26,11 +26,6 @@
 	// copyReportWait is how long a worker with a task that may get a copy delays its answer to a lease call. The progress of the task
 	// must be known within a part of its duration.
 	copyReportWait = 250 * time.Millisecond
-	// minSlowPeers is the number of tasks on a worker from which it is known to be slow, slowPeerFactor how many times as long as
-	// their kind most of them then take. If more than maxSlowWorkers of the workers are slow, the tasks are the cause.
-	minSlowPeers   = 2
-	slowPeerFactor = 2.0
-	maxSlowWorkers = 0.5
 )
 
 // copyOutcome is what became of a copy.
@@ -206,48 +201,18 @@
 		return
 	}
 	c.nextCopies = now + copyInterval
-	byPool := map[string]*copyCandidates{}
+	due := map[string][]*task{}
 	for t := range c.copyable {
 		t.step.round.refresh(now)
-		pool := t.job().terms.Pool
-		p := byPool[pool]
-		if p == nil {
-			p = &copyCandidates{slow: map[*worker]bool{}}
-			byPool[pool] = p
-		}
-		if _, rated := p.slow[t.worker]; !rated {
-			p.slow[t.worker] = t.worker.isSlow(now)
-		}
-		if t.copyDue(now) {
-			p.due = append(p.due, t)
+		if pool := t.job().terms.Pool; t.copyDue(now) {
+			due[pool] = append(due[pool], t)
 		}
 	}
-	for pool, p := range byPool {
-		if len(p.due) > 0 {
-			c.placePoolCopies(now, pool, p)
-		}
+	for pool, tasks := range due {
+		c.placePoolCopies(now, pool, tasks)
 	}
 }
 
-// copyCandidates holds what may get copies in one pool.
-type copyCandidates struct {
-	// due are the tasks for which a copy may be made now.
-	due []*task
-	// slow holds whether each worker with such tasks is slow.
-	slow map[*worker]bool
-}
-
-// fewSlow reports whether few enough workers are slow for the workers to be the cause.
-func (p *copyCandidates) fewSlow() bool {
-	slow := 0
-	for _, s := range p.slow {
-		if s {
-			slow++
-		}
-	}
-	return float64(slow) <= maxSlowWorkers*float64(len(p.slow))
-}
-
 // runsCopyable reports whether a task on the worker may get a copy once its progress is known.
 func (w *worker) runsCopyable() bool {
 	for t := range w.tasks {
@@ -275,13 +240,12 @@
 	return t.step.known && now-t.startedAt >= t.step.duration/part
 }
 
-func (c *Core) placePoolCopies(now time.Duration, pool string, candidates *copyCandidates) {
+func (c *Core) placePoolCopies(now time.Duration, pool string, tasks []*task) {
 	budget := c.copyBudget(now, pool)
-	tasks, fewSlow := candidates.due, candidates.fewSlow()
 	attempts := make([]speculation.Attempt, len(tasks))
 	for i, t := range tasks {
 		attempts[i] = t.progress(now)
-		attempts[i].BadWorker = t.worker.consecutiveFailures > 0 || fewSlow && candidates.slow[t.worker]
+		attempts[i].BadWorker = t.worker.health.RecentlyFailed() || t.worker.health.BadPace()
 	}
 	chosen := c.copyDecider.Choose(attempts, budget)
 	if len(chosen) == 0 {
@@ -332,24 +296,6 @@
 	return a
 }
 
-// isSlow reports whether several tasks on the worker, and most of them, take much longer than their kinds.
-func (w *worker) isSlow(now time.Duration) bool {
-	slow, all := 0, 0
-	for o := range w.tasks {
-		if o.startedAt == 0 || o.step.def.BestEffort {
-			continue
-		}
-		a := o.progress(now)
-		if s := a.Slowness(); s > 0 {
-			all++
-			if s >= slowPeerFactor {
-				slow++
-			}
-		}
-	}
-	return slow >= minSlowPeers && 2*slow > all
-}
-
 // placeCopy places a copy of a task on another worker, in another rack if possible.
 func (p *plan) placeCopy(t *task, a *speculation.Attempt, cause speculation.Cause) {
 	c := p.core
@@ -374,9 +320,9 @@
 func (p *plan) chooseCopyNode(k *task) *assign.Node {
 	first, def := k.original.worker, k.step.def
 	filter := p.requireApproval(k, func(w *worker) bool {
-		return w != first && w.consecutiveFailures == 0 && (def.DataRack == "" || w.Rack == def.DataRack)
+		return w != first && !w.health.Suspect() && (def.DataRack == "" || w.Rack == def.DataRack)
 	})
-	r := p.ranking(k, p.candidates(k.job().terms.Pool), false, false)
+	r := p.ranking(k, reachUsable, false)
 	accept := func(n *assign.Node) bool { return p.allows(n, k, filter) }
 	n := r.Best("", func(n *assign.Node) bool { return n.Rack != first.Rack && accept(n) })
 	if n == nil {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -21,6 +21,7 @@
 	"clementinewalk.example/clementinewalk/internal/preemption"
 	"clementinewalk.example/clementinewalk/internal/queue"
 	"clementinewalk.example/clementinewalk/internal/speculation"
+	"clementinewalk.example/clementinewalk/internal/workerhealth"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -158,6 +159,7 @@
 	// nextPreemptionCheck is the earliest time of the next decisions about such stops.
 	nextPreemptionCheck time.Duration
 	rackWaits           rackWaits
+	health              health
 }
 
 // Stored is what a new owner knows from the log.
@@ -194,7 +196,8 @@
 		durations: durations.New(), copyable: map[*task]struct{}{}, copies: map[*task]struct{}{},
 		meters: map[string]*backlog.Meter{}, lastPlaced: map[classKey]time.Duration{},
 		preemptions: map[string]*preemption.Limiter{},
-		rackWaits:   rackWaits{decide: locality.Decide, outcomes: map[rackKey]*rackOutcomes{}}}
+		rackWaits:   rackWaits{decide: locality.Decide, outcomes: map[rackKey]*rackOutcomes{}},
+		health:      health{bad: map[*worker]struct{}{}}}
 	for _, i := range stored.Unfenced {
 		c.unfenced[i] = struct{}{}
 	}
@@ -299,7 +302,7 @@
 	t.stopWanted, t.stopInFlight, t.hadUnansweredStart, t.reported, t.startCalls, t.retryAt = false, false, false,
 		false, 0, 0
 	t.percent, t.load, t.cpuLimit, t.cpuLimitInFlight, t.startedAt = 0, 0, noLimitPercent, false, 0
-	t.timed, t.checkpointAt = false, 0
+	t.timed, t.checkpointAt, t.pace, t.ownPace = false, 0, workerhealth.PaceUnknown, false
 	t.targetCPULimit, t.slowedSince, t.objectiveViolation = noLimitPercent, 0, objectiveViolation{}
 	delete(c.needsOrder, t)
 	c.releaseCopy(t)
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -9,14 +9,9 @@
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
-const (
-	// failedRetryDelay is the pause before a failed task is placed again. Without it, a task that fails at once would
-	// use up its attempts within one short disruption.
-	failedRetryDelay = 100 * time.Millisecond
-	// A worker on which failuresToQuarantine attempts in a row have failed gets no task for quarantineTime.
-	failuresToQuarantine = 2
-	quarantineTime       = 4 * time.Second
-)
+// failedRetryDelay is the pause before a failed task is placed again. Without it, a task that fails at once would use up its
+// attempts within one short disruption.
+const failedRetryDelay = 100 * time.Millisecond
 
 // LeaseAnswered applies a worker's answer to a lease call. sent is when the call was sent.
 func (c *Core) LeaseAnswered(now, sent time.Duration, o LeaseOrder, a LeaseAnswer) {
@@ -32,6 +27,9 @@
 	}
 	// The worker has been cut off and has not crashed.
 	w.lost = nil
+	if w.health.Answered(now) {
+		c.noteExcluded(now, w)
+	}
 	w.answeredAt, w.failingSince, w.retryInterval = now, 0, 0
 	w.askedAt = sent
 	if now-sent <= o.Call.Wait+maxLeaseCallAge {
@@ -43,12 +41,16 @@
 		c.logger.Info("worker now refuses earlier owners", "worker", w.ID, "epoch", c.epoch,
 			"running", len(a.Running), "ends", len(a.Ends))
 	}
+	c.health.ended = c.health.ended[:0]
 	// Ends are applied, and confirmed, up to the newest number.
 	slices.SortFunc(a.Ends, func(x, y End) int { return cmp.Compare(x.Number, y.Number) })
 	for i := range a.Ends {
 		c.applyEnd(now, w, &a.Ends[i])
 	}
 	c.applyRunning(now, sent, w, &a)
+	w.noteShared(now)
+	// An answer without a clock reading has an unknown age.
+	c.notePaces(now, w, a.StartedAt != 0)
 	c.adjustCPULimits(now, w)
 	c.startHeard(now, w)
 }
@@ -81,7 +83,7 @@
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
-	c.updateWorkerHealth(now, w, t, e.Outcome)
+	c.noteOutcome(now, w, t, e.Outcome)
 	switch {
 	case t.main().done():
 		// The other attempt has ended as done before.
@@ -118,25 +120,6 @@
 	return false
 }
 
-// updateWorkerHealth counts the consecutive failed attempts on a worker, and quarantines it if there are too many.
-func (c *Core) updateWorkerHealth(now time.Duration, w *worker, t *task, outcome Outcome) {
-	switch outcome {
-	case EndDone:
-		w.consecutiveFailures = 0
-	case EndFailed:
-		// A repeated failure of one task does not count against a worker without failures: the cause is more likely
-		// the task.
-		if t.main().failures > 0 && w.consecutiveFailures == 0 {
-			return
-		}
-		w.consecutiveFailures++
-		if w.consecutiveFailures >= failuresToQuarantine {
-			w.quarantinedUntil = now + quarantineTime
-			c.logger.Warn("worker quarantined", "worker", w.ID, "failed_in_row", w.consecutiveFailures)
-		}
-	}
-}
-
 // findTask returns the task with an id, or nil.
 func (c *Core) findTask(id workflow.TaskID) *task {
 	j := c.jobs[id.Job]
--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -240,7 +240,7 @@
 			t.tier(p.now) == tierTooLate {
 			continue
 		}
-		key := p.noRoomKey(t, false)
+		key := p.noRoomKey(t, reachUsable)
 		ok, known := possible[key]
 		if !known {
 			ok = slices.ContainsFunc(p.candidates(pool), func(n *assign.Node) bool {
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -10,6 +10,7 @@
 	"clementinewalk.example/clementinewalk/internal/headroom"
 	"clementinewalk.example/clementinewalk/internal/locality"
 	"clementinewalk.example/clementinewalk/internal/resource"
+	"clementinewalk.example/clementinewalk/internal/workerhealth"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -80,11 +81,15 @@
 	// lost holds attempts whose lease expired at lostAt while it was unknown whether the worker had crashed.
 	lost   []lostAttempt
 	lostAt time.Duration
-	// The following fields influence the choice of workers.
-	consecutiveFailures int
-	quarantinedUntil    time.Duration
-	// fullUntil is the time until which the worker counts as full because it refused a start for lack of room.
-	fullUntil time.Duration
+	// health is what the tasks and calls of the worker show. probationLogged is set once the probation after its newest exclusion
+	// was logged.
+	health          workerhealth.Worker
+	probationLogged bool
+	// clockOffset is the least difference of the local time and the worker's clock when an answer was received; valid if
+	// clockOffsetAt is not 0. answerAge is how much later the newest answer was received than those that took the least time.
+	clockOffset, clockOffsetAt, answerAge time.Duration
+	// sharedAt is when the tasks on the worker were last seen to request more processors than it has.
+	sharedAt time.Duration
 	// worstTailRatio is the highest ratio of tail latency to objective among the services on the worker.
 	worstTailRatio float64
 	// freed tracks the processors that tasks have freed by their end, in thousandths of a core. near tracks what tasks with
@@ -259,6 +264,13 @@
 }
 
 func (w *worker) observeClock(now, reading time.Duration) {
+	// A clock that runs slow falls behind.
+	offset := now - reading
+	if w.clockOffsetAt != 0 {
+		offset = min(offset, w.clockOffset+time.Duration(clockDrift*float64(now-w.clockOffsetAt)))
+	}
+	w.clockOffset, w.clockOffsetAt = offset, now
+	w.answerAge = now - reading - offset
 	if reading > w.clockReading {
 		w.clockReading, w.clockReadAt = reading, now
 	}
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -24,10 +24,19 @@
 		}
 		run = max(run, t.run)
 	}
-	chosen := p.fitGang(s)
+	t := s.tasks[0]
+	reach := reachUsable
+	if t.waitExpired(p.now) {
+		reach = reachExpired
+	}
+	// A gang is as slow as its slowest task, so none of its tasks is a probe.
+	chosen := p.fitGang(s, reach)
 	if chosen == nil && p.awaitsRack {
 		return false
 	}
+	if chosen == nil && p.isLastResort(t) {
+		chosen = p.fitGang(s, reachExcluded)
+	}
 	if chosen == nil {
 		p.requestAdvice(s.tasks[0])
 		return false
@@ -42,8 +51,8 @@
 }
 
 // fitGang returns a node for each task, or nil. If the step asks for one rack, a rack with room for all is preferred.
-func (p *plan) fitGang(s *step) []*assign.Node {
-	nodes := p.gangNodes(s)
+func (p *plan) fitGang(s *step, reach reach) []*assign.Node {
+	nodes := p.gangNodes(s, reach)
 	if warm := slices.DeleteFunc(slices.Clone(nodes), func(n *assign.Node) bool { return n.Cold }); s.hasSlots(warm) {
 		// A gang is as slow as its slowest task.
 		nodes = warm
@@ -88,15 +97,14 @@
 
 // gangNodes returns the nodes that can take at least one task of a gang. The tasks of a gang need room at the same time,
 // for which they could wait forever under the bound on best-effort work.
-func (p *plan) gangNodes(s *step) []*assign.Node {
+func (p *plan) gangNodes(s *step, reach reach) []*assign.Node {
 	t := s.tasks[0]
-	waitExpired := t.waitExpired(p.now)
-	if _, ok := p.noRoom[p.noRoomKey(t, waitExpired)]; ok {
+	if _, ok := p.noRoom[p.noRoomKey(t, reach)]; ok {
 		return nil
 	}
 	need, filter := t.reserved(), p.requireApproval(t, nil)
 	var out []*assign.Node
-	for _, n := range p.nodes(t, waitExpired) {
+	for _, n := range p.candidatesWithin(t.job().terms.Pool, reach) {
 		if need.Fits(n.Free()) && p.allows(n, t, filter) {
 			out = append(out, n)
 		}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -32,7 +32,13 @@
 		return
 	}
 	p.held++
-	p.healthy[pool] = without(nodes, best)
+	if p.heldWorkers == nil {
+		p.heldWorkers = map[*worker]bool{}
+	}
+	p.heldWorkers[p.core.workersByID[best.Index]] = true
+	p.nodes[candidateKey{pool, reachUsable}] = without(nodes, best)
+	delete(p.nodes, candidateKey{pool, reachProbation})
+	delete(p.nodes, candidateKey{pool, reachExcluded})
 	// The rankings contain the held worker.
 	clear(p.rankings)
 	p.bound.forgetRoom(pool)
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -90,7 +90,11 @@
 	}
 	// The recorded silence concerns the earlier incarnation.
 	w.fenced, w.silence, w.succeeded = false, silenceNone, false
-	w.failingSince, w.retryInterval, w.consecutiveFailures, w.quarantinedUntil, w.fullUntil = 0, 0, 0, 0, 0
+	w.failingSince, w.retryInterval = 0, 0
+	if w.health.Restarted(now) {
+		c.noteExcluded(now, w)
+	}
+	w.clockOffset, w.clockOffsetAt, w.answerAge = 0, 0, 0
 	w.clockReading, w.clockReadAt, w.appliedEnd, w.endMarks = 0, 0, 0, nil
 	w.confirmedEnd, w.sentConfirmation, w.receivedConfirmation = 0, 0, 0
 	w.worstTailRatio = 0
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -8,6 +8,7 @@
 	"clementinewalk.example/clementinewalk/internal/loadlevel"
 	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/speculation"
+	"clementinewalk.example/clementinewalk/internal/workerhealth"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -149,6 +150,10 @@
 	startedAt time.Duration
 	// timed is set if the duration of the attempt will be used to learn that of its kind, see isTimed.
 	timed bool
+	// pace is the newest known pace of the attempt, see package workerhealth.
+	pace workerhealth.Pace
+	// ownPace is set if the attempt is slow although its worker is not.
+	ownPace bool
 	// load is Running.Load: the tail latency in milliseconds of a service task, and the thousandths of a core in use of
 	// any other.
 	load float64
--- a/internal/dispatch/locality.go
+++ b/internal/dispatch/locality.go
@@ -182,7 +182,7 @@
 	if v == nil || *failedIn == p.number {
 		return nil
 	}
-	key := p.rankingKey(t, false, bounded)
+	key := p.rankingKey(t, reachUsable, bounded)
 	key.near = true
 	r := p.rankings[key]
 	if r == nil {
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -56,7 +56,7 @@
 	scarcityDuration = 5 * time.Second
 	// maxLongRunningWait limits how long a long-running task waits while processors are scarce. The wait leaves the
 	// room that other long-running tasks free to short tasks. After it, the task is placed wherever there is room,
-	// even on a quarantined worker, because it must not wait for 3 s while there is room.
+	// even on an excluded worker, because it must not wait for 3 s while there is room.
 	maxLongRunningWait = 2 * time.Second
 )
 
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -363,8 +363,7 @@
 	def := t.step.def
 	tailRise := c.tailRise(now, t)
 	for _, w := range c.sortedWorkers() {
-		if w == t.worker || w.Pool != t.job().terms.Pool || w.unschedulable() || w.failingSince != 0 ||
-			w.quarantinedUntil > now {
+		if w == t.worker || w.Pool != t.job().terms.Pool || w.exclusion(now) != excludedNone {
 			continue
 		}
 		w.node.Capacity = w.Capacity
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -24,6 +24,7 @@
 // Plan places the pending tasks for which there is room.
 func (c *Core) Plan(now time.Duration) {
 	c.activateDueRounds(now)
+	c.checkHealth(now)
 	c.moveOut(now)
 	c.placeCopies(now)
 	if len(c.pending) == 0 || now-c.lastPlan < c.planInterval() ||
@@ -112,9 +113,11 @@
 	core   *Core
 	number int64
 	now    time.Duration
-	// healthy and all cache the candidates of each pool of workers; only all includes quarantined workers.
-	healthy, all map[string][]*assign.Node
-	placed       int
+	// nodes caches the candidates of each pool of workers.
+	nodes map[candidateKey][]*assign.Node
+	// badWorkers is what is known of the bad workers of each pool.
+	badWorkers map[string]badWorkers
+	placed     int
 	// noRoom holds the sizes for which no worker had room.
 	noRoom   map[noRoomKey]struct{}
 	bound    *bestEffortBound
@@ -123,8 +126,9 @@
 	turns *turns
 	// changed holds the nodes that have taken a task, in order.
 	changed []*assign.Node
-	// held is the number of workers that get no other task in this plan.
-	held int
+	// held is the number of workers that get no other task in this plan, which are heldWorkers.
+	held        int
+	heldWorkers map[*worker]bool
 	// heldLimits caches maxHeld.
 	heldLimits map[poolLabel]int
 	// noHold holds the tasks for which no other worker can be held.
@@ -139,11 +143,18 @@
 	gangRack   string
 }
 
+// candidateKey identifies the candidates for tasks.
+type candidateKey struct {
+	pool  string
+	reach reach
+}
+
 // rankingKey holds what the scores of the workers depend on.
 type rankingKey struct {
-	pool, image, dataRack                             string
-	size                                              resource.Vector
-	bestEffort, latencyCritical, waitExpired, bounded bool
+	pool, image, dataRack                string
+	size                                 resource.Vector
+	reach                                reach
+	bestEffort, latencyCritical, bounded bool
 	// near is set for the workers in the rack of the data only.
 	near bool
 }
@@ -156,24 +167,18 @@
 
 func (c *Core) newPlan(now time.Duration) *plan {
 	c.planNumber++
-	return &plan{core: c, number: c.planNumber, now: now, healthy: map[string][]*assign.Node{}, all: map[string][]*assign.Node{},
+	return &plan{core: c, number: c.planNumber, now: now, nodes: map[candidateKey][]*assign.Node{},
 		noRoom: map[noRoomKey]struct{}{}, bound: newBestEffortBound(c, now),
 		rankings: map[rankingKey]*planRanking{}, noHold: map[holdKey]struct{}{}, heldLimits: map[poolLabel]int{}}
 }
 
-// candidates returns the workers of a pool that may get tasks.
-func (p *plan) candidates(pool string) []*assign.Node {
-	return p.collectNodes(p.healthy, pool, true)
-}
-
-// candidatesWithQuarantined includes quarantined workers. A long-running task that has waited too long is placed
-// wherever there is room; a failure costs it little.
-func (p *plan) candidatesWithQuarantined(pool string) []*assign.Node {
-	return p.collectNodes(p.all, pool, false)
-}
+// candidates returns the workers of a pool that may get any task.
+func (p *plan) candidates(pool string) []*assign.Node { return p.candidatesWithin(pool, reachUsable) }
 
-func (p *plan) collectNodes(cache map[string][]*assign.Node, pool string, skipQuarantined bool) []*assign.Node {
-	if n, ok := cache[pool]; ok {
+// candidatesWithin returns the workers of a pool within a reach.
+func (p *plan) candidatesWithin(pool string, reach reach) []*assign.Node {
+	key := candidateKey{pool, reach}
+	if n, ok := p.nodes[key]; ok {
 		return n
 	}
 	workers := p.core.sortedWorkers()
@@ -182,7 +187,8 @@
 		if w.Pool != pool {
 			continue
 		}
-		if e := w.exclusion(p.now); e != excludedNone && (skipQuarantined || e != excludedQuarantined) {
+		e := w.exclusion(p.now)
+		if !reach.includes(e) || reach != reachExpired && p.held > 0 && p.heldWorkers[w] {
 			continue
 		}
 		w.node.Cold = w.coldUntil > p.now
@@ -191,10 +197,11 @@
 		}
 		w.node.ID, w.node.Rack, w.node.Index, w.node.Capacity = w.ID, w.Rack, i, w.Capacity
 		w.load.Capacity = w.Capacity.MilliCores
-		w.node.Slack, w.node.RecentlyFailed = 1-w.worstTailRatio, w.consecutiveFailures > 0
+		w.node.Slack, w.node.Bad = 1-w.worstTailRatio, e != excludedNone
+		w.node.RecentlyFailed = !w.node.Bad && w.health.RecentlyFailed()
 		out = append(out, &w.node)
 	}
-	cache[pool] = out
+	p.nodes[key] = out
 	return out
 }
 
@@ -229,20 +236,17 @@
 	return true
 }
 
-// ranking returns the ranking of the nodes for a task.
-func (p *plan) ranking(t *task, nodes []*assign.Node, waitExpired, bounded bool) *assign.Ranking {
-	key := p.rankingKey(t, waitExpired, bounded)
+// ranking returns the ranking of the nodes within a reach for a task.
+func (p *plan) ranking(t *task, reach reach, bounded bool) *assign.Ranking {
+	key := p.rankingKey(t, reach, bounded)
 	r := p.rankings[key]
 	if r == nil {
+		nodes := p.candidatesWithin(key.pool, reach)
 		var admits func(*assign.Node) bool
 		if bounded {
-			all := nodes
-			// A long-running task that has waited has other candidates.
-			if !waitExpired {
-				nodes = p.bound.withRoom(t, all)
-			}
+			nodes = p.bound.withRoom(t, reach, nodes)
 			if len(nodes) > 0 {
-				admits = p.bound.admits(t, all)
+				admits = p.bound.admits(t, p.candidates(key.pool))
 			}
 		}
 		r = &planRanking{Ranking: assign.NewRanking(nodes, p.core.placement(p.now, t, ""), admits), seen: len(p.changed)}
@@ -252,10 +256,10 @@
 	return r.Ranking
 }
 
-func (p *plan) rankingKey(t *task, waitExpired, bounded bool) rankingKey {
+func (p *plan) rankingKey(t *task, reach reach, bounded bool) rankingKey {
 	def := t.step.def
 	return rankingKey{pool: t.job().terms.Pool, image: def.Image, dataRack: def.DataRack, size: def.Size,
-		bestEffort: def.BestEffort, latencyCritical: latencyCritical(def), waitExpired: waitExpired, bounded: bounded}
+		reach: reach, bestEffort: def.BestEffort, latencyCritical: latencyCritical(def), bounded: bounded}
 }
 
 // update scores the nodes again that have taken a task since the last use of a ranking.
@@ -283,6 +287,7 @@
 	t.placedAt, t.takesAnyRack = p.now, false
 	c.endTaskRackWait(p.now, t, n)
 	w.addTask(t)
+	w.noteShared(p.now)
 	c.trackCopyable(t)
 	j := t.job()
 	j.placed++
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		// Equal tasks have equal candidates, so one of them is decided on in a plan.
-		key := preemptionKey{noRoomKey: p.noRoomKey(t, false), caution: p.caution(t)}
+		key := preemptionKey{noRoomKey: p.noRoomKey(t, reachUsable), caution: p.caution(t)}
 		if p.core.prefersRack(t) {
 			key.dataRack = def.DataRack
 		}
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -9,9 +9,8 @@
 	stallFactor  = 10
 	// minStallLimitPercent is the CPU limit below which a lack of progress does not count.
 	minStallLimitPercent = 60
-	// A stalled task is moved at most maxStallMoves times, and its worker gets no new task for stallQuarantine.
-	maxStallMoves   = 2
-	stallQuarantine = 3 * time.Second
+	// A stalled task is moved at most maxStallMoves times.
+	maxStallMoves = 2
 )
 
 // stalled reports whether a task makes no progress although its CPU limit allows it. Long-running tasks have no
@@ -35,7 +34,9 @@
 	}
 	t.stallMoves++
 	t.avoidWorker = t.worker.ID
-	t.worker.quarantinedUntil = max(t.worker.quarantinedUntil, now+stallQuarantine)
+	if t.worker.health.StalledTask(now, t.placedAt) {
+		c.noteExcluded(now, t.worker, "task", t.id)
+	}
 	c.logger.Info("task stalled", "task", t.id, "run", t.run, "worker", t.worker.ID, "percent", t.percent,
 		"still_ms", (now - t.percentAt).Milliseconds())
 	c.stopAttempt(t)
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -9,6 +9,7 @@
 	"clementinewalk.example/clementinewalk/internal/locality"
 	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/speculation"
+	"clementinewalk.example/clementinewalk/internal/workerhealth"
 )
 
 // summaryInterval is the time between two summaries in the log and in the metrics.
@@ -33,13 +34,15 @@
 	// longRunning is what the long-running tasks among the placed ones reserve.
 	longRunning resource.Vector
 	closed      closedLoad
+	// byState counts the workers by why they get no tasks.
+	byState map[string]int
 }
 
 var tierNames = map[int]string{tierRestart: "restart", tierOnTime: "on-time", tierLate: "late",
 	tierLongRunning: "long-running", tierTooLate: "too-late"}
 
 func (c *Core) newSummary(now time.Duration) summary {
-	s := summary{workers: len(c.workers), closed: c.newClosedLoad(), waitingByQueue: map[string]int{}, waitingByTier: map[string]int{}}
+	s := summary{workers: len(c.workers), byState: c.healthCounts(now), closed: c.newClosedLoad(), waitingByQueue: map[string]int{}, waitingByTier: map[string]int{}}
 	idle := map[*job]struct{}{}
 	for _, t := range c.pending {
 		if j := t.job(); j.placed == 0 {
@@ -89,7 +92,8 @@
 	c.summarizeDurations()
 	c.summarizeCopies()
 	c.summarizeRackWaits(now)
-	c.logger.Info("placement summary", "epoch", c.epoch, "workers", s.workers, "usable", s.usable, "silent", s.silent,
+	c.logger.Info("placement summary", "epoch", c.epoch, "workers", s.workers, "usable", s.usable, "silent", s.silent, "excluded", s.byState[exclusionNames[excludedUnhealthy]],
+		"probation", s.byState[exclusionNames[excludedProbation]],
 		"placed", s.placed, "waiting", s.waiting, "image_mixtures", s.mixtures,
 		"waiting_services", s.waitingServices, "idle_submissions", s.idleSubmissions,
 		"longest_idle_ms", s.longestIdle.Milliseconds(), "waiting_by_queue", s.waitingByQueue,
@@ -128,6 +132,9 @@
 	// time, and rackDecisions the decisions.
 	rackWaiting                        *prometheus.GaugeVec
 	rackWaits, rackTime, rackDecisions *prometheus.CounterVec
+	// workers counts the workers by whether they get tasks, exclusions those that were excluded because of their health.
+	workers    *prometheus.GaugeVec
+	exclusions *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of an owner.
@@ -174,9 +181,14 @@
 			Help: "Time that tasks have waited for a better rack, and what they gained (as expected) or lost by it."},
 			[]string{"what"}),
 		rackDecisions: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_rack_decisions_total",
-			Help: "Decisions whether to wait for a better rack, by their reason."}, []string{"reason"})}
+			Help: "Decisions whether to wait for a better rack, by their reason."}, []string{"reason"}),
+		workers: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_workers",
+			Help: "Workers, by whether they get tasks and otherwise why not."}, []string{"state"}),
+		exclusions: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_worker_exclusions_total",
+			Help: "Exclusions of workers because of what their tasks and calls have shown."}, []string{"reason"})}
 	r.MustRegister(m.waiting, m.cores, m.calls, m.answers, m.lost, m.closed, m.moves, m.durations, m.samples, m.copies,
-		m.copyCores, m.backlog, m.rates, m.preemptions, m.rackWaiting, m.rackWaits, m.rackTime, m.rackDecisions)
+		m.copyCores, m.backlog, m.rates, m.preemptions, m.rackWaiting, m.rackWaits, m.rackTime, m.rackDecisions,
+		m.workers, m.exclusions)
 	return m
 }
 
@@ -194,6 +206,9 @@
 		"best-effort": s.bestEffort, "waiting-best-effort": s.waitingBestEffort} {
 		m.cores.WithLabelValues(use).Set(float64(milliCores) / millisPerCore)
 	}
+	for _, state := range exclusionNames {
+		m.workers.WithLabelValues(state).Set(float64(s.byState[state]))
+	}
 	m.closed.WithLabelValues("waiting").Set(float64(s.closed.waiting))
 	m.closed.WithLabelValues("left").Set(float64(s.closed.remaining))
 	m.closed.WithLabelValues("moving").Set(float64(s.closed.moving))
@@ -228,6 +243,12 @@
 	}
 }
 
+func (m *Metrics) excluded(reason workerhealth.Reason) {
+	if m != nil {
+		m.exclusions.WithLabelValues(reason.String()).Inc()
+	}
+}
+
 func (m *Metrics) attemptLost(reason lossReason) {
 	if m != nil {
 		m.lost.WithLabelValues(string(reason)).Inc()
--- a/internal/dispatch/turns.go
+++ b/internal/dispatch/turns.go
@@ -28,12 +28,15 @@
 // other tasks of the backlog. A turn may share processors with other tasks, but leaves services their margins.
 type turns struct {
 	// nodes holds, for each pool, the workers that may still take a turn in this plan.
-	nodes map[string][]*assign.Node
-	// refused holds, for each pool and image, the smallest tasks that none of them could take.
+	nodes map[candidateKey][]*assign.Node
+	// refused holds, for each pool, reach and image, the smallest tasks that none of them could take.
 	refused map[turnKey][]resource.Vector
 }
 
-type turnKey struct{ pool, image string }
+type turnKey struct {
+	candidateKey
+	image string
+}
 
 // giveTurns places one task of each best-effort submission that has had nothing running for maxIdleWait. It returns the
 // tasks that stay pending.
@@ -52,7 +55,7 @@
 		order = append(order, t)
 	}
 	slices.SortFunc(order, func(a, b *task) int { return compareTurns(p.now, a, b) })
-	p.turns = &turns{nodes: map[string][]*assign.Node{}, refused: map[turnKey][]resource.Vector{}}
+	p.turns = &turns{nodes: map[candidateKey][]*assign.Node{}, refused: map[turnKey][]resource.Vector{}}
 	for _, t := range order {
 		if t.unplaced = p.tryPlace(t); t.unplaced == unplacedNone {
 			t.queued = false
@@ -101,12 +104,13 @@
 }
 
 // chooseTurn chooses the node for a turn.
-func (p *plan) chooseTurn(t *task, filter func(*worker) bool) *assign.Node {
+func (p *plan) chooseTurn(t *task, reach reach, filter func(*worker) bool) *assign.Node {
 	def, pool := t.step.def, t.job().terms.Pool
-	if _, ok := p.turns.nodes[pool]; !ok {
-		p.turns.nodes[pool] = p.turnNodes(p.candidates(pool))
+	candidates := candidateKey{pool, reach}
+	if _, ok := p.turns.nodes[candidates]; !ok {
+		p.turns.nodes[candidates] = p.turnNodes(p.candidatesWithin(pool, reach))
 	}
-	key := turnKey{pool, def.Image}
+	key := turnKey{candidates, def.Image}
 	for _, size := range p.turns.refused[key] {
 		if size.Fits(def.Size) {
 			return nil
@@ -115,7 +119,7 @@
 	need, size := def.Reserved(), requestedMilliCores(def)
 	share := max(turnMarginShare, p.bound.share(p.bound.pool(pool), p.candidates(pool), def.Image))
 	var admitted []*assign.Node
-	for _, n := range p.turns.nodes[pool] {
+	for _, n := range p.turns.nodes[candidates] {
 		w := p.core.workersByID[n.Index]
 		if need.Fits(n.Free()) && w.load.KeepsMargins(p.bound, p.bound.servicesOn(w), def.Image, size, share) {
 			admitted = append(admitted, n)
@@ -125,11 +129,17 @@
 		p.turns.refused[key] = append(p.turns.refused[key], def.Size)
 		return nil
 	}
-	admitted = slices.DeleteFunc(admitted, func(n *assign.Node) bool { return !p.allows(n, t, filter) })
+	admitted = slices.DeleteFunc(admitted, func(n *assign.Node) bool {
+		return !p.allows(n, t, filter) || reach == reachProbation && !p.mayTakeProbe(n)
+	})
 	n := assign.Choose(admitted, p.core.placement(p.now, t, t.avoidWorker))
 	if n != nil {
 		p.core.workersByID[n.Index].nextTurn = p.now + turnInterval
-		p.turns.nodes[pool] = without(p.turns.nodes[pool], n)
+		for key, nodes := range p.turns.nodes {
+			if key.pool == pool {
+				p.turns.nodes[key] = without(nodes, n)
+			}
+		}
 	}
 	return n
 }
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"clementinewalk.example/clementinewalk/internal/resource"
+	"clementinewalk.example/clementinewalk/internal/workerhealth"
 )
 
 // unplaced is why a plan left a task pending.
@@ -37,14 +38,16 @@
 	excludedClosed
 	// excludedSilent: the last lease call failed.
 	excludedSilent
-	// excludedFull: the worker has recently refused a start.
-	excludedFull
-	// excludedQuarantined: attempts on the worker failed. Long-running tasks that have waited are placed there all the same.
-	excludedQuarantined
+	// excludedPaused: the worker has recently refused a start.
+	excludedPaused
+	// excludedUnhealthy: the worker is excluded because of its health. Tasks that have waited are placed there all the same.
+	excludedUnhealthy
+	// excludedProbation: the worker gets a few tasks until some have succeeded.
+	excludedProbation
 )
 
 var exclusionNames = [...]string{excludedNone: "usable", excludedUnschedulable: "unschedulable", excludedClosed: "closed data centre", excludedSilent: "silent",
-	excludedFull: "full", excludedQuarantined: "quarantined"}
+	excludedPaused: "paused", excludedUnhealthy: "excluded", excludedProbation: "probation"}
 
 func (w *worker) exclusion(now time.Duration) exclusion {
 	switch {
@@ -54,10 +57,14 @@
 		return excludedClosed
 	case w.failingSince != 0:
 		return excludedSilent
-	case w.fullUntil > now:
-		return excludedFull
-	case w.quarantinedUntil > now:
-		return excludedQuarantined
+	}
+	switch w.health.State(now) {
+	case workerhealth.Paused:
+		return excludedPaused
+	case workerhealth.Excluded:
+		return excludedUnhealthy
+	case workerhealth.Probation:
+		return excludedProbation
 	}
 	return excludedNone
 }
