--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -247,8 +247,13 @@
 }
 
 // mayProbe reports whether a task may be placed on a worker on probation: nobody waits for it, or it can still be in time if it is
-// started again elsewhere after its usual duration.
+// started again elsewhere after its usual duration. It is the first probe of its submission, which ends late if one of them does.
 func (t *task) mayProbe(now time.Duration) bool {
+	return !t.job().probed && t.run == 0 && t.maySpareAttempt(now)
+}
+
+// maySpareAttempt reports whether the loss of one attempt of the task costs its caller little.
+func (t *task) maySpareAttempt(now time.Duration) bool {
 	s := t.step
 	return s.def.BestEffort || !s.def.LongRunning && !s.def.Gang && s.duration > 0 &&
 		now+s.duration+s.path <= t.job().objectiveAt
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -32,6 +32,8 @@
 	durations *durations.Model
 	// lastBatch is the newest batch that contains the record; 0 if none does.
 	lastBatch int64
+	// probed is set once a task of the submission was placed on a worker on probation.
+	probed bool
 	// finishedAt is when this owner learned that the submission is over.
 	finishedAt time.Duration
 	// recordChanged is set if more than the ends of tasks must be stored; endedStored if their ends may be stored apart.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -290,6 +290,7 @@
 	w.noteShared(p.now)
 	c.trackCopyable(t)
 	j := t.job()
+	j.probed = j.probed || w.exclusion(p.now) == excludedProbation
 	j.placed++
 	if j.state == workflow.Queued {
 		j.state = workflow.Running
--- a/internal/workerhealth/pace.go
+++ b/internal/workerhealth/pace.go
@@ -24,6 +24,8 @@
 	minKnown   = 50.0
 	rareShare  = 0.01
 	usualShare = 0.1
+	// maxEnded limits the ended tasks that are kept of a worker.
+	maxEnded = 8
 	// kindMemory is the number of ends of a kind beyond which older ones are forgotten.
 	kindMemory = 500.0
 	// maxKinds limits the kinds that are kept.
@@ -179,8 +181,12 @@
 // that have just ended. It returns the numbers of slow and of all known tasks, and whether they exclude the worker.
 func (w *Worker) Paces(now time.Duration, f *Fleet, running, ended []Task) (slow, known int, excluded bool) {
 	for _, t := range ended {
-		w.ended[w.nextEnded%len(w.ended)] = endedTask{at: now, task: t}
-		w.nextEnded++
+		if e := (endedTask{at: now, task: t}); len(w.ended) < maxEnded {
+			w.ended = append(w.ended, e)
+		} else {
+			w.ended[w.nextEnded%maxEnded] = e
+			w.nextEnded++
+		}
 	}
 	if w.reason != None && now < w.until {
 		return 0, 0, false
@@ -205,7 +211,7 @@
 		if e.task.Slow {
 			memory = slowMemory
 		}
-		if e.at != 0 && now-e.at < memory {
+		if now-e.at < memory {
 			count(e.task)
 		}
 	}
--- a/internal/workerhealth/workerhealth.go
+++ b/internal/workerhealth/workerhealth.go
@@ -73,6 +73,8 @@
 	unansweredToPause = 2
 	// minSilence is the shortest silence that counts. Single calls are lost.
 	minSilence = 400 * time.Millisecond
+	// minAnswering is how long a worker must answer between two silences; otherwise they are parts of one.
+	minAnswering = time.Second
 	// flaps is the number of silences within the period from which a worker is flapping.
 	flaps = 2
 	// maxShare is the part of a pool that may be excluded or on probation for slowness, failures or flapping. If more workers
@@ -101,33 +103,34 @@
 // String returns the name of the state.
 func (s State) String() string { return stateNames[s] }
 
-// Worker is the health of one worker. The zero value is a good one.
+// Worker is the health of one worker. The zero value is a good one. The fields that State reads come first, because a plan goes
+// through all workers.
 type Worker struct {
 	// reason is that of the newest exclusion until the worker is readmitted. It began at since and ends at until, when the
 	// probation begins.
-	reason       Reason
-	since, until time.Duration
-	// stage and successes are those of the probation.
-	stage, successes int
-	// exclusions counts those within the period.
-	exclusions int
+	reason Reason
 	// crowded is set while too many workers of the pool are bad, spared if this one is used all the same.
 	crowded, spared bool
-	// failures counts the failures in a row, which belong to several submissions if mixed is set, and otherwise to failed.
-	failures int
-	mixed    bool
-	failed   string
+	// mixed is set if the failures among the last tasks belong to several submissions, and otherwise to failed.
+	mixed bool
 	// outcomes holds those of the last eight tasks; a set bit is a failure.
 	outcomes uint8
-	// pausedUntil is when the pause ends. paused counts the pauses, unanswered the starts without an answer, both since the last
-	// start that was accepted.
-	pausedUntil        time.Duration
+	// pausedUntil is when the pause ends.
+	pausedUntil, until, since time.Duration
+	// failures counts the failures in a row.
+	failures int
+	// stage and successes are those of the probation.
+	stage, successes int
+	// exclusions counts those within the period.
+	exclusions int
+	failed     string
+	// paused counts the pauses, unanswered the starts without an answer, both since the last start that was accepted.
 	paused, unanswered int
 	// silentSince is when the present silence began; 0 if the worker answers. silences holds the ends of the last ones.
 	silentSince time.Duration
 	silences    [4]time.Duration
 	// ended holds the newest ends of tasks whose pace is known.
-	ended     [8]endedTask
+	ended     []endedTask
 	nextEnded int
 }
 
@@ -187,7 +190,7 @@
 	w.until = now + min(MaxExclusion, first<<min(w.exclusions, 10))
 	w.exclusions++
 	w.paused, w.unanswered = 0, 0
-	w.ended, w.nextEnded = [8]endedTask{}, 0
+	w.ended, w.nextEnded = w.ended[:0], 0
 	return true
 }
 
@@ -257,10 +260,12 @@
 
 // Unanswered applies a start without an answer, and reports whether it excludes the worker.
 func (w *Worker) Unanswered(now time.Duration) bool {
-	if w.unanswered++; w.unanswered < unansweredToPause {
+	if w.unanswered++; w.unanswered < unansweredToPause || w.silentSince != 0 {
 		return false
 	}
-	return w.pause(now, Mute)
+	// Short silences end before a lease call fails.
+	flaps := now >= w.pausedUntil && w.returned(now, now)
+	return w.pause(now, Mute) || flaps
 }
 
 func (w *Worker) pause(now time.Duration, r Reason) bool {
@@ -295,7 +300,7 @@
 func (w *Worker) Answered(now time.Duration) bool {
 	since := w.silentSince
 	w.silentSince = 0
-	return since != 0 && now-since >= minSilence && w.returned(now)
+	return since != 0 && now-since >= minSilence && w.returned(now, since)
 }
 
 // Restarted notes that the worker has restarted, and reports whether it is excluded because it flaps. Nothing else that is known
@@ -308,12 +313,16 @@
 	if keep {
 		w.reason, w.since, w.stage, w.successes = Flapping, since, stage, successes
 	}
-	return w.returned(now)
+	return w.returned(now, now)
 }
 
-// returned counts a silence that has ended. The second one within the period begins a probation without an exclusion, because most
+// returned counts a silence that has begun at since and ended now, unless it is part of the one before. The second one within the period begins a probation without an exclusion, because most
 // workers stay up then.
-func (w *Worker) returned(now time.Duration) bool {
+func (w *Worker) returned(now, since time.Duration) bool {
+	if w.silences[0] != 0 && since-w.silences[0] < minAnswering {
+		w.silences[0] = now
+		return false
+	}
 	n := 1
 	for _, at := range w.silences {
 		if at != 0 && now-at < Period {
