--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -8,6 +8,7 @@
 	"clementinewalk.example/clementinewalk/internal/loadlevel"
 	"clementinewalk.example/clementinewalk/internal/resource"
 	"clementinewalk.example/clementinewalk/internal/speculation"
+	"clementinewalk.example/clementinewalk/internal/workerhealth"
 	"clementinewalk.example/clementinewalk/internal/workflow"
 )
 
@@ -31,6 +32,8 @@
 	durations *durations.Model
 	// lastBatch is the newest batch that contains the record; 0 if none does.
 	lastBatch int64
+	// probed is set once a task of the submission was placed on a worker on probation.
+	probed bool
 	// finishedAt is when this owner learned that the submission is over.
 	finishedAt time.Duration
 	// recordChanged is set if more than the ends of tasks must be stored; endedStored if their ends may be stored apart.
@@ -149,6 +152,10 @@
 	startedAt time.Duration
 	// timed is set if the duration of the attempt will be used to learn that of its kind, see isTimed.
 	timed bool
+	// pace is the newest known pace of the attempt, see package workerhealth.
+	pace workerhealth.Pace
+	// ownPace is set if the attempt is slow although its worker is not.
+	ownPace bool
 	// load is Running.Load: the tail latency in milliseconds of a service task, and the thousandths of a core in use of
 	// any other.
 	load float64
