Mend a data race in the test of the time to the owner

Cause: the test set the function that the follower calls after the follower had started.

Change: the function is set atomically. Nothing that is checked changes.

--- a/internal/intake/path_test.go
+++ b/internal/intake/path_test.go
@@ -45,7 +45,7 @@
 		var mu sync.Mutex
 		submitted, seen := map[string]time.Time{}, map[string]time.Time{}
 		owner := f.instances["i00"]
-		owner.seen = func(b eventlog.Batch) {
+		note := func(b eventlog.Batch) {
 			mu.Lock()
 			defer mu.Unlock()
 			for _, e := range b.Entries {
@@ -54,6 +54,7 @@
 				}
 			}
 		}
+		owner.seen.Store(&note)
 		owner.follower.SetPollIntervals(eventlog.PollIntervals{Wait: 600 * time.Millisecond, Pause: 10 * time.Millisecond,
 			IdlePause: 10 * time.Millisecond})
 		began := time.Now()
--- a/internal/intake/slowlog_test.go
+++ b/internal/intake/slowlog_test.go
@@ -188,8 +188,8 @@
 	delay atomic.Int64
 	// lastRead is when the view was last complete, on the clock of the test.
 	lastRead atomic.Pointer[time.Time]
-	// seen is called with what the follower reads; it may be nil.
-	seen func(eventlog.Batch)
+	// seen is called with what the follower reads; it may be nil, and is set while the follower runs.
+	seen atomic.Pointer[func(eventlog.Batch)]
 }
 
 // ownWay is the way of one instance to the log.
@@ -262,8 +262,8 @@
 			now := time.Now()
 			i.lastRead.Store(&now)
 			cat.ApplySubmissions(b)
-			if i.seen != nil {
-				i.seen(b)
+			if seen := i.seen.Load(); seen != nil {
+				(*seen)(b)
 			}
 		})
 	batcher := eventlog.NewBatcher(log, "submissions", l)
