--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -40,7 +40,7 @@
 	h := &w.health
 	c.metrics.excluded(h.Reason())
 	c.logger.Warn("worker excluded", append([]any{"worker", w.ID, "pool", w.Pool, "reason", h.Reason().String(),
-		"until_ms", (h.Until() - now).Milliseconds(), "exclusions", h.Exclusions()}, evidence...)...)
+		"for_ms", (h.Until() - now).Milliseconds(), "exclusions", h.Exclusions()}, evidence...)...)
 }
 
 func (c *Core) noteReadmitted(w *worker, how string) {
