Log which incarnation answered a call that was meant for another

Callers saw tasks run twice after their worker restarted. The logs could not tell which call of an owner a later incarnation had carried out, nor that a successor counts with shorter leases than its predecessor did.

Change: an answer of another incarnation is logged and counted by the kind of the call, lease calls that grant nothing apart. The line of a takeover has the time of earlier leases, that of an expired lease whether the worker has ever answered this owner.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -62,7 +62,7 @@
 		t.startState = startStored
 		c.startIfHeard(now, t)
 	case err == nil:
-		if !c.observeAnswer(now, t.worker, o.Member.StartedAt, a) {
+		if !c.observeAnswer(now, t.worker, callStart, o.Member.StartedAt, a) {
 			c.startedEarlier(now, t, a.StartedAt)
 			return
 		}
@@ -105,7 +105,7 @@
 
 func (c *Core) startRefused(now time.Duration, t *task, sentTo int64, r *RefusedError) {
 	w := t.worker
-	newest := c.observeAnswer(now, w, sentTo, ownAnswer(r.Answer, r))
+	newest := c.observeAnswer(now, w, callStart, sentTo, ownAnswer(r.Answer, r))
 	c.logger.Info("worker refused start", "task", t.id, "run", t.run, "worker", w.ID, "reason", r.Reason)
 	switch r.Reason {
 	case ReasonFenced:
@@ -198,7 +198,7 @@
 	c.logger.Info("stop call finished", "task", t.id, "run", t.run, "worker", o.Member.ID, "error", err)
 	var refused *RefusedError
 	own := ownAnswer(a, err)
-	newest := c.observeAnswer(now, t.worker, o.Member.StartedAt, own)
+	newest := c.observeAnswer(now, t.worker, callStop, o.Member.StartedAt, own)
 	// Without a name, an answer to a call that was meant for an earlier incarnation may be its own.
 	newest = newest && (own.StartedAt != 0 || o.Member.StartedAt == t.worker.StartedAt)
 	switch {
@@ -310,7 +310,7 @@
 		return false
 	}
 	c.logger.Warn("worker lease expired", "worker", w.ID, "tasks", len(w.tasks), "ended", len(ended),
-		"silent_ms", (now - max(w.answeredAt, c.ownerSince)).Milliseconds())
+		"silent_ms", (now - max(w.answeredAt, c.ownerSince)).Milliseconds(), "answered", w.answeredAt != 0)
 	w.fenced = false
 	c.noteLost(now, w, ended)
 	for _, t := range ended {
@@ -452,7 +452,8 @@
 			// Its end may be read late.
 			t.timed = false
 		}
-		c.logger.Info("worker does not answer", "worker", w.ID, "error", err, "tasks", len(w.tasks))
+		c.logger.Info("worker does not answer", "worker", w.ID, "error", err, "tasks", len(w.tasks),
+			"granted", o.Call.ExpiresAt > 0, "confirmed", o.Call.LastStoredEnd)
 	}
 	w.connectionLost = ConnectionLost(err)
 	w.retryInterval = min(max(2*w.retryInterval, minLeaseRetry), maxLeaseRetry)
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -234,7 +234,8 @@
 		o.applyMembers)
 	go o.workerList.Run(o.tenure)
 	o.onRole(true)
-	o.logger.Info("became owner", "epoch", o.epoch)
+	o.logger.Info("became owner", "epoch", o.epoch,
+		"earlier_leases_ms", max(0, o.core.predecessorUntil+withDrift(o.settings.Params.Lease)-now).Milliseconds())
 }
 
 // stepDown ends the tenure. Its stored records remain valid; its calls are fenced by the next owner.
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,10 +40,31 @@
 	return ok
 }
 
+// callKind names a kind of call to a worker in logs and metrics.
+type callKind string
+
+const (
+	callStart    callKind = "start"
+	callStop     callKind = "stop"
+	callCPULimit callKind = "cpu-limit"
+	callLease    callKind = "lease"
+	// callLook is a lease call that grants no lease and confirms no end.
+	callLook callKind = "look"
+)
+
+// LogValue implements slog.LogValuer.
+func (k callKind) LogValue() slog.Value { return slog.StringValue(string(k)) }
+
 // observeAnswer applies the incarnation and the clock reading of an answer, and reports whether the newest known
 // incarnation may have answered. Any incarnation may have sent an answer that names none. sentTo is as for observeIncarnation.
-func (c *Core) observeAnswer(now time.Duration, w *worker, sentTo int64, a CallAnswer) bool {
-	if !c.observeIncarnation(now, w, a.StartedAt, sentTo) {
+func (c *Core) observeAnswer(now time.Duration, w *worker, kind callKind, sentTo int64, a CallAnswer) bool {
+	newest := c.observeIncarnation(now, w, a.StartedAt, sentTo)
+	if a.StartedAt != 0 && sentTo != 0 && a.StartedAt != sentTo {
+		c.logger.Info("another incarnation answered a call", "worker", w.ID, "call", kind, "meant_for", sentTo,
+			"born", a.StartedAt, "newest", w.StartedAt, "lease_ms", (w.leaseEnd - now).Milliseconds())
+		c.metrics.answeredByOther(kind)
+	}
+	if !newest {
 		return false
 	}
 	if a.StartedAt != 0 {
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -115,6 +115,8 @@
 	answers *prometheus.CounterVec
 	// lost counts the attempts that ended without a report, by the evidence.
 	lost *prometheus.CounterVec
+	// others counts the answers of other incarnations than the one that a call was meant for.
+	others *prometheus.CounterVec
 	// closed counts tasks that closed data centres concern, moves the tasks that were moved out of them.
 	closed *prometheus.GaugeVec
 	moves  prometheus.Counter
@@ -151,6 +153,9 @@
 		lost: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_attempts_lost_total",
 			Help: "Attempts that were given up without a report of their end, by the evidence that they have ended."},
 			[]string{"reason"}),
+		others: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_answers_of_other_incarnations_total",
+			Help: "Calls that another incarnation of the worker has answered than the one for which they were decided."},
+			[]string{"call"}),
 		closed: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "clementine_owner_closed_data_centre_tasks",
 			Help: "Tasks that wait while a closed data centre has room for them, long-running tasks left in closed data centres, and tasks that are being moved out."},
 			[]string{"what"}),
@@ -186,7 +191,7 @@
 			Help: "Workers, by whether they get tasks and otherwise why not."}, []string{"state"}),
 		exclusions: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementine_owner_worker_exclusions_total",
 			Help: "Exclusions of workers because of what their tasks and calls have shown."}, []string{"reason"})}
-	r.MustRegister(m.waiting, m.cores, m.calls, m.answers, m.lost, m.closed, m.moves, m.durations, m.samples, m.copies,
+	r.MustRegister(m.waiting, m.cores, m.calls, m.answers, m.lost, m.others, m.closed, m.moves, m.durations, m.samples, m.copies,
 		m.copyCores, m.backlog, m.rates, m.preemptions, m.rackWaiting, m.rackWaits, m.rackTime, m.rackDecisions,
 		m.workers, m.exclusions)
 	return m
@@ -249,6 +254,12 @@
 	}
 }
 
+func (m *Metrics) answeredByOther(kind callKind) {
+	if m != nil {
+		m.others.WithLabelValues(string(kind)).Inc()
+	}
+}
+
 func (m *Metrics) attemptLost(reason lossReason) {
 	if m != nil {
 		m.lost.WithLabelValues(string(reason)).Inc()
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -76,6 +76,13 @@
 	Wait time.Duration
 }
 
+func (c *LeaseCall) kind() callKind {
+	if c.ExpiresAt == 0 && c.LastStoredEnd == 0 {
+		return callLook
+	}
+	return callLease
+}
+
 // Running is one attempt that a worker runs.
 type Running struct {
 	Attempt
