Show a submission as waiting until one of its tasks has begun

Cause: a submission counted as running from the first placement of a task. In the trace, submissions accepted between 7.1 and 7.6 s were placed on workers that were cut off at 7.6 s: none of their starts was answered (for example 12 of 12 and 6 of 6), but the queue did not count them. Starts that workers refuse have the same effect.

Change: the state is stored with the placement as before, and shown once a worker has confirmed a start, lists a task or its end. A new owner takes a submission as begun if it was shown as running or one of its tasks has ended.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -181,7 +181,7 @@
 	return c.jobs[id]
 }
 
-// CountWaiting returns the number of submissions of a queue of which no task has been placed yet.
+// CountWaiting returns the number of submissions of a queue of which no task is known to have begun.
 func (c *Catalog) CountWaiting(queueName string) int {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -83,6 +83,7 @@
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
+	c.noteBegun(t.job())
 	c.noteOutcome(now, w, t, e.Outcome)
 	switch {
 	case t.main().done():
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -171,6 +171,7 @@
 // accept notes that an incarnation has begun the attempt; 0 if it is unknown. The newest one adopts an attempt that was
 // meant for an earlier one.
 func (c *Core) accept(t *task, startedAt int64) {
+	c.noteBegun(t.job())
 	t.acceptedBy = max(t.acceptedBy, startedAt)
 	w := t.worker
 	if !t.outdated() || startedAt != w.StartedAt {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -22,6 +22,8 @@
 	state     workflow.State
 	// stored is the state in the newest stored task record, published the one in the newest stored status batch.
 	stored, published workflow.State
+	// begun is set once a worker is known to have begun a task. Until then the submission is shown as queued.
+	begun bool
 	// rounds may be nil once the submission is over.
 	rounds []*round
 	// objectiveAt is the time by which the submission should be done, with the durations that are expected now.
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -18,17 +18,30 @@
 func (c *Core) noteStored() {
 	for j, s := range c.statesInFlight {
 		j.stored = s
-		newest := j.published
-		if publishing, ok := c.publishing[j]; ok {
-			newest = publishing
-		}
-		if newest != s {
-			c.unpublished[j] = struct{}{}
-		}
+		c.publish(j)
 	}
 	clear(c.statesInFlight)
 }
 
+// publish notes that the stored state of a submission can be published, unless it is published already or no task has begun.
+func (c *Core) publish(j *job) {
+	newest := j.published
+	if publishing, ok := c.publishing[j]; ok {
+		newest = publishing
+	}
+	if newest != j.stored && (j.begun || j.stored.Over()) {
+		c.unpublished[j] = struct{}{}
+	}
+}
+
+// noteBegun notes that a worker has begun a task of a submission.
+func (c *Core) noteBegun(j *job) {
+	if !j.begun {
+		j.begun = true
+		c.publish(j)
+	}
+}
+
 // restoreState returns the record of a submission as its tasks were stored, and notes which state is published. A
 // published state is never taken back.
 func (c *Core) restoreState(j *job, restored *catalog.Job) workflow.Record {
@@ -39,7 +52,7 @@
 	}
 	j.stored = rec.State
 	if r := restored.Record; r != nil {
-		j.published = r.State
+		j.published, j.begun = r.State, r.State > workflow.Queued
 		if r.State.Over() || r.State > rec.State {
 			rec.State = r.State
 		}
@@ -47,8 +60,9 @@
 	if rec.State != j.stored && restored.Tasks != nil {
 		c.markDirty(j)
 	}
-	if rec.State == j.stored && rec.State != j.published {
-		c.unpublished[j] = struct{}{}
+	j.begun = j.begun || rec.HasEnded()
+	if rec.State == j.stored {
+		c.publish(j)
 	}
 	return rec
 }
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -73,6 +73,20 @@
 	Copies []CopyRecord `cbor:"-"`
 }
 
+// HasEnded reports whether a task of the submission has ended.
+func (r *Record) HasEnded() bool {
+	for _, round := range r.Tasks {
+		for _, step := range round {
+			for i := range step {
+				if step[i].Phase == Ended {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // CopyRecord is the stored state of the second attempt of a task, or of the first one if the task has ended without it. A task
 // that has ended by an earlier attempt may have both.
 type CopyRecord struct {
