Take a first clock reading of 0 as a reading

Callers would see two runs of one task: if the first reading of a worker's clock was 0, the owner took it as none and used its own uptime as the time on that clock, which the worker cuts to the longest lease (9.995 s at the worker, 6.1 s counted). A reading of 0 needs an answer in the first millisecond of the clock, so this is rare.

Cause: the zero value stood for both. Whether there is a reading now follows from the time at which it was taken, and a worker without one gets no lease.

--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -114,8 +114,10 @@
 	silenceClearing
 )
 
-// mayLease reports whether the worker may be granted a lease.
-func (w *worker) mayLease() bool { return w.fenced && w.failingSince == 0 && w.silence == silenceNone }
+// mayLease reports whether the worker may be granted a lease, which ends at a reading of its clock.
+func (w *worker) mayLease() bool {
+	return w.fenced && w.clockReadAt != 0 && w.failingSince == 0 && w.silence == silenceNone
+}
 
 // silenceThreshold is how long a worker with tasks must not answer before its silence is recorded.
 const silenceThreshold = 800 * time.Millisecond
@@ -271,7 +273,7 @@
 	}
 	w.clockOffset, w.clockOffsetAt = offset, now
 	w.answerAge = now - reading - offset
-	if reading > w.clockReading {
+	if reading > w.clockReading || w.clockReadAt == 0 {
 		w.clockReading, w.clockReadAt = reading, now
 	}
 }
