--- a/internal/agent/frame.go
+++ b/internal/agent/frame.go
@@ -122,8 +122,8 @@
 	Worker  int
 	Running []runningMessage
 	Ends    []endMessage
-	// MoreEnds is that of dispatch.LeaseAnswer.
-	MoreEnds bool
+	// MoreEnds and OnlyLook are those of dispatch.LeaseAnswer.
+	MoreEnds, OnlyLook bool
 }
 
 // runningMessage is one row of a worker's list. Previous is the position of the attempt in the previous list of the
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -57,8 +57,8 @@
 	worker  int
 	running []dispatch.Running
 	ends    []dispatch.End
-	// moreEnds is that of dispatch.LeaseAnswer.
-	moreEnds bool
+	// moreEnds and onlyLook are those of dispatch.LeaseAnswer.
+	moreEnds, onlyLook bool
 }
 
 // Serve makes the calls of one session until its stream ends or the process was paused. Calls in progress then end by
@@ -191,7 +191,7 @@
 func (v *serving) renew(ctx context.Context, m dispatch.Member, l *leaseMessage) answer {
 	a, err := v.server.workers.Renew(ctx, m, dispatch.LeaseCall{Epoch: l.Epoch, ExpiresAt: millis(l.ExpiresMillis),
 		LastStoredEnd: l.LastStoredEnd, Wait: millis(l.WaitMillis)})
-	out := answer{lease: true, worker: l.Worker, running: a.Running, ends: a.Ends, moreEnds: a.MoreEnds,
+	out := answer{lease: true, worker: l.Worker, running: a.Running, ends: a.Ends, moreEnds: a.MoreEnds, onlyLook: a.OnlyLook,
 		outcome: newOutcome(l.Call, dispatch.CallAnswer{StartedAt: a.StartedAt, Clock: a.Clock}, err)}
 	return out
 }
@@ -231,7 +231,7 @@
 		}
 		m := leaseAnswerMessage{Outcome: a.outcome, Worker: a.worker}
 		if a.outcome.Code == codeDone {
-			m.Running, m.MoreEnds = v.lists.encode(a.worker, a.running), a.moreEnds
+			m.Running, m.MoreEnds, m.OnlyLook = v.lists.encode(a.worker, a.running), a.moreEnds, a.onlyLook
 			for _, e := range a.ends {
 				m.Ends = append(m.Ends, endMessage{Number: e.Number, Attempt: newAttemptMessage(e.Attempt),
 					Outcome: e.Outcome, Checkpoint: e.Checkpoint})
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -222,7 +222,7 @@
 			return err
 		}
 		a := dispatch.LeaseAnswer{StartedAt: m.Outcome.StartedAt, Clock: millis(m.Outcome.ClockMillis), Running: running,
-			MoreEnds: m.MoreEnds}
+			MoreEnds: m.MoreEnds, OnlyLook: m.OnlyLook}
 		for k := range m.Ends {
 			e := &m.Ends[k]
 			a.Ends = append(a.Ends, dispatch.End{Number: e.Number, Attempt: e.Attempt.attempt(), Outcome: e.Outcome,
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -105,7 +105,7 @@
 
 func (c *Core) startRefused(now time.Duration, t *task, sentTo int64, r *RefusedError) {
 	w := t.worker
-	newest := c.observeAnswer(now, w, callStart, sentTo, ownAnswer(r.Answer, r))
+	newest := c.observeAnswer(now, w, answeredKind(callStart, r), sentTo, ownAnswer(r.Answer, r))
 	c.logger.Info("worker refused start", "task", t.id, "run", t.run, "worker", w.ID, "reason", r.Reason)
 	switch r.Reason {
 	case ReasonFenced:
@@ -200,7 +200,7 @@
 	c.logger.Info("stop call finished", "task", t.id, "run", t.run, "worker", o.Member.ID, "error", err)
 	var refused *RefusedError
 	own := ownAnswer(a, err)
-	newest := c.observeAnswer(now, t.worker, callStop, o.Member.StartedAt, own)
+	newest := c.observeAnswer(now, t.worker, answeredKind(callStop, err), o.Member.StartedAt, own)
 	// Without a name, an answer to a call that was meant for an earlier incarnation may be its own.
 	newest = newest && (own.StartedAt != 0 || o.Member.StartedAt == t.worker.StartedAt)
 	switch {
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -19,7 +19,7 @@
 	w := o.worker
 	c.callable[w] = struct{}{}
 	w.holdsCall = false
-	if !c.observeAnswer(now, w, o.Call.kind(), o.Member.StartedAt, CallAnswer{StartedAt: a.StartedAt, Clock: a.Clock}) {
+	if !c.observeAnswer(now, w, o.Call.kind(&a), o.Member.StartedAt, CallAnswer{StartedAt: a.StartedAt, Clock: a.Clock}) {
 		return
 	}
 	if o.Member.StartedAt == w.StartedAt {
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -48,10 +48,19 @@
 	callStop     callKind = "stop"
 	callCPULimit callKind = "cpu-limit"
 	callLease    callKind = "lease"
-	// callLook is a lease call that grants no lease and confirms no end.
+	// callLook is a lease call that grants no lease and confirms no end. It finds out which incarnation answers.
 	callLook callKind = "look"
 )
 
+// answeredKind returns the kind of the call that was answered: a look if another incarnation was found before the call was sent.
+func answeredKind(k callKind, err error) callKind {
+	var refused *RefusedError
+	if errors.As(err, &refused) && refused.Reason == ReasonOtherIncarnation {
+		return callLook
+	}
+	return k
+}
+
 // LogValue implements slog.LogValuer.
 func (k callKind) LogValue() slog.Value { return slog.StringValue(string(k)) }
 
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -385,7 +385,7 @@
 	t.cpuLimitInFlight = false
 	var refused *RefusedError
 	switch {
-	case !c.observeAnswer(now, t.worker, callCPULimit, o.Member.StartedAt, ownAnswer(a, err)) || t.phase != workflow.Placed:
+	case !c.observeAnswer(now, t.worker, answeredKind(callCPULimit, err), o.Member.StartedAt, ownAnswer(a, err)) || t.phase != workflow.Placed:
 		// The attempt has ended with the incarnation that has answered.
 	case err == nil:
 		t.cpuLimit = o.Call.Percent
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -79,8 +79,9 @@
 // IsLook reports whether the call grants no lease and confirms no end, so that it may reach any incarnation of the worker.
 func (c *LeaseCall) IsLook() bool { return c.ExpiresAt == 0 && c.LastStoredEnd == 0 }
 
-func (c *LeaseCall) kind() callKind {
-	if c.IsLook() {
+// kind returns the kind of the call that a answers.
+func (c *LeaseCall) kind(a *LeaseAnswer) callKind {
+	if c.IsLook() || a.OnlyLook {
 		return callLook
 	}
 	return callLease
@@ -130,6 +131,9 @@
 	Ends      []End
 	// MoreEnds reports that the worker may have more ends than the answer contains.
 	MoreEnds bool
+	// OnlyLook reports that the answer is that of a look. The call itself was not sent, because another incarnation of the worker
+	// was found at the address.
+	OnlyLook bool
 }
 
 // CallAnswer answers a StartCall, StopCall or CPULimitCall. StartedAt, the start of the worker, is 0 if the answer does
@@ -210,7 +214,7 @@
 
 // Workers sends calls to workers. Each method returns *RefusedError or *NoAnswerError, and *NotSentError if it is a call
 // about a task. What a call says holds for the incarnation of m only, so no other one receives it: calls about tasks are refused
-// with ReasonOtherIncarnation if another one is found, and Renew returns what that one answers to a look.
+// with ReasonOtherIncarnation if another one is found, and Renew returns its answer to a look.
 type Workers interface {
 	Start(ctx context.Context, m Member, c StartCall) (CallAnswer, error)
 	Stop(ctx context.Context, m Member, c StopCall) (CallAnswer, error)
