Take a submission with a failed task as begun after a takeover

A new owner showed a submission as waiting although a task had run and failed, if its predecessor had ended before the state was published (found by a reader who had not seen the work, with a failing test). More than the true number of waiting submissions is shown then, for as long as no worker answers.

Change: failures and a checkpoint in the record count as well as an ended task. Names say what they do: AnyTaskBegun, markUnpublished.

Result: TestSuccessorKnowsThatASubmissionHasBegun and the tests of states pass; the mutant that shows all submissions as begun is refuted.

--- a/internal/dispatch/begun_test.go
+++ b/internal/dispatch/begun_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -18,7 +19,7 @@
 		"refuses start": func(f *fakeWorker) { f.unhealthy = true },
 	} {
 		for _, takeOver := range []bool{false, true} {
-			t.Run(name, func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s, new owner %v", name, takeOver), func(t *testing.T) {
 				sim := newSimulation(t, 1, 2)
 				sim.run(time.Second)
 				queue := testConfig().Queues[0].Terms.Queue
@@ -44,8 +45,21 @@
 	}
 }
 
-// Guards against a running submission that a new owner shows as waiting for good.
-func TestSubmissionThatHasBegunIsShownAsRunningByASuccessor(t *testing.T) {
+// Guards against a submission that a new owner shows as waiting although a task has run: the worker has ended since, or the task
+// has failed.
+func TestSuccessorKnowsThatASubmissionHasBegun(t *testing.T) {
+	for name, rec := range map[string]workflow.TaskRecord{
+		"done":       {Phase: workflow.Ended, Run: 1},
+		"failed":     {Run: 1, Failures: 1},
+		"checkpoint": {Run: 1, Checkpoint: "c"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &workflow.Record{State: workflow.Running, Tasks: [][][]workflow.TaskRecord{{{{}, rec}}}}
+			assert.True(t, r.AnyTaskBegun())
+			r.Tasks[0][0][1] = workflow.TaskRecord{Phase: workflow.Placed, Run: 1}
+			assert.False(t, r.AnyTaskBegun())
+		})
+	}
 	const id = "0000000000000001"
 	sim := newSimulation(t, 1, 2)
 	sim.run(time.Second)
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -18,13 +18,14 @@
 func (c *Core) noteStored() {
 	for j, s := range c.statesInFlight {
 		j.stored = s
-		c.publish(j)
+		c.markUnpublished(j)
 	}
 	clear(c.statesInFlight)
 }
 
-// publish notes that the stored state of a submission can be published, unless it is published already or no task has begun.
-func (c *Core) publish(j *job) {
+// markUnpublished notes that the stored state of a submission can be published, unless it is published already or no task has
+// begun.
+func (c *Core) markUnpublished(j *job) {
 	newest := j.published
 	if publishing, ok := c.publishing[j]; ok {
 		newest = publishing
@@ -38,7 +39,7 @@
 func (c *Core) noteBegun(j *job) {
 	if !j.begun {
 		j.begun = true
-		c.publish(j)
+		c.markUnpublished(j)
 	}
 }
 
@@ -52,7 +53,7 @@
 	}
 	j.stored = rec.State
 	if r := restored.Record; r != nil {
-		j.published, j.begun = r.State, r.State > workflow.Queued
+		j.published = r.State
 		if r.State.Over() || r.State > rec.State {
 			rec.State = r.State
 		}
@@ -60,9 +61,9 @@
 	if rec.State != j.stored && restored.Tasks != nil {
 		c.markDirty(j)
 	}
-	j.begun = j.begun || rec.HasEnded()
+	j.begun = rec.AnyTaskBegun()
 	if rec.State == j.stored {
-		c.publish(j)
+		c.markUnpublished(j)
 	}
 	return rec
 }
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -73,12 +73,12 @@
 	Copies []CopyRecord `cbor:"-"`
 }
 
-// HasEnded reports whether a task of the submission has ended.
-func (r *Record) HasEnded() bool {
+// AnyTaskBegun reports whether the record shows that a worker has begun a task of the submission.
+func (r *Record) AnyTaskBegun() bool {
 	for _, round := range r.Tasks {
 		for _, step := range round {
 			for i := range step {
-				if step[i].Phase == Ended {
+				if t := &step[i]; t.Phase == Ended || t.Failures > 0 || t.Checkpoint != "" {
 					return true
 				}
 			}
