Name in a release how long leases of earlier owners may still run

Callers would see a task run twice after two planned handovers that follow a lowered lease TTL, for example two restarts of schedulers within a minute of publishing 5 s instead of 60 s, if the third owner cannot reach a worker.

Cause: a release counted as proof that only leases of the released epoch are left, so the third owner waited for its predecessor's TTL (5 s). But a lease never shortens: a worker that the second owner had fenced still held the 60 s of the first one, and the second owner knew that from the worker's answer.

Evidence: a fleet of two workers, four tasks on them, owners with 60 s, 5 s and 5 s, one worker cut off from the third owner: two tasks start elsewhere while they run. With the same TTL for all three nothing starts.

Change: the release names how long workers with open attempts may still hold leases, and the next claim waits for the longer of that and the TTL of the released epoch.

Why it works: no owner renews a lease after its release, and the time that is left is counted from the worker's own report plus drift when the release is enqueued, before any later claim can be read back. A third owner that itself releases or crashes passes the time on. By reading, no release at all would let the successor wait for the isolation limit (10 min), and leave the shard without an owner for up to three owner timeouts. A maximum over all earlier epochs would never fall again.

The planned stop takes under 2 s in it, and the task starts elsewhere once the 60 s are over.

--- a/internal/contract/codec_test.go
+++ b/internal/contract/codec_test.go
@@ -14,7 +14,7 @@
 	ref := upstream.TaskRef{Job: "bne-0~a", Index: 3, Attempt: 2}
 	bodies := []Body{
 		&Publish{Replaces: 4, Manifest: []byte("x"), At: time.Unix(5, 250000000)},
-		&Claim{Owner: "s1", PreviousEpoch: 7}, &Release{}, &Submit{Job: "j", Tasks: 3}, &Cancel{Job: "j"},
+		&Claim{Owner: "s1", PreviousEpoch: 7}, &Release{LeasesLeft: time.Minute}, &Submit{Job: "j", Tasks: 3}, &Cancel{Job: "j"},
 		&Place{TaskRef: ref, Worker: "w"}, &Close{TaskRef: ref, Outcome: upstream.OutcomeDone},
 		&TransferOut{Job: "j", To: "b"}, &TransferIn{From: "a"}, &SnapshotPart{Part: 1}, &SnapshotEnd{Parts: 2},
 		&Drain{Worker: "w", Drain: true},
--- a/internal/contract/records.go
+++ b/internal/contract/records.go
@@ -73,7 +73,11 @@
 }
 
 // Release ends an epoch. After it the owner renews no lease and grants no slot.
-type Release struct{}
+type Release struct {
+	// LeasesLeft is how long workers with open attempts may still hold leases. It can exceed the TTL of the epoch,
+	// because an earlier owner may have granted longer leases.
+	LeasesLeft time.Duration `cbor:"1,keyasint,omitempty"`
+}
 
 // Submit adds a job to a shard. A further record with the same job id is ignored, except for service jobs.
 type Submit struct {
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -52,13 +52,13 @@
 		sh.own.callsInFlight() {
 		return
 	}
-	if !sh.own.earlierLeasesEnded(now) {
+	if !sh.own.earlierRenewalsEnded(now) {
 		// Without a Release the next owner waits for the isolation limit, as after a crash.
 		s.lose(sh, "leases of an earlier owner may still be valid, so no release is written")
 		return
 	}
 	sh.own.released = true
-	s.enqueue(sh, sh.own.epoch, &contract.Release{})
+	s.enqueue(sh, sh.own.epoch, &contract.Release{LeasesLeft: sh.own.leasesLeft(now)})
 }
 
 // callsInFlight reports whether a call to a worker is in flight.
--- a/internal/scheduler/lifecycle_test.go
+++ b/internal/scheduler/lifecycle_test.go
@@ -186,6 +186,52 @@
 	})
 }
 
+// Guards against a task that runs twice after two handovers: the second owner grants shorter leases than the first one,
+// and the third one closes attempts on an unreachable worker that still holds a lease of the first one.
+func TestReleaseAfterLoweredTTL(t *testing.T) {
+	for name, ttl := range map[string]time.Duration{"same TTL": time.Minute, "lowered TTL": 5 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			inSynctest(t, func(t *testing.T) {
+				cl := newTestCluster(t, 2)
+				source := &mutableConfig{version: cl.version}
+				cl.configSource = source
+				cl.version.Manifest.Kinds = cl.version.Manifest.Kinds[:1]
+				cl.version.Manifest.Kinds[0].RunTime = time.Hour
+				cl.version.Manifest.Policies.LeaseTTL = time.Minute
+				_, stop1 := cl.startScheduler("s1")
+				time.Sleep(5 * time.Second)
+				cl.submit("a", 4)
+				time.Sleep(5 * time.Second)
+				next := *cl.version.Manifest
+				next.Policies.LeaseTTL = ttl
+				source.set(&config.Version{Offset: 2, Manifest: &next})
+				require.NoError(t, stop1())
+				s2, stop2 := cl.startScheduler("s2")
+				time.Sleep(5 * time.Second)
+				require.Equal(t, 4, cl.job(s2, "a").Running)
+				cl.fleet.mu.Lock()
+				require.NotEmpty(t, cl.fleet.workers["127.0.0.1:9000"].tasks)
+				cl.fleet.mu.Unlock()
+				stopping := time.Now()
+				require.NoError(t, stop2())
+				require.Less(t, time.Since(stopping), 2*time.Second, "a planned stop does not wait for the leases")
+				s3, faults3, stop3 := cl.startFaultyScheduler("s3", 0)
+				faults3.unreachable.Store("127.0.0.1:9000", true)
+				// The fleet fails the test if a task starts while another attempt of it runs.
+				time.Sleep(40 * time.Second)
+				require.Equal(t, 4, cl.job(s3, "a").Attempts, "the leases of one minute have not ended")
+				after := make(chan bool, 1)
+				require.True(t, s3.post(func(time.Time) { after <- s3.shards[testShard].own.terms.AfterRelease }))
+				require.True(t, <-after)
+				time.Sleep(40 * time.Second)
+				require.Equal(t, 4, cl.job(s3, "a").Running)
+				require.Greater(t, cl.job(s3, "a").Attempts, 4)
+				require.NoError(t, stop3())
+			})
+		})
+	}
+}
+
 // Guards against workers that run out of work during an outage of the log, against queued attempts that stay on a full
 // worker while another one has room, and against urgent tasks that wait behind queued attempts.
 func TestPlacedAhead(t *testing.T) {
--- a/internal/scheduler/own.go
+++ b/internal/scheduler/own.go
@@ -108,7 +108,8 @@
 		notPlacedReasons: map[string]string{}}
 	s.metrics.epoch.WithLabelValues(sh.name).Set(float64(ownership.Epoch))
 	s.metrics.acquired.Inc()
-	s.log.Info("shard acquired", "shard", sh.name, "epoch", ownership.Epoch, "after_release", ownership.AfterRelease)
+	s.log.Info("shard acquired", "shard", sh.name, "epoch", ownership.Epoch, "after_release", ownership.AfterRelease,
+		"earlier_ttl", ownership.EarlierTTL)
 	s.syncWorkers(sh, now)
 	for _, id := range sh.state.Workers() {
 		w := s.ensureWorker(sh, id)
@@ -214,9 +215,9 @@
 	}
 }
 
-// earlierLeasesEnded reports whether no open attempt can still run under a lease of an earlier owner. This must hold
-// before a Release, because the next owner treats it as proof that all earlier leases have ended.
-func (o *ownerState) earlierLeasesEnded(now time.Time) bool {
+// earlierRenewalsEnded reports whether no earlier owner can still renew the lease of a worker with open attempts. This must
+// hold before a Release, because the next owner treats it as proof that no lease outlasts the TTL or leasesLeft.
+func (o *ownerState) earlierRenewalsEnded(now time.Time) bool {
 	for _, w := range o.workers {
 		if len(w.attempts) > 0 && !w.lease.Fenced() && !w.lease.Lapsed(now) {
 			return false
@@ -224,3 +225,13 @@
 	}
 	return true
 }
+
+// leasesLeft returns how long workers with open attempts may still hold leases, of this owner or of earlier ones.
+func (o *ownerState) leasesLeft(now time.Time) (left time.Duration) {
+	for _, w := range o.workers {
+		if len(w.attempts) > 0 {
+			left = max(left, w.lease.LapseTime().Sub(now))
+		}
+	}
+	return left
+}
--- a/internal/shard/replay.go
+++ b/internal/shard/replay.go
@@ -54,7 +54,7 @@
 	AfterRelease bool
 	// EarlierTTL and EarlierIsolation are the largest limits of all earlier epochs since the newest release, because
 	// their owners may still renew leases. EarlierTTL also covers the released epoch itself, whose last leases may
-	// still be valid.
+	// still be valid, and the leases that its Release names, which a still earlier owner may have granted.
 	EarlierTTL, EarlierIsolation time.Duration
 }
 
@@ -153,7 +153,7 @@
 		if !r.isCurrentEpoch(rec.Epoch) {
 			return Stale, nil
 		}
-		r.owner.Released = true
+		r.owner.Released, r.owner.EarlierTTL = true, b.LeasesLeft
 		return Valid, nil
 	}
 	if requiresOwner(body) && !r.isCurrentEpoch(rec.Epoch) {
@@ -172,9 +172,8 @@
 	previous := r.owner
 	r.owner = Ownership{Epoch: offset, Claim: c, AfterRelease: previous.Released || previous.Epoch == 0 &&
 		!r.historyTruncated,
-		EarlierTTL: previous.Claim.TTL}
+		EarlierTTL: max(previous.Claim.TTL, previous.EarlierTTL)}
 	if !r.owner.AfterRelease {
-		r.owner.EarlierTTL = max(previous.Claim.TTL, previous.EarlierTTL)
 		r.owner.EarlierIsolation = max(previous.Claim.Isolation, previous.EarlierIsolation)
 	}
 	return Valid
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -126,6 +126,16 @@
 	claim(three, 1, 1)
 	r, _, _ = s.replay(1, 1)
 	require.Equal(t, [2]time.Duration{4, 0}, [2]time.Duration{r.Ownership().EarlierTTL, r.Ownership().EarlierIsolation})
+	four := claim(r.Ownership().Epoch, 2, 20)
+	s.put(four, &contract.Release{LeasesLeft: 7})
+	five := claim(four, 1, 10)
+	r, _, _ = s.replay(1, 1)
+	require.Equal(t, [2]time.Duration{7, 0}, [2]time.Duration{r.Ownership().EarlierTTL, r.Ownership().EarlierIsolation},
+		"the release names leases that outlast those of its epoch")
+	claim(five, 3, 30)
+	r, _, _ = s.replay(1, 1)
+	require.Equal(t, [2]time.Duration{7, 10}, [2]time.Duration{r.Ownership().EarlierTTL, r.Ownership().EarlierIsolation},
+		"without a release they still count")
 }
 
 // Guards against a record that takes effect twice after the answer to its append was lost, and against unbounded memory
