Take a worker as leaving only while the incarnation that leaves is current

Callers would see a restarted worker without tasks and slots, and what it runs evicted, for as long as the shard keeps its owner, if the instance list lags and still shows the earlier incarnation as leaving after the restart.

Cause: one flag stood for the worker, whichever incarnation it was about. The branch that reset it compared the new list entry with itself, because the known entry had been replaced one line before, and so never ran.

Change: the owner keeps which incarnation the list showed as leaving, apart from what the holder of the lease reports. The listed one counts while it is the newest listed incarnation or holds the lease, and not once a restart has ended it.

Why it works: an answer of the worker proves which incarnation has ended, so a stale entry of that one has no effect. A new owner has no such proof and waits until the list shows another incarnation. Before the worker has answered as its new incarnation, the one that holds the lease still counts as leaving.

--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -72,7 +72,7 @@
 		state = "has not answered this owner"
 	case w.lease.Lapsed(now):
 		state = "has lost its lease"
-	case w.leaving:
+	case w.leaving():
 		state = "is leaving"
 	case sh.state.Drained(w.id):
 		state = "is drained"
--- a/internal/scheduler/lifecycle_test.go
+++ b/internal/scheduler/lifecycle_test.go
@@ -159,6 +159,60 @@
 	})
 }
 
+// Guards against a restarted worker that gets no work, or whose tasks are evicted, because its earlier incarnation left.
+func TestRestartAfterLeaving(t *testing.T) {
+	for name, test := range map[string]struct{ stale, newOwner, leavesAgain bool }{
+		"list follows at once": {}, "list is stale": {stale: true},
+		"new owner reads a stale list":           {stale: true, newOwner: true},
+		"new incarnation reports that it leaves": {stale: true, leavesAgain: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inSynctest(t, func(t *testing.T) {
+				cl := newTestCluster(t, 1)
+				cl.version.Manifest.Kinds = cl.version.Manifest.Kinds[:1]
+				cl.version.Manifest.Kinds[0].RunTime = time.Hour
+				const addr = "127.0.0.1:9500"
+				cl.fleet.addWorker(addr, "x0")
+				listFor := func(seconds int, inc instance.Incarnation, state instance.State) {
+					for range seconds {
+						require.NoError(t, cl.list.Register(t.Context(), instance.Member{ID: "x0", Incarnation: inc,
+							Role: instance.RoleWorker, State: state, DataCentre: "bne", Addr: addr, Rack: 1, Slots: 8,
+							Capacity: cl.version.Manifest.Worker.Capacity}))
+						time.Sleep(time.Second)
+					}
+				}
+				started := func() bool {
+					cl.fleet.mu.Lock()
+					defer cl.fleet.mu.Unlock()
+					return cl.fleet.startsOn["x0"] > 0
+				}
+				s, stop := cl.startScheduler("s1")
+				listFor(5, "boot-1", instance.StateLive)
+				listFor(3, "boot-1", instance.StateLeaving)
+				cl.fleet.mu.Lock()
+				cl.fleet.addWorker(addr, "x0")
+				restarted := cl.fleet.workers[addr]
+				restarted.incarnation, restarted.leaving = "boot-2", test.leavesAgain
+				cl.fleet.mu.Unlock()
+				if test.newOwner {
+					require.NoError(t, stop())
+					s, stop = cl.startScheduler("s2")
+				}
+				cl.submit("a", 20)
+				if test.stale {
+					listFor(8, "boot-1", instance.StateLeaving)
+					// A new owner cannot know that the listed incarnation is the earlier one.
+					require.Equal(t, !test.newOwner && !test.leavesAgain, started())
+				}
+				listFor(5, "boot-2", instance.StateLive)
+				require.Equal(t, 0, cl.job(s, "a").Evicted)
+				require.Equal(t, !test.leavesAgain, started())
+				require.NoError(t, stop())
+			})
+		})
+	}
+}
+
 // Guards against an owner that releases the shard while a worker may still hold a lease of the previous owner: the next
 // owner would close the worker's attempts too early.
 func TestNoReleaseWhileUnsettled(t *testing.T) {
--- a/internal/scheduler/own.go
+++ b/internal/scheduler/own.go
@@ -44,8 +44,13 @@
 	// member is the newest entry of the instance list; its ID is empty if the worker was never listed.
 	member instance.Member
 	// listed reports whether the instance list contains the worker.
-	listed        bool
-	leaving       bool
+	listed bool
+	// listedLeaving is the incarnation that the list has last shown as leaving. reportedLeaving reports whether the
+	// incarnation that holds the lease has reported that it leaves.
+	listedLeaving   instance.Incarnation
+	reportedLeaving bool
+	// ended is the incarnation that the newest restart of the worker has ended, empty if it has not restarted.
+	ended         instance.Incarnation
 	lease         *lease.WorkerLease
 	leaseInFlight bool
 	nextRenewal   time.Time
@@ -159,13 +164,13 @@
 			// The first lease calls of a new owner are sent within one tick; later renewals are spread by jitter.
 			w.nextRenewal = now.Add(time.Duration(rand.Int64N(int64(tickInterval))))
 		}
+		wasLeaving := w.leaving()
 		w.member, w.listed = m, true
-		if m.State == instance.StateLeaving && !w.leaving {
-			w.leaving = true
-			s.log.Info("worker is leaving", "shard", sh.name, "worker", id)
+		if m.State == instance.StateLeaving {
+			w.listedLeaving = m.Incarnation
 		}
-		if m.State == instance.StateLive && w.leaving && w.member.Incarnation != m.Incarnation {
-			w.leaving = false
+		if w.leaving() && !wasLeaving {
+			s.log.Info("worker is leaving", "shard", sh.name, "worker", id)
 		}
 	}
 	for id, w := range sh.own.workers {
@@ -176,10 +181,18 @@
 	}
 }
 
+// leaving reports whether the incarnation that holds the lease or the listed one is known to leave. A stale list may
+// show one that has ended.
+func (w *worker) leaving() bool {
+	inc := w.listedLeaving
+	return w.reportedLeaving || inc != "" && inc != w.ended &&
+		(inc == w.member.Incarnation || inc == w.lease.Incarnation())
+}
+
 // usable reports whether a worker may get new work. It need not be in the current instance list as long as its lease is
 // valid.
 func (s *Scheduler) usable(sh *managedShard, w *worker, now time.Time) bool {
-	return w.lease.Fenced() && !w.lease.Lapsed(now) && w.member.ID != "" && !w.leaving && !sh.state.Drained(w.id)
+	return w.lease.Fenced() && !w.lease.Lapsed(now) && w.member.ID != "" && !w.leaving() && !sh.state.Drained(w.id)
 }
 
 // syncAllocator adds a worker that became usable to the slot allocator and removes one that no longer is.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -200,7 +200,7 @@
 			Reserved: s.policy.envelope.Scale(int64(w.member.Slots)),
 			Used:     w.allocated(func(*openAttempt) bool { return true }), Tasks: len(w.attempts),
 			Fenced:  w.lease.Fenced() && !w.lease.Lapsed(now) && !w.unreachable,
-			Leaving: w.leaving, Draining: sh.state.Drained(id), Quarantined: w.health.quarantined(now),
+			Leaving: w.leaving(), Draining: sh.state.Drained(id), Quarantined: w.health.quarantined(now),
 			Probation: w.health.onProbation()}
 	}
 	state := placement.NewState(workers)
--- a/internal/scheduler/renew.go
+++ b/internal/scheduler/renew.go
@@ -70,7 +70,7 @@
 func (s *Scheduler) leaseAnswered(sh *managedShard, w *worker, sent, now time.Time, req upstream.LeaseRequest,
 	r upstream.LeaseReply) {
 	w.unreachable = false
-	fenced := w.lease.Fenced()
+	fenced, previous := w.lease.Fenced(), w.lease.Incarnation()
 	result := w.lease.HandleReply(sent, now, r)
 	switch result {
 	case lease.Superseded:
@@ -88,7 +88,8 @@
 		return
 	case lease.Restarted:
 		s.log.Info("worker has restarted", "shard", sh.name, "worker", w.id)
-		w.unackedEvents, w.lastAckedEvent, w.leaving, w.leased = nil, 0, false, false
+		w.unackedEvents, w.lastAckedEvent, w.leased = nil, 0, false
+		w.reportedLeaving, w.ended = false, previous
 		sh.needsReconcile = true
 		w.nextRenewal = now
 		sh.own.slotAllocator.RemoveWorker(now, w.id)
@@ -103,8 +104,10 @@
 		// lease.
 		w.nextRenewal = now
 	}
-	if r.Leaving && !w.leaving {
-		w.leaving, sh.needsReconcile = true, true
+	wasLeaving := w.leaving()
+	w.reportedLeaving = w.reportedLeaving || r.Leaving
+	if w.leaving() && !wasLeaving {
+		sh.needsReconcile = true
 		s.log.Info("worker is leaving", "shard", sh.name, "worker", w.id)
 	}
 	// A renewal without news about attempts needs no reconciliation.
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -127,7 +127,7 @@
 		s.withdraw(sh, a, "the worker is in quarantine")
 	case stop:
 		s.stop(sh, w, a, now, outcome)
-	case a.startedAt.IsZero() && w.leased && !w.leaving && !sh.own.releasing && !s.leaving && s.hasRoom(w, a):
+	case a.startedAt.IsZero() && w.leased && !w.leaving() && !sh.own.releasing && !s.leaving && s.hasRoom(w, a):
 		s.startTask(sh, w, j, a, now)
 	}
 }
@@ -138,7 +138,7 @@
 		return upstream.OutcomeCancelled, true
 	}
 	// An evicted task is closed and placed again, which needs the log.
-	if (w.leaving || sh.state.Drained(w.id)) && !sh.out.failing() {
+	if (w.leaving() || sh.state.Drained(w.id)) && !sh.out.failing() {
 		return upstream.OutcomeEvicted, true
 	}
 	return "", false
@@ -180,7 +180,7 @@
 	allocated := w.allocated(func(other *openAttempt) bool { return other.startSent })
 	invariant.Check(invariant.WorkerCapacity, allocated.Fits(w.member.Capacity), "worker", w.id, "held", allocated,
 		"capacity", w.member.Capacity)
-	invariant.Check(invariant.NoWorkWhenLeaving, !w.leaving, "worker", w.id, "job", a.ref.Job)
+	invariant.Check(invariant.NoWorkWhenLeaving, !w.leaving(), "worker", w.id, "job", a.ref.Job)
 	own, addr := sh.own, w.member.Addr
 	s.spawn(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, taskTimeout)
