--- a/internal/scheduler/lifecycle_test.go
+++ b/internal/scheduler/lifecycle_test.go
@@ -159,6 +159,60 @@
 	})
 }
 
+// Guards against a restarted worker that gets no work, or whose tasks are evicted, because its earlier incarnation left.
+func TestRestartAfterLeaving(t *testing.T) {
+	for name, test := range map[string]struct{ stale, newOwner, leavesAgain bool }{
+		"list follows at once": {}, "list is stale": {stale: true},
+		"new owner reads a stale list":           {stale: true, newOwner: true},
+		"new incarnation reports that it leaves": {stale: true, leavesAgain: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inSynctest(t, func(t *testing.T) {
+				cl := newTestCluster(t, 1)
+				cl.version.Manifest.Kinds = cl.version.Manifest.Kinds[:1]
+				cl.version.Manifest.Kinds[0].RunTime = time.Hour
+				const addr = "127.0.0.1:9500"
+				cl.fleet.addWorker(addr, "x0")
+				listFor := func(seconds int, inc instance.Incarnation, state instance.State) {
+					for range seconds {
+						require.NoError(t, cl.list.Register(t.Context(), instance.Member{ID: "x0", Incarnation: inc,
+							Role: instance.RoleWorker, State: state, DataCentre: "bne", Addr: addr, Rack: 1, Slots: 8,
+							Capacity: cl.version.Manifest.Worker.Capacity}))
+						time.Sleep(time.Second)
+					}
+				}
+				started := func() bool {
+					cl.fleet.mu.Lock()
+					defer cl.fleet.mu.Unlock()
+					return cl.fleet.startsOn["x0"] > 0
+				}
+				s, stop := cl.startScheduler("s1")
+				listFor(5, "boot-1", instance.StateLive)
+				listFor(3, "boot-1", instance.StateLeaving)
+				cl.fleet.mu.Lock()
+				cl.fleet.addWorker(addr, "x0")
+				restarted := cl.fleet.workers[addr]
+				restarted.incarnation, restarted.leaving = "boot-2", test.leavesAgain
+				cl.fleet.mu.Unlock()
+				if test.newOwner {
+					require.NoError(t, stop())
+					s, stop = cl.startScheduler("s2")
+				}
+				cl.submit("a", 20)
+				if test.stale {
+					listFor(8, "boot-1", instance.StateLeaving)
+					// A new owner cannot know that the listed incarnation is the earlier one.
+					require.Equal(t, !test.newOwner && !test.leavesAgain, started())
+				}
+				listFor(5, "boot-2", instance.StateLive)
+				require.Equal(t, 0, cl.job(s, "a").Evicted)
+				require.Equal(t, !test.leavesAgain, started())
+				require.NoError(t, stop())
+			})
+		})
+	}
+}
+
 // Guards against an owner that releases the shard while a worker may still hold a lease of the previous owner: the next
 // owner would close the worker's attempts too early.
 func TestNoReleaseWhileUnsettled(t *testing.T) {
@@ -186,6 +240,52 @@
 	})
 }
 
+// Guards against a task that runs twice after two handovers: the second owner grants shorter leases than the first one,
+// and the third one closes attempts on an unreachable worker that still holds a lease of the first one.
+func TestReleaseAfterLoweredTTL(t *testing.T) {
+	for name, ttl := range map[string]time.Duration{"same TTL": time.Minute, "lowered TTL": 5 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			inSynctest(t, func(t *testing.T) {
+				cl := newTestCluster(t, 2)
+				source := &mutableConfig{version: cl.version}
+				cl.configSource = source
+				cl.version.Manifest.Kinds = cl.version.Manifest.Kinds[:1]
+				cl.version.Manifest.Kinds[0].RunTime = time.Hour
+				cl.version.Manifest.Policies.LeaseTTL = time.Minute
+				_, stop1 := cl.startScheduler("s1")
+				time.Sleep(5 * time.Second)
+				cl.submit("a", 4)
+				time.Sleep(5 * time.Second)
+				next := *cl.version.Manifest
+				next.Policies.LeaseTTL = ttl
+				source.set(&config.Version{Offset: 2, Manifest: &next})
+				require.NoError(t, stop1())
+				s2, stop2 := cl.startScheduler("s2")
+				time.Sleep(5 * time.Second)
+				require.Equal(t, 4, cl.job(s2, "a").Running)
+				cl.fleet.mu.Lock()
+				require.NotEmpty(t, cl.fleet.workers["127.0.0.1:9000"].tasks)
+				cl.fleet.mu.Unlock()
+				stopping := time.Now()
+				require.NoError(t, stop2())
+				require.Less(t, time.Since(stopping), 2*time.Second, "a planned stop does not wait for the leases")
+				s3, faults3, stop3 := cl.startFaultyScheduler("s3", 0)
+				faults3.unreachable.Store("127.0.0.1:9000", true)
+				// The fleet fails the test if a task starts while another attempt of it runs.
+				time.Sleep(40 * time.Second)
+				require.Equal(t, 4, cl.job(s3, "a").Attempts, "the leases of one minute have not ended")
+				after := make(chan bool, 1)
+				require.True(t, s3.post(func(time.Time) { after <- s3.shards[testShard].own.terms.AfterRelease }))
+				require.True(t, <-after)
+				time.Sleep(40 * time.Second)
+				require.Equal(t, 4, cl.job(s3, "a").Running)
+				require.Greater(t, cl.job(s3, "a").Attempts, 4)
+				require.NoError(t, stop3())
+			})
+		})
+	}
+}
+
 // Guards against workers that run out of work during an outage of the log, against queued attempts that stay on a full
 // worker while another one has room, and against urgent tasks that wait behind queued attempts.
 func TestPlacedAhead(t *testing.T) {
--- a/internal/scheduler/own.go
+++ b/internal/scheduler/own.go
@@ -44,8 +44,13 @@
 	// member is the newest entry of the instance list; its ID is empty if the worker was never listed.
 	member instance.Member
 	// listed reports whether the instance list contains the worker.
-	listed        bool
-	leaving       bool
+	listed bool
+	// listedLeaving is the incarnation that the list has last shown as leaving. reportedLeaving reports whether the
+	// incarnation that holds the lease has reported that it leaves.
+	listedLeaving   instance.Incarnation
+	reportedLeaving bool
+	// ended is the incarnation that the newest restart of the worker has ended, empty if it has not restarted.
+	ended         instance.Incarnation
 	lease         *lease.WorkerLease
 	leaseInFlight bool
 	nextRenewal   time.Time
@@ -108,7 +113,8 @@
 		notPlacedReasons: map[string]string{}}
 	s.metrics.epoch.WithLabelValues(sh.name).Set(float64(ownership.Epoch))
 	s.metrics.acquired.Inc()
-	s.log.Info("shard acquired", "shard", sh.name, "epoch", ownership.Epoch, "after_release", ownership.AfterRelease)
+	s.log.Info("shard acquired", "shard", sh.name, "epoch", ownership.Epoch, "after_release", ownership.AfterRelease,
+		"earlier_ttl", ownership.EarlierTTL)
 	s.syncWorkers(sh, now)
 	for _, id := range sh.state.Workers() {
 		w := s.ensureWorker(sh, id)
@@ -158,13 +164,13 @@
 			// The first lease calls of a new owner are sent within one tick; later renewals are spread by jitter.
 			w.nextRenewal = now.Add(time.Duration(rand.Int64N(int64(tickInterval))))
 		}
+		wasLeaving := w.leaving()
 		w.member, w.listed = m, true
-		if m.State == instance.StateLeaving && !w.leaving {
-			w.leaving = true
-			s.log.Info("worker is leaving", "shard", sh.name, "worker", id)
+		if m.State == instance.StateLeaving {
+			w.listedLeaving = m.Incarnation
 		}
-		if m.State == instance.StateLive && w.leaving && w.member.Incarnation != m.Incarnation {
-			w.leaving = false
+		if w.leaving() && !wasLeaving {
+			s.log.Info("worker is leaving", "shard", sh.name, "worker", id)
 		}
 	}
 	for id, w := range sh.own.workers {
@@ -175,10 +181,18 @@
 	}
 }
 
+// leaving reports whether the incarnation that holds the lease or the listed one is known to leave. A stale list may
+// show one that has ended.
+func (w *worker) leaving() bool {
+	inc := w.listedLeaving
+	return w.reportedLeaving || inc != "" && inc != w.ended &&
+		(inc == w.member.Incarnation || inc == w.lease.Incarnation())
+}
+
 // usable reports whether a worker may get new work. It need not be in the current instance list as long as its lease is
 // valid.
 func (s *Scheduler) usable(sh *managedShard, w *worker, now time.Time) bool {
-	return w.lease.Fenced() && !w.lease.Lapsed(now) && w.member.ID != "" && !w.leaving && !sh.state.Drained(w.id)
+	return w.lease.Fenced() && !w.lease.Lapsed(now) && w.member.ID != "" && !w.leaving() && !sh.state.Drained(w.id)
 }
 
 // syncAllocator adds a worker that became usable to the slot allocator and removes one that no longer is.
@@ -214,9 +228,9 @@
 	}
 }
 
-// earlierLeasesEnded reports whether no open attempt can still run under a lease of an earlier owner. This must hold
-// before a Release, because the next owner treats it as proof that all earlier leases have ended.
-func (o *ownerState) earlierLeasesEnded(now time.Time) bool {
+// earlierRenewalsEnded reports whether no earlier owner can still renew the lease of a worker with open attempts. This must
+// hold before a Release, because the next owner treats it as proof that no lease outlasts the TTL or leasesLeft.
+func (o *ownerState) earlierRenewalsEnded(now time.Time) bool {
 	for _, w := range o.workers {
 		if len(w.attempts) > 0 && !w.lease.Fenced() && !w.lease.Lapsed(now) {
 			return false
@@ -224,3 +238,13 @@
 	}
 	return true
 }
+
+// leasesLeft returns how long workers with open attempts may still hold leases, of this owner or of earlier ones.
+func (o *ownerState) leasesLeft(now time.Time) (left time.Duration) {
+	for _, w := range o.workers {
+		if len(w.attempts) > 0 {
+			left = max(left, w.lease.LapseTime().Sub(now))
+		}
+	}
+	return left
+}
