Look up the earlier incarnation in a test before it is replaced

Go leaves open whether an index expression or a function call in one statement is evaluated first; in a new test with the same statement the call came first, and both had the same start.

TestSuccessorWaitsForTheLongestLeaseOfASilentWorker, which lists the earlier entry at the takeover, listed the later one. The other two users ignore the earlier incarnation.

--- a/internal/dispatch/unheard_test.go
+++ b/internal/dispatch/unheard_test.go
@@ -29,7 +29,8 @@
 	sim = newSimulation(t, seed, 2)
 	sim.holdsCalls, sim.unnamedAnswers = true, unnamed
 	sim.run(60*time.Second + time.Duration(seed)*200*time.Millisecond)
-	before, f = sim.workers["a"], sim.restartUnlisted("a", time.Hour)
+	before = sim.workers["a"]
+	f = sim.restartUnlisted("a", time.Hour)
 	sim.delayLeaseCalls(100 * time.Millisecond)
 	sim.submit("0000000000000001", batchStep(8, 30*time.Second))
 	sim.stepUntilStarted(f)
