Guard against calls of before a restart that a later incarnation carries out

Callers could see a task run twice, start after its end or start on a worker of another kind, when its worker restarts under its id.

The simulation can now delay calls by up to 4 s until after a restart. With pinned calls, a call that was written to an incarnation is carried out by that one or not at all, and has no answer otherwise. A worker that ends without a sign leaves the lease call that it held open until its timeout; it used to be closed at once.

The product code is unchanged.

--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -183,18 +183,19 @@
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			randomRestarts(t, seed, false)
+			randomRestarts(t, seed, func(*simulation) {})
 		})
 		t.Run(fmt.Sprint("unnamed", seed), func(t *testing.T) {
 			t.Parallel()
-			randomRestarts(t, seed, true)
+			randomRestarts(t, seed, func(sim *simulation) { sim.unnamedAnswers = true })
 		})
 	}
 }
 
-func randomRestarts(t *testing.T, seed uint64, unnamed bool) {
+// randomRestarts runs a simulation that setUp has changed.
+func randomRestarts(t *testing.T, seed uint64, setUp func(*simulation)) {
 	sim := newSimulation(t, seed, 5)
-	sim.unnamedAnswers = unnamed
+	setUp(sim)
 	rng := rand.New(rand.NewPCG(seed, 11))
 	sim.callLossShare, sim.listedEnds = 0.05, fewListedEnds
 	var jobs []workflow.JobID
--- a/internal/dispatch/restarts_test.go
+++ b/internal/dispatch/restarts_test.go
@@ -9,14 +9,14 @@
 )
 
 // hold answers a lease call once the worker has an end to list or the time is over. The connection breaks with the
-// incarnation.
+// incarnation, unless that ends without a sign.
 func (sim *simulation) hold(f *fakeWorker, until time.Duration, reply func(LeaseAnswer, error)) {
 	const step = 5 * time.Millisecond
 	sim.schedule(step, func() {
 		switch {
-		case sim.workers[f.id] != f:
+		case sim.workers[f.id] != f && !sim.silentCrashes:
 			reply(LeaseAnswer{}, &NoAnswerError{Err: io.EOF})
-		case f.disconnected:
+		case sim.workers[f.id] != f, f.disconnected:
 			sim.schedule(max(0, until-sim.now)+600*time.Millisecond, func() {
 				reply(LeaseAnswer{}, &NoAnswerError{Err: context.DeadlineExceeded})
 			})
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -93,6 +93,9 @@
 	// pinnedCalls makes calls reach the incarnation that they are meant for only, as the contract of Workers says. Without it,
 	// a later incarnation accepts them, which tests what the core does about attempts of which it does not know who runs them.
 	pinnedCalls bool
+	// delayedCalls makes the calls that get no answer but reach the worker do so up to 4 s later, whichever incarnation lives
+	// then; only that to which they were written with pinnedCalls.
+	delayedCalls bool
 	// heldStarts is how long starts wait between their decision and their transmission.
 	heldStarts time.Duration
 	// remoteSlowdown is the factor by which tasks away from the rack of their data, and gangs on several racks, take longer; 0 for
--- a/internal/dispatch/worldcalls_test.go
+++ b/internal/dispatch/worldcalls_test.go
@@ -51,12 +51,16 @@
 
 // transmit delivers a call, or loses it or its answer.
 func (sim *simulation) transmit(core *Core, o Order, member Member, answer func(func())) {
+	holder := sim.workers[member.ID]
 	if sim.rng.Float64() < sim.callLossShare {
 		if sim.rng.IntN(2) == 0 {
 			// The worker holds the call, which ends with its incarnation.
-			holder := sim.workers[member.ID]
-			sim.schedule(2*time.Second+time.Duration(sim.rng.IntN(4000))*time.Millisecond, func() {
-				if sim.workers[member.ID] == holder {
+			delay := 2*time.Second + time.Duration(sim.rng.IntN(4000))*time.Millisecond
+			if sim.delayedCalls {
+				delay -= 2 * time.Second
+			}
+			sim.schedule(delay, func() {
+				if sim.workers[member.ID] == holder || sim.delayedCalls && !sim.pinnedCalls {
 					sim.deliver(o, member, func(func()) {})
 				}
 			})
@@ -79,6 +83,15 @@
 			sim.schedule(250*time.Millisecond, func() { answer(func() { sim.reportNoAnswer(core, o) }) })
 			return
 		}
+		if sim.pinnedCalls && holder != nil && holder.startedAt == member.StartedAt && f != holder {
+			// The connection to which the call was written has ended.
+			if sim.silentCrashes {
+				sim.schedule(250*time.Millisecond, func() { answer(func() { sim.reportNoAnswer(core, o) }) })
+				return
+			}
+			answer(func() { sim.reportError(core, o, &NoAnswerError{Err: io.EOF}) })
+			return
+		}
 		sim.deliver(o, member, answer)
 	})
 }
