Ask a listed incarnation at once, beside the call of the earlier one

Change: an entry of another incarnation lets a second lease call be made at once. The outcome of the call in flight no longer counts, since the earlier incarnation may have answered it before the entry was written. That replaces the comparison of times.

Why it works: the dropped answer is like one that was lost. A lease that the call granted was counted when it was sent, and ends are listed and confirmed again.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -395,7 +395,7 @@
 	if w.announced != nil {
 		m.Addr = w.announced.Addr
 	}
-	c.orders = append(c.orders, LeaseOrder{Member: m, Call: call, worker: w})
+	c.orders = append(c.orders, LeaseOrder{Member: m, Call: call, worker: w, announcements: w.announcements})
 }
 
 // leaseCall returns the next lease call to a worker. To an idle one that has not been heard it grants and confirms nothing: a
@@ -434,6 +434,9 @@
 // LeaseFailed applies the refusal of a lease call, or the lack of an answer.
 func (c *Core) LeaseFailed(now time.Duration, o LeaseOrder, err error) {
 	w := o.worker
+	if o.announcements != w.announcements {
+		return
+	}
 	w.holdsCall = false
 	c.callable[w], c.unresponsive[w] = struct{}{}, struct{}{}
 	if o.Call.LastStoredEnd > 0 && w.sentConfirmation == o.Call.LastStoredEnd {
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -17,6 +17,9 @@
 func (c *Core) LeaseAnswered(now, sent time.Duration, o LeaseOrder, a LeaseAnswer) {
 	c.eventTime = now
 	w := o.worker
+	if o.announcements != w.announcements {
+		return
+	}
 	c.callable[w] = struct{}{}
 	w.holdsCall = false
 	if !c.observeAnswer(now, w, o.Call.kind(), o.Member.StartedAt, CallAnswer{StartedAt: a.StartedAt, Clock: a.Clock}) {
@@ -37,7 +40,7 @@
 	}
 	w.fencedIncarnation = w.StartedAt
 	if a.StartedAt != 0 {
-		w.refuteAnnounced(sent)
+		w.refuteAnnounced()
 	}
 	if !w.fenced && w.announced == nil {
 		w.fenced, c.planNeeded = true, true
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -30,10 +30,10 @@
 	ignoredStart int64
 	// ended holds the StartedAt of the incarnations that are known to have ended; nil if there are none.
 	ended map[int64]struct{}
-	// announced is the entry of a later incarnation, read at announcedAt, that no answer has confirmed or refuted yet; nil if there
-	// is none. The worker is not fenced meanwhile.
-	announced   *Member
-	announcedAt time.Duration
+	// announced is the entry of a later incarnation that no answer has confirmed or refuted yet; nil if there is none. The worker is
+	// not fenced meanwhile. announcements counts such entries.
+	announced     *Member
+	announcements int
 	// fencedIncarnation is the StartedAt of the newest incarnation that has answered a lease call of this owner. It refuses
 	// calls of earlier owners for its whole life.
 	fencedIncarnation int64
@@ -317,7 +317,7 @@
 func (c *Core) SetMember(now time.Duration, m Member) {
 	w := c.worker(m.ID)
 	if w.mustConfirm(m.StartedAt) {
-		c.announce(now, w, m)
+		c.announce(w, m)
 		return
 	}
 	if !c.observeIncarnation(now, w, m.StartedAt, 0) {
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -40,25 +40,26 @@
 	return startedAt > w.StartedAt && w.StartedAt != 0 && w.Addr != "" && !w.hasEnded(startedAt) && (w.busy() || len(w.lost) > 0)
 }
 
-// announce makes the next lease call find out whether the incarnation of an entry lives.
-func (c *Core) announce(now time.Duration, w *worker, m Member) {
+// announce makes a lease call find out at once whether the incarnation of an entry lives. The call in flight no longer counts: the
+// known incarnation may have answered it before the entry was written, or ended without a sign.
+func (c *Core) announce(w *worker, m Member) {
 	if w.announced == nil || w.announced.StartedAt != m.StartedAt {
 		c.logger.Info("another incarnation of a worker is listed, asking the worker", "worker", w.ID, "known", w.StartedAt,
 			"listed", m.StartedAt, "tasks", len(w.tasks))
-		w.announcedAt = now
-		w.fenced, w.retryInterval = false, 0
+		w.announcements++
+		w.fenced, w.holdsCall, w.retryInterval = false, false, 0
+		c.callable[w] = struct{}{}
 	}
 	w.announced, w.listed = &m, true
 }
 
-// refuteAnnounced notes that the newest known incarnation has answered a call that was sent at the given time. If that was after
-// the entry of another one was read, the other one has ended.
-func (w *worker) refuteAnnounced(sent time.Duration) {
-	if w.announced == nil || sent <= w.announcedAt {
-		return
+// refuteAnnounced notes that the newest known incarnation has answered a call that was sent after the entry of another one was
+// read, so that the other one has ended.
+func (w *worker) refuteAnnounced() {
+	if w.announced != nil {
+		w.noteEnded(w.announced.StartedAt)
+		w.announced = nil
 	}
-	w.noteEnded(w.announced.StartedAt)
-	w.announced = nil
 }
 
 // noteEnded notes that an incarnation of the worker has ended.
--- a/internal/dispatch/laterestart_test.go
+++ b/internal/dispatch/laterestart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -259,15 +260,16 @@
 	sim.submit("0000000000000001", batchStep(1, 30*time.Second))
 	sim.run(time.Second)
 	w, f := sim.core.workers["a"], sim.workers["a"]
-	order := LeaseOrder{Member: w.Member, worker: w, Call: LeaseCall{Wait: leaseCallWait}}
+	before := LeaseOrder{Member: w.Member, worker: w, Call: LeaseCall{Wait: leaseCallWait}}
 	entry := sim.member(f)
 	entry.StartedAt++
 	sim.core.SetMember(sim.now, entry)
-	sim.core.LeaseAnswered(sim.now, sim.now-tick, order, sim.list(f))
+	sim.core.LeaseAnswered(sim.now, sim.now-tick, before, sim.list(f))
 	assert.True(t, w.unavailable(), "the next incarnation may live")
 	assert.Len(t, w.tasks, 1)
-	sim.now += tick
-	sim.core.LeaseAnswered(sim.now, sim.now-1, order, sim.list(f))
+	sim.core.LeaseFailed(sim.now, before, &NoAnswerError{Err: io.EOF})
+	assert.Zero(t, w.failingSince)
+	sim.run(3 * tick)
 	assert.False(t, w.unavailable())
 	sim.core.SetMember(sim.now, entry)
 	assert.False(t, w.unavailable(), "the entry is that of an incarnation that has ended")
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -59,6 +59,8 @@
 	Member Member
 	Call   LeaseCall
 	worker *worker
+	// announcements is that of the worker when the call was decided.
+	announcements int
 }
 
 // AdviceOrder asks the advisor which workers may run a step.
