--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -17,6 +17,9 @@
 func (c *Core) LeaseAnswered(now, sent time.Duration, o LeaseOrder, a LeaseAnswer) {
 	c.eventTime = now
 	w := o.worker
+	if o.announcements != w.announcements {
+		return
+	}
 	c.callable[w] = struct{}{}
 	w.holdsCall = false
 	if !c.observeAnswer(now, w, o.Call.kind(&a), o.Member.StartedAt, CallAnswer{StartedAt: a.StartedAt, Clock: a.Clock}) {
@@ -36,7 +39,10 @@
 		w.heardAt, w.heardIn = now, c.steps
 	}
 	w.fencedIncarnation = w.StartedAt
-	if !w.fenced {
+	if a.StartedAt != 0 {
+		w.refuteAnnounced()
+	}
+	if !w.fenced && w.announced == nil {
 		w.fenced, c.planNeeded = true, true
 		c.logger.Info("worker now refuses earlier owners", "worker", w.ID, "epoch", c.epoch,
 			"running", len(a.Running), "ends", len(a.Ends))
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -148,7 +148,7 @@
 	}
 	require.Len(t, starts, 2)
 	earlier := CallAnswer{StartedAt: sim.workers["a"].startedAt, Clock: sim.clock(sim.workers["a"])}
-	sim.restart("a")
+	sim.restartAnswered("a")
 	w := sim.core.workers["a"]
 	assert.Equal(t, sim.now+withDrift(sim.params.MaxLease), w.leaseEnd)
 	sim.core.StartReturned(sim.now, starts[0], earlier, nil)
@@ -183,18 +183,19 @@
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			randomRestarts(t, seed, false)
+			randomRestarts(t, seed, func(*simulation) {})
 		})
 		t.Run(fmt.Sprint("unnamed", seed), func(t *testing.T) {
 			t.Parallel()
-			randomRestarts(t, seed, true)
+			randomRestarts(t, seed, func(sim *simulation) { sim.unnamedAnswers = true })
 		})
 	}
 }
 
-func randomRestarts(t *testing.T, seed uint64, unnamed bool) {
+// randomRestarts runs a simulation that setUp has changed.
+func randomRestarts(t *testing.T, seed uint64, setUp func(*simulation)) {
 	sim := newSimulation(t, seed, 5)
-	sim.unnamedAnswers = unnamed
+	setUp(sim)
 	rng := rand.New(rand.NewPCG(seed, 11))
 	sim.callLossShare, sim.listedEnds = 0.05, fewListedEnds
 	var jobs []workflow.JobID
@@ -213,12 +214,18 @@
 		case 4:
 			f.disconnected = false
 		}
+		if sim.oldEntries && rng.IntN(2) == 0 {
+			sim.listWorkers()
+		}
 		sim.run(time.Duration(50+rng.IntN(800)) * time.Millisecond)
 	}
 	sim.callLossShare = 0
 	for _, f := range sim.workers {
 		f.disconnected = false
 	}
+	if sim.oldEntries {
+		sim.schedule(2*heartbeat, sim.listWorkers)
+	}
 	sim.run(60 * time.Second)
 	crashes := map[workflow.JobID]int{}
 	for task, n := range sim.crashes {
@@ -271,7 +278,7 @@
 	sim, stops, sent := stopOfAnUnansweredStart(t)
 	earlier := CallAnswer{StartedAt: sim.workers["a"].startedAt, Clock: sim.clock(sim.workers["a"])}
 	sim.core.StopReturned(sim.now, sent, earlier, nil)
-	sim.restart("a")
+	sim.restartAnswered("a")
 	sim.now += stopRetryDelay
 	sim.core.Act(sim.now)
 	assert.Len(t, stops(), 1, "the next incarnation has not refused the start")
