Say why the longest lease still counts after a restart

Two comments still said that a call by the earlier clock may grant the longest lease; no such call is sent since.

--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -28,7 +28,7 @@
 	}
 	newest := startedAt == w.StartedAt
 	if newest && sentTo != 0 && sentTo != startedAt {
-		// The limit of a call that was meant for an earlier incarnation may have granted the longest lease.
+		// Such a call is not sent. The longest lease still counts, in case a worker carries one out in its next life.
 		w.extendLease(now + withDrift(c.params.MaxLease))
 	}
 	return newest || startedAt == 0
@@ -162,7 +162,8 @@
 	w.clockReading, w.clockReadAt, w.appliedEnd, w.endMarks = 0, 0, 0, nil
 	w.confirmedEnd, w.sentConfirmation, w.receivedConfirmation = 0, 0, 0
 	w.worstTailRatio = 0
-	// A call whose expiry is a reading of the earlier incarnation's clock may have granted the longest possible lease.
+	// Calls by the earlier clock are not sent to this incarnation. The longest lease, which one of them would grant, still counts, in
+	// case a worker carries one out in its next life.
 	w.leaseEnd = now + withDrift(c.params.MaxLease)
 	c.nextExpiry = min(c.nextExpiry, w.leaseEnd)
 	if m := w.announced; m != nil {
