Wait in loops of synctest bubbles by function timers

Cause: a goroutine of a synctest bubble that selects on a channel timer which is due, but that nobody waits for, runs the timer itself, in the race context of the bubble. The goroutine of the bubble, and others that do so at the same virtual time, use that context as well. A ticker beside events is such a timer: once an event ends the wait, it is due at the next select.

Evidence: the address of the crash, 0x41c729, is the first read of the slot in __tsan::SlotLock. Breakpoints in runtime.(*timer).maybeRunChan counted, in one run of the tests each: internal/scheduler 33, all in Scheduler.Run; internal/intake 11,271 in the log of the tests and 113 in collect; test/soak 9,684 in Scheduler.Run and 66 elsewhere; internal/config 2.

clock.Timer sends from a function timer, which the goroutine of the bubble runs. The loops of the scheduler, the gateway and collect use it; the stand-ins and the tests wait by context.WithTimeout, which is one too. The race tests of all these packages pass.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"clementinewalk.example/clementinewalk/internal/admission"
+	"clementinewalk.example/clementinewalk/internal/clock"
 	"clementinewalk.example/clementinewalk/internal/ingress"
 	"clementinewalk.example/clementinewalk/internal/invariant"
 	"clementinewalk.example/clementinewalk/internal/process"
@@ -129,13 +130,14 @@
 // runLoop runs the control loop until ctx ends.
 func (g *Gateway) runLoop(ctx context.Context) {
 	defer close(g.loopDone)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	tick := clock.NewTimer(tickInterval)
+	defer tick.Stop()
 	for {
 		select {
 		case f := <-g.events:
 			f(time.Now())
-		case <-ticker.C:
+		case <-tick.C:
+			tick.Restart(tickInterval)
 			g.tick(time.Now())
 		case <-ctx.Done():
 			return
--- a/internal/intake/collectors.go
+++ b/internal/intake/collectors.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"clementinewalk.example/clementinewalk/internal/catalog"
+	"clementinewalk.example/clementinewalk/internal/clock"
 	"clementinewalk.example/clementinewalk/internal/eventlog"
 	"clementinewalk.example/clementinewalk/internal/relay"
 	"clementinewalk.example/clementinewalk/internal/storehealth"
@@ -252,8 +253,8 @@
 		d, err := c.client.Collect(callCtx, to, e)
 		done <- result{append: d, err: err}
 	}()
-	t := time.NewTicker(aliveFor)
-	defer t.Stop()
+	check := clock.NewTimer(aliveFor)
+	defer check.Stop()
 	for {
 		select {
 		case r := <-done:
@@ -261,7 +262,8 @@
 				c.noteAnswer(to.Instance)
 			}
 			return r.append, r.err
-		case <-t.C:
+		case <-check.C:
+			check.Restart(aliveFor)
 			if !c.alive(ctx, to) {
 				cancel()
 			}
--- a/internal/intake/fleet_test.go
+++ b/internal/intake/fleet_test.go
@@ -121,7 +121,8 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
 	time.Sleep(2 * oneWay)
-	deadline := time.After(wait)
+	waitCtx, stopWaiting := context.WithTimeout(ctx, wait)
+	defer stopWaiting()
 	for {
 		p.mu.Lock()
 		page := eventlog.Page{Entries: p.entries[from:], End: int64(len(p.entries))}
@@ -144,11 +145,12 @@
 		}
 		select {
 		case <-appended:
-		case <-deadline:
+		case <-waitCtx.Done():
+			if ctx.Err() != nil {
+				return eventlog.Page{}, &eventlog.UnknownError{Op: "read", Err: ctx.Err()}
+			}
 			time.Sleep(delay)
 			return page, nil
-		case <-ctx.Done():
-			return eventlog.Page{}, &eventlog.UnknownError{Op: "read", Err: ctx.Err()}
 		}
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"clementinewalk.example/clementinewalk/internal/clock"
 	"clementinewalk.example/clementinewalk/internal/config"
 	"clementinewalk.example/clementinewalk/internal/instance"
 	"clementinewalk.example/clementinewalk/internal/process"
@@ -73,7 +74,7 @@
 	defer cancel()
 	defer close(s.done)
 	s.ioCtx, s.start = ioCtx, time.Now()
-	tick := time.NewTicker(tickInterval)
+	tick := clock.NewTimer(tickInterval)
 	defer tick.Stop()
 	stopping := ctx.Done()
 	var deadline <-chan time.Time
@@ -82,6 +83,7 @@
 		case f := <-s.events:
 			f(time.Now())
 		case <-tick.C:
+			tick.Restart(tickInterval)
 			s.tick(time.Now())
 			if s.leaving && s.ownsNoShard() {
 				s.deregister()
--- a/internal/standin/memlog/memlog.go
+++ b/internal/standin/memlog/memlog.go
@@ -169,7 +169,8 @@
 
 // Read implements eventlog.Log.
 func (l *Log) Read(ctx context.Context, name string, from int64, wait time.Duration) (eventlog.Page, error) {
-	timeout := time.After(wait)
+	waitCtx, stopWaiting := context.WithTimeout(ctx, wait)
+	defer stopWaiting()
 	for {
 		l.mu.Lock()
 		t := l.topic(name)
@@ -191,9 +192,10 @@
 			return p, nil
 		}
 		select {
-		case <-ctx.Done():
-			return eventlog.Page{}, &eventlog.UnknownError{Op: "read", Err: ctx.Err()}
-		case <-timeout:
+		case <-waitCtx.Done():
+			if ctx.Err() != nil {
+				return eventlog.Page{}, &eventlog.UnknownError{Op: "read", Err: ctx.Err()}
+			}
 			return p, nil
 		case <-appended:
 		}
--- a/internal/standin/platform/read.go
+++ b/internal/standin/platform/read.go
@@ -12,8 +12,8 @@
 
 // Read implements platform.Log. Offset 0 does not exist and is answered like an offset below the retained range.
 func (l *Log) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (api.Page, error) {
-	deadline := time.NewTimer(max(0, wait))
-	defer deadline.Stop()
+	waitCtx, stopWaiting := context.WithTimeout(ctx, wait)
+	defer stopWaiting()
 	if err := sleep(ctx, l.readDelay(name)); err != nil {
 		return api.Page{}, &api.UnavailableError{Op: "read", Err: err}
 	}
@@ -25,10 +25,11 @@
 		select {
 		case <-appended:
 		case <-faultsChanged:
-		case <-deadline.C:
+		case <-waitCtx.Done():
+			if ctx.Err() != nil {
+				return api.Page{}, &api.UnavailableError{Op: "read", Err: ctx.Err()}
+			}
 			wait = 0
-		case <-ctx.Done():
-			return api.Page{}, &api.UnavailableError{Op: "read", Err: ctx.Err()}
 		}
 	}
 }
--- a/test/soak/cluster_test.go
+++ b/test/soak/cluster_test.go
@@ -158,12 +158,9 @@
 }
 
 func (c *cluster) sleep(d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-c.ctx.Done():
-	}
+	ctx, stop := context.WithTimeout(c.ctx, d)
+	defer stop()
+	<-ctx.Done()
 }
 
 // dataCentreOf returns the data centre of a gateway or scheduler. The last character of the id is a digit of its
