Give the submission of the load tool's tests time for more than one poll

Cause: the tool polls jobs every 250 ms, and the tests let it wait for 400 ms. A submission that is accepted after the poll at 250 ms is never polled and counts as lost. In the second test the fake deployment held its lock during the stall of 250 ms, so the submission waited behind the stalled request if that came first.

The wait is the limit of the tool's settings and no check; the run ends with its last job. It is 5 s now, and 400 ms where the test wants a lost task. The stall holds the answer of its request only. All checks are the same.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -73,8 +73,12 @@
 
 func (f *fakeDeployment) request(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
-	time.Sleep(f.stall)
+	stall := f.stall
 	f.stall = 0
+	// The other endpoints answer meanwhile.
+	f.mu.Unlock()
+	time.Sleep(stall)
+	f.mu.Lock()
 	id, ticket, kind := r.Header.Get(headerRequestID), r.Header.Get(headerTicket), r.URL.Path[len(pathRequests):]
 	w.Header().Set(headerRequestID, id)
 	if kind == "send-price" && ticket == "" {
@@ -121,7 +125,7 @@
 		Manifest: "../../examples/quotes.yaml", Duration: 300 * time.Millisecond, Requests: 1000, PeakFactor: 2,
 		PeakEvery: 100 * time.Millisecond, PeakLength: 50 * time.Millisecond, Repeat: 0.5, BodyBytes: 64,
 		MaxInFlight: 100, Timeout: 5 * time.Second, BatchJobs: 1, TasksPerJob: 10,
-		BatchWait: 400 * time.Millisecond, Seed: 1, Standin: servers[0].URL,
+		BatchWait: 5 * time.Second, Seed: 1, Standin: servers[0].URL,
 		Out: filepath.Join(t.TempDir(), "run"), Plots: "svg"}
 	if configure != nil {
 		configure(s)
@@ -155,7 +159,11 @@
 func TestViolations(t *testing.T) {
 	for mode, want := range map[string]string{"crossed": "crossed answers", "cut": "cut answers",
 		"doubled": "doubled answers", "lost": "lost tasks", "not-run-lie": "called not run but executed"} {
-		res, _, err := testRun(t, &fakeDeployment{mode: mode}, nil)
+		res, _, err := testRun(t, &fakeDeployment{mode: mode}, func(s *Settings) {
+			if mode == "lost" {
+				s.BatchWait = 400 * time.Millisecond
+			}
+		})
 		var violation *ViolationError
 		require.ErrorAs(t, err, &violation, mode)
 		require.Contains(t, violation.Violated, want)
