--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 	echo "run the build of deploy/system.toml and review/build-2.sh first" >&2
 	exit 2
 fi
-RECORD=review/8/record.txt exec target/review-lab crashes
+RECORD=review/8/record.txt exec target/review-lab closing
--- a/review/_lab/cases.go
+++ b/review/_lab/cases.go
@@ -7,7 +7,7 @@
 )
 
 var cases = map[string]func() int{"images": images, "schedules": schedules, "large": large, "crashes": crashes, "gang": gangFails,
-	"dark": dark, "fuzz": fuzz, "intake": intake, "odd": odd}
+	"dark": dark, "fuzz": fuzz, "intake": intake, "odd": odd, "closing": closing}
 
 // finishTime is how long after the end of the traffic the submissions are asked for (finish_s).
 const finishTime = 14 * time.Second
@@ -323,3 +323,17 @@
 	w.judgeIdle([]*submission{s}, 25*time.Second)
 	return w.end()
 }
+
+// closing lets all workers close each connection after one answer.
+func closing() int {
+	w := newWorld(3, 8, 1, true)
+	w.f.mu.Lock()
+	w.f.closes = w.trouble
+	w.f.mu.Unlock()
+	time.Sleep(5 * time.Second)
+	last := w.small(20)
+	time.Sleep(finishTime)
+	w.judgeIdle(last, 4*time.Second)
+	w.judgeStates(last)
+	return w.end()
+}
--- a/review/_lab/fleet.go
+++ b/review/_lab/fleet.go
@@ -148,6 +148,8 @@
 	starts  int
 	guards  bool
 	stopped bool
+	// closes makes the workers close each connection after one answer, as HTTP/1.1 allows with "Connection: close".
+	closes bool
 	// subnet is a part of the loopback addresses of the workers.
 	subnet int
 }
@@ -463,6 +465,9 @@
 func (w *worker) handle(rw http.ResponseWriter, r *http.Request) {
 	f := w.f
 	life := r.Context().Value(lifeKey{}).(int)
+	if f.closes {
+		rw.Header().Set("Connection", "close")
+	}
 	b, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
