--- a/review/_lab/nodes.go
+++ b/review/_lab/nodes.go
@@ -89,7 +89,7 @@
 		port := 13000 + 40*rand.IntN(400)
 		free := true
 		for i := range 40 {
-			ln, err := net.Listen("tcp", fmt.Sprintf(":%d", port+i))
+			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+i))
 			if err != nil {
 				free = false
 				break
